--- /dev/null
+++ b/src/core/ownership.h
@@ -0,0 +1,112 @@
+// Leases of daemons and ownership of shards, arbitrated by rows of the store. Keeps this daemon's lease row, watches those of
+// the others, claims shards that have no live owner and hands shards over to the daemon that should have them.
+#pragma once
+
+#include "error.h"
+#include "messages.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace KingCupLadder {
+
+struct OwnershipSettings {
+    PeerInfo self;
+    std::uint64_t seed = 1;
+    Duration leaseTerm{6000};
+    Duration leaseMargin{1000};
+    Duration renewInterval{2000};
+    Duration scanInterval{1000}; ///< Between two reads of the lease and shard rows.
+    Duration operationTimeout{1500}; ///< A store operation without an answer after this span counts as StoreStatus::Unknown.
+};
+
+/// A shard that should exist, with the VMs' failure domain.
+struct WantedShard {
+    ShardId id;
+    FailureDomain domain;
+};
+
+/// This daemon owns the shard from now on.
+struct ShardGained {
+    ShardId shard;
+    Epoch epoch;
+};
+
+/// This daemon no longer owns the shard. Its controller must be dropped at once.
+struct ShardLost {
+    ShardId shard;
+};
+
+/// The shard should move to another daemon. The receiver of this output prepares and calls Ownership::handOver().
+struct HandOverWanted {
+    ShardId shard;
+    DaemonId to;
+};
+
+/// The shard row names another daemon as the owner now; it has to be told.
+struct HandOverDone {
+    ShardId shard;
+    Epoch epoch;
+    DaemonId to;
+};
+
+using OwnershipOutput = std::variant<StoreTransact, StoreScan, StoreRead, ShardGained, ShardLost, HandOverWanted, HandOverDone>;
+
+/// What the rows say about a shard.
+struct ShardOwner {
+    ShardId shard;
+    DaemonId owner;
+    Epoch epoch;
+};
+
+class Ownership
+{
+public:
+    /// Supplies operation numbers that are unique within the daemon.
+    using NextOp = std::function<OpId()>;
+
+    [[nodiscard]] static Result<std::unique_ptr<Ownership>> create(const OwnershipSettings &settings, NextOp nextOp, TimePoint now);
+    ~Ownership();
+    Ownership(const Ownership &) = delete;
+    Ownership &operator=(const Ownership &) = delete;
+
+    /// The shards that should exist, from the pools and the VM list. A shard that is no longer wanted is kept until released.
+    void setWanted(const std::vector<WantedShard> &shards, TimePoint now);
+    /// Daemons heard recently, which may be given shards. A stopping daemon is not among them.
+    void setLivePeers(const std::vector<PeerInfo> &peers, TimePoint now);
+    /// True if the operation was one of this object's.
+    bool onStoreReply(const StoreReply &reply, TimePoint now);
+    void tick(TimePoint now);
+    /// Moves an owned shard to another daemon: writes the shard row with epoch + 1.
+    void handOver(const ShardId &shard, const DaemonId &to, TimePoint now);
+    /// A peer reports that it wrote the shard row for this daemon: reads the row at once.
+    void onHandOver(const HandOver &message, TimePoint now);
+    /// Hands all shards over and releases the lease; no shard is claimed from then on.
+    void beginStop(TimePoint now);
+    [[nodiscard]] std::vector<OwnershipOutput> takeOutputs();
+
+    /// True while the store is known to confirm this daemon's lease: (sending of the last confirmed renewal) + leaseTerm -
+    /// leaseMargin has not been reached.
+    [[nodiscard]] bool leaseConfirmed(TimePoint now) const;
+    [[nodiscard]] std::vector<ShardOwner> owned() const;
+    /// Known owners of all shards, from the rows read last.
+    [[nodiscard]] std::vector<ShardOwner> owners() const;
+    /// Daemons whose lease row is live, from the rows read last.
+    [[nodiscard]] std::vector<PeerInfo> registered() const;
+    /// True once beginStop() has nothing left to do.
+    [[nodiscard]] bool stopped() const;
+
+private:
+    Ownership();
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+/// The daemon that should own the shard: rendezvous hashing over the daemons of the shard's own failure domain, else over
+/// all. Empty if there are no daemons.
+[[nodiscard]] DaemonId preferredOwner(const WantedShard &shard, const std::vector<PeerInfo> &daemons);
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/shardcontroller.h
@@ -0,0 +1,131 @@
+// The owner's side of one shard: queue, ledgers, placement, task life cycle and request grants of its workers.
+// Exists only while this daemon owns the shard at one epoch; a new ownership is a new object.
+#pragma once
+
+#include "error.h"
+#include "messages.h"
+#include "tables.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace KingCupLadder {
+
+struct ShardSettings {
+    ShardId id;
+    PoolName pool;
+    FailureDomain domain;
+    DaemonId owner;
+    Epoch epoch;
+    std::uint64_t seed = 1;
+    Duration syncInterval{250}; ///< Between two messages to a worker without news.
+    Duration syncTimeout{1000}; ///< The caller of onWorkerReply answers each SyncWorker within this span.
+    Duration taskTerm{10000}; ///< Lease of tasks with PartitionPolicy::Move.
+    Duration margin{1000}; ///< Allowance for differing clock rates and delays.
+    Duration longestGrant{30000}; ///< The longest term of a grant of any epoch.
+    Duration startVoidAfter{3000}; ///< For workers without epochs.
+    Duration ownerTerm{7000}; ///< Lease term plus margin of the previous owner, for workers without epochs.
+    Duration urgentBound{2100}; ///< Urgent work starts within this span.
+    Duration gangTimeout{10000}; ///< A reservation for an all-at-once job is given up after this span.
+};
+
+/// The state of a job has to become durable; answered by ShardController::jobRecorded().
+struct RecordJob {
+    JobId job;
+    JobState state = JobState::Queued;
+    std::string reason;
+};
+
+using ShardOutput = std::variant<SyncWorker, RecordJob>;
+
+struct WorkerStatus {
+    WorkerId id;
+    std::string phase; ///< "unread", "ready", "unreachable", "leaving", "quarantined", "probation", "gone".
+    std::string reason;
+    Resources capacity;
+    Resources committed;
+    std::uint32_t tasks = 0;
+};
+
+struct TeamUse {
+    TeamId team;
+    Resources running; ///< Committed on workers that have been read.
+    Resources reservedUnread; ///< The most that may run on workers that have not been read.
+    Resources allotment;
+    std::uint32_t queuedTasks = 0;
+};
+
+/// Numbers since the controller was created.
+struct ShardCounters {
+    std::uint64_t taskStarts = 0;
+    std::uint64_t taskEnds = 0;
+    std::uint64_t preemptions = 0;
+    std::uint64_t grants = 0;
+    std::uint64_t grantRefusals = 0;
+    std::uint64_t syncs = 0;
+};
+
+class ShardController
+{
+public:
+    [[nodiscard]] static Result<std::unique_ptr<ShardController>> create(const ShardSettings &settings, std::shared_ptr<const Tables> tables, TimePoint now);
+    ~ShardController();
+    ShardController(const ShardController &) = delete;
+    ShardController &operator=(const ShardController &) = delete;
+
+    // State that other controllers hand in.
+
+    void setTables(std::shared_ptr<const Tables> tables, TimePoint now);
+    /// The VMs of this shard as listed by the platform. A worker that was listed before and is missing now is gone.
+    void setWorkers(const std::vector<VmInfo> &vms, TimePoint now);
+    /// The part of the team's limit that this shard may have running. Takes effect at once; a smaller value than what runs
+    /// stops admission and then checkpoints or stops the excess.
+    void setAllotment(const TeamId &team, const Resources &allotment, TimePoint now);
+    /// Whether the store confirms this owner. Leases of "move" tasks are renewed only while it does.
+    void setLeaseConfirmed(bool confirmed, TimePoint now);
+    /// After true, nothing is emitted any more except by a later false. Used while the daemon's lease is in doubt.
+    void setSuspended(bool suspended);
+
+    // Work.
+
+    /// Jobs found in the store after a take-over. Their tasks may be running on workers that have not been read.
+    void recover(const std::vector<JobRecord> &jobs, TimePoint now);
+    /// A job that was admitted under this ownership: none of its tasks has started. Known jobs are ignored. Refused with
+    /// ErrorKind::NeverFits if no worker can ever take a task of it.
+    [[nodiscard]] Result<bool> enqueue(const JobSpec &job, TimePoint now);
+    void cancel(const JobId &job, TimePoint now);
+    /// The RecordJob with this state is durable.
+    void jobRecorded(const JobId &job, JobState state, TimePoint now);
+    void onWorkerReply(const WorkerReply &reply, TimePoint now);
+
+    // Requests.
+
+    [[nodiscard]] Result<Grant> grant(const GrantWish &wish, const DaemonId &holder, TimePoint now);
+    void release(const GrantId &grant, GrantEnd end, TimePoint now);
+
+    /// Places work, sends due messages, ends what timed out. Cheap when there is nothing to do.
+    void tick(TimePoint now);
+    [[nodiscard]] std::vector<ShardOutput> takeOutputs();
+
+    // Views.
+
+    [[nodiscard]] const ShardSettings &settings() const;
+    [[nodiscard]] Resources freeResources() const;
+    [[nodiscard]] Resources capacity() const; ///< Of the workers that have been read.
+    [[nodiscard]] std::uint32_t queuedTasks() const;
+    [[nodiscard]] std::vector<WorkerStatus> workers() const;
+    [[nodiscard]] std::vector<TeamUse> teams() const;
+    [[nodiscard]] ShardCounters counters() const;
+    /// Why the job waits, or what it does; for operators.
+    [[nodiscard]] std::string explain(const JobId &job) const;
+
+private:
+    ShardController();
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace KingCupLadder
