Record the ownership term of admitted jobs and echo heartbeat stamps

Cause: a job that is forwarded to a stale owner could be started there and again by the newer owner; a heartbeat that was delayed in the network could make old statements look fresh.

Change: job rows and forwards carry the epoch for which the job was admitted, so that a later owner treats its tasks as possibly running. Heartbeats return the receiver's last stamp, which bounds their age on the receiver's own clock.

Ruled out: checking the shard row in each admission transaction (the row's epoch alone decides) and trusting the moment of arrival.

Conclusion: no clock of another machine is needed.

--- a/src/core/job.cpp
+++ b/src/core/job.cpp
@@ -181,7 +181,7 @@
 
 std::string JobRecord::toJson() const
 {
-    const nlohmann::json json{{"spec", specToJson(spec)}, {"shard", shard.value()}, {"state", toString(state)}, {"reason", reason}};
+    const nlohmann::json json{{"spec", specToJson(spec)}, {"shard", shard.value()}, {"state", toString(state)}, {"reason", reason}, {"epoch", epoch.value()}};
     return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -193,7 +193,11 @@
         if (!state) {
             return std::nullopt;
         }
-        return JobRecord{specFromJson(json.at("spec")), ShardId(json.at("shard").get<std::string>()), *state, json.at("reason").get<std::string>()};
+        return JobRecord{specFromJson(json.at("spec")),
+                         ShardId(json.at("shard").get<std::string>()),
+                         *state,
+                         json.at("reason").get<std::string>(),
+                         Epoch(json.value("epoch", std::uint64_t{0}))};
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
     }
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -110,6 +110,9 @@
     ShardId shard; ///< The shard whose owner places the job.
     JobState state = JobState::Queued;
     std::string reason; ///< Why it failed or is parked.
+    /// The ownership term for which the job was admitted. Owners of this term or an earlier one may have started it; an owner of
+    /// a later term treats its tasks as possibly running.
+    Epoch epoch;
 
     /// JSON text; two equal records have equal texts.
     [[nodiscard]] std::string toJson() const;
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -289,8 +289,17 @@
     Duration storeAge{0}; ///< Since a daemon of it had a confirmed store answer, as far as heard.
 };
 
+/// Returns the newest stamp received from a peer, so that the peer can tell how old the sender's statements are at most.
+struct HeartbeatEcho {
+    DaemonId daemon;
+    Incarnation incarnation;
+    Duration stamp{0};
+};
+
 struct Heartbeat {
     PeerInfo self;
+    Duration stamp{0}; ///< Time since the start of the sender; opaque to others.
+    std::vector<HeartbeatEcho> echoes;
     bool stopping = false;
     Duration storeAge{0}; ///< Since this daemon's last store answer.
     ConfigVersion tables;
@@ -343,6 +352,7 @@
     OpId op;
     ShardId shard;
     std::vector<JobSpec> jobs;
+    Epoch epoch; ///< The ownership term for which the jobs were admitted.
 };
 
 struct JobForwardReply {
@@ -357,6 +367,12 @@
     std::vector<JobId> jobs;
 };
 
+/// The owner has taken the cancellations.
+struct CancelForwardReply {
+    OpId op;
+    ShardId shard;
+};
+
 /// The sender has written the shard row for the receiver.
 struct HandOver {
     ShardId shard;
