--- /dev/null
+++ b/src/core/daemoncore.cpp
@@ -0,0 +1,537 @@
+// Creation, events and operations of the decision core.
+#include "daemoncore_p.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr Duration slowTickInterval{100}; // Of work that needs no quick reaction, such as allotment needs.
+constexpr Duration statusTimeout{1000};
+constexpr Duration cancelTimeout{5000};
+constexpr Duration retryAfterOutage{2000};
+
+ClaimSettings claimSettings(const DaemonCoreSettings &settings)
+{
+    ClaimSettings claims;
+    claims.holder = settings.self.id;
+    claims.incarnation = settings.self.incarnation;
+    claims.seed = settings.seed + 1;
+    claims.operationTimeout = settings.storeTimeout;
+    return claims;
+}
+
+GrantSettings grantSettings(const DaemonCoreSettings &settings)
+{
+    GrantSettings grants;
+    grants.seed = settings.seed + 2;
+    grants.maxWaiting = settings.maxWaitingRequests;
+    return grants;
+}
+
+MembershipSettings membershipSettings(const DaemonCoreSettings &settings)
+{
+    MembershipSettings membership;
+    membership.self = settings.self;
+    membership.seed = settings.seed + 3;
+    membership.seedAddresses = settings.peerAddresses;
+    membership.heartbeatInterval = settings.heartbeatInterval;
+    membership.peerTimeout = settings.peerTimeout;
+    membership.vmListInterval = settings.vmListInterval;
+    return membership;
+}
+
+OwnershipSettings ownershipSettings(const DaemonCoreSettings &settings)
+{
+    OwnershipSettings ownership;
+    ownership.self = settings.self;
+    ownership.seed = settings.seed + 4;
+    ownership.leaseTerm = settings.leaseTerm;
+    ownership.leaseMargin = settings.leaseMargin;
+    ownership.renewInterval = settings.leaseTerm / 3;
+    ownership.operationTimeout = settings.storeTimeout;
+    return ownership;
+}
+
+Error storeSilent(const char *what)
+{
+    return Error{ErrorKind::Unavailable, std::string("the store does not answer, so ") + what, "try again later"};
+}
+
+} // namespace
+
+DaemonCore::Private::Private(const DaemonCoreSettings &coreSettings, TimePoint now)
+    : settings(coreSettings)
+    , startedAt(now)
+    , config(ConfigSettings{coreSettings.configInterval, coreSettings.storeTimeout}, [this] { return newOp(); })
+    , membership(membershipSettings(coreSettings), now)
+    , admission(AdmissionSettings{}, [this] { return newOp(); })
+    , claims(claimSettings(coreSettings), [this] { return newOp(); })
+    , grants(grantSettings(coreSettings),
+             GrantHooks{[this] { return newOp(); },
+                        [this](const PoolName &pool, TimePoint at) { return grantSources(pool, at); },
+                        [this](const ShardId &id, const GrantWish &wish, TimePoint at) -> Result<Grant> {
+                            Shard *owned = shard(id);
+                            if (owned == nullptr) {
+                                return Error{ErrorKind::Unavailable, "shard " + id.value() + " is not owned here", "try again"};
+                            }
+                            return owned->controller->grant(wish, settings.self.id, at);
+                        }})
+    , jobs(
+          JobControllerSettings{}, [this] { return newOp(); }, [this](const ShardId &id, TimePoint at) { return choiceFor(id, at); })
+    , allotments(
+          AllotmentSettings{}, [this] { return newOp(); }, now)
+{
+}
+
+OpId DaemonCore::Private::newOp()
+{
+    lastOp = lastOp.next();
+    return lastOp;
+}
+
+Duration DaemonCore::Private::storeAge(TimePoint now) const
+{
+    return storeConfirmed ? now - *storeConfirmed : std::chrono::hours(24);
+}
+
+void DaemonCore::Private::emit(Command command)
+{
+    commands.push_back(std::move(command));
+}
+
+void DaemonCore::Private::answer(OpId op, CallerBody body)
+{
+    CallerAnswer reply;
+    reply.op = op;
+    reply.body = std::move(body);
+    emit(std::move(reply));
+}
+
+void DaemonCore::Private::fail(OpId op, const Error &error, Ran ran, Duration retryAfter)
+{
+    CallerAnswer reply;
+    reply.op = op;
+    reply.error = error;
+    reply.ran = ran;
+    reply.retryAfter = retryAfter;
+    emit(std::move(reply));
+}
+
+void DaemonCore::Private::sendPeer(const DaemonId &to, PeerMessage message)
+{
+    const auto peer = membership.peer(to);
+    if (peer) {
+        emit(SendPeer{to, peer->peerAddress, std::move(message)});
+    }
+}
+
+void DaemonCore::Private::readStore(const std::string &table, const std::vector<std::string> &keys, StoreHandler handler)
+{
+    const OpId op = newOp();
+    storeHandlers[op] = std::move(handler);
+    emit(StoreRead{op, table, keys});
+}
+
+void DaemonCore::Private::scanStore(const std::string &table, const std::string &prefix, StoreHandler handler)
+{
+    const OpId op = newOp();
+    storeHandlers[op] = std::move(handler);
+    emit(StoreScan{op, table, prefix});
+}
+
+Result<std::unique_ptr<DaemonCore>> DaemonCore::create(const DaemonCoreSettings &settings, TimePoint now)
+{
+    if (settings.self.id.isEmpty() || settings.self.domain.isEmpty()) {
+        return Error{ErrorKind::InvalidInput, "the daemon has no id or no failure domain", "set both in the settings"};
+    }
+    std::unique_ptr<DaemonCore> core(new DaemonCore);
+    core->d = std::make_unique<Private>(settings, now);
+    Private *d = core->d.get();
+    auto ownership = Ownership::create(
+        ownershipSettings(settings), [d] { return d->newOp(); }, now);
+    if (!ownership) {
+        return ownership.reason();
+    }
+    d->ownership = std::move(ownership).value();
+    return core;
+}
+
+DaemonCore::DaemonCore() = default;
+DaemonCore::~DaemonCore() = default;
+
+void DaemonCore::onStoreReply(const StoreReply &reply, TimePoint now)
+{
+    const auto sent = d->storeOps.find(reply.op);
+    if (sent != d->storeOps.end()) {
+        if (reply.status != StoreStatus::Unknown) {
+            d->storeConfirmed = std::max(d->storeConfirmed.value_or(sent->second), sent->second);
+        }
+        d->storeOps.erase(sent);
+    }
+    const auto handler = d->storeHandlers.find(reply.op);
+    if (handler != d->storeHandlers.end()) {
+        const Private::StoreHandler handle = std::move(handler->second);
+        d->storeHandlers.erase(handler);
+        handle(reply, now);
+    } else if (!d->config.onStoreReply(reply, now) && !d->ownership->onStoreReply(reply, now) && !d->admission.onStoreReply(reply, now)
+               && !d->claims.onStoreReply(reply, now)) {
+        d->allotments.onStoreReply(reply, now);
+    }
+    d->drain(now);
+}
+
+void DaemonCore::onVmList(const VmListReply &reply, TimePoint now)
+{
+    if (reply.op != d->vmListOp) {
+        return;
+    }
+    d->vmListOp = OpId();
+    if (reply.vms) {
+        d->vmListTaken = d->vmListSent;
+        d->membership.onVmList(*reply.vms, now);
+        d->updateWantedShards(now);
+        d->updateWorkers(now);
+    }
+    d->drain(now);
+}
+
+void DaemonCore::onWorkerReply(const WorkerReply &reply, TimePoint now)
+{
+    const auto found = d->workerOps.find(reply.op);
+    if (found == d->workerOps.end()) {
+        return;
+    }
+    const Private::WorkerOp op = found->second;
+    d->workerOps.erase(found);
+    Private::Shard *shard = d->shardAt(op.shard, op.epoch);
+    if (shard != nullptr) {
+        WorkerReply inner = reply;
+        inner.op = op.inner;
+        shard->controller->onWorkerReply(inner, now);
+    }
+    d->drain(now);
+}
+
+void DaemonCore::tick(TimePoint now)
+{
+    d->config.tick(now);
+    d->ownership->tick(now);
+    if (d->membership.heartbeatDue(now)) {
+        d->sendHeartbeats(now);
+    }
+    const bool vmListLost = d->vmListOp.value() != 0 && now - d->vmListSent > 2 * d->settings.storeTimeout;
+    if (d->membership.vmListDue(now) && (d->vmListOp.value() == 0 || vmListLost)) {
+        d->vmListOp = d->newOp();
+        d->vmListSent = now;
+        d->emit(VmListRead{d->vmListOp});
+    }
+    d->admission.tick(now);
+    d->claims.tick(now);
+    d->grants.tick(now);
+    d->jobs.tick(now);
+    if (now >= d->nextSlowTick) {
+        d->nextSlowTick = now + slowTickInterval;
+        d->ownership->setLivePeers(d->membership.livePeers(now), now);
+        d->membership.onRegistered(d->ownership->registered(), now);
+        d->noticeLostPeers(now);
+        d->updateWorkers(now);
+        d->updateAllotmentNeeds(now);
+        d->expireCancellations(now);
+        d->finishGatherings(now);
+    }
+    d->allotments.tick(now);
+    d->tickShards(now);
+    d->drain(now);
+}
+
+std::vector<Command> DaemonCore::takeCommands()
+{
+    return std::exchange(d->commands, {});
+}
+
+Result<Identity> DaemonCore::identify(const std::string &secret, TimePoint now) const
+{
+    FreshnessInput input;
+    input.keysAge = d->config.keysAge(now);
+    input.ownDomain = d->settings.self.domain;
+    input.domains = d->membership.domainViews(d->storeAge(now), now);
+    std::set<FailureDomain> domains{d->settings.self.domain};
+    for (const PeerInfo &peer : d->membership.knownPeers()) {
+        domains.insert(peer.domain);
+    }
+    input.daemonDomains.assign(domains.begin(), domains.end());
+    FreshnessSettings freshness;
+    freshness.bound = d->settings.keyBound;
+    if (keyFreshness(freshness, input) == Freshness::Stale) {
+        return Error{ErrorKind::Unavailable, "the key list may be out of date, so keyed work is refused", "try again at another daemon or later"};
+    }
+    const auto key = d->config.keys().find(keyDigest(secret));
+    if (!key) {
+        return Error{ErrorKind::Unauthorized, "the key is unknown or withdrawn", "ask an operator for a key"};
+    }
+    Identity identity{key->id, key->team, WorkspaceId()};
+    const auto tables = d->config.tables();
+    const Team *team = tables ? tables->team(key->team) : nullptr;
+    if (team != nullptr) {
+        identity.workspace = team->workspace;
+    }
+    return identity;
+}
+
+OpId DaemonCore::submitJob(const JobSpec &job, TimePoint now)
+{
+    const OpId op = d->newOp();
+    if (const auto problem = d->checkSubmission(job)) {
+        d->fail(op, *problem);
+        return op;
+    }
+    const auto choice = chooseShard(job, d->shardsOfPool(job.pool, now));
+    if (!choice) {
+        d->fail(op,
+                Error{ErrorKind::Unavailable, "pool " + job.pool.value() + " has no VMs yet", "try again later or check the pool's VM group"},
+                Ran::NotRun,
+                retryAfterOutage);
+        return op;
+    }
+    JobRecord record;
+    record.spec = job;
+    record.shard = choice->shard;
+    record.epoch = choice->epoch;
+    d->admission.submit(op, record, now);
+    d->drain(now);
+    return op;
+}
+
+OpId DaemonCore::readJob(const JobId &job, TimePoint)
+{
+    const OpId op = d->newOp();
+    d->readStore("jobs", {job.value()}, [this, op, job](const StoreReply &reply, TimePoint) {
+        if (reply.status != StoreStatus::Ok) {
+            d->fail(op, storeSilent("the job can't be read"), Ran::NotRun, retryAfterOutage);
+            return;
+        }
+        const auto record = reply.rows.empty() || reply.rows.front().version.value() == 0 ? std::nullopt : JobRecord::fromJson(reply.rows.front().value);
+        if (!record) {
+            d->fail(op, Error{ErrorKind::NotFound, "there is no job " + job.value(), "check the id with the list of jobs"});
+            return;
+        }
+        d->answer(op, *record);
+    });
+    return op;
+}
+
+OpId DaemonCore::listJobs(const TeamId &team, TimePoint)
+{
+    constexpr std::size_t maxListed = 1000;
+    const OpId op = d->newOp();
+    d->scanStore("queue", "", [this, op, team](const StoreReply &index, TimePoint) {
+        if (index.status != StoreStatus::Ok) {
+            d->fail(op, storeSilent("jobs can't be listed"), Ran::NotRun, retryAfterOutage);
+            return;
+        }
+        std::vector<std::string> keys;
+        for (const Row &row : index.rows) {
+            // Keys are "pool/domain/part/job"; the job's id may contain slashes itself.
+            std::size_t start = 0;
+            for (int slashes = 0; slashes < 3 && start != std::string::npos; ++slashes) {
+                start = row.key.find('/', start);
+                start = start == std::string::npos ? start : start + 1;
+            }
+            if (start != std::string::npos && keys.size() < maxListed) {
+                keys.push_back(row.key.substr(start));
+            }
+        }
+        d->readStore("jobs", keys, [this, op, team](const StoreReply &reply, TimePoint) {
+            if (reply.status != StoreStatus::Ok) {
+                d->fail(op, storeSilent("jobs can't be listed"), Ran::NotRun, retryAfterOutage);
+                return;
+            }
+            std::vector<JobRecord> records;
+            for (const Row &row : reply.rows) {
+                const auto record = JobRecord::fromJson(row.value);
+                if (record && (team.isEmpty() || record->spec.team == team)) {
+                    records.push_back(*record);
+                }
+            }
+            d->answer(op, std::move(records));
+        });
+    });
+    return op;
+}
+
+OpId DaemonCore::cancelJob(const JobId &job, const TeamId &team, TimePoint)
+{
+    const OpId op = d->newOp();
+    d->readStore("jobs", {job.value()}, [this, op, job, team](const StoreReply &reply, TimePoint now) {
+        if (reply.status != StoreStatus::Ok) {
+            d->fail(op, storeSilent("the job was not cancelled"), Ran::NotRun, retryAfterOutage);
+            return;
+        }
+        const auto record = reply.rows.empty() || reply.rows.front().version.value() == 0 ? std::nullopt : JobRecord::fromJson(reply.rows.front().value);
+        if (!record || (!team.isEmpty() && record->spec.team != team)) {
+            d->fail(op, Error{ErrorKind::NotFound, "there is no job " + job.value() + " of this team", "check the id with the list of jobs"});
+            return;
+        }
+        if (record->state == JobState::Cancelled) {
+            d->answer(op, JobCancelled{job});
+            return;
+        }
+        if (isFinal(record->state) && record->state != JobState::Parked) {
+            d->fail(op, Error{ErrorKind::Conflict, "job " + job.value() + " has already " + toString(record->state), "nothing is left to cancel"});
+            return;
+        }
+        Private::Cancellation &pending = d->cancellations[job];
+        pending.callers.push_back(op);
+        pending.shard = record->shard;
+        pending.until = now + cancelTimeout;
+        d->admission.record(job, JobState::Cancelled, "cancelled by its submitter", now);
+    });
+    return op;
+}
+
+OpId DaemonCore::acquireGrant(const GrantWish &wish, TimePoint now)
+{
+    const OpId op = d->newOp();
+    if (d->stopping && d->shards.empty() && d->membership.livePeers(now).empty()) {
+        d->fail(op, Error{ErrorKind::Stopping, "this daemon is shutting down", "send the request to another daemon"});
+        return op;
+    }
+    d->grants.acquire(op, wish, now);
+    d->drain(now);
+    return op;
+}
+
+void DaemonCore::abandonWish(OpId op, TimePoint now)
+{
+    d->grants.abandon(op, now);
+    d->drain(now);
+}
+
+void DaemonCore::releaseGrant(const Grant &grant, GrantEnd end, TimePoint now)
+{
+    Private::Shard *shard = d->shardAt(grant.shard, grant.epoch);
+    if (shard != nullptr) {
+        shard->controller->release(grant.id, end, now);
+    } else {
+        const auto choice = d->choiceFor(grant.shard, now);
+        if (choice && choice->epoch == grant.epoch) {
+            d->sendPeer(choice->owner, GrantRelease{grant.shard, grant.id, end});
+        }
+    }
+    d->drain(now);
+}
+
+OpId DaemonCore::claim(const TeamId &team, const std::string &key, const std::string &fingerprint, TimePoint now)
+{
+    const OpId op = d->newOp();
+    d->claims.claim(op, team, key, fingerprint, now);
+    d->drain(now);
+    return op;
+}
+
+OpId DaemonCore::finishClaim(const TeamId &team, const std::string &key, const std::string &outcome, TimePoint now)
+{
+    const OpId op = d->newOp();
+    d->claims.finish(op, team, key, outcome, now);
+    d->drain(now);
+    return op;
+}
+
+OpId DaemonCore::applyTables(ConfigVersion expected, const std::string &routesYaml, const std::string &poolsYaml, TimePoint now)
+{
+    const OpId op = d->newOp();
+    d->config.applyTables(op, expected, routesYaml, poolsYaml, now);
+    d->drain(now);
+    return op;
+}
+
+OpId DaemonCore::giveKey(const TeamKey &key, TimePoint now)
+{
+    const OpId op = d->newOp();
+    d->config.giveKey(op, key, now);
+    d->drain(now);
+    return op;
+}
+
+OpId DaemonCore::withdrawKey(const KeyId &key, TimePoint now)
+{
+    const OpId op = d->newOp();
+    d->config.withdrawKey(op, key, now);
+    d->drain(now);
+    return op;
+}
+
+OpId DaemonCore::fleetStatus(const std::string &topic, TimePoint now)
+{
+    const OpId op = d->newOp();
+    Private::Gathering gathering;
+    gathering.caller = op;
+    gathering.status.parts.push_back(FleetStatus::Part{d->settings.self.id, d->status(topic, now)});
+    gathering.until = now + statusTimeout;
+    for (const PeerInfo &peer : d->membership.knownPeers()) {
+        if (peer.id != d->settings.self.id) {
+            gathering.waiting.insert(peer.id);
+            d->sendPeer(peer.id, StatusQuery{op, topic});
+        }
+    }
+    d->gatherings.emplace(op, std::move(gathering));
+    d->finishGatherings(now);
+    return op;
+}
+
+std::shared_ptr<const Tables> DaemonCore::tables() const
+{
+    return d->config.tables();
+}
+
+ConfigVersion DaemonCore::tablesVersion() const
+{
+    return d->config.version(ConfigKind::Tables);
+}
+
+ConfigVersion DaemonCore::keysVersion() const
+{
+    return d->config.version(ConfigKind::Keys);
+}
+
+std::string DaemonCore::routesYaml() const
+{
+    return d->config.routesYaml();
+}
+
+std::string DaemonCore::poolsYaml() const
+{
+    return d->config.poolsYaml();
+}
+
+std::vector<TeamKey> DaemonCore::keys() const
+{
+    return d->config.keys().keys();
+}
+
+std::string DaemonCore::status(const std::string &topic, TimePoint now) const
+{
+    return d->status(topic, now);
+}
+
+bool DaemonCore::ready(TimePoint) const
+{
+    return !d->stopping && d->config.tables() != nullptr;
+}
+
+void DaemonCore::beginStop(TimePoint now)
+{
+    d->stopping = true;
+    d->ownership->beginStop(now);
+    d->drain(now);
+}
+
+bool DaemonCore::stopped() const
+{
+    return d->stopping && d->ownership->stopped();
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/daemoncore_p.h
@@ -0,0 +1,177 @@
+// Internals of DaemonCore: its controllers and the wiring between them.
+#pragma once
+
+#include "admission.h"
+#include "allotments.h"
+#include "configcontroller.h"
+#include "daemoncore.h"
+#include "freshness.h"
+#include "grants.h"
+#include "idempotency.h"
+#include "jobcontroller.h"
+#include "membership.h"
+#include "ownership.h"
+#include "shardcontroller.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace KingCupLadder {
+
+class DaemonCore::Private
+{
+public:
+    /// One shard that this daemon owns.
+    struct Shard {
+        std::unique_ptr<ShardController> controller;
+        Epoch epoch;
+        TimePoint gainedAt{};
+        bool scanning = false; ///< A scan of its queue rows is in flight.
+        TimePoint nextScan{};
+        bool suspended = false; ///< While it is being handed over.
+        TimePoint suspendedAt{};
+        /// Durations of the last grants are not kept; workers that were ever handed to the controller are.
+        std::set<WorkerId> workers;
+    };
+
+    /// A command to a worker that was not answered.
+    struct WorkerOp {
+        ShardId shard;
+        Epoch epoch;
+        OpId inner; ///< The controller's own number.
+        TimePoint sentAt{};
+    };
+
+    /// A cancellation that is not durable yet.
+    struct Cancellation {
+        std::vector<OpId> callers;
+        ShardId shard;
+        TimePoint until{};
+    };
+
+    /// A status query to the fleet.
+    struct Gathering {
+        OpId caller;
+        FleetStatus status;
+        std::set<DaemonId> waiting;
+        TimePoint until{};
+    };
+
+    /// The state of a shard as its owner reports it in heartbeats.
+    struct RemoteShard {
+        DaemonId owner;
+        OwnedShard state;
+    };
+
+    using StoreHandler = std::function<void(const StoreReply &, TimePoint)>;
+
+    explicit Private(const DaemonCoreSettings &coreSettings, TimePoint now);
+
+    DaemonCoreSettings settings;
+    TimePoint startedAt{};
+    OpId lastOp;
+    std::vector<Command> commands;
+    bool stopping = false;
+    std::uint64_t nextSeed = 1;
+
+    ConfigController config;
+    Membership membership;
+    std::unique_ptr<Ownership> ownership;
+    Admission admission;
+    Claims claims;
+    Grants grants;
+    JobController jobs;
+    Allotments allotments;
+    std::map<ShardId, Shard> shards; ///< Owned here, one controller for each.
+
+    std::unordered_map<WorkerId, ShardId> shardOfWorker;
+    std::unordered_map<OpId, WorkerOp> workerOps;
+    std::unordered_map<OpId, TimePoint> storeOps; ///< Sending time of store operations in flight.
+    std::unordered_map<OpId, StoreHandler> storeHandlers; ///< Those that this class itself issued.
+    std::unordered_map<JobId, ShardId> recording; ///< Shards that wait for a job record to become durable.
+    std::unordered_map<JobId, Cancellation> cancellations;
+    std::unordered_map<JobId, TimePoint> cancelledLately; ///< A forward that arrives after the cancellation is dropped.
+    std::map<OpId, Gathering> gatherings;
+    std::unordered_map<DaemonId, HeartbeatEcho> echoes; ///< Newest stamp of each peer.
+    std::map<ShardId, RemoteShard> remoteShards;
+    std::set<DaemonId> liveBefore; ///< To notice when a peer is lost.
+    std::optional<TimePoint> storeConfirmed; ///< Sending time of the newest answered store operation.
+    OpId vmListOp;
+    TimePoint vmListSent{}; ///< Of the request in flight.
+    TimePoint vmListTaken{}; ///< Sending time of the request whose list is in force.
+    TimePoint nextSlowTick{};
+    std::shared_ptr<const Tables> knownTables;
+
+    OpId newOp();
+    [[nodiscard]] Duration storeAge(TimePoint now) const;
+
+    // Commands.
+    void emit(Command command);
+    void answer(OpId op, CallerBody body);
+    void fail(OpId op, const Error &error, Ran ran = Ran::NotRun, Duration retryAfter = Duration(0));
+    void sendPeer(const DaemonId &to, PeerMessage message);
+    void readStore(const std::string &table, const std::vector<std::string> &keys, StoreHandler handler);
+    void scanStore(const std::string &table, const std::string &prefix, StoreHandler handler);
+
+    // Outputs of the parts. Repeats until no part has any left.
+    void drain(TimePoint now);
+    bool drainConfig(TimePoint now);
+    bool drainOwnership(TimePoint now);
+    bool drainShards(TimePoint now);
+    bool drainWork(TimePoint now);
+    bool drainGrants(TimePoint now);
+    bool drainAllotments(TimePoint now);
+
+    // Shards.
+    void onTablesChanged(TimePoint now);
+    void gainShard(const ShardGained &gained, TimePoint now);
+    void loseShard(const ShardId &shard);
+    void startHandOver(const HandOverWanted &wanted, TimePoint now);
+    void updateWantedShards(TimePoint now);
+    void updateWorkers(TimePoint now);
+    void scanQueue(const ShardId &shard, TimePoint now);
+    void onQueueRows(const ShardId &shard, Epoch epoch, const StoreReply &reply, TimePoint now);
+    void takeJobRows(const ShardId &shard, Epoch epoch, const StoreReply &reply, TimePoint now);
+    void takeJobs(Shard &shard, Epoch admittedFor, const std::vector<JobRecord> &records, TimePoint now);
+    void enqueueHere(Shard &shard, const JobSpec &spec, TimePoint now);
+    void recordJob(const ShardId &shard, const RecordJob &record, TimePoint now);
+    void onJobRecorded(const JobRecorded &recorded, TimePoint now);
+    void updateAllotmentNeeds(TimePoint now);
+    void tickShards(TimePoint now);
+    [[nodiscard]] Shard *shard(const ShardId &id);
+    [[nodiscard]] Shard *shardAt(const ShardId &id, Epoch epoch);
+    [[nodiscard]] std::vector<ShardChoice> shardsOfPool(const PoolName &pool, TimePoint now) const;
+    [[nodiscard]] std::optional<ShardChoice> choiceFor(const ShardId &id, TimePoint now) const;
+    [[nodiscard]] std::vector<GrantSource> grantSources(const PoolName &pool, TimePoint now) const;
+    [[nodiscard]] std::optional<Error> checkSubmission(const JobSpec &job) const;
+
+    // Peers.
+    void sendHeartbeats(TimePoint now);
+    [[nodiscard]] Heartbeat buildHeartbeat(TimePoint now) const;
+    void onHeartbeat(const Heartbeat &heartbeat, TimePoint now);
+    void exchangeConfig(const Heartbeat &heartbeat, TimePoint heardAt);
+    void noticeLostPeers(TimePoint now);
+    void onGrantRequest(const DaemonId &from, const GrantRequest &request, TimePoint now);
+    void onJobForward(const DaemonId &from, const JobForward &forward, TimePoint now);
+    void onCancelForward(const DaemonId &from, const CancelForward &forward, TimePoint now);
+    void cancelHere(const ShardId &shard, const std::vector<JobId> &cancelled, TimePoint now);
+    void onStatusReply(const DaemonId &from, const StatusReply &reply);
+    void finishGatherings(TimePoint now);
+    void pushConfig(ConfigKind kind, TimePoint now);
+
+    // Status.
+    [[nodiscard]] std::string status(const std::string &topic, TimePoint now) const;
+    void expireCancellations(TimePoint now);
+};
+
+/// The shard of a VM: its pool and failure domain. One part per pool and domain.
+[[nodiscard]] ShardId shardIdFor(const PoolName &pool, const FailureDomain &domain);
+[[nodiscard]] PoolName poolOfShard(const ShardId &shard);
+[[nodiscard]] FailureDomain domainOfShard(const ShardId &shard);
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/daemoncoredrain.cpp
@@ -0,0 +1,157 @@
+// Moves the outputs of each controller to where they go: commands to the outside, events to other controllers.
+#include "daemoncore_p.h"
+
+#include <utility>
+
+namespace KingCupLadder {
+
+namespace {
+
+template<typename... Handlers>
+struct Overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+template<typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace
+
+void DaemonCore::Private::drain(TimePoint now)
+{
+    bool more = true;
+    while (more) {
+        more = drainConfig(now);
+        more = drainOwnership(now) || more;
+        more = drainAllotments(now) || more;
+        more = drainShards(now) || more;
+        more = drainWork(now) || more;
+        more = drainGrants(now) || more;
+    }
+    for (const Command &command : commands) {
+        std::visit(Overloaded{[&](const StoreTransact &store) { storeOps.emplace(store.op, now); },
+                              [&](const StoreScan &store) { storeOps.emplace(store.op, now); },
+                              [&](const StoreRead &store) { storeOps.emplace(store.op, now); },
+                              [](const auto &) {}},
+                   command);
+    }
+}
+
+bool DaemonCore::Private::drainConfig(TimePoint now)
+{
+    std::vector<ConfigOutput> outputs = config.takeOutputs();
+    for (ConfigOutput &output : outputs) {
+        std::visit(Overloaded{[&](ConfigInForce &inForce) {
+                                  if (inForce.kind == ConfigKind::Tables) {
+                                      onTablesChanged(now);
+                                  }
+                                  if (inForce.writtenHere) {
+                                      pushConfig(inForce.kind, now);
+                                  }
+                              },
+                              [&](auto &command) { emit(std::move(command)); }},
+                   output);
+    }
+    return !outputs.empty();
+}
+
+bool DaemonCore::Private::drainOwnership(TimePoint now)
+{
+    std::vector<OwnershipOutput> outputs = ownership->takeOutputs();
+    for (OwnershipOutput &output : outputs) {
+        std::visit(Overloaded{[&](ShardGained &gained) { gainShard(gained, now); },
+                              [&](ShardLost &lost) {
+                                  loseShard(lost.shard);
+                                  updateWantedShards(now);
+                              },
+                              [&](HandOverWanted &wanted) { startHandOver(wanted, now); },
+                              [&](HandOverDone &done) {
+                                  sendPeer(done.to, HandOver{done.shard, done.epoch});
+                              },
+                              [&](auto &command) { emit(std::move(command)); }},
+                   output);
+    }
+    return !outputs.empty();
+}
+
+bool DaemonCore::Private::drainAllotments(TimePoint now)
+{
+    std::vector<AllotmentOutput> outputs = allotments.takeOutputs();
+    for (AllotmentOutput &output : outputs) {
+        std::visit(Overloaded{[&](AllotmentChanged &changed) {
+                                  Shard *owned = shard(changed.shard);
+                                  if (owned != nullptr) {
+                                      owned->controller->setAllotment(changed.team, changed.allotment, now);
+                                  }
+                              },
+                              [&](auto &command) { emit(std::move(command)); }},
+                   output);
+    }
+    return !outputs.empty();
+}
+
+bool DaemonCore::Private::drainShards(TimePoint now)
+{
+    bool any = false;
+    for (auto &[id, owned] : shards) {
+        std::vector<ShardOutput> outputs = owned.controller->takeOutputs();
+        any = any || !outputs.empty();
+        for (ShardOutput &output : outputs) {
+            std::visit(Overloaded{[&, &shardId = id, epoch = owned.epoch](SyncWorker &sync) {
+                                      const OpId op = newOp();
+                                      workerOps.emplace(op, WorkerOp{shardId, epoch, sync.op, now});
+                                      sync.op = op;
+                                      emit(std::move(sync));
+                                  },
+                                  [&, &shardId = id](RecordJob &record) { recordJob(shardId, record, now); }},
+                       output);
+        }
+    }
+    return any;
+}
+
+bool DaemonCore::Private::drainWork(TimePoint now)
+{
+    std::vector<AdmissionOutput> admitted = admission.takeOutputs();
+    for (AdmissionOutput &output : admitted) {
+        std::visit(Overloaded{[&](JobStored &stored) { jobs.stored(stored.record, now); },
+                              [&](JobRecorded &recorded) { onJobRecorded(recorded, now); },
+                              [&](auto &command) { emit(std::move(command)); }},
+                   output);
+    }
+    jobs.tick(now);
+    std::vector<JobOutput> delivered = jobs.takeOutputs();
+    for (JobOutput &output : delivered) {
+        std::visit(Overloaded{[&](DeliverHere &here) {
+                                  Shard *owned = shard(here.shard);
+                                  std::vector<JobRecord> records;
+                                  for (JobSpec &spec : here.jobs) {
+                                      records.push_back(JobRecord{std::move(spec), here.shard, JobState::Queued, "", here.epoch});
+                                  }
+                                  if (owned != nullptr) {
+                                      takeJobs(*owned, here.epoch, records, now);
+                                  }
+                              },
+                              [&](CancelHere &here) { cancelHere(here.shard, here.jobs, now); },
+                              [&](ToOwner &message) { sendPeer(message.owner, std::move(message.message)); }},
+                   output);
+    }
+    std::vector<ClaimsOutput> claimed = claims.takeOutputs();
+    for (ClaimsOutput &output : claimed) {
+        std::visit([&](auto &command) { emit(std::move(command)); }, output);
+    }
+    return !admitted.empty() || !delivered.empty() || !claimed.empty();
+}
+
+bool DaemonCore::Private::drainGrants(TimePoint)
+{
+    std::vector<GrantOutput> outputs = grants.takeOutputs();
+    for (GrantOutput &output : outputs) {
+        std::visit(Overloaded{[&](AskOwner &ask) { sendPeer(ask.owner, std::move(ask.request)); },
+                              [&](ReturnGrant &back) { sendPeer(back.owner, back.release); },
+                              [&](CallerAnswer &reply) { emit(std::move(reply)); }},
+                   output);
+    }
+    return !outputs.empty();
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/daemoncorepeers.cpp
@@ -0,0 +1,262 @@
+// Messages from and to the other daemons.
+#include "daemoncore_p.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr Duration cancelMemory{60000}; // Longer than a forwarded job can be under way.
+
+template<typename... Handlers>
+struct Overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+template<typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace
+
+void DaemonCore::onPeerMessage(const DaemonId &from, const PeerMessage &message, TimePoint now)
+{
+    std::visit(Overloaded{[&](const Heartbeat &heartbeat) { d->onHeartbeat(heartbeat, now); },
+                          [&](const ConfigPush &push) { d->config.onPush(push); },
+                          [&](const ConfigPull &pull) {
+                              const ConfigPush document = d->config.document(pull.kind);
+                              if (document.version > pull.have) {
+                                  d->sendPeer(from, document);
+                              }
+                          },
+                          [&](const GrantRequest &request) { d->onGrantRequest(from, request, now); },
+                          [&](const GrantReply &reply) { d->grants.onReply(from, reply, now); },
+                          [&](const GrantRelease &release) {
+                              Private::Shard *owned = d->shard(release.shard);
+                              if (owned != nullptr) {
+                                  owned->controller->release(release.grant, release.end, now);
+                              }
+                          },
+                          [&](const JobForward &forward) { d->onJobForward(from, forward, now); },
+                          [&](const JobForwardReply &reply) { d->jobs.onForwardReply(reply, now); },
+                          [&](const CancelForward &forward) { d->onCancelForward(from, forward, now); },
+                          [&](const CancelForwardReply &reply) { d->jobs.onCancelReply(reply); },
+                          [&](const HandOver &handOver) { d->ownership->onHandOver(handOver, now); },
+                          [&](const StatusQuery &query) {
+                              d->sendPeer(from, StatusReply{query.op, d->status(query.topic, now)});
+                          },
+                          [&](const StatusReply &reply) { d->onStatusReply(from, reply); }},
+               message);
+    d->drain(now);
+}
+
+Heartbeat DaemonCore::Private::buildHeartbeat(TimePoint now) const
+{
+    Heartbeat heartbeat;
+    heartbeat.self = settings.self;
+    heartbeat.stamp = now - startedAt + Duration(1); // 0 would mean "none".
+    for (const auto &[id, echo] : echoes) {
+        heartbeat.echoes.push_back(echo);
+    }
+    heartbeat.stopping = stopping;
+    heartbeat.storeAge = storeAge(now);
+    heartbeat.tables = config.version(ConfigKind::Tables);
+    heartbeat.keys = config.version(ConfigKind::Keys);
+    heartbeat.keysAge = config.keysAge(now);
+    heartbeat.domains = membership.domainViews(storeAge(now), now);
+    heartbeat.known = membership.knownPeers();
+    for (const auto &[id, owned] : shards) {
+        if (!owned.suspended) {
+            heartbeat.owned.push_back(OwnedShard{id, owned.epoch, owned.controller->freeResources(), owned.controller->queuedTasks()});
+        }
+    }
+    heartbeat.leaving = membership.leavingVms();
+    heartbeat.withdrawn = config.keys().withdrawn();
+    return heartbeat;
+}
+
+void DaemonCore::Private::sendHeartbeats(TimePoint now)
+{
+    const Heartbeat heartbeat = buildHeartbeat(now);
+    for (const PeerInfo &target : membership.heartbeatTargets()) {
+        if (target.id != settings.self.id && target.peerAddress != settings.self.peerAddress) {
+            emit(SendPeer{target.id, target.peerAddress, heartbeat});
+        }
+    }
+}
+
+void DaemonCore::Private::onHeartbeat(const Heartbeat &heartbeat, TimePoint now)
+{
+    const DaemonId &from = heartbeat.self.id;
+    if (from == settings.self.id) {
+        return;
+    }
+    HeartbeatEcho &newest = echoes[from];
+    const bool old = heartbeat.self.incarnation < newest.incarnation || (heartbeat.self.incarnation == newest.incarnation && heartbeat.stamp <= newest.stamp);
+    if (old) {
+        return;
+    }
+    newest = HeartbeatEcho{from, heartbeat.self.incarnation, heartbeat.stamp};
+    const auto own = std::find_if(heartbeat.echoes.begin(), heartbeat.echoes.end(), [this](const HeartbeatEcho &echo) {
+        return echo.daemon == settings.self.id && echo.incarnation == settings.self.incarnation;
+    });
+    if (own == heartbeat.echoes.end()) {
+        // The age of this message is unknown until the peer echoes a stamp of this daemon.
+        membership.onRegistered({heartbeat.self}, now);
+        return;
+    }
+    // The message was written after the peer received the echoed stamp, so everything in it was true at that moment or later.
+    const TimePoint heardAt = std::min(now, startedAt + own->stamp - Duration(1));
+    membership.onHeartbeat(heartbeat, heardAt);
+    config.mergeWithdrawn(heartbeat.withdrawn);
+    exchangeConfig(heartbeat, heardAt);
+    for (auto it = remoteShards.begin(); it != remoteShards.end();) {
+        it = it->second.owner == from ? remoteShards.erase(it) : std::next(it);
+    }
+    for (const OwnedShard &owned : heartbeat.owned) {
+        const auto known = remoteShards.find(owned.id);
+        if (known == remoteShards.end() || known->second.state.epoch <= owned.epoch) {
+            remoteShards[owned.id] = RemoteShard{from, owned};
+        }
+    }
+}
+
+void DaemonCore::Private::exchangeConfig(const Heartbeat &heartbeat, TimePoint heardAt)
+{
+    const DaemonId &from = heartbeat.self.id;
+    for (const ConfigKind kind : {ConfigKind::Tables, ConfigKind::Keys}) {
+        const ConfigVersion theirs = kind == ConfigKind::Tables ? heartbeat.tables : heartbeat.keys;
+        const ConfigVersion ours = config.version(kind);
+        if (theirs > ours) {
+            sendPeer(from, ConfigPull{kind, ours});
+        } else if (theirs < ours) {
+            sendPeer(from, config.document(kind));
+        }
+    }
+    config.onPeerConfirmation(heartbeat.keys, heardAt - heartbeat.keysAge);
+}
+
+void DaemonCore::Private::pushConfig(ConfigKind kind, TimePoint now)
+{
+    const ConfigPush document = config.document(kind);
+    for (const PeerInfo &peer : membership.livePeers(now)) {
+        if (peer.id != settings.self.id) {
+            sendPeer(peer.id, document);
+        }
+    }
+}
+
+void DaemonCore::Private::noticeLostPeers(TimePoint now)
+{
+    std::set<DaemonId> live;
+    for (const PeerInfo &peer : membership.livePeers(now)) {
+        live.insert(peer.id);
+    }
+    const bool lost = std::any_of(liveBefore.begin(), liveBefore.end(), [&live](const DaemonId &id) { return live.count(id) == 0; });
+    liveBefore = std::move(live);
+    if (!lost) {
+        return;
+    }
+    // The lost daemon may have admitted jobs that it did not forward yet.
+    for (auto &[id, owned] : shards) {
+        owned.nextScan = std::min(owned.nextScan, now);
+    }
+}
+
+void DaemonCore::Private::onGrantRequest(const DaemonId &from, const GrantRequest &request, TimePoint now)
+{
+    GrantReply reply;
+    reply.op = request.op;
+    Shard *owned = shard(request.shard);
+    if (owned == nullptr || owned->suspended) {
+        reply.error = Error{ErrorKind::Unavailable, "shard " + request.shard.value() + " is not owned by this daemon", "ask its owner"};
+    } else {
+        Result<Grant> grant = owned->controller->grant(request.wish, from, now);
+        if (grant) {
+            reply.grant = std::move(grant).value();
+        } else {
+            reply.error = grant.reason();
+        }
+    }
+    sendPeer(from, std::move(reply));
+}
+
+void DaemonCore::Private::onJobForward(const DaemonId &from, const JobForward &forward, TimePoint now)
+{
+    Shard *owned = shard(forward.shard);
+    JobForwardReply reply{forward.op, forward.shard, false};
+    // A forward for a later term means that the shard has a newer owner.
+    if (owned != nullptr && forward.epoch <= owned->epoch) {
+        std::vector<JobRecord> records;
+        for (const JobSpec &spec : forward.jobs) {
+            records.push_back(JobRecord{spec, forward.shard, JobState::Queued, "", forward.epoch});
+        }
+        takeJobs(*owned, forward.epoch, records, now);
+        reply.owned = true;
+    }
+    sendPeer(from, reply);
+}
+
+void DaemonCore::Private::onCancelForward(const DaemonId &from, const CancelForward &forward, TimePoint now)
+{
+    if (shard(forward.shard) == nullptr) {
+        return;
+    }
+    cancelHere(forward.shard, forward.jobs, now);
+    sendPeer(from, CancelForwardReply{forward.op, forward.shard});
+}
+
+void DaemonCore::Private::cancelHere(const ShardId &id, const std::vector<JobId> &cancelled, TimePoint now)
+{
+    Shard *owned = shard(id);
+    for (const JobId &job : cancelled) {
+        cancelledLately[job] = now + cancelMemory;
+        if (owned != nullptr) {
+            owned->controller->cancel(job, now);
+        }
+    }
+}
+
+void DaemonCore::Private::expireCancellations(TimePoint now)
+{
+    for (auto it = cancelledLately.begin(); it != cancelledLately.end();) {
+        it = now >= it->second ? cancelledLately.erase(it) : std::next(it);
+    }
+    for (auto &[job, pending] : cancellations) {
+        if (now < pending.until) {
+            continue;
+        }
+        // The record stays with admission until it is durable; only the callers stop waiting.
+        for (const OpId &caller : std::exchange(pending.callers, {})) {
+            fail(
+                caller,
+                Error{ErrorKind::OutcomeUnknown, "the store did not confirm the cancellation of job " + job.value(), "look the job up before cancelling again"},
+                Ran::Unknown,
+                Duration(2000));
+        }
+    }
+}
+
+void DaemonCore::Private::onStatusReply(const DaemonId &from, const StatusReply &reply)
+{
+    const auto found = gatherings.find(reply.op);
+    if (found != gatherings.end() && found->second.waiting.erase(from) > 0) {
+        found->second.status.parts.push_back(FleetStatus::Part{from, reply.json});
+    }
+}
+
+void DaemonCore::Private::finishGatherings(TimePoint now)
+{
+    for (auto it = gatherings.begin(); it != gatherings.end();) {
+        Gathering &gathering = it->second;
+        if (!gathering.waiting.empty() && now < gathering.until) {
+            ++it;
+            continue;
+        }
+        gathering.status.silent.assign(gathering.waiting.begin(), gathering.waiting.end());
+        answer(gathering.caller, std::move(gathering.status));
+        it = gatherings.erase(it);
+    }
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/daemoncoreshards.cpp
@@ -0,0 +1,444 @@
+// Shards that this daemon owns: gaining and losing them, their workers, their jobs and their allotments.
+#include "daemoncore_p.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr Duration rescanInterval{30000}; // Finds jobs whose admitting daemon died before it could forward them.
+constexpr Duration rescanRetry{1000};
+constexpr Duration handOverTimeout{4000}; // A hand-over that is not done by then is given up, and the shard goes on here.
+constexpr Duration urgentAllotment{0};
+constexpr std::size_t maxKeysPerRead = 200;
+
+std::vector<std::string> jobKeys(const ShardId &shard, const std::vector<Row> &rows)
+{
+    const std::size_t prefix = shard.value().size() + 1;
+    std::vector<std::string> keys;
+    for (const Row &row : rows) {
+        if (row.key.size() > prefix) {
+            keys.push_back(row.key.substr(prefix));
+        }
+    }
+    return keys;
+}
+
+} // namespace
+
+ShardId shardIdFor(const PoolName &pool, const FailureDomain &domain)
+{
+    return ShardId(pool.value() + "/" + domain.value() + "/0");
+}
+
+PoolName poolOfShard(const ShardId &shard)
+{
+    return PoolName(shard.value().substr(0, shard.value().find('/')));
+}
+
+FailureDomain domainOfShard(const ShardId &shard)
+{
+    const std::size_t first = shard.value().find('/');
+    const std::size_t last = shard.value().rfind('/');
+    return first == std::string::npos || first == last ? FailureDomain() : FailureDomain(shard.value().substr(first + 1, last - first - 1));
+}
+
+DaemonCore::Private::Shard *DaemonCore::Private::shard(const ShardId &id)
+{
+    const auto found = shards.find(id);
+    return found == shards.end() ? nullptr : &found->second;
+}
+
+DaemonCore::Private::Shard *DaemonCore::Private::shardAt(const ShardId &id, Epoch epoch)
+{
+    Shard *found = shard(id);
+    return found != nullptr && found->epoch == epoch ? found : nullptr;
+}
+
+void DaemonCore::Private::onTablesChanged(TimePoint now)
+{
+    const auto tables = config.tables();
+    if (tables == knownTables) {
+        return;
+    }
+    knownTables = tables;
+    allotments.setTables(tables, now);
+    for (auto &[id, owned] : shards) {
+        owned.controller->setTables(tables, now);
+    }
+    updateWantedShards(now);
+    updateWorkers(now);
+}
+
+void DaemonCore::Private::updateWantedShards(TimePoint now)
+{
+    if (!knownTables || !membership.hasVmList()) {
+        return;
+    }
+    std::map<ShardId, FailureDomain> wanted;
+    for (const VmInfo &vm : membership.vms()) {
+        const Pool *pool = knownTables->poolForGroup(vm.group);
+        if (pool != nullptr) {
+            wanted.emplace(shardIdFor(pool->name, vm.domain), vm.domain);
+        }
+    }
+    std::vector<WantedShard> list;
+    std::vector<ShardId> all;
+    for (const auto &[id, domain] : wanted) {
+        list.push_back(WantedShard{id, domain});
+        all.push_back(id);
+    }
+    std::vector<ShardId> owned;
+    for (const auto &[id, state] : shards) {
+        owned.push_back(id);
+    }
+    ownership->setWanted(list, now);
+    allotments.setShards(all, owned, now);
+}
+
+void DaemonCore::Private::gainShard(const ShardGained &gained, TimePoint now)
+{
+    ShardSettings shardSettings;
+    shardSettings.id = gained.shard;
+    shardSettings.pool = poolOfShard(gained.shard);
+    shardSettings.domain = domainOfShard(gained.shard);
+    shardSettings.owner = settings.self.id;
+    shardSettings.epoch = gained.epoch;
+    shardSettings.seed = settings.seed + 100 + nextSeed++;
+    shardSettings.syncInterval = settings.syncInterval;
+    shardSettings.syncTimeout = settings.workerTimeout;
+    shardSettings.taskTerm = settings.taskTerm;
+    shardSettings.margin = settings.leaseMargin;
+    shardSettings.ownerTerm = settings.leaseTerm + settings.leaseMargin;
+    auto controller = ShardController::create(shardSettings, knownTables, now);
+    if (!controller) {
+        return;
+    }
+    Shard &state = shards[gained.shard];
+    state = Shard();
+    state.controller = std::move(controller).value();
+    state.epoch = gained.epoch;
+    state.gainedAt = now;
+    updateWantedShards(now);
+    if (knownTables) {
+        for (const Team &team : knownTables->teams()) {
+            state.controller->setAllotment(team.id, allotments.allotment(gained.shard, team.id), now);
+        }
+    }
+    updateWorkers(now);
+    scanQueue(gained.shard, now);
+}
+
+void DaemonCore::Private::loseShard(const ShardId &lost)
+{
+    shards.erase(lost);
+}
+
+void DaemonCore::Private::startHandOver(const HandOverWanted &wanted, TimePoint now)
+{
+    Shard *owned = shard(wanted.shard);
+    if (owned == nullptr) {
+        return;
+    }
+    // Nothing is sent to the workers any more, so that the next owner's inventories are complete.
+    owned->controller->setSuspended(true);
+    owned->suspended = true;
+    owned->suspendedAt = now;
+    ownership->handOver(wanted.shard, wanted.to, now);
+}
+
+void DaemonCore::Private::updateWorkers(TimePoint now)
+{
+    if (!knownTables || !membership.hasVmList()) {
+        return;
+    }
+    std::map<ShardId, std::vector<VmInfo>> listed;
+    for (const VmInfo &vm : membership.vms()) {
+        const Pool *pool = knownTables->poolForGroup(vm.group);
+        if (pool != nullptr) {
+            listed[shardIdFor(pool->name, vm.domain)].push_back(vm);
+        }
+    }
+    const bool confirmed = ownership->leaseConfirmed(now);
+    for (auto &[id, owned] : shards) {
+        // A worker is taken on only from a list that was requested after the shard was gained and under a confirmed lease.
+        // Otherwise a stale owner could start work on a VM that a newer owner does not know of.
+        const bool mayAdd = confirmed && vmListTaken >= owned.gainedAt;
+        std::vector<VmInfo> workers;
+        std::set<WorkerId> ids;
+        for (const VmInfo &vm : listed[id]) {
+            if (mayAdd || owned.workers.count(vm.id) > 0) {
+                workers.push_back(vm);
+                ids.insert(vm.id);
+            }
+        }
+        if (vmListTaken < owned.gainedAt) {
+            continue;
+        }
+        owned.workers = std::move(ids);
+        owned.controller->setWorkers(workers, now);
+    }
+}
+
+void DaemonCore::Private::scanQueue(const ShardId &id, TimePoint now)
+{
+    Shard *owned = shard(id);
+    if (owned == nullptr || owned->scanning) {
+        return;
+    }
+    owned->scanning = true;
+    owned->nextScan = now + rescanInterval;
+    const Epoch epoch = owned->epoch;
+    scanStore("queue", id.value() + "/", [this, id, epoch](const StoreReply &reply, TimePoint at) { onQueueRows(id, epoch, reply, at); });
+}
+
+void DaemonCore::Private::onQueueRows(const ShardId &id, Epoch epoch, const StoreReply &reply, TimePoint now)
+{
+    Shard *owned = shardAt(id, epoch);
+    if (owned == nullptr) {
+        return;
+    }
+    owned->scanning = false;
+    if (reply.status != StoreStatus::Ok) {
+        owned->nextScan = now + rescanRetry;
+        return;
+    }
+    std::vector<std::string> unknown;
+    for (const std::string &key : jobKeys(id, reply.rows)) {
+        if (!owned->controller->knows(JobId(key))) {
+            unknown.push_back(key);
+        }
+    }
+    for (std::size_t first = 0; first < unknown.size(); first += maxKeysPerRead) {
+        const auto begin = unknown.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto end = unknown.begin() + static_cast<std::ptrdiff_t>(std::min(unknown.size(), first + maxKeysPerRead));
+        readStore("jobs", std::vector<std::string>(begin, end), [this, id, epoch](const StoreReply &rows, TimePoint at) { takeJobRows(id, epoch, rows, at); });
+    }
+    owned->controller->setQueueRead(unknown.empty(), now);
+}
+
+void DaemonCore::Private::takeJobRows(const ShardId &id, Epoch epoch, const StoreReply &reply, TimePoint now)
+{
+    Shard *owned = shardAt(id, epoch);
+    if (owned == nullptr) {
+        return;
+    }
+    if (reply.status != StoreStatus::Ok) {
+        owned->nextScan = now + rescanRetry;
+        return;
+    }
+    std::map<Epoch, std::vector<JobRecord>> byEpoch;
+    for (const Row &row : reply.rows) {
+        const auto record = JobRecord::fromJson(row.value);
+        if (record && !isFinal(record->state) && record->shard == id) {
+            byEpoch[record->epoch].push_back(*record);
+        }
+    }
+    for (const auto &[admittedFor, records] : byEpoch) {
+        takeJobs(*owned, admittedFor, records, now);
+    }
+}
+
+void DaemonCore::Private::takeJobs(Shard &owned, Epoch admittedFor, const std::vector<JobRecord> &records, TimePoint now)
+{
+    std::vector<JobRecord> taken;
+    for (const JobRecord &record : records) {
+        if (cancelledLately.count(record.spec.id) == 0 && !owned.controller->knows(record.spec.id)) {
+            taken.push_back(record);
+        }
+    }
+    // An owner of an earlier term may have started the job, so its tasks count as possibly running.
+    const bool startedElsewhere = admittedFor < owned.epoch;
+    if (startedElsewhere) {
+        owned.controller->recover(taken, now);
+        return;
+    }
+    for (const JobRecord &record : taken) {
+        if (record.state == JobState::Started) {
+            owned.controller->recover({record}, now);
+        } else {
+            enqueueHere(owned, record.spec, now);
+        }
+    }
+}
+
+void DaemonCore::Private::enqueueHere(Shard &owned, const JobSpec &spec, TimePoint now)
+{
+    const Result<bool> queued = owned.controller->enqueue(spec, now);
+    if (!queued) {
+        admission.record(spec.id, JobState::Parked, queued.reason().message, now);
+    }
+}
+
+void DaemonCore::Private::recordJob(const ShardId &id, const RecordJob &record, TimePoint now)
+{
+    recording[record.job] = id;
+    admission.record(record.job, record.state, record.reason, now);
+}
+
+void DaemonCore::Private::onJobRecorded(const JobRecorded &recorded, TimePoint now)
+{
+    const auto waiting = recording.find(recorded.job);
+    if (waiting != recording.end()) {
+        Shard *owned = shard(waiting->second);
+        recording.erase(waiting);
+        if (owned != nullptr) {
+            owned->controller->jobRecorded(recorded.job, recorded.state, now);
+        }
+    }
+    const auto pending = cancellations.find(recorded.job);
+    if (pending == cancellations.end()) {
+        return;
+    }
+    const Cancellation cancellation = std::move(pending->second);
+    cancellations.erase(pending);
+    for (const OpId &caller : cancellation.callers) {
+        if (recorded.state == JobState::Cancelled) {
+            answer(caller, JobCancelled{recorded.job});
+        } else {
+            fail(caller, Error{ErrorKind::Conflict, "job " + recorded.job.value() + " has already " + toString(recorded.state), "nothing is left to cancel"});
+        }
+    }
+    if (recorded.state == JobState::Cancelled) {
+        jobs.cancelled(recorded.job, cancellation.shard, now);
+    }
+}
+
+void DaemonCore::Private::updateAllotmentNeeds(TimePoint now)
+{
+    if (!knownTables) {
+        return;
+    }
+    std::vector<AllotmentNeed> needs;
+    for (const auto &[id, owned] : shards) {
+        const PoolName pool = poolOfShard(id);
+        for (const TeamUse &use : owned.controller->teams()) {
+            const Resources used = use.running + use.reservedUnread;
+            needs.push_back(AllotmentNeed{id, use.team, used, used + use.queuedDemand + grants.waitingDemand(use.team, pool)});
+        }
+    }
+    allotments.setNeeds(needs, now);
+}
+
+void DaemonCore::Private::tickShards(TimePoint now)
+{
+    const bool confirmed = ownership->leaseConfirmed(now);
+    for (auto &[id, owned] : shards) {
+        owned.controller->setLeaseConfirmed(confirmed, now);
+        if (owned.suspended && now - owned.suspendedAt > handOverTimeout) {
+            owned.suspended = false;
+            owned.controller->setSuspended(false);
+        }
+        if (now >= owned.nextScan && !owned.scanning) {
+            scanQueue(id, now);
+        }
+        owned.controller->tick(now);
+    }
+}
+
+std::optional<ShardChoice> DaemonCore::Private::choiceFor(const ShardId &id, TimePoint now) const
+{
+    ShardChoice choice;
+    choice.shard = id;
+    choice.domain = domainOfShard(id);
+    const auto here = shards.find(id);
+    if (here != shards.end()) {
+        choice.owner = settings.self.id;
+        choice.epoch = here->second.epoch;
+        choice.ownedHere = true;
+        choice.ownerLive = !here->second.suspended;
+        choice.free = here->second.controller->freeResources();
+        choice.queuedTasks = here->second.controller->queuedTasks();
+        return choice;
+    }
+    const auto remote = remoteShards.find(id);
+    if (remote != remoteShards.end()) {
+        choice.owner = remote->second.owner;
+        choice.epoch = remote->second.state.epoch;
+        choice.free = remote->second.state.free;
+        choice.queuedTasks = remote->second.state.queuedTasks;
+    }
+    for (const ShardOwner &row : ownership->owners()) {
+        if (row.shard == id && row.epoch > choice.epoch) {
+            choice.owner = row.owner;
+            choice.epoch = row.epoch;
+        }
+    }
+    const std::vector<PeerInfo> live = membership.livePeers(now);
+    choice.ownerLive = std::any_of(live.begin(), live.end(), [&choice](const PeerInfo &peer) { return peer.id == choice.owner; });
+    return choice;
+}
+
+std::vector<ShardChoice> DaemonCore::Private::shardsOfPool(const PoolName &pool, TimePoint now) const
+{
+    std::set<ShardId> ids;
+    for (const auto &[id, owned] : shards) {
+        ids.insert(id);
+    }
+    for (const auto &[id, remote] : remoteShards) {
+        ids.insert(id);
+    }
+    for (const ShardOwner &row : ownership->owners()) {
+        ids.insert(row.shard);
+    }
+    const std::string prefix = pool.value() + "/";
+    std::vector<ShardChoice> choices;
+    for (const ShardId &id : ids) {
+        if (id.value().compare(0, prefix.size(), prefix) != 0) {
+            continue;
+        }
+        const auto choice = choiceFor(id, now);
+        if (choice) {
+            choices.push_back(*choice);
+        }
+    }
+    return choices;
+}
+
+std::vector<GrantSource> DaemonCore::Private::grantSources(const PoolName &pool, TimePoint now) const
+{
+    std::vector<ShardChoice> choices = shardsOfPool(pool, now);
+    const auto distance = [this](const ShardChoice &choice) {
+        if (choice.ownedHere) {
+            return choice.domain == settings.self.domain ? 0 : 1;
+        }
+        return choice.domain == settings.self.domain ? 2 : 3;
+    };
+    std::stable_sort(choices.begin(), choices.end(), [&distance](const ShardChoice &a, const ShardChoice &b) { return distance(a) < distance(b); });
+    std::vector<GrantSource> sources;
+    for (const ShardChoice &choice : choices) {
+        if (choice.ownerLive && !choice.owner.isEmpty()) {
+            sources.push_back(GrantSource{choice.shard, choice.owner, choice.ownedHere});
+        }
+    }
+    return sources;
+}
+
+std::optional<Error> DaemonCore::Private::checkSubmission(const JobSpec &job) const
+{
+    if (!knownTables) {
+        return Error{ErrorKind::Unavailable, "this daemon has no tables yet", "try again at another daemon"};
+    }
+    const Team *team = knownTables->team(job.team);
+    if (team == nullptr || knownTables->pool(job.pool) == nullptr || !knownTables->mayUse(job.team, job.pool)) {
+        return Error{
+            ErrorKind::NotAllowed, "team " + job.team.value() + " may not use pool " + job.pool.value(), "ask an operator to add the team to the pool"};
+    }
+    if (job.taskCount == 0) {
+        return Error{ErrorKind::InvalidInput, "the job has no tasks", "ask for at least one task"};
+    }
+    const Resources least = job.allAtOnce ? job.demand * static_cast<std::int64_t>(job.taskCount) : job.demand;
+    if (!least.fitsIn(team->limit)) {
+        return Error{ErrorKind::NeverFits, "the job needs more than the limit of team " + job.team.value(), "ask for less or have the limit raised"};
+    }
+    for (const auto &[id, owned] : shards) {
+        if (poolOfShard(id) == job.pool && owned.controller->neverFits(job.demand) && shards.size() == ownership->owners().size()) {
+            return Error{ErrorKind::NeverFits, "no worker of pool " + job.pool.value() + " can ever take a task of this size", "ask for less for each task"};
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/jobcontroller.cpp
@@ -0,0 +1,221 @@
+// Delivery of jobs and cancellations with repetition until acknowledged.
+#include "jobcontroller.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace KingCupLadder {
+
+namespace {
+
+/// Queued tasks per free task place; lower is better.
+double pressure(const JobSpec &job, const ShardChoice &choice)
+{
+    const double room = choice.free.isZero() ? 0.0 : 1.0 / std::max(job.demand.dominantShareOf(choice.free), 1e-6);
+    return (static_cast<double>(choice.queuedTasks) + job.taskCount) / (room + 1.0);
+}
+
+} // namespace
+
+std::optional<ShardChoice> chooseShard(const JobSpec &job, const std::vector<ShardChoice> &choices)
+{
+    const ShardChoice *best = nullptr;
+    double bestPressure = 0.0;
+    for (const ShardChoice &choice : choices) {
+        const double value = pressure(job, choice);
+        const bool better = best == nullptr || (choice.ownerLive && !best->ownerLive) || (choice.ownerLive == best->ownerLive && value < bestPressure);
+        if (better) {
+            best = &choice;
+            bestPressure = value;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::make_optional(*best);
+}
+
+class JobController::Private
+{
+public:
+    struct PendingJob {
+        JobRecord record;
+        TimePoint due{};
+        OpId op; ///< Message that carried it last.
+    };
+    struct PendingCancel {
+        JobId job;
+        ShardId shard;
+        TimePoint due{};
+        TimePoint until{};
+        OpId op;
+    };
+
+    JobControllerSettings settings;
+    NextOp nextOp;
+    FindOwner findOwner;
+    std::vector<JobOutput> outputs;
+    std::unordered_map<JobId, PendingJob> jobs;
+    std::vector<PendingCancel> cancels;
+    std::unordered_map<OpId, std::vector<JobId>> inFlight; ///< Jobs carried by a message that was not answered.
+    TimePoint nextDue = TimePoint::max(); ///< No job or cancellation is due before.
+
+    void deliverDueJobs(TimePoint now);
+    void deliverBatch(const ShardId &shard, Epoch epoch, const std::vector<JobId> &ids, TimePoint now);
+    void deliverDueCancels(TimePoint now);
+};
+
+void JobController::Private::deliverBatch(const ShardId &shard, Epoch epoch, const std::vector<JobId> &ids, TimePoint now)
+{
+    const auto owner = findOwner(shard, now);
+    for (const JobId &id : ids) {
+        jobs.at(id).due = now + settings.resendInterval;
+    }
+    if (!owner || owner->owner.isEmpty()) {
+        return;
+    }
+    std::vector<JobSpec> specs;
+    for (const JobId &id : ids) {
+        specs.push_back(jobs.at(id).record.spec);
+    }
+    if (owner->ownedHere) {
+        outputs.emplace_back(DeliverHere{shard, epoch, std::move(specs)});
+        for (const JobId &id : ids) {
+            jobs.erase(id);
+        }
+        return;
+    }
+    const OpId op = nextOp();
+    for (const JobId &id : ids) {
+        inFlight.erase(jobs.at(id).op);
+        jobs.at(id).op = op;
+    }
+    inFlight[op] = ids;
+    JobForward forward;
+    forward.op = op;
+    forward.shard = shard;
+    forward.jobs = std::move(specs);
+    forward.epoch = epoch;
+    outputs.emplace_back(ToOwner{owner->owner, std::move(forward)});
+}
+
+void JobController::Private::deliverDueJobs(TimePoint now)
+{
+    std::map<std::pair<ShardId, Epoch>, std::vector<JobId>> due;
+    for (const auto &[id, pending] : jobs) {
+        if (now >= pending.due) {
+            due[{pending.record.shard, pending.record.epoch}].push_back(id);
+        }
+    }
+    for (const auto &[target, ids] : due) {
+        for (std::size_t first = 0; first < ids.size(); first += settings.maxJobsPerMessage) {
+            const std::size_t last = std::min(ids.size(), first + settings.maxJobsPerMessage);
+            const auto begin = ids.begin() + static_cast<std::ptrdiff_t>(first);
+            const auto end = ids.begin() + static_cast<std::ptrdiff_t>(last);
+            deliverBatch(target.first, target.second, std::vector<JobId>(begin, end), now);
+        }
+    }
+}
+
+void JobController::Private::deliverDueCancels(TimePoint now)
+{
+    std::map<ShardId, std::vector<JobId>> due;
+    cancels.erase(std::remove_if(cancels.begin(), cancels.end(), [now](const PendingCancel &cancel) { return now >= cancel.until; }), cancels.end());
+    for (const PendingCancel &cancel : cancels) {
+        if (now >= cancel.due) {
+            due[cancel.shard].push_back(cancel.job);
+        }
+    }
+    for (const auto &[shard, ids] : due) {
+        const auto owner = findOwner(shard, now);
+        const bool here = owner && owner->ownedHere;
+        const OpId op = nextOp();
+        for (PendingCancel &cancel : cancels) {
+            if (cancel.shard == shard && now >= cancel.due) {
+                cancel.due = now + settings.resendInterval;
+                cancel.op = op;
+            }
+        }
+        if (here) {
+            outputs.emplace_back(CancelHere{shard, ids});
+            cancels.erase(std::remove_if(cancels.begin(), cancels.end(), [op](const PendingCancel &cancel) { return cancel.op == op; }), cancels.end());
+        } else if (owner && !owner->owner.isEmpty()) {
+            outputs.emplace_back(ToOwner{owner->owner, CancelForward{op, shard, ids}});
+        }
+    }
+}
+
+JobController::JobController(const JobControllerSettings &settings, NextOp nextOp, FindOwner findOwner) : d(std::make_unique<Private>())
+{
+    d->settings = settings;
+    d->nextOp = std::move(nextOp);
+    d->findOwner = std::move(findOwner);
+}
+
+JobController::~JobController() = default;
+
+void JobController::stored(const JobRecord &record, TimePoint now)
+{
+    d->jobs[record.spec.id] = Private::PendingJob{record, now, OpId()};
+    d->nextDue = now;
+}
+
+void JobController::cancelled(const JobId &job, const ShardId &shard, TimePoint now)
+{
+    const auto pending = d->jobs.find(job);
+    if (pending != d->jobs.end()) {
+        d->inFlight.erase(pending->second.op);
+        d->jobs.erase(pending);
+    }
+    d->cancels.push_back(Private::PendingCancel{job, shard, now, now + d->settings.cancelTerm, OpId()});
+    d->nextDue = now;
+}
+
+void JobController::onForwardReply(const JobForwardReply &reply, TimePoint now)
+{
+    const auto found = d->inFlight.find(reply.op);
+    if (found == d->inFlight.end()) {
+        return;
+    }
+    for (const JobId &id : found->second) {
+        const auto pending = d->jobs.find(id);
+        if (pending == d->jobs.end()) {
+            continue;
+        }
+        if (reply.owned) {
+            d->jobs.erase(pending);
+        } else {
+            pending->second.due = now + d->settings.resendInterval / 2;
+        }
+    }
+    d->inFlight.erase(found);
+}
+
+void JobController::onCancelReply(const CancelForwardReply &reply)
+{
+    const auto answered = [&reply](const Private::PendingCancel &cancel) { return cancel.op == reply.op; };
+    d->cancels.erase(std::remove_if(d->cancels.begin(), d->cancels.end(), answered), d->cancels.end());
+}
+
+void JobController::tick(TimePoint now)
+{
+    if (now < d->nextDue) {
+        return;
+    }
+    d->deliverDueJobs(now);
+    d->deliverDueCancels(now);
+    const bool idle = d->jobs.empty() && d->cancels.empty();
+    constexpr Duration checkInterval{50};
+    d->nextDue = idle ? TimePoint::max() : now + checkInterval;
+}
+
+std::vector<JobOutput> JobController::takeOutputs()
+{
+    return std::exchange(d->outputs, {});
+}
+
+std::size_t JobController::undelivered() const
+{
+    return d->jobs.size();
+}
+
+} // namespace KingCupLadder
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -398,6 +398,7 @@
                                  JobForward,
                                  JobForwardReply,
                                  CancelForward,
+                                 CancelForwardReply,
                                  HandOver,
                                  StatusQuery,
                                  StatusReply>;
--- a/src/core/shardcontroller.h
+++ b/src/core/shardcontroller.h
@@ -56,6 +56,7 @@
     Resources reservedUnread; ///< The most that may run on workers that have not been read.
     Resources allotment;
     std::uint32_t queuedTasks = 0;
+    Resources queuedDemand; ///< Of all queued tasks.
 };
 
 /// Numbers since the controller was created.
@@ -93,6 +94,9 @@
 
     /// Jobs found in the store after a take-over. Their tasks may be running on workers that have not been read.
     void recover(const std::vector<JobRecord> &jobs, TimePoint now);
+    /// Whether all queue rows of the shard have been handed in by recover(). Tasks on workers whose jobs are unknown are stopped
+    /// only after that, since their jobs are then known to have ended.
+    void setQueueRead(bool read, TimePoint now);
     /// A job that was admitted under this ownership: none of its tasks has started. Known jobs are ignored. Refused with
     /// ErrorKind::NeverFits if no worker can ever take a task of it.
     [[nodiscard]] Result<bool> enqueue(const JobSpec &job, TimePoint now);
@@ -119,6 +123,10 @@
     [[nodiscard]] std::vector<WorkerStatus> workers() const;
     [[nodiscard]] std::vector<TeamUse> teams() const;
     [[nodiscard]] ShardCounters counters() const;
+    /// Whether the job is queued or has tasks here.
+    [[nodiscard]] bool knows(const JobId &job) const;
+    /// Whether all workers have been read and none could ever take the demand.
+    [[nodiscard]] bool neverFits(const Resources &demand) const;
     /// Why the job waits, or what it does; for operators.
     [[nodiscard]] std::string explain(const JobId &job) const;
 
--- /dev/null
+++ b/test/matrix/fleet.h
@@ -0,0 +1,159 @@
+// A few daemon cores, a fake store and fake workers on one fake clock, joined by a fake network. Everything is driven from one
+// seeded event queue, so that a run is a function of its seed.
+#pragma once
+
+#include "checkers.h"
+#include "core/daemoncore.h"
+#include "fakestore.h"
+#include "fakeworker.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace KingCupLadder::Matrix {
+
+/// A named point of a protocol at which a fault can be injected.
+struct Step {
+    std::string name; ///< Such as "write jobs before", "peer JobForward after", "sync before".
+    std::size_t daemon = 0; ///< The daemon whose command it is.
+};
+
+struct FleetOptions {
+    std::uint64_t seed = 1;
+    std::size_t daemons = 3;
+    std::size_t domains = 2;
+    std::size_t workersPerDomain = 3;
+    std::function<void(DaemonCoreSettings &)> adjust; ///< Switches guards off.
+    std::function<void(FakeWorker &)> adjustWorker;
+};
+
+class Fleet
+{
+public:
+    explicit Fleet(const FleetOptions &options);
+
+    Checkers checkers;
+    FakeStore store;
+    bool storeDown = false;
+    bool storeLosesAnswers = false; ///< Writes take effect, the answers do not arrive.
+    Duration storeDelay{2};
+    bool vmListFrozen = false; ///< The list stays as it is, however old.
+    double duplicateChance = 0.0; ///< Of messages between daemons.
+    Duration peerJitter{2}; ///< Reorders messages between daemons.
+    std::vector<std::unique_ptr<FakeWorker>> workers;
+    std::function<void(const Step &)> onStep; ///< Called at every step.
+
+    [[nodiscard]] TimePoint now() const
+    {
+        return m_now;
+    }
+    void run(Duration span);
+    /// Runs until the condition holds; false if it does not within the span.
+    bool runUntil(const std::function<bool()> &condition, Duration span);
+
+    // Daemons.
+
+    [[nodiscard]] std::size_t daemonCount() const
+    {
+        return m_daemons.size();
+    }
+    [[nodiscard]] bool isUp(std::size_t daemon) const
+    {
+        return m_daemons[daemon].core != nullptr && m_now >= m_daemons[daemon].pausedUntil;
+    }
+    [[nodiscard]] DaemonCore &core(std::size_t daemon)
+    {
+        return *m_daemons[daemon].core;
+    }
+    [[nodiscard]] FailureDomain domainOf(std::size_t daemon) const
+    {
+        return m_daemons[daemon].info.domain;
+    }
+    void kill(std::size_t daemon);
+    void start(std::size_t daemon);
+    void pause(std::size_t daemon, Duration span);
+    /// Waits for the answer of an operation of a daemon; empty if none came within the span.
+    [[nodiscard]] std::optional<CallerAnswer> await(std::size_t daemon, OpId op, Duration span);
+    [[nodiscard]] std::optional<CallerAnswer> answerOf(std::size_t daemon, OpId op) const;
+
+    // Network. Links are named by their ends: a failure domain or "store". A cut works in one direction.
+
+    void cut(const std::string &from, const std::string &to);
+    void cutBothWays(const std::string &a, const std::string &b);
+    void healNetwork();
+
+    // Workers.
+
+    void killWorker(std::size_t worker, Duration listedAfter);
+    void markLeaving(std::size_t worker);
+
+    // Work.
+
+    void applyTables(const std::string &routes, const std::string &pools);
+    /// Submits through a daemon that is up; the job is tracked if it is acknowledged.
+    OpId submit(std::size_t daemon, const JobSpec &job);
+    /// Whether every acknowledged job has succeeded or was cancelled.
+    [[nodiscard]] bool allFinished() const;
+    [[nodiscard]] std::size_t acknowledgedJobs() const
+    {
+        return m_acknowledged.size();
+    }
+    [[nodiscard]] std::string unfinishedJobs() const;
+
+private:
+    struct Daemon {
+        PeerInfo info;
+        std::unique_ptr<DaemonCore> core;
+        std::uint64_t run = 0; ///< Counts the starts; events of earlier runs are dropped.
+        TimePoint pausedUntil{};
+        std::map<OpId, CallerAnswer> answers;
+        ConfigVersion tablesSeen;
+        ConfigVersion keysSeen;
+    };
+    struct Event {
+        TimePoint at{};
+        std::uint64_t order = 0;
+        std::function<void()> action;
+    };
+    struct Later {
+        bool operator()(const Event &a, const Event &b) const
+        {
+            return a.at != b.at ? a.at > b.at : a.order > b.order;
+        }
+    };
+
+    void at(TimePoint when, std::function<void()> action);
+    /// Runs the action in the daemon if it is still the same run, after a pause if it is paused.
+    void inDaemon(std::size_t daemon, std::uint64_t run, std::function<void(DaemonCore &)> action);
+    void tickDaemon(std::size_t daemon, std::uint64_t run);
+    void execute(std::size_t daemon);
+    void executeStore(std::size_t daemon, OpId op, const std::string &name, bool isWrite, std::function<StoreReply()> effect);
+    void executeVmList(std::size_t daemon, OpId op);
+    void executeSync(std::size_t daemon, const SyncWorker &sync);
+    void executePeer(std::size_t daemon, const SendPeer &send);
+    void deliverPeer(std::size_t from, std::size_t to, const PeerMessage &message);
+    void noteAnswer(std::size_t daemon, const CallerAnswer &answer);
+    void checkVersions(std::size_t daemon);
+    void step(std::size_t daemon, const std::string &name);
+    [[nodiscard]] Duration delay(Duration most);
+    [[nodiscard]] bool isCut(const std::string &from, const std::string &to) const;
+
+    FleetOptions m_options;
+    std::mt19937_64 m_random;
+    TimePoint m_now{Duration(1000000)};
+    std::uint64_t m_order = 0;
+    std::priority_queue<Event, std::vector<Event>, Later> m_events;
+    std::vector<Daemon> m_daemons;
+    std::set<std::pair<std::string, std::string>> m_cuts;
+    std::vector<VmInfo> m_vmList;
+    std::map<std::pair<std::size_t, OpId>, JobSpec> m_submitted;
+    std::map<JobId, JobSpec> m_acknowledged;
+};
+
+} // namespace KingCupLadder::Matrix
--- /dev/null
+++ b/test/matrix/testmatrix.cpp
@@ -0,0 +1,241 @@
+// Every fault at every step: each cell runs a small workload, injects one fault when a step is reached, heals it and then
+// requires that no promise was broken and that all admitted work finished once.
+// LADDER_MATRIX_CELL=<number> runs one cell; LADDER_MATRIX_SEED=<number> replaces the seed.
+#include "fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+using namespace KingCupLadder;
+using namespace KingCupLadder::Matrix;
+
+namespace {
+
+constexpr std::uint64_t defaultSeed = 1;
+constexpr Duration settleSpan{12000}; // Longer than a lease term, so that every shard has an owner.
+constexpr Duration faultSpan{15000}; // Longer than a lease term, so that owners change.
+constexpr Duration finishBound{180000}; // Two take-overs and the task term, several times over.
+
+const char *const routesYaml = R"(routes:
+  - {name: batch, class: batch, pool: main, demand: {cpu: 1, memory: 1GiB}}
+  - {name: gang, class: batch, pool: main, allAtOnce: true, demand: {cpu: 1, memory: 1GiB}}
+  - {name: moving, class: batch, pool: main, partition: move, demand: {cpu: 1, memory: 1GiB}}
+)";
+const char *const poolsYaml = R"(teams:
+  - {name: red, workspace: one, share: 2, limit: {cpu: 10, memory: 40GiB, accelerators: 2, slots: 40}}
+  - {name: blue, workspace: two, share: 1, limit: {cpu: 6, memory: 24GiB, accelerators: 2, slots: 40}}
+pools:
+  - {name: main, vms: main, power: grid, teams: [red, blue]}
+)";
+
+struct Fault {
+    std::string name;
+    std::function<void(Fleet &, std::size_t daemon)> inject;
+    std::function<void(Fleet &, std::size_t daemon)> heal;
+};
+
+void restartIfDown(Fleet &fleet, std::size_t daemon)
+{
+    if (!fleet.isUp(daemon)) {
+        fleet.start(daemon);
+    }
+}
+
+void nothing(Fleet &, std::size_t) { }
+
+std::string domainName(Fleet &fleet, std::size_t daemon)
+{
+    return fleet.domainOf(daemon).value();
+}
+
+std::vector<Fault> allFaults()
+{
+    const auto heal = [](Fleet &fleet, std::size_t) { fleet.healNetwork(); };
+    const auto storeUp = [](Fleet &fleet, std::size_t) { fleet.storeDown = false; };
+    return {
+        {"kill", [](Fleet &f, std::size_t d) { f.kill(d); }, restartIfDown},
+        {"restart",
+         [](Fleet &f, std::size_t d) {
+             f.kill(d);
+             f.start(d);
+         },
+         nothing},
+        {"pause past the lease", [](Fleet &f, std::size_t d) { f.pause(d, Duration(12000)); }, nothing},
+        {"store down", [](Fleet &f, std::size_t) { f.storeDown = true; }, storeUp},
+        {"store slow", [](Fleet &f, std::size_t) { f.storeDelay = Duration(600); }, [](Fleet &f, std::size_t) { f.storeDelay = Duration(2); }},
+        {"answers lost", [](Fleet &f, std::size_t) { f.storeLosesAnswers = true; }, [](Fleet &f, std::size_t) { f.storeLosesAnswers = false; }},
+        {"domains cut", [](Fleet &f, std::size_t) { f.cutBothWays("a", "b"); }, heal},
+        {"one-way cut", [](Fleet &f, std::size_t) { f.cut("a", "b"); }, heal},
+        {"domain cut from store", [](Fleet &f, std::size_t d) { f.cutBothWays(domainName(f, d), "store"); }, heal},
+        {"domain cut from all",
+         [](Fleet &f, std::size_t d) {
+             f.cutBothWays(domainName(f, d), "store");
+             f.cutBothWays("a", "b");
+         },
+         heal},
+        {"worker dies", [](Fleet &f, std::size_t d) { f.killWorker(d, Duration(4000)); }, nothing},
+        {"worker fails all",
+         [](Fleet &f, std::size_t d) { f.workers[d]->failsEverything = true; },
+         [](Fleet &f, std::size_t d) { f.workers[d]->failsEverything = false; }},
+        {"worker leaves", [](Fleet &f, std::size_t d) { f.markLeaving(d); }, nothing},
+        {"messages duplicated and reordered",
+         [](Fleet &f, std::size_t) {
+             f.duplicateChance = 0.3;
+             f.peerJitter = Duration(400);
+         },
+         [](Fleet &f, std::size_t) {
+             f.duplicateChance = 0.0;
+             f.peerJitter = Duration(2);
+         }},
+        {"all restart",
+         [](Fleet &f, std::size_t) {
+             for (std::size_t i = 0; i < f.daemonCount(); ++i) {
+                 f.kill(i);
+                 f.start(i);
+             }
+         },
+         nothing},
+        {"kill and store down",
+         [](Fleet &f, std::size_t d) {
+             f.kill(d);
+             f.storeDown = true;
+         },
+         [](Fleet &f, std::size_t d) {
+             f.storeDown = false;
+             restartIfDown(f, d);
+         }},
+        {"pause and domains cut",
+         [](Fleet &f, std::size_t d) {
+             f.pause(d, Duration(12000));
+             f.cutBothWays("a", "b");
+         },
+         heal},
+    };
+}
+
+const std::vector<std::string> &allSteps()
+{
+    static const std::vector<std::string> steps{
+        "write daemons before",  "write daemons after",    "write shards before",     "write shards after",        "write queue before", "write queue after",
+        "write jobs before",     "write jobs after",       "write allotments before", "write allotments after",    "scan queue after",   "read jobs after",
+        "sync inventory before", "sync inventory after",   "sync start before",       "sync start after",          "sync renew before",  "sync renew after",
+        "peer Heartbeat before", "peer JobForward before", "peer JobForward after",   "peer JobForwardReply after"};
+    return steps;
+}
+
+JobSpec jobOf(std::size_t number)
+{
+    JobSpec job;
+    job.id = JobId("job" + std::to_string(number));
+    job.team = TeamId(number % 3 == 0 ? "blue" : "red");
+    job.pool = PoolName("main");
+    job.route = RouteName(number % 5 == 0 ? "gang" : number % 5 == 1 ? "moving" : "batch");
+    job.allAtOnce = number % 5 == 0;
+    job.partition = number % 5 == 1 ? PartitionPolicy::Move : PartitionPolicy::Stay;
+    job.priority = number % 7 == 0 ? Priority::Urgent : Priority::Normal;
+    job.taskCount = 1 + number % 3;
+    job.demand = Resources{MilliCores(1000), MebiBytes(1024), Accelerators(0), Slots(0)};
+    job.declaredRunTime = Duration(500 + 400 * (number % 6));
+    return job;
+}
+
+struct CellResult {
+    bool reached = false; ///< The step occurred.
+    std::vector<std::string> violations;
+};
+
+CellResult runCell(const std::string &stepName, const Fault &fault, std::uint64_t seed)
+{
+    FleetOptions options;
+    options.seed = seed;
+    Fleet fleet(options);
+    fleet.run(Duration(2000));
+    fleet.applyTables(routesYaml, poolsYaml);
+    fleet.run(settleSpan);
+    CellResult result;
+    std::optional<Step> hit;
+    std::size_t occurrences = 0;
+    const std::size_t wanted = 1 + seed % 3; // Not always the first occurrence.
+    fleet.onStep = [&](const Step &step) {
+        if (step.name == stepName && ++occurrences == wanted && !hit) {
+            hit = step;
+            fault.inject(fleet, step.daemon);
+        }
+    };
+    constexpr std::size_t jobs = 24;
+    std::size_t submitted = 0;
+    while (submitted < jobs) {
+        const std::size_t daemon = submitted % fleet.daemonCount();
+        if (fleet.isUp(daemon)) {
+            fleet.submit(daemon, jobOf(submitted));
+        }
+        ++submitted;
+        fleet.run(Duration(150));
+    }
+    // Steps that only occur at a change of owner are provoked by a restart.
+    if (!hit) {
+        fleet.kill(0);
+        fleet.start(0);
+        fleet.runUntil([&] { return hit.has_value(); }, faultSpan);
+    }
+    fleet.run(faultSpan);
+    if (hit) {
+        fault.heal(fleet, hit->daemon);
+    }
+    for (std::size_t i = 0; i < fleet.daemonCount(); ++i) {
+        if (!fleet.isUp(i)) {
+            fleet.start(i);
+        }
+    }
+    result.reached = hit.has_value();
+    if (!fleet.runUntil([&] { return fleet.allFinished(); }, finishBound)) {
+        fleet.checkers.report("not finished: " + fleet.unfinishedJobs());
+    }
+    if (fleet.acknowledgedJobs() == 0) {
+        fleet.checkers.report("no job was admitted");
+    }
+    result.violations = fleet.checkers.violations;
+    return result;
+}
+
+std::uint64_t numberFromEnvironment(const char *name, std::uint64_t otherwise)
+{
+    const char *text = std::getenv(name);
+    return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+} // namespace
+
+TEST_GROUP(FaultMatrix){};
+
+TEST(FaultMatrix, EveryFaultAtEveryStepKeepsThePromises)
+{
+    const std::uint64_t seed = numberFromEnvironment("LADDER_MATRIX_SEED", defaultSeed);
+    const std::uint64_t only = numberFromEnvironment("LADDER_MATRIX_CELL", 0);
+    const std::vector<Fault> faults = allFaults();
+    std::uint64_t cell = 0;
+    std::size_t reached = 0;
+    std::size_t violated = 0;
+    std::string failures;
+    for (const std::string &step : allSteps()) {
+        for (const Fault &fault : faults) {
+            ++cell;
+            if (only != 0 && only != cell) {
+                continue;
+            }
+            const CellResult result = runCell(step, fault, seed * 1000 + cell);
+            reached += result.reached ? 1 : 0;
+            if (!result.violations.empty()) {
+                ++violated;
+                failures += "\n  cell " + std::to_string(cell) + " [" + step + "] x [" + fault.name + "]: " + result.violations.front()
+                    + "  (LADDER_MATRIX_SEED=" + std::to_string(seed) + " LADDER_MATRIX_CELL=" + std::to_string(cell) + " test-matrix)";
+            }
+        }
+    }
+    std::printf("fault matrix: %zu steps x %zu faults, %zu cells reached their step, %zu violated\n", allSteps().size(), faults.size(), reached, violated);
+    STRCMP_EQUAL("", failures.c_str());
+}
