Add tables, keys, freshness, membership and back-off

The daemon core is built on these modules. The tables are read field by field with every problem collected, then checked across entries; amounts are parsed exactly, without floating point. Membership drops peers that were neither heard nor registered, and does not take them back from the peer lists of others, since two daemons would otherwise keep a gone peer alive forever.

--- /dev/null
+++ b/src/core/freshness.cpp
@@ -0,0 +1,43 @@
+// The freshness rule of the key list (design page, section 3.9).
+#include "freshness.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+/// Whether no daemon of the domain can have accepted a withdrawal that this daemon has not heard of.
+bool cannotHideWithdrawal(const FreshnessSettings &settings, const DomainView &view)
+{
+    // A daemon heard after its last store answer has passed on every withdrawal that it accepted.
+    const bool heardSince = view.heardAge <= settings.bound && view.heardAge < view.storeAge;
+    return heardSince && view.storeAge >= settings.storeSilence;
+}
+
+} // namespace
+
+Freshness keyFreshness(const FreshnessSettings &settings, const FreshnessInput &input)
+{
+    if (input.keysAge <= settings.bound) {
+        return Freshness::Confirmed;
+    }
+    const auto viewOf = [&](const FailureDomain &domain) {
+        return std::find_if(input.domains.begin(), input.domains.end(), [&](const DomainView &view) { return view.domain == domain; });
+    };
+    for (const DomainView &view : input.domains) {
+        if (view.storeAge < settings.storeSilence) {
+            return Freshness::Stale;
+        }
+    }
+    for (const FailureDomain &domain : input.daemonDomains) {
+        const auto view = viewOf(domain);
+        const bool other = domain != input.ownDomain;
+        if (other && (view == input.domains.end() || !cannotHideWithdrawal(settings, *view))) {
+            return Freshness::Stale;
+        }
+    }
+    return Freshness::NoWithdrawalPossible;
+}
+
+} // namespace KingCupLadder
--- a/src/core/keys.h
+++ b/src/core/keys.h
@@ -4,9 +4,12 @@
 #include "error.h"
 #include "ids.h"
 
+#include <cstddef>
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace KingCupLadder {
@@ -40,8 +43,15 @@
     [[nodiscard]] std::vector<KeyId> withdrawn() const;
 
 private:
+    /// Bounds the memory that withdrawals of unknown keys can use.
+    static constexpr std::size_t maxUnknownWithdrawn = 100000;
+
+    Result<bool> append(TeamKey key);
+
     std::vector<TeamKey> m_keys; ///< Ids and digests are unique.
-    std::set<KeyId> m_withdrawnByPeers; ///< Also of keys that are not in the list yet.
+    std::unordered_map<KeyId, std::size_t> m_positions; ///< Of each id in m_keys.
+    std::unordered_set<std::string> m_digests; ///< Of m_keys; only used to refuse duplicates.
+    std::set<KeyId> m_withdrawnByPeers; ///< Of keys that were not in the list yet; not stored.
 };
 
 } // namespace KingCupLadder
--- /dev/null
+++ b/src/core/membership.cpp
@@ -0,0 +1,295 @@
+// What this daemon knows of peers, failure domains and VMs.
+#include "membership.h"
+
+#include "backoff.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::size_t maxPeers = 1000; ///< Far above the number of entry VMs; bounds what wrong heartbeats can add.
+
+/// A timer whose period varies by a tenth, so that daemons that start together do not stay in step.
+class JitteredTimer
+{
+public:
+    JitteredTimer(Duration interval, std::uint64_t seed, TimePoint now) : m_interval(interval), m_random(seed), m_next(now + m_random.upTo(interval)) { }
+
+    bool due(TimePoint now)
+    {
+        if (now < m_next) {
+            return false;
+        }
+        m_next = now + m_random.around(m_interval);
+        return true;
+    }
+
+private:
+    Duration m_interval;
+    RandomSource m_random;
+    TimePoint m_next;
+};
+
+struct Peer {
+    PeerInfo info;
+    std::optional<Heartbeat> heartbeat; ///< The last one.
+    TimePoint heardAt{}; ///< Only read if there is a heartbeat.
+    TimePoint knownAt{}; ///< Last heard or registered.
+};
+
+/// The smaller ages of two views of one domain.
+void mergeView(std::map<FailureDomain, DomainView> &views, const DomainView &view)
+{
+    const auto [found, added] = views.emplace(view.domain, view);
+    if (!added) {
+        found->second.heardAge = std::min(found->second.heardAge, view.heardAge);
+        found->second.storeAge = std::min(found->second.storeAge, view.storeAge);
+    }
+}
+
+} // namespace
+
+class Membership::Private
+{
+public:
+    Private(const MembershipSettings &membershipSettings, TimePoint now)
+        : settings(membershipSettings)
+        , heartbeatTimer(settings.heartbeatInterval, seedFor(settings.seed, "heartbeat"), now)
+        , vmListTimer(settings.vmListInterval, seedFor(settings.seed, "vmlist"), now)
+    {
+    }
+
+    /// The entry of a peer; null if it is this daemon, an outdated run of the peer, or one peer too many.
+    Peer *entryFor(const PeerInfo &info, TimePoint now)
+    {
+        if (info.id.isEmpty() || info.id == settings.self.id) {
+            return nullptr;
+        }
+        const auto found = peers.find(info.id);
+        if (found != peers.end() && info.incarnation < found->second.info.incarnation) {
+            return nullptr;
+        }
+        if (found == peers.end() && peers.size() >= maxPeers) {
+            return nullptr;
+        }
+        const bool added = found == peers.end();
+        Peer &peer = peers[info.id];
+        if (!added && peer.info.incarnation < info.incarnation) {
+            peer.heartbeat.reset();
+        }
+        peer.info = info;
+        if (added) {
+            peer.knownAt = now;
+        }
+        return &peer;
+    }
+
+    void learn(const PeerInfo &info, TimePoint now)
+    {
+        const auto gone = forgotten.find(info.id);
+        if (gone != forgotten.end() && info.incarnation <= gone->second) {
+            return;
+        }
+        const auto known = peers.find(info.id);
+        if (known == peers.end() || known->second.info.incarnation < info.incarnation) {
+            entryFor(info, now);
+        }
+    }
+
+    void forgetOld(TimePoint now)
+    {
+        for (auto peer = peers.begin(); peer != peers.end();) {
+            if (now - peer->second.knownAt <= settings.forgetAfter) {
+                ++peer;
+                continue;
+            }
+            if (forgotten.size() < maxPeers) {
+                forgotten[peer->first] = peer->second.info.incarnation;
+            }
+            peer = peers.erase(peer);
+        }
+    }
+
+    [[nodiscard]] bool isLive(const Peer &peer, TimePoint now) const
+    {
+        return peer.heartbeat && !peer.heartbeat->stopping && now - peer.heardAt <= settings.peerTimeout;
+    }
+
+    void markLeaving()
+    {
+        for (VmInfo &vm : vms) {
+            vm.leaving = vm.leaving || leaving.count(vm.id) > 0;
+        }
+    }
+
+    MembershipSettings settings;
+    JitteredTimer heartbeatTimer;
+    JitteredTimer vmListTimer;
+    std::map<DaemonId, Peer> peers; ///< Never contains this daemon.
+    std::map<DaemonId, Incarnation> forgotten; ///< Not added again because a peer still lists them.
+    std::vector<VmInfo> vms;
+    bool hasVms = false;
+    std::set<WorkerId> leaving; ///< Marked by the platform or a peer; pruned to the VM list.
+};
+
+Membership::Membership(const MembershipSettings &settings, TimePoint now) : d(std::make_unique<Private>(settings, now)) { }
+
+Membership::~Membership() = default;
+
+void Membership::onHeartbeat(const Heartbeat &heartbeat, TimePoint now)
+{
+    Peer *peer = d->entryFor(heartbeat.self, now);
+    if (peer == nullptr) {
+        return;
+    }
+    d->forgotten.erase(heartbeat.self.id);
+    peer->heartbeat = heartbeat;
+    peer->heardAt = now;
+    peer->knownAt = now;
+    for (const PeerInfo &known : heartbeat.known) {
+        d->learn(known, now);
+    }
+    const bool unlimited = !d->hasVms;
+    for (const WorkerId &vm : heartbeat.leaving) {
+        const bool listed = std::any_of(d->vms.begin(), d->vms.end(), [&](const VmInfo &info) { return info.id == vm; });
+        if (unlimited || listed) {
+            d->leaving.insert(vm);
+        }
+    }
+    d->markLeaving();
+    d->forgetOld(now);
+}
+
+void Membership::onRegistered(const std::vector<PeerInfo> &daemons, TimePoint now)
+{
+    for (const PeerInfo &daemon : daemons) {
+        if (Peer *peer = d->entryFor(daemon, now)) {
+            peer->knownAt = now;
+            d->forgotten.erase(daemon.id);
+        }
+    }
+    d->forgetOld(now);
+}
+
+void Membership::onVmList(const std::vector<VmInfo> &vms, TimePoint now)
+{
+    d->vms = vms;
+    d->hasVms = true;
+    std::set<WorkerId> leaving;
+    for (const VmInfo &vm : vms) {
+        if (vm.leaving || d->leaving.count(vm.id) > 0) {
+            leaving.insert(vm.id);
+        }
+    }
+    d->leaving = std::move(leaving);
+    d->markLeaving();
+    d->forgetOld(now);
+}
+
+bool Membership::heartbeatDue(TimePoint now)
+{
+    return d->heartbeatTimer.due(now);
+}
+
+std::vector<PeerInfo> Membership::heartbeatTargets() const
+{
+    std::vector<PeerInfo> targets = knownPeers();
+    std::set<std::string> addresses{d->settings.self.peerAddress};
+    for (const PeerInfo &peer : targets) {
+        addresses.insert(peer.peerAddress);
+    }
+    for (const std::string &address : d->settings.seedAddresses) {
+        if (addresses.insert(address).second) {
+            PeerInfo unknown;
+            unknown.peerAddress = address;
+            targets.push_back(unknown);
+        }
+    }
+    return targets;
+}
+
+bool Membership::vmListDue(TimePoint now)
+{
+    return d->vmListTimer.due(now);
+}
+
+std::vector<PeerInfo> Membership::livePeers(TimePoint now) const
+{
+    std::vector<PeerInfo> live;
+    for (const auto &[id, peer] : d->peers) {
+        if (d->isLive(peer, now)) {
+            live.push_back(peer.info);
+        }
+    }
+    return live;
+}
+
+std::vector<PeerInfo> Membership::knownPeers() const
+{
+    std::vector<PeerInfo> known;
+    for (const auto &[id, peer] : d->peers) {
+        known.push_back(peer.info);
+    }
+    return known;
+}
+
+std::optional<PeerInfo> Membership::peer(const DaemonId &id) const
+{
+    const auto found = d->peers.find(id);
+    return found == d->peers.end() ? std::nullopt : std::optional<PeerInfo>(found->second.info);
+}
+
+const Heartbeat *Membership::lastHeartbeat(const DaemonId &id) const
+{
+    const auto found = d->peers.find(id);
+    return found == d->peers.end() || !found->second.heartbeat ? nullptr : &*found->second.heartbeat;
+}
+
+std::vector<DomainView> Membership::domainViews(Duration ownStoreAge, TimePoint now) const
+{
+    std::map<FailureDomain, DomainView> views;
+    mergeView(views, DomainView{d->settings.self.domain, Duration(0), ownStoreAge});
+    const Duration never = d->settings.forgetAfter;
+    for (const VmInfo &vm : d->vms) {
+        mergeView(views, DomainView{vm.domain, never, never});
+    }
+    for (const auto &[id, peer] : d->peers) {
+        mergeView(views, DomainView{peer.info.domain, never, never});
+        if (!peer.heartbeat) {
+            continue;
+        }
+        const Duration since = now - peer.heardAt;
+        mergeView(views, DomainView{peer.info.domain, since, peer.heartbeat->storeAge + since});
+        for (const DomainView &reported : peer.heartbeat->domains) {
+            mergeView(views, DomainView{reported.domain, reported.heardAge + since, reported.storeAge + since});
+        }
+    }
+    std::vector<DomainView> list;
+    for (const auto &[domain, view] : views) {
+        if (!domain.isEmpty()) {
+            list.push_back(view);
+        }
+    }
+    return list;
+}
+
+const std::vector<VmInfo> &Membership::vms() const
+{
+    return d->vms;
+}
+
+bool Membership::hasVmList() const
+{
+    return d->hasVms;
+}
+
+std::vector<WorkerId> Membership::leavingVms() const
+{
+    return {d->leaving.begin(), d->leaving.end()};
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/quantity.cpp
@@ -0,0 +1,131 @@
+// Exact parsing of amounts with units.
+#include "quantity.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::int64_t thousand = 1000;
+constexpr std::size_t maxDigits = 14; ///< Of the whole part; with three more digits the value stays below 2^63.
+constexpr std::size_t maxFractionDigits = 3;
+
+bool isDigit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
+std::size_t digitsFrom(const std::string &text, std::size_t start)
+{
+    std::size_t end = start;
+    while (end < text.size() && isDigit(text[end])) {
+        ++end;
+    }
+    return end - start;
+}
+
+/// The leading decimal number in thousandths, and where it ends. Empty if there is none with at most three decimal places.
+std::optional<std::int64_t> leadingThousandths(const std::string &text, std::size_t &end)
+{
+    const std::size_t whole = digitsFrom(text, 0);
+    if (whole == 0 || whole > maxDigits) {
+        return std::nullopt;
+    }
+    std::string digits = text.substr(0, whole);
+    std::size_t fraction = 0;
+    end = whole;
+    if (end < text.size() && text[end] == '.') {
+        fraction = digitsFrom(text, whole + 1);
+        if (fraction == 0 || fraction > maxFractionDigits) {
+            return std::nullopt;
+        }
+        digits += text.substr(whole + 1, fraction);
+        end = whole + 1 + fraction;
+    }
+    digits.append(maxFractionDigits - fraction, '0');
+    std::int64_t value = 0;
+    for (char c : digits) {
+        value = value * 10 + (c - '0');
+    }
+    return value;
+}
+
+} // namespace
+
+QuantityFormat::QuantityFormat(std::vector<QuantityUnit> units, const char *example) : m_units(std::move(units)), m_example(example) { }
+
+std::optional<std::int64_t> QuantityFormat::parse(const std::string &text, std::int64_t maximum, std::string &fault) const
+{
+    if (!text.empty() && text[0] == '-') {
+        fault = "is negative";
+        return std::nullopt;
+    }
+    std::size_t end = 0;
+    const auto thousandths = leadingThousandths(text, end);
+    if (!thousandths) {
+        fault = digitsFrom(text, 0) > maxDigits ? "is too large" : "is not an amount";
+        return std::nullopt;
+    }
+    const std::string suffix = text.substr(end);
+    const auto unit = std::find_if(m_units.begin(), m_units.end(), [&](const QuantityUnit &u) { return suffix == u.suffix; });
+    if (unit == m_units.end()) {
+        fault = suffix.empty() ? "has no unit" : "has an unknown unit";
+        return std::nullopt;
+    }
+    if (*thousandths > maximum * thousand / unit->factor) {
+        fault = "is too large";
+        return std::nullopt;
+    }
+    const std::int64_t scaled = *thousandths * unit->factor;
+    if (scaled % thousand != 0) {
+        fault = "is too fine";
+        return std::nullopt;
+    }
+    return scaled / thousand;
+}
+
+const char *QuantityFormat::example() const
+{
+    return m_example;
+}
+
+const QuantityFormat &durationFormat()
+{
+    static const QuantityFormat format({{"ms", 1}, {"s", 1000}, {"m", 60000}, {"h", 3600000}, {"d", 86400000}},
+                                       "a duration with unit, such as 200ms, 2s, 5m, 1h or 30d");
+    return format;
+}
+
+const QuantityFormat &memoryFormat()
+{
+    static const QuantityFormat format({{"MiB", 1}, {"GiB", 1024}}, "a size with unit, such as 256MiB or 4GiB");
+    return format;
+}
+
+const QuantityFormat &cpuFormat()
+{
+    static const QuantityFormat format({{"m", 1}, {"", 1000}}, "cores or millicores, such as 2, 1.5 or 500m");
+    return format;
+}
+
+const QuantityFormat &countFormat()
+{
+    static const QuantityFormat format({{"", 1}}, "a whole number, such as 1");
+    return format;
+}
+
+const QuantityFormat &percentFormat()
+{
+    static const QuantityFormat format({{"%", 1000}}, "a percentage, such as 99.9%");
+    return format;
+}
+
+const QuantityFormat &weightFormat()
+{
+    static const QuantityFormat format({{"", 1000}}, "a weight above 0, such as 3 or 0.5");
+    return format;
+}
+
+} // namespace KingCupLadder
--- a/src/core/tables.h
+++ b/src/core/tables.h
@@ -7,8 +7,10 @@
 #include "resources.h"
 #include "units.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace KingCupLadder {
@@ -84,6 +86,12 @@
 public:
     /// Largest accepted size of one document, in bytes.
     static constexpr std::size_t maxDocumentBytes = 1024 * 1024;
+    /// Most entries of each list of routes, pools or teams; bounds the time of the check.
+    static constexpr std::size_t maxEntries = 2000;
+    /// Deadline of a request route that states none.
+    static constexpr Duration defaultDeadline{30000};
+    /// Longest accepted deadline: a new shard owner counts the slots of an earlier epoch as busy for this span.
+    static constexpr Duration longestDeadline{30000};
 
     /// Parses both documents and checks them whole.
     [[nodiscard]] static TablesCheck parse(const std::string &routesYaml, const std::string &poolsYaml);
@@ -102,9 +110,17 @@
     [[nodiscard]] bool mayUse(const TeamId &team, const PoolName &pool) const;
 
 private:
+    Tables(std::vector<Route> routes, std::vector<Pool> pools, std::vector<Team> teams);
+
     std::vector<Route> m_routes;
     std::vector<Pool> m_pools;
     std::vector<Team> m_teams;
+    // Positions in the lists above; the names, paths and groups are unique.
+    std::unordered_map<RouteName, std::size_t> m_routeByName;
+    std::unordered_map<std::string, std::size_t> m_routeByPath;
+    std::unordered_map<PoolName, std::size_t> m_poolByName;
+    std::unordered_map<std::string, std::size_t> m_poolByGroup;
+    std::unordered_map<TeamId, std::size_t> m_teamById;
 };
 
 } // namespace KingCupLadder
