--- /dev/null
+++ b/src/core/placement.cpp
@@ -0,0 +1,243 @@
+// The placement index. Two structures hold the same workers: a tree of maxima in id order finds the first worker with room,
+// and a grid of cells by free processors and memory finds the best ranked one after looking at a few cells.
+#include "placement.h"
+
+#include "placementgrid.h"
+#include "placementtree.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <unordered_map>
+
+namespace KingCupLadder {
+
+namespace {
+
+struct ByComponents {
+    bool operator()(const Resources &a, const Resources &b) const
+    {
+        return std::tie(a.cpu, a.memory, a.accelerators, a.slots) < std::tie(b.cpu, b.memory, b.accelerators, b.slots);
+    }
+};
+
+/// Part of the capacity that is observed above what is committed. Such a worker ranks behind others.
+double overuse(const WorkerLoad &load)
+{
+    return (load.observed - load.committed).clampedToZero().dominantShareOf(load.capacity);
+}
+
+} // namespace
+
+class PlacementIndex::Private
+{
+public:
+    explicit Private(PlacementRule chosenRule) : rule(chosenRule) { }
+
+    std::uint32_t numberOf(const WorkerId &worker);
+    void update(const WorkerLoad &load);
+    void remove(const WorkerId &worker);
+    void place(std::uint32_t number, const Resources &demand);
+    std::vector<std::uint32_t> numbersOf(const std::vector<WorkerId> &ids) const;
+    std::optional<std::uint32_t> choose(const Resources &demand, const std::vector<std::uint32_t> &avoid, bool packTightly);
+    Resources largestCapacity() const;
+    void addTotals(const PlacementNode &node);
+    void subtractTotals(const PlacementNode &node);
+
+    PlacementRule rule;
+    std::vector<PlacementNode> nodes; ///< By number; a removed worker's number is used again.
+    std::vector<std::uint32_t> unused;
+    std::unordered_map<WorkerId, std::uint32_t> numbers;
+    std::map<Resources, std::uint32_t, ByComponents> capacities; ///< How many workers have each capacity.
+    PlacementTree tree;
+    PlacementGrid grid;
+    Resources capacity;
+    Resources free;
+};
+
+std::uint32_t PlacementIndex::Private::numberOf(const WorkerId &worker)
+{
+    const auto found = numbers.find(worker);
+    if (found != numbers.end()) {
+        return found->second;
+    }
+    auto number = static_cast<std::uint32_t>(nodes.size());
+    if (unused.empty()) {
+        nodes.emplace_back();
+    } else {
+        number = unused.back();
+        unused.pop_back();
+    }
+    numbers.emplace(worker, number);
+    return number;
+}
+
+void PlacementIndex::Private::addTotals(const PlacementNode &node)
+{
+    capacity += node.capacity;
+    free += node.free;
+    ++capacities[node.capacity];
+}
+
+void PlacementIndex::Private::subtractTotals(const PlacementNode &node)
+{
+    capacity -= node.capacity;
+    free -= node.free;
+    const auto found = capacities.find(node.capacity);
+    if (--found->second == 0) {
+        capacities.erase(found);
+    }
+}
+
+void PlacementIndex::Private::update(const WorkerLoad &load)
+{
+    const std::uint32_t number = numberOf(load.worker);
+    PlacementNode &node = nodes[number];
+    const bool isNew = !node.present;
+    if (!isNew) {
+        subtractTotals(node);
+        grid.remove(nodes, number);
+    }
+    node.present = true;
+    node.worker = load.worker;
+    node.capacity = load.capacity;
+    node.free = (load.capacity - load.committed).clampedToZero();
+    node.overuse = overuse(load);
+    addTotals(node);
+    grid.insert(nodes, number);
+    if (isNew) {
+        tree.invalidate();
+    } else {
+        tree.change(nodes, number);
+    }
+}
+
+void PlacementIndex::Private::remove(const WorkerId &worker)
+{
+    const auto found = numbers.find(worker);
+    if (found == numbers.end()) {
+        return;
+    }
+    PlacementNode &node = nodes[found->second];
+    subtractTotals(node);
+    grid.remove(nodes, found->second);
+    node = PlacementNode{};
+    unused.push_back(found->second);
+    numbers.erase(found);
+    tree.invalidate();
+}
+
+void PlacementIndex::Private::place(std::uint32_t number, const Resources &demand)
+{
+    PlacementNode &node = nodes[number];
+    grid.remove(nodes, number);
+    node.free -= demand;
+    grid.insert(nodes, number);
+    tree.change(nodes, number);
+}
+
+Resources PlacementIndex::Private::largestCapacity() const
+{
+    Resources largest;
+    for (const auto &entry : capacities) {
+        largest = largerOf(largest, entry.first);
+    }
+    return largest;
+}
+
+std::vector<std::uint32_t> PlacementIndex::Private::numbersOf(const std::vector<WorkerId> &ids) const
+{
+    std::vector<std::uint32_t> result;
+    for (const WorkerId &id : ids) {
+        const auto found = numbers.find(id);
+        if (found != numbers.end()) {
+            result.push_back(found->second);
+        }
+    }
+    return result;
+}
+
+std::optional<std::uint32_t> PlacementIndex::Private::choose(const Resources &demand, const std::vector<std::uint32_t> &avoid, bool packTightly)
+{
+    tree.refresh(nodes);
+    if (!tree.mayFit(demand)) {
+        return std::nullopt;
+    }
+    if (rule == PlacementRule::FirstFit) {
+        if (packTightly) {
+            if (const auto inUse = tree.first(nodes, demand, avoid, true)) {
+                return inUse;
+            }
+        }
+        return tree.first(nodes, demand, avoid, false);
+    }
+    const PlacementQuery query{&demand, &avoid, rule == PlacementRule::DotProduct, packTightly, largestCapacity()};
+    if (const auto best = grid.best(nodes, query)) {
+        return best;
+    }
+    // The grid gives up after a bounded number of looks; the tree then decides whether anything fits.
+    return tree.first(nodes, demand, avoid, false);
+}
+
+PlacementIndex::PlacementIndex(PlacementRule rule) : d(std::make_unique<Private>(rule)) { }
+
+PlacementIndex::~PlacementIndex() = default;
+
+void PlacementIndex::update(const WorkerLoad &load)
+{
+    d->update(load);
+}
+
+void PlacementIndex::remove(const WorkerId &worker)
+{
+    d->remove(worker);
+}
+
+std::optional<WorkerId> PlacementIndex::choose(const Resources &demand, const PlacementOptions &options) const
+{
+    const auto number = d->choose(demand, d->numbersOf(options.avoid), options.packTightly);
+    if (!number) {
+        return std::nullopt;
+    }
+    return d->nodes[*number].worker;
+}
+
+std::optional<std::vector<WorkerId>> PlacementIndex::chooseAll(const Resources &demand, std::uint32_t count, const PlacementOptions &options) const
+{
+    const std::vector<std::uint32_t> avoid = d->numbersOf(options.avoid);
+    std::vector<std::uint32_t> placed;
+    while (placed.size() < count) {
+        const auto number = d->choose(demand, avoid, options.packTightly);
+        if (!number) {
+            break;
+        }
+        d->place(*number, demand);
+        placed.push_back(*number);
+    }
+    std::vector<WorkerId> workers;
+    for (const std::uint32_t number : placed) {
+        workers.push_back(d->nodes[number].worker);
+        d->place(number, demand * -1);
+    }
+    if (placed.size() < count) {
+        return std::nullopt;
+    }
+    return workers;
+}
+
+bool PlacementIndex::couldEverFit(const Resources &demand) const
+{
+    return std::any_of(d->capacities.begin(), d->capacities.end(), [&demand](const auto &entry) { return demand.fitsIn(entry.first); });
+}
+
+Resources PlacementIndex::totalCapacity() const
+{
+    return d->capacity;
+}
+
+Resources PlacementIndex::totalFree() const
+{
+    return d->free;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/placementgrid.cpp
@@ -0,0 +1,207 @@
+// The grid of workers by free room.
+#include "placementgrid.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace KingCupLadder {
+
+namespace {
+
+/// Looks at single workers before a search gives up.
+constexpr std::uint32_t lookLimit = 128;
+/// Workers with room that are compared within one cell; they differ by less than the cell's size.
+constexpr std::uint32_t comparedPerCell = 8;
+/// How much less free room outweighs alignment in the dot-product rule: enough to decide between equally shaped workers.
+constexpr double tightnessWeight = 0.25;
+
+double shareOf(std::int64_t part, std::int64_t whole)
+{
+    return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0.0;
+}
+
+/// Free shares of the two resources that the grid has axes for.
+struct Point {
+    double cpu = 0.0;
+    double memory = 0.0;
+
+    double length() const
+    {
+        return std::sqrt(cpu * cpu + memory * memory);
+    }
+};
+
+Point pointOf(const Resources &amount, const Resources &capacity)
+{
+    return {shareOf(amount.cpu.value(), capacity.cpu.value()), shareOf(amount.memory.value(), capacity.memory.value())};
+}
+
+/// Higher is better: the less remains of the demand's dominant resource, the better.
+double bestFitScore(const Point &demand, const Point &free)
+{
+    return demand.cpu >= demand.memory ? demand.cpu - free.cpu : demand.memory - free.memory;
+}
+
+/// Higher is better: the cosine between demand and free room, and among similar ones the smaller room.
+double alignmentScore(const Point &demand, const Point &free)
+{
+    const double lengths = demand.length() * free.length();
+    const double cosine = lengths > 0.0 ? (demand.cpu * free.cpu + demand.memory * free.memory) / lengths : 0.0;
+    return cosine - tightnessWeight * (free.cpu + free.memory);
+}
+
+double scoreOf(bool dotProduct, const Point &demand, const Point &free)
+{
+    return dotProduct ? alignmentScore(demand, free) : bestFitScore(demand, free);
+}
+
+double levelStart(std::uint32_t level, std::uint32_t levels)
+{
+    const double root = static_cast<double>(level) / levels;
+    return root * root;
+}
+
+double levelMiddle(std::uint32_t level, std::uint32_t levels)
+{
+    return (levelStart(level, levels) + levelStart(level + 1, levels)) / 2.0;
+}
+
+} // namespace
+
+struct PlacementGrid::Search {
+    const std::vector<PlacementNode> *nodes;
+    const PlacementQuery *query;
+    Point demand; ///< Relative to the largest capacity, so that no cell with room is left out.
+    std::uint32_t looks = 0; ///< At single workers so far.
+};
+
+PlacementGrid::PlacementGrid()
+{
+    for (std::uint32_t level = 0; level < levels; ++level) {
+        m_middles[level] = levelMiddle(level, levels);
+    }
+}
+
+std::uint32_t PlacementGrid::levelOf(double share)
+{
+    const auto level = static_cast<std::uint32_t>(std::sqrt(share) * levels);
+    return std::min(level, levels - 1);
+}
+
+std::uint32_t PlacementGrid::layerOf(const PlacementNode &node)
+{
+    std::uint32_t layer = node.free.accelerators > Accelerators(0) ? acceleratorBit : 0;
+    layer |= node.free.slots > Slots(0) ? slotBit : 0;
+    layer |= node.free != node.capacity ? inUseBit : 0;
+    return layer;
+}
+
+void PlacementGrid::insert(std::vector<PlacementNode> &nodes, std::uint32_t number)
+{
+    PlacementNode &node = nodes[number];
+    const Point free = pointOf(node.free, node.capacity);
+    const std::uint32_t row = layerOf(node) * levels + levelOf(free.cpu);
+    const std::uint32_t column = levelOf(free.memory);
+    node.cell = row * levels + column;
+    std::vector<std::uint32_t> &cell = m_cells[node.cell];
+    node.place = static_cast<std::uint32_t>(cell.size());
+    cell.push_back(number);
+    m_usedCells[row] = static_cast<std::uint16_t>(m_usedCells[row] | (1U << column));
+}
+
+void PlacementGrid::remove(std::vector<PlacementNode> &nodes, std::uint32_t number)
+{
+    const PlacementNode &node = nodes[number];
+    std::vector<std::uint32_t> &cell = m_cells[node.cell];
+    cell[node.place] = cell.back();
+    nodes[cell.back()].place = node.place;
+    cell.pop_back();
+    if (cell.empty()) {
+        std::uint16_t &row = m_usedCells[node.cell / levels];
+        row = static_cast<std::uint16_t>(row & ~(1U << (node.cell % levels)));
+    }
+}
+
+void PlacementGrid::collectLayer(const Search &search, std::uint32_t layer) const
+{
+    const std::uint32_t lowestColumn = levelOf(search.demand.memory);
+    for (std::uint32_t level = levelOf(search.demand.cpu); level < levels; ++level) {
+        const std::uint32_t row = layer * levels + level;
+        const std::uint32_t used = m_usedCells[row];
+        for (std::uint32_t column = lowestColumn; column < levels && (used >> column) != 0; ++column) {
+            if ((used >> column & 1U) == 0) {
+                continue;
+            }
+            const Point middle{m_middles[level], m_middles[column]};
+            m_candidates.push_back({row * levels + column, scoreOf(search.query->dotProduct, search.demand, middle)});
+        }
+    }
+}
+
+std::optional<std::uint32_t> PlacementGrid::bestOfCell(Search &search, std::uint32_t cell) const
+{
+    std::optional<std::uint32_t> best;
+    double bestScore = 0.0;
+    std::uint32_t compared = 0;
+    const std::vector<std::uint32_t> &avoid = *search.query->avoid;
+    for (const std::uint32_t number : m_cells[cell]) {
+        if (compared >= comparedPerCell || ++search.looks > lookLimit) {
+            break;
+        }
+        const PlacementNode &node = (*search.nodes)[number];
+        if (!search.query->demand->fitsIn(node.free) || std::find(avoid.begin(), avoid.end(), number) != avoid.end()) {
+            continue;
+        }
+        ++compared;
+        const Point demand = pointOf(*search.query->demand, node.capacity);
+        const double score = scoreOf(search.query->dotProduct, demand, pointOf(node.free, node.capacity)) - node.overuse;
+        if (!best || score > bestScore) {
+            best = number;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+std::optional<std::uint32_t> PlacementGrid::bestOfLayers(Search &search, std::uint32_t mask, std::uint32_t value) const
+{
+    const auto lower = [](const Candidate &a, const Candidate &b) { return a.score < b.score; };
+    m_candidates.clear();
+    for (std::uint32_t layer = 0; layer < layers; ++layer) {
+        if ((layer & mask) == value) {
+            collectLayer(search, layer);
+        }
+    }
+    std::make_heap(m_candidates.begin(), m_candidates.end(), lower);
+    while (!m_candidates.empty() && search.looks < lookLimit) {
+        std::pop_heap(m_candidates.begin(), m_candidates.end(), lower);
+        if (const auto best = bestOfCell(search, m_candidates.back().cell)) {
+            return best;
+        }
+        m_candidates.pop_back();
+    }
+    return std::nullopt;
+}
+
+std::optional<std::uint32_t> PlacementGrid::best(const std::vector<PlacementNode> &nodes, const PlacementQuery &query) const
+{
+    Search search{&nodes, &query, pointOf(*query.demand, query.largest), 0};
+    const bool needsAccelerator = query.demand->accelerators > Accelerators(0);
+    const std::uint32_t slots = query.demand->slots > Slots(0) ? slotBit : 0;
+    const std::uint32_t inUse = query.packTightly ? inUseBit : 0;
+    // Work without need of accelerators leaves the workers that have some to others as long as it can.
+    for (std::uint32_t accelerator = needsAccelerator ? acceleratorBit : 0; accelerator <= acceleratorBit; ++accelerator) {
+        if (const auto found = bestOfLayers(search, acceleratorBit | slots | inUse, accelerator | slots | inUse)) {
+            return found;
+        }
+        if (!query.packTightly) {
+            continue;
+        }
+        if (const auto found = bestOfLayers(search, acceleratorBit | slots | inUse, accelerator | slots)) {
+            return found;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/placementtree.cpp
@@ -0,0 +1,115 @@
+// The tree of maxima.
+#include "placementtree.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+Resources largerOf(const Resources &a, const Resources &b)
+{
+    return Resources{std::max(a.cpu, b.cpu), std::max(a.memory, b.memory), std::max(a.accelerators, b.accelerators), std::max(a.slots, b.slots)};
+}
+
+namespace {
+
+/// Room of an unused leaf; not even a demand of nothing fits in it.
+Resources noRoom()
+{
+    return Resources{MilliCores(-1), MebiBytes(-1), Accelerators(-1), Slots(-1)};
+}
+
+} // namespace
+
+struct PlacementTree::Query {
+    const std::vector<PlacementNode> *nodes;
+    const Resources *demand;
+    const std::vector<std::uint32_t> *avoid;
+    bool onlyInUse;
+
+    bool accepts(std::uint32_t number) const
+    {
+        const PlacementNode &node = (*nodes)[number];
+        if (onlyInUse && node.free == node.capacity) {
+            return false;
+        }
+        return std::find(avoid->begin(), avoid->end(), number) == avoid->end();
+    }
+};
+
+void PlacementTree::invalidate()
+{
+    m_valid = false;
+}
+
+void PlacementTree::refresh(std::vector<PlacementNode> &nodes)
+{
+    if (m_valid) {
+        return;
+    }
+    m_numbers.clear();
+    for (std::uint32_t number = 0; number < nodes.size(); ++number) {
+        if (nodes[number].present) {
+            m_numbers.push_back(number);
+        }
+    }
+    std::sort(m_numbers.begin(), m_numbers.end(), [&nodes](std::uint32_t a, std::uint32_t b) { return nodes[a].worker < nodes[b].worker; });
+    m_leaves = 1;
+    while (m_leaves < m_numbers.size()) {
+        m_leaves *= 2;
+    }
+    m_maxima.assign(m_leaves * 2, noRoom());
+    for (std::uint32_t leaf = 0; leaf < m_numbers.size(); ++leaf) {
+        nodes[m_numbers[leaf]].leaf = leaf;
+        m_maxima[m_leaves + leaf] = nodes[m_numbers[leaf]].free;
+    }
+    for (std::size_t at = m_leaves - 1; at > 0; --at) {
+        m_maxima[at] = largerOf(m_maxima[2 * at], m_maxima[2 * at + 1]);
+    }
+    m_valid = true;
+}
+
+void PlacementTree::change(const std::vector<PlacementNode> &nodes, std::uint32_t number)
+{
+    if (!m_valid) {
+        return;
+    }
+    std::size_t at = m_leaves + nodes[number].leaf;
+    m_maxima[at] = nodes[number].free;
+    while (at > 1) {
+        at /= 2;
+        const Resources larger = largerOf(m_maxima[2 * at], m_maxima[2 * at + 1]);
+        if (larger == m_maxima[at]) {
+            return;
+        }
+        m_maxima[at] = larger;
+    }
+}
+
+bool PlacementTree::mayFit(const Resources &demand) const
+{
+    return demand.fitsIn(m_maxima[1]);
+}
+
+std::optional<std::uint32_t>
+PlacementTree::first(const std::vector<PlacementNode> &nodes, const Resources &demand, const std::vector<std::uint32_t> &avoid, bool onlyInUse) const
+{
+    return firstBelow(1, Query{&nodes, &demand, &avoid, onlyInUse});
+}
+
+// The recursion is as deep as the tree: 11 levels for 2,000 workers.
+std::optional<std::uint32_t> PlacementTree::firstBelow(std::size_t at, const Query &query) const // NOLINT(misc-no-recursion)
+{
+    if (!query.demand->fitsIn(m_maxima[at])) {
+        return std::nullopt;
+    }
+    if (at >= m_leaves) {
+        const std::uint32_t number = m_numbers[at - m_leaves];
+        return query.accepts(number) ? std::optional<std::uint32_t>(number) : std::nullopt;
+    }
+    if (const auto left = firstBelow(2 * at, query)) {
+        return left;
+    }
+    return firstBelow(2 * at + 1, query);
+}
+
+} // namespace KingCupLadder
