--- a/src/core/daemoncore.cpp
+++ b/src/core/daemoncore.cpp
@@ -55,6 +55,17 @@
     return ownership;
 }
 
+AdmissionSettings admissionSettings(const DaemonCoreSettings &settings)
+{
+    AdmissionSettings admission;
+    admission.self = settings.self.id;
+    admission.incarnation = settings.self.incarnation;
+    admission.seed = settings.seed + 5;
+    admission.operationTimeout = settings.storeTimeout;
+    admission.admissionTimeout = settings.admissionTimeout;
+    return admission;
+}
+
 Error storeSilent(const char *what)
 {
     return Error{ErrorKind::Unavailable, std::string("the store does not answer, so ") + what, "try again later"};
@@ -67,7 +78,6 @@
     , startedAt(now)
     , config(ConfigSettings{coreSettings.configInterval, coreSettings.storeTimeout}, [this] { return newOp(); })
     , membership(membershipSettings(coreSettings), now)
-    , admission(AdmissionSettings{}, [this] { return newOp(); })
     , claims(claimSettings(coreSettings), [this] { return newOp(); })
     , grants(grantSettings(coreSettings),
              GrantHooks{[this] { return newOp(); },
@@ -156,6 +166,12 @@
         return ownership.reason();
     }
     d->ownership = std::move(ownership).value();
+    auto admission = Admission::create(
+        admissionSettings(settings), [d] { return d->newOp(); }, now);
+    if (!admission) {
+        return admission.reason();
+    }
+    d->admission = std::move(admission).value();
     return core;
 }
 
@@ -176,7 +192,7 @@
         const Private::StoreHandler handle = std::move(handler->second);
         d->storeHandlers.erase(handler);
         handle(reply, now);
-    } else if (!d->config.onStoreReply(reply, now) && !d->ownership->onStoreReply(reply, now) && !d->admission.onStoreReply(reply, now)
+    } else if (!d->config.onStoreReply(reply, now) && !d->ownership->onStoreReply(reply, now) && !d->admission->onStoreReply(reply, now)
                && !d->claims.onStoreReply(reply, now)) {
         d->allotments.onStoreReply(reply, now);
     }
@@ -228,7 +244,7 @@
         d->vmListSent = now;
         d->emit(VmListRead{d->vmListOp});
     }
-    d->admission.tick(now);
+    d->admission->tick(now);
     d->claims.tick(now);
     d->grants.tick(now);
     d->jobs.tick(now);
@@ -300,7 +316,7 @@
     record.spec = job;
     record.shard = choice->shard;
     record.epoch = choice->epoch;
-    d->admission.submit(op, record, now);
+    d->admission->submit(op, record, now);
     d->drain(now);
     return op;
 }
@@ -387,7 +403,7 @@
         pending.callers.push_back(op);
         pending.shard = record->shard;
         pending.until = now + cancelTimeout;
-        d->admission.record(job, JobState::Cancelled, "cancelled by its submitter", now);
+        d->admission->record(job, JobState::Cancelled, "cancelled by its submitter", now);
     });
     return op;
 }
--- a/src/core/daemoncore_p.h
+++ b/src/core/daemoncore_p.h
@@ -31,12 +31,12 @@
         std::unique_ptr<ShardController> controller;
         Epoch epoch;
         TimePoint gainedAt{};
+        bool queueRead = false; ///< Every queue row was seen at least once.
         bool scanning = false; ///< A scan of its queue rows is in flight.
         TimePoint nextScan{};
         bool suspended = false; ///< While it is being handed over.
         TimePoint suspendedAt{};
-        /// Durations of the last grants are not kept; workers that were ever handed to the controller are.
-        std::set<WorkerId> workers;
+        std::set<WorkerId> workers; ///< Those that the controller has.
     };
 
     /// A command to a worker that was not answered.
@@ -82,7 +82,7 @@
     ConfigController config;
     Membership membership;
     std::unique_ptr<Ownership> ownership;
-    Admission admission;
+    std::unique_ptr<Admission> admission;
     Claims claims;
     Grants grants;
     JobController jobs;
@@ -95,7 +95,8 @@
     std::unordered_map<OpId, StoreHandler> storeHandlers; ///< Those that this class itself issued.
     std::unordered_map<JobId, ShardId> recording; ///< Shards that wait for a job record to become durable.
     std::unordered_map<JobId, Cancellation> cancellations;
-    std::unordered_map<JobId, TimePoint> cancelledLately; ///< A forward that arrives after the cancellation is dropped.
+    /// Jobs whose end was recorded here lately. A row that was read before the end is not taken for a waiting job.
+    std::unordered_map<JobId, TimePoint> endedLately;
     std::map<OpId, Gathering> gatherings;
     std::unordered_map<DaemonId, HeartbeatEcho> echoes; ///< Newest stamp of each peer.
     std::map<ShardId, RemoteShard> remoteShards;
@@ -141,6 +142,9 @@
     void enqueueHere(Shard &shard, const JobSpec &spec, TimePoint now);
     void recordJob(const ShardId &shard, const RecordJob &record, TimePoint now);
     void onJobRecorded(const JobRecorded &recorded, TimePoint now);
+    void onRecordRefused(const JobRecordRefused &refused, TimePoint now);
+    void answerCancellation(const JobId &job, JobState state, TimePoint now);
+    void verifyJobs(const ShardId &id, Epoch epoch, const std::vector<std::string> &keys);
     void updateAllotmentNeeds(TimePoint now);
     void tickShards(TimePoint now);
     [[nodiscard]] Shard *shard(const ShardId &id);
--- a/src/core/daemoncoredrain.cpp
+++ b/src/core/daemoncoredrain.cpp
@@ -111,10 +111,11 @@
 
 bool DaemonCore::Private::drainWork(TimePoint now)
 {
-    std::vector<AdmissionOutput> admitted = admission.takeOutputs();
+    std::vector<AdmissionOutput> admitted = admission->takeOutputs();
     for (AdmissionOutput &output : admitted) {
         std::visit(Overloaded{[&](JobStored &stored) { jobs.stored(stored.record, now); },
                               [&](JobRecorded &recorded) { onJobRecorded(recorded, now); },
+                              [&](JobRecordRefused &refused) { onRecordRefused(refused, now); },
                               [&](auto &command) { emit(std::move(command)); }},
                    output);
     }
--- a/src/core/daemoncorepeers.cpp
+++ b/src/core/daemoncorepeers.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Duration cancelMemory{60000}; // Longer than a forwarded job can be under way.
+constexpr Duration endMemory{60000}; // Longer than a read of the store can be under way.
 
 template<typename... Handlers>
 struct Overloaded : Handlers... {
@@ -187,11 +187,14 @@
     JobForwardReply reply{forward.op, forward.shard, false};
     // A forward for a later term means that the shard has a newer owner.
     if (owned != nullptr && forward.epoch <= owned->epoch) {
-        std::vector<JobRecord> records;
+        std::vector<std::string> unknown;
         for (const JobSpec &spec : forward.jobs) {
-            records.push_back(JobRecord{spec, forward.shard, JobState::Queued, "", forward.epoch});
+            if (!owned->controller->knows(spec.id) && endedLately.count(spec.id) == 0) {
+                unknown.push_back(spec.id.value());
+            }
         }
-        takeJobs(*owned, forward.epoch, records, now);
+        // The message may have been under way for long, so the rows decide whether the jobs still wait.
+        verifyJobs(forward.shard, owned->epoch, unknown);
         reply.owned = true;
     }
     sendPeer(from, reply);
@@ -210,7 +213,7 @@
 {
     Shard *owned = shard(id);
     for (const JobId &job : cancelled) {
-        cancelledLately[job] = now + cancelMemory;
+        endedLately[job] = now + endMemory;
         if (owned != nullptr) {
             owned->controller->cancel(job, now);
         }
@@ -219,8 +222,8 @@
 
 void DaemonCore::Private::expireCancellations(TimePoint now)
 {
-    for (auto it = cancelledLately.begin(); it != cancelledLately.end();) {
-        it = now >= it->second ? cancelledLately.erase(it) : std::next(it);
+    for (auto it = endedLately.begin(); it != endedLately.end();) {
+        it = now >= it->second ? endedLately.erase(it) : std::next(it);
     }
     for (auto &[job, pending] : cancellations) {
         if (now < pending.until) {
--- a/src/core/daemoncoreshards.cpp
+++ b/src/core/daemoncoreshards.cpp
@@ -11,7 +11,7 @@
 constexpr Duration rescanInterval{30000}; // Finds jobs whose admitting daemon died before it could forward them.
 constexpr Duration rescanRetry{1000};
 constexpr Duration handOverTimeout{4000}; // A hand-over that is not done by then is given up, and the shard goes on here.
-constexpr Duration urgentAllotment{0};
+constexpr Duration endMemory{60000}; // Longer than a read of the store can be under way.
 constexpr std::size_t maxKeysPerRead = 200;
 
 std::vector<std::string> jobKeys(const ShardId &shard, const std::vector<Row> &rows)
@@ -211,12 +211,22 @@
             unknown.push_back(key);
         }
     }
-    for (std::size_t first = 0; first < unknown.size(); first += maxKeysPerRead) {
-        const auto begin = unknown.begin() + static_cast<std::ptrdiff_t>(first);
-        const auto end = unknown.begin() + static_cast<std::ptrdiff_t>(std::min(unknown.size(), first + maxKeysPerRead));
+    verifyJobs(id, epoch, unknown);
+    if (unknown.empty()) {
+        owned->controller->setQueueRead(true, now);
+    } else if (!owned->queueRead) {
+        owned->nextScan = now + rescanRetry; // The next scan finds nothing unknown if every row was taken.
+    }
+    owned->queueRead = owned->queueRead || unknown.empty();
+}
+
+void DaemonCore::Private::verifyJobs(const ShardId &id, Epoch epoch, const std::vector<std::string> &keys)
+{
+    for (std::size_t first = 0; first < keys.size(); first += maxKeysPerRead) {
+        const auto begin = keys.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto end = keys.begin() + static_cast<std::ptrdiff_t>(std::min(keys.size(), first + maxKeysPerRead));
         readStore("jobs", std::vector<std::string>(begin, end), [this, id, epoch](const StoreReply &rows, TimePoint at) { takeJobRows(id, epoch, rows, at); });
     }
-    owned->controller->setQueueRead(unknown.empty(), now);
 }
 
 void DaemonCore::Private::takeJobRows(const ShardId &id, Epoch epoch, const StoreReply &reply, TimePoint now)
@@ -245,7 +255,7 @@
 {
     std::vector<JobRecord> taken;
     for (const JobRecord &record : records) {
-        if (cancelledLately.count(record.spec.id) == 0 && !owned.controller->knows(record.spec.id)) {
+        if (endedLately.count(record.spec.id) == 0 && !owned.controller->knows(record.spec.id)) {
             taken.push_back(record);
         }
     }
@@ -268,18 +278,21 @@
 {
     const Result<bool> queued = owned.controller->enqueue(spec, now);
     if (!queued) {
-        admission.record(spec.id, JobState::Parked, queued.reason().message, now);
+        admission->record(spec.id, JobState::Parked, queued.reason().message, now);
     }
 }
 
 void DaemonCore::Private::recordJob(const ShardId &id, const RecordJob &record, TimePoint now)
 {
     recording[record.job] = id;
-    admission.record(record.job, record.state, record.reason, now);
+    admission->record(record.job, record.state, record.reason, now);
 }
 
 void DaemonCore::Private::onJobRecorded(const JobRecorded &recorded, TimePoint now)
 {
+    if (isFinal(recorded.state)) {
+        endedLately[recorded.job] = now + endMemory;
+    }
     const auto waiting = recording.find(recorded.job);
     if (waiting != recording.end()) {
         Shard *owned = shard(waiting->second);
@@ -288,21 +301,42 @@
             owned->controller->jobRecorded(recorded.job, recorded.state, now);
         }
     }
-    const auto pending = cancellations.find(recorded.job);
+    answerCancellation(recorded.job, recorded.state, now);
+}
+
+void DaemonCore::Private::onRecordRefused(const JobRecordRefused &refused, TimePoint now)
+{
+    const auto waiting = recording.find(refused.job);
+    if (waiting != recording.end()) {
+        Shard *owned = shard(waiting->second);
+        recording.erase(waiting);
+        // The stored end of the job stands: what still runs of it is stopped.
+        const bool ended = !refused.stored || isFinal(*refused.stored);
+        if (owned != nullptr && ended) {
+            endedLately[refused.job] = now + endMemory;
+            owned->controller->cancel(refused.job, now);
+        }
+    }
+    answerCancellation(refused.job, refused.stored.value_or(JobState::Failed), now);
+}
+
+void DaemonCore::Private::answerCancellation(const JobId &job, JobState state, TimePoint now)
+{
+    const auto pending = cancellations.find(job);
     if (pending == cancellations.end()) {
         return;
     }
     const Cancellation cancellation = std::move(pending->second);
     cancellations.erase(pending);
     for (const OpId &caller : cancellation.callers) {
-        if (recorded.state == JobState::Cancelled) {
-            answer(caller, JobCancelled{recorded.job});
+        if (state == JobState::Cancelled) {
+            answer(caller, JobCancelled{job});
         } else {
-            fail(caller, Error{ErrorKind::Conflict, "job " + recorded.job.value() + " has already " + toString(recorded.state), "nothing is left to cancel"});
+            fail(caller, Error{ErrorKind::Conflict, "job " + job.value() + " has already " + toString(state), "nothing is left to cancel"});
         }
     }
-    if (recorded.state == JobState::Cancelled) {
-        jobs.cancelled(recorded.job, cancellation.shard, now);
+    if (state == JobState::Cancelled) {
+        jobs.cancelled(job, cancellation.shard, now);
     }
 }
 
