--- /dev/null
+++ b/src/core/leasekeeper.cpp
@@ -0,0 +1,206 @@
+// Registration and renewal of the own lease row.
+#include "leasekeeper.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+/// Other daemons wait leaseTerm + leaseMargin before they take over, so that a holder that tries again within a second after an
+/// outage keeps its lease.
+constexpr BackoffSettings retrySettings{Duration(100), Duration(1000)};
+
+/// The row of the daemon among the rows of a reply; empty if the reply does not contain it.
+std::optional<Row> rowOf(const StoreReply &reply, const DaemonId &id)
+{
+    const auto isRow = [&](const Row &row) { return row.table == daemonsTable && row.key == id.value(); };
+    const auto found = std::find_if(reply.rows.begin(), reply.rows.end(), isRow);
+    return found == reply.rows.end() ? std::nullopt : std::optional<Row>(*found);
+}
+
+} // namespace
+
+LeaseKeeper::LeaseKeeper(const OwnershipSettings &settings, NonceSource &nonces, TimePoint now)
+    : m_settings(settings)
+    , m_nonces(nonces)
+    , m_random(seedFor(settings.seed, "lease"))
+    , m_backoff(retrySettings, seedFor(settings.seed, "leaseretry"))
+    , m_self(settings.self)
+    , m_nextAt(now)
+{
+}
+
+std::optional<LeaseOperation> LeaseKeeper::next(TimePoint now)
+{
+    if (m_inFlight || m_phase == Phase::Retired || now < m_nextAt) {
+        return std::nullopt;
+    }
+    if (m_retiring && m_phase != Phase::Held && !m_inDoubt) {
+        m_phase = Phase::Retired;
+        return std::nullopt;
+    }
+    m_inFlight = true;
+    if (m_inDoubt || m_phase == Phase::Unread) {
+        return StoreRead{OpId(), daemonsTable, {m_self.id.value()}};
+    }
+    if (m_phase == Phase::Unregistered) {
+        m_self.incarnation = std::max(m_settings.self.incarnation, m_seen.next());
+    }
+    return writeOf(LeaseRow{m_self, m_retiring, m_nonces.next()}, now);
+}
+
+StoreTransact LeaseKeeper::writeOf(const LeaseRow &row, TimePoint now)
+{
+    m_lastNonce = row.nonce;
+    m_lastRetires = row.expired;
+    m_sent[row.nonce] = now;
+    const auto kind = m_version == RowVersion() ? RowWrite::Kind::Insert : RowWrite::Kind::Update;
+    return StoreTransact{OpId(), {RowWrite{kind, daemonsTable, m_self.id.value(), m_version, row.toJson()}}};
+}
+
+void LeaseKeeper::onTransact(const StoreReply &reply, TimePoint now)
+{
+    m_inFlight = false;
+    const auto row = rowOf(reply, m_self.id);
+    if (reply.status == StoreStatus::Ok && row && row->version > m_version) {
+        accept(m_lastNonce, row->version, m_lastRetires, now);
+        return;
+    }
+    if (reply.status == StoreStatus::Conflict && row) {
+        settle(*row, now);
+        return;
+    }
+    m_inDoubt = true;
+    m_nextAt = now + m_backoff.next();
+}
+
+void LeaseKeeper::onRead(const StoreReply &reply, TimePoint now)
+{
+    m_inFlight = false;
+    if (reply.status != StoreStatus::Ok) {
+        m_nextAt = now + m_backoff.next();
+        return;
+    }
+    const Row row = rowOf(reply, m_self.id).value_or(Row{daemonsTable, m_self.id.value(), RowVersion(), {}});
+    if (m_phase == Phase::Held && row.version == m_version) {
+        // The write has not taken effect so far. If it still does, the next compare-and-set conflicts and finds it.
+        m_inDoubt = false;
+        m_nextAt = now;
+        return;
+    }
+    settle(row, now);
+}
+
+void LeaseKeeper::settle(const Row &row, TimePoint now)
+{
+    const auto lease = LeaseRow::fromJson(row.value);
+    if (row.version > RowVersion() && lease && isOwn(*lease)) {
+        accept(lease->nonce, row.version, lease->expired, now);
+        return;
+    }
+    adoptForeign(row, now);
+}
+
+/// Only unsettled writes of this object count: an earlier process with the same seed used the same nonces.
+bool LeaseKeeper::isOwn(const LeaseRow &row) const
+{
+    return row.owner.id == m_self.id && row.owner.incarnation == m_self.incarnation && m_sent.count(row.nonce) > 0;
+}
+
+void LeaseKeeper::accept(const std::string &nonce, RowVersion version, bool retired, TimePoint now)
+{
+    const auto sent = m_sent.find(nonce);
+    if (sent != m_sent.end() && !retired) {
+        const TimePoint until = sent->second + m_settings.leaseTerm - m_settings.leaseMargin;
+        m_confirmedUntil = std::max(m_confirmedUntil.value_or(until), until);
+    }
+    m_sent.clear();
+    m_version = version;
+    m_seen = std::max(m_seen, m_self.incarnation);
+    m_inDoubt = false;
+    m_backoff.reset();
+    m_phase = retired ? Phase::Retired : Phase::Held;
+    m_nextAt = m_retiring ? now : now + m_random.around(m_settings.renewInterval);
+}
+
+void LeaseKeeper::adoptForeign(const Row &row, TimePoint now)
+{
+    m_nextAt = now;
+    if (m_phase == Phase::Held) {
+        lose();
+        // Two processes with the same daemon id must not expire each other's lease at full speed.
+        m_nextAt = now + m_random.around(m_settings.renewInterval / 4);
+    }
+    const auto lease = LeaseRow::fromJson(row.value);
+    m_seen = std::max({m_seen, m_self.incarnation, lease ? lease->owner.incarnation : Incarnation()});
+    m_version = row.version;
+    m_inDoubt = false;
+    m_sent.clear();
+    m_phase = m_retiring ? Phase::Retired : Phase::Unregistered;
+}
+
+void LeaseKeeper::lose()
+{
+    m_lost = true;
+    m_confirmedUntil.reset();
+}
+
+void LeaseKeeper::observe(const Row &row, TimePoint now)
+{
+    const bool newer = row.version > m_version;
+    const auto lease = LeaseRow::fromJson(row.value);
+    if (m_phase != Phase::Held || !newer || (lease && isOwn(*lease))) {
+        return;
+    }
+    // A write of this daemon in flight is at an older version and can't take effect any more.
+    adoptForeign(row, now);
+    m_inDoubt = m_inFlight;
+}
+
+void LeaseKeeper::retire()
+{
+    if (!m_retiring) {
+        m_retiring = true;
+        m_nextAt = TimePoint();
+    }
+}
+
+bool LeaseKeeper::held() const
+{
+    return m_phase == Phase::Held;
+}
+
+bool LeaseKeeper::retired() const
+{
+    return m_phase == Phase::Retired;
+}
+
+bool LeaseKeeper::checkable() const
+{
+    return held() && !m_inFlight && !m_inDoubt;
+}
+
+bool LeaseKeeper::confirmed(TimePoint now) const
+{
+    return held() && m_confirmedUntil && now < *m_confirmedUntil;
+}
+
+RowVersion LeaseKeeper::version() const
+{
+    return m_version;
+}
+
+Incarnation LeaseKeeper::incarnation() const
+{
+    return m_self.incarnation;
+}
+
+bool LeaseKeeper::takeLost()
+{
+    const bool lost = m_lost;
+    m_lost = false;
+    return lost;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/leasewatch.cpp
@@ -0,0 +1,108 @@
+// Expiry of leases by the observer's own clock.
+#include "leasewatch.h"
+
+namespace KingCupLadder {
+
+LeaseWatch::LeaseWatch(const OwnershipSettings &settings) : m_settings(settings) { }
+
+void LeaseWatch::onScan(const std::vector<Row> &rows, TimePoint sentAt, TimePoint now)
+{
+    m_read = true;
+    for (const Row &row : rows) {
+        observe(row, now);
+    }
+    for (auto holder = m_holders.begin(); holder != m_holders.end();) {
+        // Rows that were seen after the scan was sent may be missing in it.
+        holder = holder->second.lastSeen < sentAt ? m_holders.erase(holder) : std::next(holder);
+    }
+}
+
+void LeaseWatch::observe(const Row &row, TimePoint now)
+{
+    const DaemonId id(row.key);
+    if (row.version == RowVersion()) {
+        m_holders.erase(id);
+        return;
+    }
+    Holder &holder = m_holders[id];
+    if (row.version < holder.version) {
+        return;
+    }
+    // After a store outage every row is unchanged because no holder could renew; the holders get a full term to do it.
+    const bool gap = now - holder.lastSeen > m_settings.leaseTerm / 2;
+    if (row.version > holder.version) {
+        holder.lease = LeaseRow::fromJson(row.value);
+        holder.version = row.version;
+        holder.firstSeen = now;
+    } else if (gap) {
+        holder.firstSeen = now;
+    }
+    holder.lastSeen = now;
+}
+
+bool LeaseWatch::isRead() const
+{
+    return m_read;
+}
+
+bool LeaseWatch::isOverdue(const Holder &holder) const
+{
+    return holder.lastSeen - holder.firstSeen >= m_settings.leaseTerm + m_settings.leaseMargin;
+}
+
+HolderState LeaseWatch::stateOf(const DaemonId &daemon, Incarnation incarnation) const
+{
+    const auto found = m_holders.find(daemon);
+    if (found == m_holders.end()) {
+        return HolderState::Expired;
+    }
+    const Holder &holder = found->second;
+    if (holder.lease && holder.lease->owner.incarnation > incarnation) {
+        return HolderState::Superseded;
+    }
+    if (holder.lease && holder.lease->expired) {
+        return HolderState::Expired;
+    }
+    return isOverdue(holder) ? HolderState::Overdue : HolderState::Live;
+}
+
+RowWrite LeaseWatch::guardWrite(const DaemonId &daemon, HolderState state, const std::string &nonce) const
+{
+    const auto found = m_holders.find(daemon);
+    if (found == m_holders.end()) {
+        return RowWrite{RowWrite::Kind::Check, daemonsTable, daemon.value(), RowVersion(), {}};
+    }
+    const Holder &holder = found->second;
+    if (state != HolderState::Overdue) {
+        return RowWrite{RowWrite::Kind::Check, daemonsTable, daemon.value(), holder.version, {}};
+    }
+    LeaseRow expired = holder.lease.value_or(LeaseRow());
+    expired.owner.id = daemon;
+    expired.expired = true;
+    expired.nonce = nonce;
+    return RowWrite{RowWrite::Kind::Update, daemonsTable, daemon.value(), holder.version, expired.toJson()};
+}
+
+bool LeaseWatch::isRegistered(const Holder &holder) const
+{
+    return holder.lease && !holder.lease->expired && !isOverdue(holder);
+}
+
+std::vector<PeerInfo> LeaseWatch::registered() const
+{
+    std::vector<PeerInfo> daemons;
+    for (const auto &[id, holder] : m_holders) {
+        if (isRegistered(holder)) {
+            daemons.push_back(holder.lease->owner);
+        }
+    }
+    return daemons;
+}
+
+std::optional<PeerInfo> LeaseWatch::registered(const DaemonId &daemon) const
+{
+    const auto found = m_holders.find(daemon);
+    return found == m_holders.end() || !isRegistered(found->second) ? std::nullopt : std::optional<PeerInfo>(found->second.lease->owner);
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/ownership.cpp
@@ -0,0 +1,405 @@
+// The operations of Ownership: which are due, and what their answers mean.
+#include "ownership.h"
+
+#include "ownershipstate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr BackoffSettings retrySettings{Duration(200), Duration(2000)};
+constexpr std::size_t mostReadKeys = 100;
+
+Error invalid(const std::string &message, const std::string &remedy)
+{
+    return Error{ErrorKind::InvalidInput, message, remedy};
+}
+
+std::optional<Error> faultIn(const OwnershipSettings &settings)
+{
+    if (settings.self.id.isEmpty()) {
+        return invalid("the daemon has no id", "set an id that is unique in the deployment");
+    }
+    if (settings.leaseMargin <= Duration(0) || settings.leaseTerm <= settings.leaseMargin) {
+        return invalid("the lease margin is not between 0 and the lease term", "use a term of 6 s and a margin of 1 s");
+    }
+    if (settings.renewInterval <= Duration(0) || settings.renewInterval + settings.operationTimeout >= settings.leaseTerm - settings.leaseMargin) {
+        return invalid("the lease can't be renewed within its term", "use a renewal interval of a third of the lease term");
+    }
+    if (settings.scanInterval <= Duration(0) || settings.scanInterval + settings.operationTimeout > settings.leaseTerm / 2) {
+        return invalid("the rows are read too rarely to notice expired leases", "use a scan interval of 1 s");
+    }
+    if (settings.maxShardsPerTransaction == 0) {
+        return invalid("a transaction may not claim any shard", "allow at least one shard in a transaction");
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+Ownership::Private::Private(const OwnershipSettings &ownershipSettings, NextOp nextOpNumber, TimePoint now)
+    : settings(ownershipSettings)
+    , nextOp(std::move(nextOpNumber))
+    , nonces(settings.seed, settings.self.id)
+    , random(seedFor(settings.seed, "ownership"))
+    , writeBackoff(retrySettings, seedFor(settings.seed, "shardwrite"))
+    , readBackoff(retrySettings, seedFor(settings.seed, "shardread"))
+    , lease(settings, nonces, now)
+    , watch(settings)
+    , nextScan(now + random.upTo(settings.scanInterval / 4))
+    , nextWrite(now + random.upTo(settings.claimInterval))
+    , nextRead(now)
+    , nextWishes(now + random.upTo(settings.handOverInterval))
+{
+}
+
+void Ownership::Private::tick(TimePoint now)
+{
+    expireOperations(now);
+    scan(now);
+    readShards(now);
+    planStop();
+    runLease(now);
+    if (stopping) {
+        writeHandOvers(now);
+        return;
+    }
+    wishHandOvers(now);
+    writeHandOvers(now);
+    claim(now);
+}
+
+bool Ownership::Private::isPending(OpKind kind) const
+{
+    return std::any_of(pending.begin(), pending.end(), [&](const auto &entry) { return entry.second.kind == kind; });
+}
+
+bool Ownership::Private::writeInFlight() const
+{
+    return isPending(OpKind::Lease) || isPending(OpKind::Claim) || isPending(OpKind::HandOver);
+}
+
+template<typename T>
+void Ownership::Private::start(T operation, OpKind kind, std::vector<ShardId> concerned, TimePoint now)
+{
+    operation.op = nextOp();
+    pending.emplace(operation.op, Pending{kind, now, std::move(concerned)});
+    outputs.emplace_back(std::move(operation));
+}
+
+template void Ownership::Private::start(StoreTransact operation, OpKind kind, std::vector<ShardId> concerned, TimePoint now);
+
+void Ownership::Private::expireOperations(TimePoint now)
+{
+    std::vector<OpId> expired;
+    for (const auto &[op, operation] : pending) {
+        if (now - operation.sentAt > settings.operationTimeout) {
+            expired.push_back(op);
+        }
+    }
+    for (const OpId &op : expired) {
+        onReply(StoreReply{op, StoreStatus::Unknown, {}}, now);
+    }
+}
+
+bool Ownership::Private::onReply(const StoreReply &reply, TimePoint now)
+{
+    const auto found = pending.find(reply.op);
+    if (found == pending.end()) {
+        return false;
+    }
+    const Pending operation = found->second;
+    pending.erase(found);
+    finish(operation, reply, now);
+    if (lease.takeLost()) {
+        dropAll();
+    }
+    return true;
+}
+
+void Ownership::Private::finish(const Pending &operation, const StoreReply &reply, TimePoint now)
+{
+    switch (operation.kind) {
+    case OpKind::Lease:
+        lease.onTransact(reply, now);
+        return;
+    case OpKind::LeaseRead:
+        lease.onRead(reply, now);
+        return;
+    case OpKind::Claim:
+    case OpKind::HandOver:
+        finishWrite(operation, reply, now);
+        return;
+    case OpKind::ShardRead:
+        finishShardRead(operation, reply, now);
+        return;
+    case OpKind::LeaseScan:
+        if (reply.status == StoreStatus::Ok) {
+            watch.onScan(reply.rows, operation.sentAt, now);
+            for (const Row &row : reply.rows) {
+                if (row.key == settings.self.id.value()) {
+                    lease.observe(row, now);
+                }
+            }
+        }
+        return;
+    case OpKind::ShardScan:
+        finishShardScan(operation, reply, now);
+        return;
+    }
+}
+
+void Ownership::Private::finishWrite(const Pending &operation, const StoreReply &reply, TimePoint now)
+{
+    for (const ShardId &id : operation.shards) {
+        shards[id].writing = false;
+    }
+    nextWrite = now + random.around(settings.claimInterval);
+    if (reply.status == StoreStatus::Ok) {
+        writeBackoff.reset();
+        applyWritten(operation, reply, now);
+        return;
+    }
+    if (reply.status == StoreStatus::Conflict) {
+        writeBackoff.reset();
+        observeConflict(reply, now);
+        return;
+    }
+    if (!settings.readBackLostAnswers) {
+        presumeWritten(operation, now);
+        return;
+    }
+    nextWrite = now + writeBackoff.next();
+    for (const ShardId &id : operation.shards) {
+        shards[id].unsettledSince = now;
+        toRead.insert(id);
+    }
+}
+
+void Ownership::Private::observeConflict(const StoreReply &reply, TimePoint now)
+{
+    for (const Row &row : reply.rows) {
+        if (row.table == shardsTable) {
+            observeShard(ShardId(row.key), row, now, now);
+        } else if (row.table == daemonsTable && row.key == settings.self.id.value()) {
+            lease.observe(row, now);
+        } else if (row.table == daemonsTable) {
+            watch.observe(row, now);
+        }
+    }
+}
+
+void Ownership::Private::finishShardRead(const Pending &operation, const StoreReply &reply, TimePoint now)
+{
+    if (reply.status != StoreStatus::Ok) {
+        toRead.insert(operation.shards.begin(), operation.shards.end());
+        nextRead = now + readBackoff.next();
+        return;
+    }
+    readBackoff.reset();
+    for (const ShardId &id : operation.shards) {
+        const auto found = std::find_if(reply.rows.begin(), reply.rows.end(), [&](const Row &row) { return row.key == id.value(); });
+        observeShard(id, found == reply.rows.end() ? Row{shardsTable, id.value(), RowVersion(), {}} : *found, operation.sentAt, now);
+    }
+}
+
+void Ownership::Private::finishShardScan(const Pending &operation, const StoreReply &reply, TimePoint now)
+{
+    if (reply.status != StoreStatus::Ok) {
+        return;
+    }
+    std::set<ShardId> present;
+    for (const Row &row : reply.rows) {
+        present.insert(ShardId(row.key));
+        observeShard(ShardId(row.key), row, operation.sentAt, now);
+    }
+    std::vector<ShardId> absent;
+    for (const auto &[id, shard] : shards) {
+        if (present.count(id) == 0) {
+            absent.push_back(id);
+        }
+    }
+    for (const ShardId &id : absent) {
+        observeShard(id, Row{shardsTable, id.value(), RowVersion(), {}}, operation.sentAt, now);
+        const ShardState &shard = shards[id];
+        const bool unused = !shard.wanted && !shard.writing && !shard.unsettledSince && shard.highest == Epoch();
+        if (unused) {
+            shards.erase(id);
+        }
+    }
+}
+
+void Ownership::Private::scan(TimePoint now)
+{
+    if (now < nextScan || isPending(OpKind::LeaseScan) || isPending(OpKind::ShardScan)) {
+        return;
+    }
+    nextScan = now + random.around(settings.scanInterval);
+    start(StoreScan{OpId(), daemonsTable, {}}, OpKind::LeaseScan, {}, now);
+    start(StoreScan{OpId(), shardsTable, {}}, OpKind::ShardScan, {}, now);
+}
+
+void Ownership::Private::readShards(TimePoint now)
+{
+    if (toRead.empty() || now < nextRead || isPending(OpKind::ShardRead)) {
+        return;
+    }
+    StoreRead read{OpId(), shardsTable, {}};
+    std::vector<ShardId> ids;
+    while (!toRead.empty() && ids.size() < mostReadKeys) {
+        ids.push_back(*toRead.begin());
+        read.keys.push_back(ids.back().value());
+        toRead.erase(toRead.begin());
+    }
+    start(std::move(read), OpKind::ShardRead, std::move(ids), now);
+}
+
+void Ownership::Private::runLease(TimePoint now)
+{
+    // A claim in flight checks the version of the lease row, so that a renewal waits for its answer.
+    if (writeInFlight() || isPending(OpKind::LeaseRead)) {
+        return;
+    }
+    const auto operation = lease.next(now);
+    if (!operation) {
+        return;
+    }
+    if (const auto *write = std::get_if<StoreTransact>(&*operation)) {
+        start(*write, OpKind::Lease, {}, now);
+    } else {
+        start(std::get<StoreRead>(*operation), OpKind::LeaseRead, {}, now);
+    }
+}
+
+void Ownership::Private::dropAll()
+{
+    for (auto &[id, shard] : shards) {
+        if (shard.owned) {
+            lose(id, shard);
+        }
+        shard.target.reset();
+    }
+}
+
+Result<std::unique_ptr<Ownership>> Ownership::create(const OwnershipSettings &settings, NextOp nextOp, TimePoint now)
+{
+    if (const auto fault = faultIn(settings)) {
+        return *fault;
+    }
+    std::unique_ptr<Ownership> ownership(new Ownership());
+    ownership->d = std::make_unique<Private>(settings, std::move(nextOp), now);
+    return ownership;
+}
+
+Ownership::Ownership() = default;
+Ownership::~Ownership() = default;
+
+void Ownership::setWanted(const std::vector<WantedShard> &wanted, TimePoint)
+{
+    for (auto &[id, shard] : d->shards) {
+        shard.wanted = false;
+    }
+    for (const WantedShard &shard : wanted) {
+        ShardState &state = d->shards[shard.id];
+        state.wanted = true;
+        state.domain = shard.domain;
+    }
+}
+
+void Ownership::setLivePeers(const std::vector<PeerInfo> &peers, TimePoint now)
+{
+    std::map<DaemonId, Private::LivePeer> live;
+    for (const PeerInfo &peer : peers) {
+        const auto known = d->peers.find(peer.id);
+        const bool same = known != d->peers.end() && known->second.info.incarnation == peer.incarnation;
+        if (peer.id != d->settings.self.id) {
+            live[peer.id] = Private::LivePeer{peer, same ? known->second.since : now};
+        }
+    }
+    d->peers = std::move(live);
+}
+
+bool Ownership::onStoreReply(const StoreReply &reply, TimePoint now)
+{
+    return d->onReply(reply, now);
+}
+
+void Ownership::tick(TimePoint now)
+{
+    d->tick(now);
+}
+
+void Ownership::handOver(const ShardId &shard, const DaemonId &to, TimePoint)
+{
+    if (to != d->settings.self.id && !to.isEmpty()) {
+        d->giveUp(shard, to);
+    }
+}
+
+void Ownership::release(const ShardId &shard, TimePoint)
+{
+    d->giveUp(shard, DaemonId());
+}
+
+void Ownership::onHandOver(const HandOver &message, TimePoint now)
+{
+    d->toRead.insert(message.shard);
+    d->nextRead = std::min(d->nextRead, now);
+}
+
+void Ownership::beginStop(TimePoint)
+{
+    d->stopping = true;
+}
+
+std::vector<OwnershipOutput> Ownership::takeOutputs()
+{
+    return std::exchange(d->outputs, {});
+}
+
+bool Ownership::leaseConfirmed(TimePoint now) const
+{
+    return d->lease.confirmed(now);
+}
+
+Incarnation Ownership::incarnation() const
+{
+    return d->lease.incarnation();
+}
+
+std::vector<ShardOwner> Ownership::owned() const
+{
+    std::vector<ShardOwner> list;
+    for (const auto &[id, shard] : d->shards) {
+        if (shard.owned) {
+            list.push_back(ShardOwner{id, d->settings.self.id, *shard.owned});
+        }
+    }
+    return list;
+}
+
+std::vector<ShardOwner> Ownership::owners() const
+{
+    std::vector<ShardOwner> list;
+    for (const auto &[id, shard] : d->shards) {
+        if (shard.version > RowVersion() && shard.readable && !shard.row.owner.isEmpty()) {
+            list.push_back(ShardOwner{id, shard.row.owner, shard.row.epoch});
+        }
+    }
+    return list;
+}
+
+std::vector<PeerInfo> Ownership::registered() const
+{
+    return d->watch.registered();
+}
+
+bool Ownership::stopped() const
+{
+    return d->stopping && d->lease.retired() && !d->hasShardsLeft();
+}
+
+} // namespace KingCupLadder
--- a/src/core/ownership.h
+++ b/src/core/ownership.h
@@ -5,6 +5,7 @@
 #include "error.h"
 #include "messages.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -15,12 +16,19 @@
 
 struct OwnershipSettings {
     PeerInfo self;
-    std::uint64_t seed = 1;
+    std::uint64_t seed = 1; ///< Should differ between daemons and between runs, so that their delays differ.
     Duration leaseTerm{6000};
     Duration leaseMargin{1000};
     Duration renewInterval{2000};
     Duration scanInterval{1000}; ///< Between two reads of the lease and shard rows.
     Duration operationTimeout{1500}; ///< A store operation without an answer after this span counts as StoreStatus::Unknown.
+    Duration claimInterval{300}; ///< Between two transactions that claim or hand over shards.
+    Duration handOverInterval{1000}; ///< Between two rounds of HandOverWanted.
+    Duration settleTime{5000}; ///< A shard is moved only after its owner had it, and its receiver was live, for this span.
+    std::size_t maxShardsPerTransaction = 20;
+    /// Guards against double ownership; only tests that show their effect switch them off.
+    bool checkLeaseRowOnTakeover = true;
+    bool readBackLostAnswers = true;
 };
 
 /// A shard that should exist, with the VMs' failure domain.
@@ -80,8 +88,11 @@
     /// True if the operation was one of this object's.
     bool onStoreReply(const StoreReply &reply, TimePoint now);
     void tick(TimePoint now);
-    /// Moves an owned shard to another daemon: writes the shard row with epoch + 1.
+    /// Moves an owned shard to another daemon: emits ShardLost at once, then writes the shard row with epoch + 1 and emits
+    /// HandOverDone. If the write fails, this daemon claims the shard again with a new epoch.
     void handOver(const ShardId &shard, const DaemonId &to, TimePoint now);
+    /// Gives up an owned shard that is not wanted any more: any daemon may claim it if it is wanted again.
+    void release(const ShardId &shard, TimePoint now);
     /// A peer reports that it wrote the shard row for this daemon: reads the row at once.
     void onHandOver(const HandOver &message, TimePoint now);
     /// Hands all shards over and releases the lease; no shard is claimed from then on.
@@ -91,6 +102,8 @@
     /// True while the store is known to confirm this daemon's lease: (sending of the last confirmed renewal) + leaseTerm -
     /// leaseMargin has not been reached.
     [[nodiscard]] bool leaseConfirmed(TimePoint now) const;
+    /// Of this run, as registered; that of the settings before the registration. Heartbeats must carry it.
+    [[nodiscard]] Incarnation incarnation() const;
     [[nodiscard]] std::vector<ShardOwner> owned() const;
     /// Known owners of all shards, from the rows read last.
     [[nodiscard]] std::vector<ShardOwner> owners() const;
--- /dev/null
+++ b/src/core/shardclaims.cpp
@@ -0,0 +1,211 @@
+// Shard rows of Ownership: what a row means for this daemon, and the claims of shards without a live owner.
+#include "ownershipstate.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+/// A daemon that is not the preferred owner waits this long per place in the order of preference, up to the most.
+constexpr Duration delayPerRank{500};
+constexpr std::ptrdiff_t mostRanks = 3;
+
+} // namespace
+
+bool Ownership::Private::isMine(const ShardState &shard) const
+{
+    const bool named = shard.version > RowVersion() && shard.readable && shard.row.owner == settings.self.id;
+    return named && lease.held() && shard.row.incarnation == lease.incarnation();
+}
+
+void Ownership::Private::store(ShardState &shard, const Row &row)
+{
+    shard.version = row.version;
+    if (row.version == RowVersion()) {
+        shard.readable = true;
+        return;
+    }
+    const auto parsed = ShardRow::fromJson(row.value);
+    shard.readable = parsed.has_value();
+    if (parsed) {
+        shard.row = *parsed;
+        shard.highest = std::max(shard.highest, parsed->epoch);
+    }
+}
+
+void Ownership::Private::observeShard(const ShardId &id, const Row &row, TimePoint sentAt, TimePoint now)
+{
+    ShardState &shard = shards[id];
+    const bool absent = row.version == RowVersion();
+    const bool stale = absent ? shard.updatedAt > sentAt : row.version < shard.version;
+    if (shard.seen && stale) {
+        return;
+    }
+    shard.seen = true;
+    shard.updatedAt = now;
+    if (absent || row.version > shard.version) {
+        store(shard, row);
+    }
+    if (shard.unsettledSince && *shard.unsettledSince <= sentAt) {
+        shard.unsettledSince.reset();
+    }
+    evaluate(id, shard, now);
+}
+
+void Ownership::Private::evaluate(const ShardId &id, ShardState &shard, TimePoint now)
+{
+    const bool mine = isMine(shard);
+    if (shard.owned && (!mine || shard.row.epoch != *shard.owned)) {
+        lose(id, shard);
+    }
+    if (shard.target && !mine) {
+        // The row names another daemon: by this daemon's hand-over, or by a take-over.
+        const bool handedOver = shard.row.nonce == shard.planned.nonce && !shard.row.owner.isEmpty();
+        if (handedOver && shard.version > RowVersion() && shard.readable) {
+            outputs.emplace_back(HandOverDone{id, shard.row.epoch, shard.row.owner});
+        }
+        shard.target.reset();
+    } else if (shard.target && !stopping && !shard.writing && !shard.unsettledSince && !shard.planned.nonce.empty()) {
+        // The hand-over failed: the shard is claimed again with a new epoch, which also voids a write that is delayed.
+        shard.target.reset();
+    }
+    const bool adoptable = mine && !shard.owned && !shard.target && !stopping && shard.givenUp < shard.row.epoch;
+    if (adoptable && lease.confirmed(now)) {
+        gain(id, shard, now);
+    }
+}
+
+void Ownership::Private::gain(const ShardId &id, ShardState &shard, TimePoint now)
+{
+    shard.owned = shard.row.epoch;
+    shard.ownedSince = now;
+    shard.claimableSince.reset();
+    shard.unsettledSince.reset();
+    outputs.emplace_back(ShardGained{id, shard.row.epoch});
+}
+
+void Ownership::Private::lose(const ShardId &id, ShardState &shard)
+{
+    shard.givenUp = std::max(shard.givenUp, *shard.owned);
+    shard.owned.reset();
+    outputs.emplace_back(ShardLost{id});
+}
+
+void Ownership::Private::applyWritten(const Pending &operation, const StoreReply &reply, TimePoint now)
+{
+    for (const ShardId &id : operation.shards) {
+        const auto isRow = [&](const Row &row) { return row.table == shardsTable && row.key == id.value(); };
+        const auto row = std::find_if(reply.rows.begin(), reply.rows.end(), isRow);
+        if (row == reply.rows.end()) {
+            shards[id].unsettledSince = now;
+            toRead.insert(id);
+            continue;
+        }
+        observeShard(id, Row{shardsTable, id.value(), row->version, shards[id].planned.toJson()}, now, now);
+    }
+}
+
+void Ownership::Private::presumeWritten(const Pending &operation, TimePoint now)
+{
+    for (const ShardId &id : operation.shards) {
+        const ShardState &shard = shards[id];
+        observeShard(id, Row{shardsTable, id.value(), shard.version.next(), shard.planned.toJson()}, now, now);
+    }
+}
+
+bool Ownership::Private::isClaimable(const ShardState &shard) const
+{
+    if (!shard.wanted || !shard.seen || !shard.readable || shard.owned || shard.target || shard.unsettledSince || shard.writing) {
+        return false;
+    }
+    if (shard.version == RowVersion() || shard.row.owner.isEmpty() || shard.row.owner == settings.self.id) {
+        return true;
+    }
+    return watch.stateOf(shard.row.owner, shard.row.incarnation) != HolderState::Live;
+}
+
+Duration Ownership::Private::claimDelayOf(const ShardId &id, const ShardState &shard)
+{
+    if (shard.version > RowVersion() && shard.row.owner == settings.self.id) {
+        return Duration(0);
+    }
+    std::vector<PeerInfo> candidates{settings.self};
+    for (const auto &[peerId, peer] : peers) {
+        candidates.push_back(peer.info);
+    }
+    const auto order = ownersByPreference(WantedShard{id, shard.domain}, candidates);
+    const auto self = std::find_if(order.begin(), order.end(), [&](const PeerInfo &peer) { return peer.id == settings.self.id; });
+    const std::ptrdiff_t rank = self - order.begin();
+    return rank == 0 ? Duration(0) : delayPerRank * std::min(rank, mostRanks) + random.upTo(delayPerRank / 2);
+}
+
+bool Ownership::Private::claimDue(const ShardId &id, ShardState &shard, TimePoint now)
+{
+    if (!isClaimable(shard)) {
+        shard.claimableSince.reset();
+        return false;
+    }
+    if (!shard.claimableSince) {
+        shard.claimableSince = now;
+        shard.claimDelay = claimDelayOf(id, shard);
+    }
+    return now - *shard.claimableSince >= shard.claimDelay;
+}
+
+std::vector<ShardId> Ownership::Private::shardsToClaim(TimePoint now)
+{
+    std::vector<ShardId> due;
+    for (auto &[id, shard] : shards) {
+        if (claimDue(id, shard, now) && due.size() < settings.maxShardsPerTransaction) {
+            due.push_back(id);
+        }
+    }
+    return due;
+}
+
+void Ownership::Private::claim(TimePoint now)
+{
+    const bool ready = watch.isRead() && lease.confirmed(now) && lease.checkable();
+    if (!ready || now < nextWrite || writeInFlight()) {
+        return;
+    }
+    const std::vector<ShardId> due = shardsToClaim(now);
+    if (due.empty()) {
+        return;
+    }
+    start(StoreTransact{OpId(), claimWrites(due)}, OpKind::Claim, due, now);
+}
+
+std::vector<RowWrite> Ownership::Private::claimWrites(const std::vector<ShardId> &ids)
+{
+    std::vector<RowWrite> writes{ownLeaseCheck()};
+    std::set<DaemonId> guarded;
+    for (const ShardId &id : ids) {
+        ShardState &shard = shards[id];
+        const DaemonId holder = shard.version == RowVersion() ? DaemonId() : shard.row.owner;
+        const bool other = !holder.isEmpty() && holder != settings.self.id;
+        const HolderState state = other ? watch.stateOf(holder, shard.row.incarnation) : HolderState::Superseded;
+        // A superseded run can't come back, and the row of its successor changes with each renewal.
+        if (settings.checkLeaseRowOnTakeover && state != HolderState::Superseded && guarded.insert(holder).second) {
+            writes.push_back(watch.guardWrite(holder, state, nonces.next()));
+        }
+        writes.push_back(shardWrite(id, shard, settings.self.id, lease.incarnation()));
+    }
+    return writes;
+}
+
+RowWrite Ownership::Private::shardWrite(const ShardId &id, ShardState &shard, const DaemonId &owner, Incarnation incarnation)
+{
+    shard.writing = true;
+    shard.planned = ShardRow{owner, incarnation, shard.highest.next(), nonces.next()};
+    const auto kind = shard.version == RowVersion() ? RowWrite::Kind::Insert : RowWrite::Kind::Update;
+    return RowWrite{kind, shardsTable, id.value(), shard.version, shard.planned.toJson()};
+}
+
+RowWrite Ownership::Private::ownLeaseCheck() const
+{
+    return RowWrite{RowWrite::Kind::Check, daemonsTable, settings.self.id.value(), lease.version(), {}};
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/test/core/ownershipfleet.h
@@ -0,0 +1,233 @@
+// Daemons' Ownership objects on one fake store, with seeded delays, lost answers, outages and pauses.
+#pragma once
+
+#include "core/backoff.h"
+#include "core/ownership.h"
+#include "core/ownershiprows.h"
+#include "fakestore.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// One daemon of the fleet.
+struct FleetMember {
+    KingCupLadder::PeerInfo self;
+    std::unique_ptr<KingCupLadder::Ownership> ownership;
+    std::map<std::string, KingCupLadder::Epoch> owned; ///< By its outputs.
+    bool paused = false;
+    std::vector<std::pair<KingCupLadder::ShardId, KingCupLadder::DaemonId>> wishes;
+    std::vector<KingCupLadder::HandOverDone> handedOver;
+    int lost = 0;
+    int transactions = 0;
+};
+
+class Fleet
+{
+public:
+    explicit Fleet(std::uint64_t seed) : random(seed) { }
+
+    FleetMember &start(const std::string &id, const std::string &domain, std::uint64_t seed = 1)
+    {
+        using namespace KingCupLadder;
+        FleetMember &member = members[id];
+        member = FleetMember();
+        member.self.id = DaemonId(id);
+        member.self.domain = FailureDomain(domain);
+        OwnershipSettings settings = defaults;
+        settings.self = member.self;
+        settings.seed = seed + random.next() % 1000;
+        member.ownership = std::move(Ownership::create(
+                                         settings, [this] { return OpId(++m_ops); }, now)
+                                         .value());
+        member.ownership->setWanted(wanted, now);
+        return member;
+    }
+
+    void kill(const std::string &id)
+    {
+        members.erase(id);
+    }
+
+    /// Runs in steps of 20 ms.
+    void run(KingCupLadder::Duration span)
+    {
+        const KingCupLadder::TimePoint end = now + span;
+        while (now < end) {
+            now += KingCupLadder::Duration(20);
+            deliver();
+            for (auto &[id, member] : members) {
+                step(member);
+            }
+            observeStep();
+        }
+    }
+
+    /// The daemon that owns the shard at the row's epoch; empty if there is none.
+    std::string ownerOf(const std::string &shard) const
+    {
+        const auto row = KingCupLadder::ShardRow::fromJson(store.row("shards", shard).value);
+        for (const auto &[id, member] : members) {
+            const auto owned = member.owned.find(shard);
+            if (row && owned != member.owned.end() && owned->second == row->epoch && row->owner.value() == id) {
+                return id;
+            }
+        }
+        return {};
+    }
+
+    /// How many of the wanted shards have an owner.
+    std::size_t ownedCount() const
+    {
+        std::size_t count = 0;
+        for (const auto &shard : wanted) {
+            count += ownerOf(shard.id.value()).empty() ? 0 : 1;
+        }
+        return count;
+    }
+
+    KingCupLadder::OwnershipSettings defaults;
+    std::vector<KingCupLadder::WantedShard> wanted;
+    KingCupLadder::RandomSource random;
+    FakeStore store;
+    KingCupLadder::TimePoint now{KingCupLadder::Duration(1000000)};
+    std::map<std::string, FleetMember> members;
+    bool storeDown = false;
+    int lostAnswerPercent = 0;
+    int lateWritePercent = 0; ///< Writes that take effect seconds after their daemon gave up waiting.
+    KingCupLadder::Duration longestDelay{10};
+    std::function<void(const KingCupLadder::StoreTransact &)> beforeTransact; ///< Called before a transaction takes effect.
+    bool twoOwnersAtAnEpoch = false;
+    bool twoConfirmedOwners = false; ///< Two daemons with valid leases owned one shard.
+
+private:
+    struct Event {
+        std::string daemon;
+        KingCupLadder::Ownership *target;
+        std::function<KingCupLadder::StoreReply()> effect; ///< Empty: only the reply is left to deliver.
+        KingCupLadder::StoreReply reply;
+    };
+
+    template<typename T>
+    void send(FleetMember &member, const T &operation)
+    {
+        using namespace KingCupLadder;
+        if (storeDown) {
+            return;
+        }
+        const bool late = random.below(100) < static_cast<std::uint64_t>(lateWritePercent);
+        const Duration delay = late ? Duration(1600) + random.upTo(Duration(8000)) : random.upTo(longestDelay);
+        m_events.emplace(now + delay, Event{member.self.id.value(), member.ownership.get(), [this, operation] { return effect(operation); }, {}});
+    }
+
+    KingCupLadder::StoreReply effect(const KingCupLadder::StoreTransact &transact)
+    {
+        if (beforeTransact) {
+            beforeTransact(transact);
+        }
+        return store.apply(transact);
+    }
+
+    template<typename T>
+    KingCupLadder::StoreReply effect(const T &operation)
+    {
+        return store.apply(operation);
+    }
+
+    void deliver()
+    {
+        while (!m_events.empty() && m_events.begin()->first <= now) {
+            Event event = m_events.begin()->second;
+            m_events.erase(m_events.begin());
+            if (event.effect) {
+                event.reply = event.effect();
+                event.effect = nullptr;
+                if (random.below(100) >= static_cast<std::uint64_t>(lostAnswerPercent)) {
+                    m_events.emplace(now + random.upTo(longestDelay), event);
+                }
+                continue;
+            }
+            const auto member = members.find(event.daemon);
+            const bool alive = member != members.end() && member->second.ownership.get() == event.target;
+            if (alive && member->second.paused) {
+                m_events.emplace(now + KingCupLadder::Duration(20), event);
+            } else if (alive) {
+                member->second.ownership->onStoreReply(event.reply, now);
+                collect(member->second);
+            }
+        }
+    }
+
+    void step(FleetMember &member)
+    {
+        if (member.paused) {
+            return;
+        }
+        std::vector<KingCupLadder::PeerInfo> peers;
+        for (const auto &[id, other] : members) {
+            if (!other.paused && id != member.self.id.value()) {
+                KingCupLadder::PeerInfo info = other.self;
+                info.incarnation = other.ownership->incarnation();
+                peers.push_back(info);
+            }
+        }
+        member.ownership->setLivePeers(peers, now);
+        member.ownership->tick(now);
+        collect(member);
+    }
+
+    void collect(FleetMember &member)
+    {
+        using namespace KingCupLadder;
+        for (const OwnershipOutput &output : member.ownership->takeOutputs()) {
+            if (const auto *transact = std::get_if<StoreTransact>(&output)) {
+                ++member.transactions;
+                send(member, *transact);
+            } else if (const auto *scan = std::get_if<StoreScan>(&output)) {
+                send(member, *scan);
+            } else if (const auto *read = std::get_if<StoreRead>(&output)) {
+                send(member, *read);
+            } else if (const auto *gained = std::get_if<ShardGained>(&output)) {
+                member.owned[gained->shard.value()] = gained->epoch;
+            } else if (const auto *lost = std::get_if<ShardLost>(&output)) {
+                member.owned.erase(lost->shard.value());
+                ++member.lost;
+            } else if (const auto *wish = std::get_if<HandOverWanted>(&output)) {
+                member.wishes.emplace_back(wish->shard, wish->to);
+                member.ownership->handOver(wish->shard, wish->to, now);
+            } else if (const auto *done = std::get_if<HandOverDone>(&output)) {
+                member.handedOver.push_back(*done);
+                notify(*done);
+            }
+        }
+    }
+
+    void notify(const KingCupLadder::HandOverDone &done)
+    {
+        const auto receiver = members.find(done.to.value());
+        if (receiver != members.end() && !receiver->second.paused) {
+            receiver->second.ownership->onHandOver(KingCupLadder::HandOver{done.shard, done.epoch}, now);
+        }
+    }
+
+    void observeStep()
+    {
+        for (const auto &shard : wanted) {
+            std::map<std::uint64_t, int> epochs;
+            int confirmed = 0;
+            for (const auto &[id, member] : members) {
+                const auto owned = member.owned.find(shard.id.value());
+                if (owned != member.owned.end()) {
+                    twoOwnersAtAnEpoch = ++epochs[owned->second.value()] > 1 || twoOwnersAtAnEpoch;
+                    confirmed += member.ownership->leaseConfirmed(now) ? 1 : 0;
+                }
+            }
+            twoConfirmedOwners = confirmed > 1 || twoConfirmedOwners;
+        }
+    }
+
+    std::uint64_t m_ops = 0;
+    std::multimap<KingCupLadder::TimePoint, Event> m_events;
+};
--- /dev/null
+++ b/test/core/testownership.cpp
@@ -0,0 +1,332 @@
+#include "ownershipfleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+namespace {
+
+constexpr Duration second{1000};
+constexpr Duration leaseLoss{7000}; ///< leaseTerm + leaseMargin.
+
+std::vector<WantedShard> shardsOf(const std::string &domain, int count)
+{
+    std::vector<WantedShard> shards;
+    for (int i = 0; i < count; ++i) {
+        shards.push_back(WantedShard{ShardId("pool" + std::to_string(i) + "/" + domain + "/0"), FailureDomain(domain)});
+    }
+    return shards;
+}
+
+} // namespace
+
+TEST_GROUP(Ownership)
+{
+    Fleet fleet{7};
+    const std::string shard = "pool0/a/0";
+
+    void setup() override
+    {
+        fleet.wanted = shardsOf("a", 1);
+    }
+
+    Epoch rowEpoch()
+    {
+        const auto row = ShardRow::fromJson(fleet.store.row("shards", shard).value);
+        return row ? row->epoch : Epoch();
+    }
+};
+
+// Guards against a fresh deployment in which nobody places work.
+TEST(Ownership, ClaimsUnownedShardsWithinTwoSeconds)
+{
+    fleet.wanted = shardsOf("a", 50);
+    fleet.start("d1", "a");
+    fleet.run(2 * second);
+    UNSIGNED_LONGS_EQUAL(50, fleet.members["d1"].owned.size());
+}
+
+// Guards against a herd of transactions after a start: 50 shards need 3 claims, besides registration and one renewal.
+TEST(Ownership, PutsManyShardsIntoOneTransaction)
+{
+    fleet.wanted = shardsOf("a", 50);
+    fleet.start("d1", "a");
+    fleet.run(3 * second);
+    CHECK_TRUE(fleet.members["d1"].transactions <= 6);
+}
+
+// Guards against shards that stay without an owner after a daemon died.
+TEST(Ownership, TakesOverFromADeadDaemonWithAHigherEpoch)
+{
+    fleet.start("d1", "a");
+    fleet.run(second * 2);
+    fleet.kill("d1");
+    fleet.start("d2", "a");
+    fleet.run(leaseLoss + 3 * second);
+    STRCMP_EQUAL("d2", fleet.ownerOf(shard).c_str());
+    UNSIGNED_LONGS_EQUAL(2, rowEpoch().value());
+}
+
+// Guards against taking a shard while its owner may still act on its lease.
+TEST(Ownership, DoesNotTakeOverBeforeTheLeaseIsSeenUnchangedForTermAndMargin)
+{
+    fleet.start("d1", "a");
+    fleet.run(second * 2);
+    fleet.kill("d1");
+    fleet.start("d2", "a");
+    fleet.run(leaseLoss - Duration(20));
+    UNSIGNED_LONGS_EQUAL(1, rowEpoch().value());
+}
+
+// Guards against a wait of a lease term after each restart of a daemon.
+TEST(Ownership, TakesOverItsEarlierIncarnationAtOnceWithAHigherEpoch)
+{
+    fleet.start("d1", "a", 5);
+    fleet.run(second * 2);
+    fleet.start("d1", "a", 5);
+    fleet.run(second * 2);
+    STRCMP_EQUAL("d1", fleet.ownerOf(shard).c_str());
+    UNSIGNED_LONGS_EQUAL(2, rowEpoch().value());
+}
+
+// Guards against loss of all shards at each store outage.
+TEST(Ownership, KeepsItsShardsThroughAStoreOutage)
+{
+    fleet.start("d1", "a");
+    fleet.start("d2", "a");
+    fleet.run(second * 10);
+    const Epoch before = rowEpoch();
+    fleet.storeDown = true;
+    fleet.run(second * 60);
+    fleet.storeDown = false;
+    fleet.run(second * 15);
+    UNSIGNED_LONGS_EQUAL(before.value(), rowEpoch().value());
+}
+
+// Guards against acting on "move" work without a confirmed lease.
+TEST(Ownership, LeaseIsNotConfirmedDuringALongOutage)
+{
+    fleet.start("d1", "a");
+    fleet.run(second * 2);
+    fleet.storeDown = true;
+    fleet.run(second * 6);
+    CHECK_FALSE(fleet.members["d1"].ownership->leaseConfirmed(fleet.now));
+}
+
+// Guards against shards that are in doubt for good after an outage.
+TEST(Ownership, FirstRenewalAfterAnOutageConfirmsTheLease)
+{
+    fleet.start("d1", "a");
+    fleet.run(second * 2);
+    fleet.storeDown = true;
+    fleet.run(second * 60);
+    fleet.storeDown = false;
+    fleet.run(second * 3);
+    CHECK_TRUE(fleet.members["d1"].ownership->leaseConfirmed(fleet.now));
+}
+
+// Guards against a resumed daemon that goes on with shards that another has taken over.
+TEST(Ownership, DropsItsShardsAfterAPauseInWhichItsLeaseExpired)
+{
+    fleet.start("d1", "a");
+    fleet.run(second * 2);
+    fleet.members["d1"].paused = true;
+    fleet.start("d2", "b");
+    fleet.run(leaseLoss + 4 * second);
+    fleet.members["d1"].paused = false;
+    fleet.run(second);
+    LONGS_EQUAL(1, fleet.members["d1"].lost);
+}
+
+// Guards against a daemon that stays unregistered after its lease was expired.
+TEST(Ownership, RegistersAgainWithANewIncarnationAfterItsLeaseExpired)
+{
+    fleet.start("d1", "a");
+    fleet.run(second * 2);
+    fleet.members["d1"].paused = true;
+    fleet.start("d2", "b");
+    fleet.run(leaseLoss + 4 * second);
+    fleet.members["d1"].paused = false;
+    fleet.run(second * 2);
+    UNSIGNED_LONGS_EQUAL(2, fleet.members["d1"].ownership->incarnation().value());
+}
+
+// Guards against a take-over from a holder that renewed at the last moment.
+TEST(Ownership, TakeOverFailsIfTheHolderRenewedInTheMeantime)
+{
+    fleet.start("d1", "a");
+    fleet.run(second * 2);
+    fleet.kill("d1");
+    fleet.start("d2", "a");
+    fleet.beforeTransact = [&](const StoreTransact &transact) {
+        const bool takesOver = transact.writes.back().table == "shards";
+        if (takesOver) {
+            fleet.store.put("daemons", "d1", fleet.store.row("daemons", "d1").value);
+        }
+    };
+    fleet.run(leaseLoss + 3 * second);
+    UNSIGNED_LONGS_EQUAL(1, rowEpoch().value());
+}
+
+// Shows that the check of the lease row is what guards against the take-over above.
+TEST(Ownership, WithoutTheLeaseRowCheckATakeOverRobsAHolderThatRenewed)
+{
+    fleet.defaults.checkLeaseRowOnTakeover = false;
+    fleet.start("d1", "a");
+    fleet.run(second * 2);
+    fleet.kill("d1");
+    fleet.start("d2", "a");
+    fleet.beforeTransact = [&](const StoreTransact &transact) {
+        if (transact.writes.back().table == "shards") {
+            fleet.store.put("daemons", "d1", fleet.store.row("daemons", "d1").value);
+        }
+    };
+    fleet.run(leaseLoss + 3 * second);
+    UNSIGNED_LONGS_EQUAL(2, rowEpoch().value());
+}
+
+// Guards against a shard that is owned by nobody because the answer to its claim was lost.
+TEST(Ownership, RecognisesItsOwnClaimAfterALostAnswer)
+{
+    fleet.start("d1", "a");
+    fleet.lostAnswerPercent = 60;
+    fleet.run(second * 20);
+    fleet.lostAnswerPercent = 0;
+    fleet.run(second * 5);
+    STRCMP_EQUAL("d1", fleet.ownerOf(shard).c_str());
+}
+
+// Guards against shards that stay with a daemon of another failure domain.
+TEST(Ownership, HandsOverToADaemonOfTheShardsFailureDomain)
+{
+    fleet.start("d1", "b");
+    fleet.run(second * 3);
+    fleet.start("d2", "a");
+    fleet.run(second * 9);
+    STRCMP_EQUAL("d2", fleet.ownerOf(shard).c_str());
+}
+
+// Guards against shards that move to a daemon that keeps restarting.
+TEST(Ownership, DoesNotHandOverToAPeerThatIsLiveForLessThanFiveSeconds)
+{
+    fleet.start("d1", "b");
+    fleet.run(second * 8);
+    for (int i = 0; i < 5; ++i) {
+        fleet.start("d2", "a");
+        fleet.run(Duration(4500));
+    }
+    UNSIGNED_LONGS_EQUAL(0, fleet.members["d1"].wishes.size());
+}
+
+// Guards against shards that move to and fro between live daemons.
+TEST(Ownership, OwnersAreStableOnceEveryShardIsWithItsPreferredOwner)
+{
+    fleet.wanted = shardsOf("a", 30);
+    for (const char *id : {"d1", "d2", "d3"}) {
+        fleet.start(id, "a");
+    }
+    fleet.run(second * 30);
+    int before = 0;
+    int after = 0;
+    for (const auto &[id, member] : fleet.members) {
+        before += member.lost;
+    }
+    fleet.run(second * 60);
+    for (const auto &[id, member] : fleet.members) {
+        after += member.lost;
+    }
+    LONGS_EQUAL(before, after);
+}
+
+// Guards against a gap of a lease term at each planned stop.
+TEST(Ownership, StopHandsEveryShardToAPeer)
+{
+    fleet.wanted = shardsOf("a", 30);
+    fleet.start("d1", "a");
+    fleet.run(second * 2);
+    fleet.start("d2", "a");
+    fleet.run(second);
+    fleet.members["d1"].ownership->beginStop(fleet.now);
+    fleet.run(second * 2);
+    UNSIGNED_LONGS_EQUAL(30, fleet.members["d2"].owned.size());
+    CHECK_TRUE(fleet.members["d1"].ownership->stopped());
+}
+
+// Guards against a last daemon that never finishes its stop.
+TEST(Ownership, StopWithoutPeersReleasesTheShards)
+{
+    fleet.start("d1", "a");
+    fleet.run(second * 2);
+    fleet.members["d1"].ownership->beginStop(fleet.now);
+    fleet.run(second * 2);
+    CHECK_TRUE(fleet.members["d1"].ownership->stopped());
+}
+
+// Guards against a long outage after a simultaneous restart of everything under new ids.
+TEST(Ownership, ColdStartClaimsAllShardsWithinTwoSecondsAfterTheOldLeases)
+{
+    fleet.wanted = shardsOf("a", 60);
+    for (const char *id : {"old1", "old2", "old3"}) {
+        fleet.start(id, "a");
+    }
+    fleet.run(second * 20);
+    fleet.members.clear();
+    for (const char *id : {"d1", "d2", "d3", "d4", "d5", "d6", "d7"}) {
+        fleet.start(id, "a");
+    }
+    fleet.run(leaseLoss + 2 * second);
+    UNSIGNED_LONGS_EQUAL(60, fleet.ownedCount());
+}
+
+// Guards against double ownership under any mix of lost answers, late writes, outages, pauses and restarts.
+TEST(Ownership, NeverHasTwoOwnersAtAnEpochUnderRandomFaults)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        Fleet random(seed);
+        random.wanted = shardsOf("a", 8);
+        random.lostAnswerPercent = 20;
+        random.lateWritePercent = 5;
+        random.longestDelay = Duration(400);
+        for (const char *id : {"d1", "d2", "d3"}) {
+            random.start(id, "a", seed);
+        }
+        for (int i = 0; i < 30; ++i) {
+            const std::string id = "d" + std::to_string(1 + random.random.below(3));
+            random.members[id].paused = random.random.below(2) == 0;
+            random.storeDown = random.random.below(4) == 0;
+            if (random.random.below(6) == 0) {
+                random.start(id, "a", seed);
+            }
+            random.run(random.random.upTo(Duration(6000)));
+        }
+        CHECK_FALSE_TEXT(random.twoOwnersAtAnEpoch, ("seed " + std::to_string(seed)).c_str());
+        CHECK_FALSE_TEXT(random.twoConfirmedOwners, ("confirmed, seed " + std::to_string(seed)).c_str());
+        random.storeDown = false;
+        random.lostAnswerPercent = 0;
+        random.lateWritePercent = 0;
+        for (auto &[id, member] : random.members) {
+            member.paused = false;
+        }
+        random.run(second * 25);
+        UNSIGNED_LONGS_EQUAL_TEXT(8, random.ownedCount(), ("owners, seed " + std::to_string(seed)).c_str());
+    }
+}
+
+// Shows that the read-back of lost answers is what guards against double ownership.
+TEST(Ownership, WithoutReadBackALostConflictMakesTwoOwners)
+{
+    bool seen = false;
+    for (std::uint64_t seed = 1; seed <= 40 && !seen; ++seed) {
+        Fleet random(seed);
+        random.defaults.readBackLostAnswers = false;
+        random.wanted = shardsOf("a", 8);
+        random.lostAnswerPercent = 20;
+        random.longestDelay = Duration(400);
+        for (const char *id : {"d1", "d2", "d3"}) {
+            random.start(id, "a", seed);
+        }
+        random.run(second * 30);
+        seen = random.twoOwnersAtAnEpoch;
+    }
+    CHECK_TRUE(seen);
+}
