--- /dev/null
+++ b/src/core/tasklifecycle.cpp
@@ -0,0 +1,189 @@
+// Steps of task attempts.
+#include "tasklifecycle.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::size_t slot(TaskPhase phase)
+{
+    return static_cast<std::size_t>(phase);
+}
+
+bool isStep(TaskPhase from, TaskPhase to)
+{
+    switch (to) {
+    case TaskPhase::Starting:
+        return from == TaskPhase::Reserved;
+    case TaskPhase::Running:
+        return from == TaskPhase::Starting || from == TaskPhase::Uncertain;
+    case TaskPhase::Uncertain:
+        return from == TaskPhase::Starting;
+    case TaskPhase::Checkpointing:
+        return from == TaskPhase::Running;
+    case TaskPhase::Stopping:
+        return from == TaskPhase::Starting || from == TaskPhase::Running || from == TaskPhase::Checkpointing || from == TaskPhase::Uncertain;
+    case TaskPhase::Held:
+    case TaskPhase::Queued:
+    case TaskPhase::Reserved:
+    case TaskPhase::Ended:
+        return false;
+    }
+    return false;
+}
+
+} // namespace
+
+const char *toString(TaskPhase phase)
+{
+    constexpr std::array<const char *, 9> names{
+        "held until all workers are read", "queued", "reserved", "starting", "running", "checkpointing", "stopping", "uncertain", "ended"};
+    return names[slot(phase)];
+}
+
+bool mayRun(TaskPhase phase)
+{
+    return phase >= TaskPhase::Starting && phase <= TaskPhase::Uncertain;
+}
+
+TaskLifecycle::TaskLifecycle(std::uint32_t tasks, bool held, std::uint32_t firstAttempt) : m_tasks(tasks), m_firstAttempt(firstAttempt)
+{
+    const TaskPhase phase = held ? TaskPhase::Held : TaskPhase::Queued;
+    for (TaskState &task : m_tasks) {
+        task.phase = phase;
+    }
+    m_counts[slot(phase)] = tasks;
+    for (std::uint32_t index = tasks; !held && index > 0; --index) {
+        m_queued.push_back(index - 1);
+    }
+}
+
+std::uint32_t TaskLifecycle::size() const
+{
+    return static_cast<std::uint32_t>(m_tasks.size());
+}
+
+std::uint32_t TaskLifecycle::count(TaskPhase phase) const
+{
+    return m_counts[slot(phase)];
+}
+
+std::uint32_t TaskLifecycle::live() const
+{
+    return size() - count(TaskPhase::Held) - count(TaskPhase::Queued) - count(TaskPhase::Ended);
+}
+
+const TaskState &TaskLifecycle::at(std::uint32_t index) const
+{
+    return m_tasks[index];
+}
+
+bool TaskLifecycle::isCurrent(std::uint32_t index, std::uint32_t attempt) const
+{
+    return index < m_tasks.size() && m_tasks[index].attempt == attempt;
+}
+
+void TaskLifecycle::set(std::uint32_t index, TaskPhase phase)
+{
+    TaskState &task = m_tasks[index];
+    --m_counts[slot(task.phase)];
+    ++m_counts[slot(phase)];
+    task.phase = phase;
+}
+
+std::optional<std::uint32_t> TaskLifecycle::reserve(std::uint32_t worker, TimePoint now)
+{
+    while (!m_queued.empty()) {
+        const std::uint32_t index = m_queued.back();
+        m_queued.pop_back();
+        TaskState &task = m_tasks[index];
+        if (task.phase != TaskPhase::Queued) {
+            continue;
+        }
+        set(index, TaskPhase::Reserved);
+        task.attempt = std::max(task.attempt + 1, m_firstAttempt);
+        task.worker = worker;
+        task.since = now;
+        task.startSequence = 0;
+        task.throttled = false;
+        return index;
+    }
+    return std::nullopt;
+}
+
+bool TaskLifecycle::adopt(std::uint32_t index, std::uint32_t attempt, std::uint32_t worker, TimePoint now)
+{
+    if (index >= m_tasks.size()) {
+        return false;
+    }
+    TaskState &task = m_tasks[index];
+    const bool free = task.phase == TaskPhase::Held || task.phase == TaskPhase::Queued;
+    if (!free || attempt < task.attempt) {
+        return false;
+    }
+    set(index, TaskPhase::Running);
+    task.attempt = attempt;
+    task.worker = worker;
+    task.since = now;
+    task.startSequence = 0;
+    return true;
+}
+
+void TaskLifecycle::learnAttempt(std::uint32_t index, std::uint32_t attempt)
+{
+    if (index < m_tasks.size() && !mayRun(m_tasks[index].phase) && m_tasks[index].phase != TaskPhase::Reserved) {
+        m_tasks[index].attempt = std::max(m_tasks[index].attempt, attempt);
+    }
+}
+
+bool TaskLifecycle::advance(std::uint32_t index, TaskPhase next)
+{
+    if (!isStep(m_tasks[index].phase, next)) {
+        return false;
+    }
+    set(index, next);
+    return true;
+}
+
+void TaskLifecycle::setStartSequence(std::uint32_t index, std::uint64_t sequence)
+{
+    m_tasks[index].startSequence = sequence;
+}
+
+void TaskLifecycle::setThrottled(std::uint32_t index, bool throttled)
+{
+    m_tasks[index].throttled = throttled;
+}
+
+bool TaskLifecycle::requeue(std::uint32_t index)
+{
+    const TaskPhase phase = m_tasks[index].phase;
+    if (phase == TaskPhase::Ended || phase == TaskPhase::Queued || phase == TaskPhase::Held) {
+        return false;
+    }
+    set(index, TaskPhase::Queued);
+    m_queued.push_back(index);
+    return true;
+}
+
+void TaskLifecycle::end(std::uint32_t index, bool succeeded)
+{
+    set(index, TaskPhase::Ended);
+    m_tasks[index].succeeded = succeeded;
+}
+
+std::uint32_t TaskLifecycle::releaseHeld()
+{
+    const std::uint32_t released = count(TaskPhase::Held);
+    for (std::uint32_t index = size(); released > 0 && index > 0; --index) {
+        if (m_tasks[index - 1].phase == TaskPhase::Held) {
+            set(index - 1, TaskPhase::Queued);
+            m_queued.push_back(index - 1);
+        }
+    }
+    return released;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/workerhealth.cpp
@@ -0,0 +1,75 @@
+// Quarantine and probation of one worker.
+#include "workerhealth.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace KingCupLadder {
+
+namespace {
+constexpr std::uint32_t maxDoublings = 10;
+}
+
+WorkerHealth::WorkerHealth(const WorkerHealthSettings &settings) : m_settings(settings) { }
+
+void WorkerHealth::onSuccess()
+{
+    m_row.clear();
+    if (m_state == HealthState::Probation) {
+        m_state = HealthState::Healthy;
+        m_failedProbations = 0;
+    }
+}
+
+std::vector<JobId> WorkerHealth::onFailure(const JobId &job, TimePoint now)
+{
+    if (m_state == HealthState::Quarantined) {
+        return {job};
+    }
+    if (m_state == HealthState::Probation) {
+        ++m_failedProbations;
+        quarantine(now);
+        return {job};
+    }
+    if (std::find(m_row.begin(), m_row.end(), job) == m_row.end()) {
+        m_row.push_back(job);
+    }
+    if (m_row.size() < m_settings.failuresToQuarantine) {
+        return {};
+    }
+    quarantine(now);
+    return std::exchange(m_row, {});
+}
+
+void WorkerHealth::quarantine(TimePoint now)
+{
+    m_state = HealthState::Quarantined;
+    const Duration span = m_settings.quarantineSpan * (1U << std::min(m_failedProbations, maxDoublings));
+    m_until = now + std::min(span, m_settings.longestQuarantine);
+}
+
+bool WorkerHealth::tick(TimePoint now)
+{
+    if (m_state != HealthState::Quarantined || now < m_until) {
+        return false;
+    }
+    m_state = HealthState::Probation;
+    return true;
+}
+
+HealthState WorkerHealth::state() const
+{
+    return m_state;
+}
+
+bool WorkerHealth::isCredible() const
+{
+    return m_state == HealthState::Healthy && m_row.size() <= 1;
+}
+
+TimePoint WorkerHealth::quarantinedUntil() const
+{
+    return m_until;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/workersession.cpp
@@ -0,0 +1,188 @@
+// Order and certainty of the commands to one worker.
+#include "workersession.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace KingCupLadder {
+
+WorkerSession::WorkerSession(const WorkerSessionSettings &settings, TimePoint now)
+    : m_settings(settings), m_settleFrom(now + settings.ownerTerm + settings.startVoidAfter), m_created(now), m_lastAnswer(now)
+{
+}
+
+WorkerPhase WorkerSession::phase() const
+{
+    return m_phase;
+}
+
+bool WorkerSession::mayCommit() const
+{
+    if (!m_settings.guards.inventoryBeforeCommit) {
+        return m_capacityKnown && m_phase != WorkerPhase::Gone && m_lostInRow == 0;
+    }
+    return m_phase == WorkerPhase::Read;
+}
+
+bool WorkerSession::supportsEpochs() const
+{
+    return m_supportsEpochs;
+}
+
+bool WorkerSession::isFenced() const
+{
+    return m_fenced;
+}
+
+bool WorkerSession::isInFlight() const
+{
+    return m_flight.has_value();
+}
+
+bool WorkerSession::wantsInventory(TimePoint now) const
+{
+    if (!m_settings.guards.inventoryBeforeCommit && !m_capacityKnown) {
+        return false;
+    }
+    return m_needInventory || now - m_lastInventory >= m_settings.inventoryInterval;
+}
+
+SyncRequest WorkerSession::begin(OpId op, TimePoint now)
+{
+    if (m_settings.guards.sequenceOrder || m_sequence == Sequence()) {
+        m_sequence = m_sequence.next();
+    }
+    m_flight = Flight{op, m_sequence, wantsInventory(now), now};
+    m_lastSent = now;
+    m_starts.clear();
+    SyncRequest request;
+    request.owner = m_settings.owner;
+    request.epoch = m_settings.epoch;
+    request.sequence = m_sequence;
+    request.inventory = m_flight->inventory;
+    return request;
+}
+
+void WorkerSession::setStarts(std::vector<TaskId> starts)
+{
+    m_starts = std::move(starts);
+}
+
+ReplyEffect WorkerSession::onReply(const WorkerReply &reply, TimePoint now)
+{
+    if (!m_flight || m_flight->op != reply.op) {
+        return ReplyEffect::Ignored;
+    }
+    const Flight flight = *std::exchange(m_flight, std::nullopt);
+    m_settles = false;
+    if (!reply.reply) {
+        onLost(flight);
+        return ReplyEffect::Lost;
+    }
+    if (reply.reply->refused) {
+        return onRefused(*reply.reply);
+    }
+    return onAccepted(*reply.reply, flight, now);
+}
+
+bool WorkerSession::onTimeout(TimePoint now)
+{
+    if (!m_flight || now < timeoutAt()) {
+        return false;
+    }
+    const Flight flight = *std::exchange(m_flight, std::nullopt);
+    m_settles = false;
+    onLost(flight);
+    return true;
+}
+
+void WorkerSession::onLost(const Flight &flight)
+{
+    ++m_lostInRow;
+    m_needInventory = true;
+    if (m_phase == WorkerPhase::Read) {
+        m_phase = WorkerPhase::Unreachable;
+    }
+    if (!m_supportsEpochs) {
+        m_settleFrom = std::max(m_settleFrom, flight.sent + m_settings.startVoidAfter + m_settings.margin);
+    }
+}
+
+ReplyEffect WorkerSession::onRefused(const SyncReply &reply)
+{
+    m_needInventory = true;
+    if (m_phase == WorkerPhase::Read) {
+        m_phase = WorkerPhase::Unreachable;
+    }
+    if (reply.epoch > m_settings.epoch) {
+        m_fenced = true;
+    } else if (reply.epoch == m_settings.epoch) {
+        m_sequence = std::max(m_sequence, reply.sequence);
+    }
+    return ReplyEffect::Refused;
+}
+
+ReplyEffect WorkerSession::onAccepted(const SyncReply &reply, const Flight &flight, TimePoint now)
+{
+    m_lostInRow = 0;
+    m_lastAnswer = now;
+    m_capacityKnown = true;
+    m_supportsEpochs = reply.supportsEpochs;
+    if (!reply.inventory || !flight.inventory) {
+        return ReplyEffect::Accepted;
+    }
+    m_settles = m_supportsEpochs || flight.sent >= m_settleFrom;
+    if (m_settles) {
+        m_lastInventory = now;
+        m_needInventory = false;
+        m_phase = m_phase == WorkerPhase::Gone ? WorkerPhase::Gone : WorkerPhase::Read;
+    }
+    return ReplyEffect::Accepted;
+}
+
+void WorkerSession::withdraw()
+{
+    m_flight.reset();
+}
+
+void WorkerSession::setGone()
+{
+    m_phase = WorkerPhase::Gone;
+}
+
+bool WorkerSession::inventorySettles() const
+{
+    return m_settles;
+}
+
+Sequence WorkerSession::lastSequence() const
+{
+    return m_sequence;
+}
+
+std::vector<TaskId> WorkerSession::takeStarts()
+{
+    return std::exchange(m_starts, {});
+}
+
+TimePoint WorkerSession::lastSent() const
+{
+    return m_lastSent;
+}
+
+TimePoint WorkerSession::lastAnswer() const
+{
+    return m_lastAnswer;
+}
+
+TimePoint WorkerSession::timeoutAt() const
+{
+    return m_flight ? m_flight->sent + m_settings.answerTimeout : TimePoint::max();
+}
+
+std::uint32_t WorkerSession::lostInRow() const
+{
+    return m_lostInRow;
+}
+
+} // namespace KingCupLadder
