--- /dev/null
+++ b/src/core/shardcontroller.cpp
@@ -0,0 +1,259 @@
+// Composes the parts of one shard's owner.
+#include "shardcontroller.h"
+
+#include "shardgrants_p.h"
+#include "shardplacement_p.h"
+#include "shardsync_p.h"
+
+#include <utility>
+
+namespace KingCupLadder {
+
+class ShardController::Private
+{
+public:
+    Private(const ShardSettings &settings, TimePoint now) : state(settings, now), jobs(state), sync(state, jobs), placement(state, jobs), grants(state) { }
+
+    ShardState state;
+    ShardJobs jobs;
+    ShardSync sync;
+    ShardPlacement placement;
+    ShardGrants grants;
+};
+
+namespace {
+
+const char *phaseText(const ShardWorker &worker)
+{
+    switch (worker.session.phase()) {
+    case WorkerPhase::Gone:
+        return "gone";
+    case WorkerPhase::Unread:
+        return "unread";
+    case WorkerPhase::Unreachable:
+        return "unreachable";
+    case WorkerPhase::Read:
+        break;
+    }
+    if (worker.health.state() != HealthState::Healthy) {
+        return worker.health.state() == HealthState::Quarantined ? "quarantined" : "probation";
+    }
+    return worker.vm.leaving ? "leaving" : "ready";
+}
+
+const char *phaseReason(const ShardWorker &worker)
+{
+    if (worker.session.isFenced()) {
+        return "it obeys a newer owner";
+    }
+    switch (worker.session.phase()) {
+    case WorkerPhase::Gone:
+        return "the platform no longer lists the VM";
+    case WorkerPhase::Unread:
+        return worker.session.supportsEpochs() ? "its inventory was not read at this epoch" : "it checks no epochs; delayed starts may still arrive";
+    case WorkerPhase::Unreachable:
+        return "its last answer was lost; an inventory is needed";
+    case WorkerPhase::Read:
+        break;
+    }
+    return worker.health.state() != HealthState::Healthy ? "it failed distinct jobs in a row" : "";
+}
+
+std::string phaseCounts(const TaskLifecycle &tasks)
+{
+    std::string text;
+    for (auto phase = static_cast<std::size_t>(TaskPhase::Held); phase <= static_cast<std::size_t>(TaskPhase::Ended); ++phase) {
+        const std::uint32_t count = tasks.count(static_cast<TaskPhase>(phase));
+        if (count > 0) {
+            text += (text.empty() ? "" : ", ") + std::to_string(count) + " " + toString(static_cast<TaskPhase>(phase));
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+ShardController::ShardController() = default;
+ShardController::~ShardController() = default;
+
+Result<std::unique_ptr<ShardController>> ShardController::create(const ShardSettings &settings, std::shared_ptr<const Tables> tables, TimePoint now)
+{
+    if (settings.id.isEmpty() || settings.epoch == Epoch()) {
+        return Error{ErrorKind::InvalidInput, "a shard controller needs a shard id and an epoch", "claim the shard row before creating it"};
+    }
+    if (settings.syncInterval <= Duration(0) || settings.syncTimeout <= Duration(0)) {
+        return Error{ErrorKind::InvalidInput, "the sync interval and timeout must be above zero", "set them to some hundred milliseconds"};
+    }
+    std::unique_ptr<ShardController> controller(new ShardController());
+    controller->d = std::make_unique<Private>(settings, now);
+    controller->d->state.applyTables(std::move(tables));
+    return controller;
+}
+
+void ShardController::setTables(std::shared_ptr<const Tables> tables, TimePoint now)
+{
+    const PowerSource before = d->state.power();
+    d->state.applyTables(std::move(tables));
+    if (d->state.power() != before) {
+        d->placement.applyPower(now);
+    }
+}
+
+void ShardController::setWorkers(const std::vector<VmInfo> &vms, TimePoint now)
+{
+    d->sync.setWorkers(vms, now);
+}
+
+void ShardController::setAllotment(const TeamId &team, const Resources &allotment, TimePoint /*now*/)
+{
+    d->state.teams[team].allotment = allotment;
+    d->state.queue.setAllotment(team, allotment);
+    d->state.unreadChanged = true;
+    d->state.overLimit.insert(team);
+    d->state.dirty = true;
+}
+
+void ShardController::setLeaseConfirmed(bool confirmed, TimePoint /*now*/)
+{
+    if (std::exchange(d->state.leaseConfirmed, confirmed) == confirmed) {
+        return;
+    }
+    d->state.dirty = true;
+    for (const auto &[id, index] : d->state.workerIndex) {
+        if (!d->state.workers[index]->session.supportsEpochs()) {
+            d->state.refresh(index);
+        }
+    }
+}
+
+void ShardController::setSuspended(bool suspended)
+{
+    d->state.suspended = suspended;
+}
+
+void ShardController::recover(const std::vector<JobRecord> &jobs, TimePoint now)
+{
+    d->jobs.recover(jobs, now);
+    d->sync.adoptOrphans(now);
+    d->sync.releaseHeldIfRead(now);
+}
+
+Result<bool> ShardController::enqueue(const JobSpec &job, TimePoint now)
+{
+    return d->jobs.enqueue(job, now);
+}
+
+void ShardController::cancel(const JobId &job, TimePoint now)
+{
+    d->jobs.cancel(job, now);
+}
+
+void ShardController::jobRecorded(const JobId &job, JobState state, TimePoint /*now*/)
+{
+    d->jobs.recorded(job, state);
+}
+
+void ShardController::onWorkerReply(const WorkerReply &reply, TimePoint now)
+{
+    d->sync.onReply(reply, now);
+}
+
+Result<Grant> ShardController::grant(const GrantWish &wish, const DaemonId & /*holder*/, TimePoint now)
+{
+    return d->grants.grant(wish, now);
+}
+
+void ShardController::release(const GrantId &grant, GrantEnd end, TimePoint now)
+{
+    d->grants.release(grant, end, now);
+}
+
+void ShardController::tick(TimePoint now)
+{
+    if (d->state.suspended) {
+        d->sync.withdrawOutputs(now);
+        return;
+    }
+    d->grants.expire(now);
+    d->placement.run(now);
+    d->sync.tick(now);
+}
+
+std::vector<ShardOutput> ShardController::takeOutputs()
+{
+    if (d->state.suspended) {
+        return {};
+    }
+    return std::exchange(d->state.outputs, {});
+}
+
+const ShardSettings &ShardController::settings() const
+{
+    return d->state.settings;
+}
+
+Resources ShardController::freeResources() const
+{
+    return d->state.index.totalFree();
+}
+
+Resources ShardController::capacity() const
+{
+    return d->state.total;
+}
+
+std::uint32_t ShardController::queuedTasks() const
+{
+    return d->state.queue.waitingTasks();
+}
+
+std::vector<WorkerStatus> ShardController::workers() const
+{
+    std::vector<WorkerStatus> result;
+    for (const auto &worker : d->state.workers) {
+        if (worker) {
+            const auto tasks = static_cast<std::uint32_t>(worker->ledger.tasks().size());
+            result.push_back({worker->vm.id, phaseText(*worker), phaseReason(*worker), worker->ledger.capacity(), worker->ledger.committed(), tasks});
+        }
+    }
+    return result;
+}
+
+std::vector<TeamUse> ShardController::teams() const
+{
+    std::vector<TeamUse> result;
+    d->state.updateUnread();
+    for (const auto &[team, account] : d->state.teams) {
+        result.push_back({team, account.running, account.reservedUnread, account.allotment, d->state.queue.waitingTasks(team)});
+    }
+    return result;
+}
+
+ShardCounters ShardController::counters() const
+{
+    return d->state.counters;
+}
+
+std::string ShardController::explain(const JobId &id) const
+{
+    const ShardJob *job = d->state.job(id);
+    if (job == nullptr) {
+        return "not known to this shard";
+    }
+    if (job->closing) {
+        return std::string(toString(*job->closing)) + (job->reason.empty() ? "" : ": " + job->reason);
+    }
+    std::string text = phaseCounts(job->tasks);
+    if (job->tasks.count(TaskPhase::Queued) == 0) {
+        return text;
+    }
+    if (!d->state.queue.admits(job->spec.team, job->spec.demand)) {
+        return text + "; the team's allotment in this shard is used up or held for workers that were not read";
+    }
+    if (d->state.index.choose(job->spec.demand, {})) {
+        return text + "; there is room, other work may go first";
+    }
+    return text + "; no worker has room now";
+}
+
+} // namespace KingCupLadder
--- a/src/core/shardcontroller.h
+++ b/src/core/shardcontroller.h
@@ -4,6 +4,8 @@
 
 #include "error.h"
 #include "messages.h"
+#include "placement.h"
+#include "shardguards.h"
 #include "tables.h"
 
 #include <cstdint>
@@ -30,6 +32,10 @@
     Duration ownerTerm{7000}; ///< Lease term plus margin of the previous owner, for workers without epochs.
     Duration urgentBound{2100}; ///< Urgent work starts within this span.
     Duration gangTimeout{10000}; ///< A reservation for an all-at-once job is given up after this span.
+    Duration inventoryInterval{5000}; ///< Between two inventories of a worker that answers.
+    PlacementRule rule = PlacementRule::BestFit;
+    Resources largestWorker; ///< The largest VM of the pool if it is known; zero: the largest that was read.
+    ShardGuards guards;
 };
 
 /// The state of a job has to become durable; answered by ShardController::jobRecorded().
--- /dev/null
+++ b/src/core/shardgrants.cpp
@@ -0,0 +1,122 @@
+// Grants of request slots.
+#include "shardgrants_p.h"
+
+#include "shardlimits_p.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+constexpr int mostChoices = 4; // Workers tried for one wish if the first ones have no connection left.
+}
+
+ShardGrants::ShardGrants(ShardState &state) : m_state(state) { }
+
+Result<Grant> ShardGrants::refuse(ErrorKind kind, const char *message, const char *remedy)
+{
+    ++m_state.counters.grantRefusals;
+    return Error{kind, message, remedy};
+}
+
+Result<Grant> ShardGrants::grant(const GrantWish &wish, TimePoint now)
+{
+    m_state.wished = true;
+    m_state.lastWish = now;
+    if (m_state.suspended) {
+        return refuse(ErrorKind::Unavailable, "the shard's lease is in doubt", "try another shard or try again in a second");
+    }
+    if (wish.term <= Duration(0)) {
+        return refuse(ErrorKind::Timeout, "the deadline of the request is over", "send requests with a later deadline");
+    }
+    expire(now);
+    m_state.updateUnread();
+    Resources demand = wish.demand;
+    demand.slots = std::max(demand.slots, Slots(1));
+    if (!m_state.queue.admits(wish.team, demand)) {
+        return refuse(ErrorKind::LimitReached, "the team's limit is used up", "wait for its other work or raise the team's limit");
+    }
+    const bool batchWaits = m_state.queue.waitingTasks() > 0;
+    const bool mayUse = !batchWaits || leavesMinimum(m_state.requestUse + demand, m_state.total);
+    const ShardWorker *worker = mayUse ? choose(demand, wish) : nullptr;
+    const GrantId id(m_state.settings.id.value() + "/" + std::to_string(m_state.settings.epoch.value()) + "/" + std::to_string(m_count + 1));
+    const auto index = worker != nullptr ? m_state.workerIndex.at(worker->vm.id) : WorkerIndex(0);
+    if (worker == nullptr || !m_state.workers[index]->ledger.commit(id, demand)) {
+        m_state.requestShortage = demand;
+        return refuse(ErrorKind::NoRoom, "no worker of the shard has a free slot", "try another shard or try again shortly");
+    }
+    ++m_count;
+    ++m_state.counters.grants;
+    const Duration term = std::min(wish.term, m_state.settings.longestGrant);
+    m_state.grants.emplace(id, ShardGrant{index, wish.team, wish.route, demand});
+    m_state.charge(wish.team, demand);
+    m_state.requestUse += demand;
+    m_state.refresh(index);
+    m_expiries.push(Expiry{now + term + m_state.settings.margin, id});
+    return Grant{id, m_state.settings.id, m_state.settings.epoch, worker->vm.id, worker->vm.address, term};
+}
+
+const ShardWorker *ShardGrants::choose(const Resources &demand, const GrantWish &wish) const
+{
+    PlacementOptions options;
+    options.packTightly = m_state.power() == PowerSource::Generator;
+    if (wish.avoid.size() < m_state.readWorkers()) {
+        options.avoid = wish.avoid;
+    }
+    for (int choice = 0; choice < mostChoices; ++choice) {
+        const std::optional<WorkerId> worker = m_state.index.choose(demand, options);
+        if (!worker) {
+            return nullptr;
+        }
+        const ShardWorker &candidate = *m_state.workers[m_state.workerIndex.at(*worker)];
+        const std::int64_t used = static_cast<std::int64_t>(candidate.ledger.grantCount()) + candidate.earlierSlots.value();
+        if (used < candidate.connections) {
+            return &candidate;
+        }
+        options.avoid.push_back(*worker);
+    }
+    return nullptr;
+}
+
+void ShardGrants::release(const GrantId &id, GrantEnd end, TimePoint now)
+{
+    const auto it = m_state.grants.find(id);
+    if (it == m_state.grants.end()) {
+        return;
+    }
+    const ShardGrant grant = it->second;
+    if (end != GrantEnd::Unused) {
+        judgeWorker(grant.worker, grant.route, end, now);
+    }
+    if (end == GrantEnd::TimedOut) {
+        m_state.workers[grant.worker]->lingering.emplace(id, now + m_state.settings.longestGrant);
+        return;
+    }
+    m_state.dropGrant(id);
+}
+
+void ShardGrants::judgeWorker(WorkerIndex index, const RouteName &route, GrantEnd end, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    if (end == GrantEnd::Succeeded) {
+        worker.health.onSuccess();
+    } else {
+        // Failures of one route count once, so that a broken application does not take all workers out of service.
+        (void)worker.health.onFailure(JobId("route:" + route.value()), now);
+    }
+    m_state.refresh(index);
+}
+
+void ShardGrants::expire(TimePoint now)
+{
+    while (!m_expiries.empty() && m_expiries.top().at <= now) {
+        const GrantId id = m_expiries.top().id;
+        m_expiries.pop();
+        const auto it = m_state.grants.find(id);
+        if (it != m_state.grants.end() && m_state.workers[it->second.worker]->lingering.count(id) == 0) {
+            m_state.dropGrant(id);
+        }
+    }
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/shardgrants_p.h
@@ -0,0 +1,38 @@
+// Internal to the shard controller: request slots that are granted to daemons for a term.
+#pragma once
+
+#include "shardjobs_p.h"
+
+#include <queue>
+
+namespace KingCupLadder {
+
+class ShardGrants
+{
+public:
+    explicit ShardGrants(ShardState &state);
+
+    [[nodiscard]] Result<Grant> grant(const GrantWish &wish, TimePoint now);
+    void release(const GrantId &id, GrantEnd end, TimePoint now);
+    void expire(TimePoint now);
+
+private:
+    [[nodiscard]] Result<Grant> refuse(ErrorKind kind, const char *message, const char *remedy);
+    [[nodiscard]] const ShardWorker *choose(const Resources &demand, const GrantWish &wish) const;
+    void judgeWorker(WorkerIndex index, const RouteName &route, GrantEnd end, TimePoint now);
+
+    struct Expiry {
+        TimePoint at;
+        GrantId id;
+        friend bool operator>(const Expiry &a, const Expiry &b)
+        {
+            return a.at > b.at;
+        }
+    };
+
+    ShardState &m_state;
+    std::priority_queue<Expiry, std::vector<Expiry>, std::greater<>> m_expiries;
+    std::uint64_t m_count = 0; ///< Part of grant ids.
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/shardinventory.cpp
@@ -0,0 +1,334 @@
+// Answers of workers: which starts took effect, what ended, and what an inventory proves.
+#include "shardsync_p.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace KingCupLadder {
+
+namespace {
+
+AttemptEnd endOf(TaskOutcome outcome)
+{
+    switch (outcome) {
+    case TaskOutcome::Succeeded:
+        return AttemptEnd::Succeeded;
+    case TaskOutcome::Failed:
+        return AttemptEnd::Failed;
+    case TaskOutcome::Stopped:
+        return AttemptEnd::Stopped;
+    case TaskOutcome::Checkpointed:
+        return AttemptEnd::Checkpointed;
+    case TaskOutcome::Expired:
+        return AttemptEnd::Expired;
+    }
+    return AttemptEnd::Lost;
+}
+
+} // namespace
+
+void ShardSync::onReply(const WorkerReply &reply, TimePoint now)
+{
+    const auto known = m_state.workerIndex.find(reply.worker);
+    if (known == m_state.workerIndex.end()) {
+        return;
+    }
+    const WorkerIndex index = known->second;
+    switch (m_state.workers[index]->session.onReply(reply, now)) {
+    case ReplyEffect::Ignored:
+        return;
+    case ReplyEffect::Lost:
+        onLost(index, now);
+        break;
+    case ReplyEffect::Refused:
+        onRefused(index, now);
+        break;
+    case ReplyEffect::Accepted:
+        onAccepted(index, *reply.reply, now);
+        break;
+    }
+    if (m_state.workers[index]) {
+        m_state.service(index);
+    }
+}
+
+void ShardSync::onLost(WorkerIndex index, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    worker.resendControls = true;
+    for (const TaskId &id : worker.session.takeStarts()) {
+        ShardJob *job = m_state.currentOn(id, index);
+        if (job == nullptr) {
+            continue;
+        }
+        if (!m_state.settings.guards.proveStoppedBeforeRestart) {
+            m_jobs.endAttempt(*job, id.index, AttemptEnd::NotStarted, {}, now);
+            continue;
+        }
+        job->tasks.markUncertain(id.index);
+    }
+    returnUnsent(index, now);
+    m_state.refresh(index);
+}
+
+void ShardSync::onRefused(WorkerIndex index, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    worker.resendControls = true;
+    for (const TaskId &id : worker.session.takeStarts()) {
+        ShardJob *job = m_state.currentOn(id, index);
+        if (job != nullptr) {
+            m_jobs.endAttempt(*job, id.index, AttemptEnd::NotStarted, {}, now);
+        }
+    }
+    returnUnsent(index, now);
+    m_state.refresh(index);
+}
+
+void ShardSync::returnUnsent(WorkerIndex index, TimePoint now)
+{
+    for (const TaskId &id : std::exchange(m_state.workers[index]->starts, {})) {
+        ShardJob *job = m_state.currentOn(id, index);
+        if (job != nullptr && job->tasks.at(id.index).phase == TaskPhase::Reserved) {
+            m_jobs.endAttempt(*job, id.index, AttemptEnd::NotStarted, {}, now);
+        }
+    }
+}
+
+void ShardSync::onAccepted(WorkerIndex index, const SyncReply &reply, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    worker.connections = reply.connections;
+    worker.ledger.setCapacity(reply.capacity);
+    confirmStarts(index);
+    for (const EndedTask &ended : reply.ended) {
+        applyEnded(index, ended, now);
+    }
+    const bool settles = reply.inventory && worker.session.inventorySettles();
+    const bool firstRead = settles && worker.countsUnread;
+    if (settles) {
+        applyInventory(index, reply, now);
+    }
+    if (firstRead) {
+        worker.countsUnread = false;
+        m_state.setUnread(m_state.unread - 1);
+    }
+    applySlots(index, reply, firstRead, now);
+    m_state.refresh(index);
+    if (firstRead) {
+        releaseHeldIfRead(now);
+        m_state.checkLimits();
+    }
+}
+
+void ShardSync::releaseHeldIfRead(TimePoint now)
+{
+    if (m_state.allRead() && m_state.recoveredOnce) {
+        m_jobs.releaseHeld(now);
+    }
+}
+
+void ShardSync::confirmStarts(WorkerIndex index)
+{
+    for (const TaskId &id : m_state.workers[index]->session.takeStarts()) {
+        ShardJob *job = m_state.currentOn(id, index);
+        if (job != nullptr) {
+            (void)job->tasks.advance(id.index, TaskPhase::Running);
+        }
+        ++m_state.counters.taskStarts;
+    }
+}
+
+void ShardSync::applyEnded(WorkerIndex index, const EndedTask &ended, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    ShardJob *job = m_state.job(ended.id.job);
+    if (job == nullptr) {
+        m_state.releaseOrphan(index, ended.id);
+        if (m_state.recoveredOnce) {
+            worker.acks.push_back(ended.id);
+        }
+        return;
+    }
+    if (ended.id.index >= job->tasks.size()) {
+        worker.acks.push_back(ended.id);
+        return;
+    }
+    // The report is the proof for a new owner, so it stays at the worker until the final record of the job is durable.
+    const bool keeps = job->spec.startOnce || (ended.outcome == TaskOutcome::Succeeded && job->spec.workClass != WorkClass::Service);
+    const bool current = job->tasks.isCurrent(ended.id.index, ended.id.attempt);
+    if (!keeps || ended.id.attempt < job->tasks.at(ended.id.index).attempt) {
+        worker.acks.push_back(ended.id);
+    }
+    if (m_state.currentOn(ended.id, index) != nullptr) {
+        m_jobs.endAttempt(*job, ended.id.index, endOf(ended.outcome), ended.reason, now);
+        return;
+    }
+    m_state.releaseOrphan(index, ended.id);
+    if (!current) {
+        m_jobs.endEarlierAttempt(*job, ended.id, ended.outcome, ended.reason, now);
+    }
+}
+
+void ShardSync::applyInventory(WorkerIndex index, const SyncReply &reply, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    Seen seen;
+    worker.observed = Resources{};
+    for (const RunningTask &running : reply.running) {
+        seen.tasks.insert(running.id);
+        worker.observed += running.usage;
+        applyRunning(index, running, now);
+    }
+    for (const EndedTask &ended : reply.ended) {
+        seen.tasks.insert(ended.id);
+    }
+    endAbsent(index, seen, now);
+    worker.resendControls = false;
+}
+
+void ShardSync::applyRunning(WorkerIndex index, const RunningTask &running, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    ShardJob *job = m_state.currentOn(running.id, index);
+    if (job != nullptr) {
+        job->tasks.confirm(running.id.index);
+        resendControl(index, *job, running.id, now);
+        return;
+    }
+    if (adopt(index, running, now)) {
+        return;
+    }
+    if (!worker.ledger.contains(running.id)) {
+        worker.ledger.adopt(running.id, running.demand);
+        worker.orphans.emplace(running.id, running.team);
+        m_state.taskUse += running.demand;
+        m_state.charge(running.team, running.demand);
+    }
+    if (m_state.recoveredOnce) {
+        worker.controls.push_back(TaskControl{running.id, TaskAction::Stop});
+    }
+}
+
+bool ShardSync::adopt(WorkerIndex index, const RunningTask &running, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    ShardJob *job = m_state.job(running.id.job);
+    if (job == nullptr || running.id.index >= job->tasks.size()) {
+        return false;
+    }
+    const bool waited = job->tasks.at(running.id.index).phase == TaskPhase::Queued;
+    if (!job->tasks.adopt(running.id.index, running.id.attempt, index, now)) {
+        return false;
+    }
+    const bool known = worker.orphans.erase(running.id) > 0;
+    if (!known) {
+        worker.ledger.adopt(running.id, running.demand);
+        m_state.taskUse += running.demand;
+        m_state.charge(job->spec.team, running.demand);
+    }
+    if (waited) {
+        m_state.dropWaiting(*job, now);
+    }
+    if (job->closing) {
+        m_jobs.stopAttempt(*job, running.id.index, now);
+    } else if (job->tasks.count(TaskPhase::Held) == 0) {
+        m_state.heldJobs.erase(job->spec.id);
+    }
+    return true;
+}
+
+void ShardSync::resendControl(WorkerIndex index, ShardJob &job, const TaskId &task, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    if (job.tasks.at(task.index).phase == TaskPhase::Running) {
+        m_jobs.applyPower(job, task.index, now);
+    }
+    const TaskState &state = job.tasks.at(task.index);
+    if (state.phase == TaskPhase::Stopping) {
+        worker.controls.push_back(TaskControl{task, TaskAction::Stop});
+    } else if (state.phase == TaskPhase::Checkpointing) {
+        worker.controls.push_back(TaskControl{task, TaskAction::Checkpoint});
+    } else if (worker.resendControls && m_state.everThrottled) {
+        worker.controls.push_back(TaskControl{task, state.throttled ? TaskAction::Throttle : TaskAction::Resume});
+    }
+}
+
+void ShardSync::endAbsent(WorkerIndex index, const Seen &seen, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    std::vector<TaskId> absent;
+    for (const auto &[id, demand] : worker.ledger.tasks()) {
+        if (seen.tasks.count(id) == 0) {
+            absent.push_back(id);
+        }
+    }
+    const std::uint64_t sequence = worker.session.lastSequence().value();
+    for (const TaskId &id : absent) {
+        ShardJob *job = m_state.currentOn(id, index);
+        if (job == nullptr) {
+            m_state.releaseOrphan(index, id);
+            continue;
+        }
+        const TaskState &state = job->tasks.at(id.index);
+        // A start of the same batch may not be listed yet.
+        if (mayRun(state.phase) && state.startSequence < sequence) {
+            m_jobs.endAttempt(*job, id.index, AttemptEnd::Lost, {}, now);
+        }
+    }
+}
+
+void ShardSync::adoptOrphans(TimePoint now)
+{
+    for (WorkerIndex index = 0; index < m_state.workers.size(); ++index) {
+        if (!m_state.workers[index]) {
+            continue;
+        }
+        ShardWorker &worker = *m_state.workers[index];
+        const std::unordered_map<TaskId, TeamId> orphans = worker.orphans;
+        for (const auto &[id, team] : orphans) {
+            RunningTask running;
+            running.id = id;
+            running.team = team;
+            if (!adopt(index, running, now)) {
+                worker.controls.push_back(TaskControl{id, TaskAction::Stop});
+            }
+        }
+        m_state.service(index);
+    }
+}
+
+void ShardSync::applySlots(WorkerIndex index, const SyncReply &reply, bool firstRead, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    if (firstRead) {
+        worker.earlierSlots = reply.busySlots;
+        worker.earlierUntil = now + m_state.settings.longestGrant;
+        m_state.wake(index, worker.earlierUntil);
+    }
+    trimLingering(index, reply.busySlots.value(), now);
+    worker.earlierSlots = std::min(worker.earlierSlots, reply.busySlots);
+    worker.ledger.setReserve({});
+    Resources reserve = m_state.requestDemand * worker.earlierSlots.value();
+    reserve.slots = worker.earlierSlots;
+    worker.ledger.setReserve(reserve.limitedTo(worker.ledger.free()));
+}
+
+/// Frees grants whose requests the worker no longer serves: more than it reports as busy, or past their term.
+void ShardSync::trimLingering(WorkerIndex index, std::int64_t busy, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    std::vector<GrantId> over;
+    auto left = static_cast<std::int64_t>(worker.lingering.size());
+    for (const auto &[id, until] : worker.lingering) {
+        if (now >= until || left > busy) {
+            over.push_back(id);
+            --left;
+        }
+    }
+    for (const GrantId &id : over) {
+        m_state.dropGrant(id);
+    }
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/shardjobs.cpp
@@ -0,0 +1,352 @@
+// Jobs of a shard from admission to their final record.
+#include "shardjobs_p.h"
+
+#include "power.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::uint32_t failuresToPark = 3; // Distinct healthy workers.
+constexpr std::uint32_t mostFailures = 30; // Bounds the attempts of a job in a pool with fewer than three healthy workers.
+constexpr std::size_t suspectLimit = 2; // A job that failed on more workers than this says nothing about the next one.
+constexpr Duration longServiceRun{60000}; // A service that ran this long is not a bad job.
+constexpr std::size_t finishedMemory = 20000; // Jobs; several hours of the target's 66,000 jobs a day.
+constexpr unsigned attemptBits = 12; // Attempts of one index in one epoch that stay distinct from those of other epochs.
+
+std::uint32_t firstAttemptOf(Epoch epoch, bool recovered)
+{
+    // Earlier epochs may have used numbers that no inventory shows any more.
+    return recovered ? static_cast<std::uint32_t>(epoch.value() << attemptBits) + 1 : 1;
+}
+
+} // namespace
+
+ShardJobs::ShardJobs(ShardState &state) : m_state(state) { }
+
+std::string ShardJobs::neverFits(const JobSpec &spec) const
+{
+    const std::uint32_t together = spec.allAtOnce ? spec.taskCount : 1;
+    if (m_state.hasTables() && !(spec.demand * together).fitsIn(m_state.teamLimit(spec.team))) {
+        return "the demand is larger than the limit of team " + spec.team.value();
+    }
+    if (!m_state.allRead() || m_state.readWorkers() == 0 || m_state.couldEverFit(spec.demand, together)) {
+        return {};
+    }
+    return together > 1 ? "the tasks do not fit into the pool together" : "no worker of the pool is large enough";
+}
+
+Result<bool> ShardJobs::enqueue(const JobSpec &spec, TimePoint now)
+{
+    if (m_state.job(spec.id) != nullptr || m_state.finished.count(spec.id) > 0) {
+        return false;
+    }
+    if (spec.taskCount == 0) {
+        return Error{ErrorKind::InvalidInput, "the job has no tasks", "set taskCount to 1 or more"};
+    }
+    const std::string reason = neverFits(spec);
+    if (!reason.empty()) {
+        return Error{ErrorKind::NeverFits, reason, "lower the demand, use a pool with larger VMs, or raise the team's limit"};
+    }
+    auto job = std::make_unique<ShardJob>(spec, false, firstAttemptOf(m_state.settings.epoch, false));
+    m_state.enqueueTasks(*job, spec.taskCount, now);
+    m_state.jobs.emplace(spec.id, std::move(job));
+    return true;
+}
+
+void ShardJobs::recover(const std::vector<JobRecord> &records, TimePoint now)
+{
+    for (const JobRecord &record : records) {
+        const JobSpec &spec = record.spec;
+        if (isFinal(record.state) || spec.taskCount == 0 || m_state.job(spec.id) != nullptr) {
+            continue;
+        }
+        const std::uint32_t first = firstAttemptOf(m_state.settings.epoch, true);
+        auto job = std::make_unique<ShardJob>(spec, true, first);
+        job->startRecorded = record.state == JobState::Started;
+        m_state.jobs.emplace(spec.id, std::move(job));
+        m_state.heldJobs.insert(spec.id);
+    }
+    m_state.recoveredOnce = true;
+    if (m_state.allRead() || !m_state.settings.guards.proveStoppedBeforeRestart) {
+        releaseHeld(now);
+    }
+}
+
+void ShardJobs::cancel(const JobId &id, TimePoint now)
+{
+    ShardJob *job = m_state.job(id);
+    if (job != nullptr && !job->closing) {
+        close(*job, JobState::Cancelled, "cancelled", now);
+    }
+}
+
+void ShardJobs::recorded(const JobId &id, JobState state)
+{
+    ShardJob *job = m_state.job(id);
+    if (job == nullptr) {
+        return;
+    }
+    if (state == JobState::Started) {
+        job->startRecorded = true;
+        m_state.dirty = true;
+        return;
+    }
+    if (job->closing && *job->closing == state) {
+        job->finalRecorded = true;
+        settle(*job);
+    }
+}
+
+void ShardJobs::requestStartRecord(ShardJob &job)
+{
+    if (!std::exchange(job.startRequested, true)) {
+        m_state.record(job.spec.id, JobState::Started, {});
+    }
+}
+
+void ShardJobs::endAttempt(ShardJob &job, std::uint32_t task, AttemptEnd end, const std::string &reason, TimePoint now)
+{
+    const TaskState attempt = job.tasks.at(task);
+    m_state.releaseAttempt(job, task);
+    if (end != AttemptEnd::NotStarted) {
+        ++m_state.counters.taskEnds;
+    }
+    if (end == AttemptEnd::Succeeded) {
+        m_state.workers[attempt.worker]->health.onSuccess();
+        m_state.refresh(attempt.worker);
+        applySuccess(job, task, now);
+    } else if (end == AttemptEnd::Failed) {
+        chargeFailure(job, attempt, now);
+        applyFailure(job, task, reason, now);
+    } else {
+        applyInterruption(job, task, end, now);
+    }
+    settle(job);
+}
+
+void ShardJobs::endEarlierAttempt(ShardJob &job, const TaskId &task, TaskOutcome outcome, const std::string &reason, TimePoint now)
+{
+    const TaskPhase phase = job.tasks.at(task.index).phase;
+    if ((phase != TaskPhase::Held && phase != TaskPhase::Queued) || task.attempt <= job.tasks.at(task.index).highest) {
+        return;
+    }
+    job.tasks.learnAttempt(task.index, task.attempt);
+    const bool done = outcome == TaskOutcome::Succeeded && job.spec.workClass != WorkClass::Service;
+    if (!done && !job.spec.startOnce) {
+        return;
+    }
+    job.tasks.end(task.index, done);
+    if (phase == TaskPhase::Queued) {
+        m_state.dropWaiting(job, now);
+    }
+    if (!done && !job.closing) {
+        const bool failed = outcome == TaskOutcome::Failed;
+        close(job, failed ? JobState::Failed : JobState::Parked, failed ? reason : "a task that may start only once was interrupted", now);
+    } else if (!job.closing && job.tasks.count(TaskPhase::Ended) == job.tasks.size()) {
+        close(job, JobState::Succeeded, {}, now);
+    }
+    settle(job);
+}
+
+void ShardJobs::applySuccess(ShardJob &job, std::uint32_t task, TimePoint now)
+{
+    job.failedOn.clear();
+    job.failures = 0;
+    if (job.spec.workClass == WorkClass::Service && !job.closing) {
+        m_state.requeue(job, task, now);
+        return;
+    }
+    job.tasks.end(task, true);
+    if (!job.closing && job.tasks.count(TaskPhase::Ended) == job.tasks.size()) {
+        close(job, JobState::Succeeded, {}, now);
+    }
+}
+
+void ShardJobs::applyFailure(ShardJob &job, std::uint32_t task, const std::string &reason, TimePoint now)
+{
+    if (job.closing || job.spec.startOnce) {
+        job.tasks.end(task, false);
+        if (!job.closing) {
+            close(job, JobState::Failed, reason, now);
+        }
+        return;
+    }
+    m_state.requeue(job, task, now);
+    if (isParkable(job)) {
+        const std::string where = job.failedOn.size() >= failuresToPark ? "failed on 3 distinct healthy workers" : "failed too many times";
+        close(job, JobState::Parked, where + (reason.empty() ? "" : ": " + reason), now);
+    }
+}
+
+void ShardJobs::applyInterruption(ShardJob &job, std::uint32_t task, AttemptEnd end, TimePoint now)
+{
+    if (job.closing) {
+        job.tasks.end(task, false);
+        return;
+    }
+    if (job.spec.startOnce && end != AttemptEnd::NotStarted) {
+        job.tasks.end(task, false);
+        close(job, JobState::Parked, "outcome unknown: a task that may start only once did not report its end", now);
+        return;
+    }
+    m_state.requeue(job, task, now);
+}
+
+void ShardJobs::chargeFailure(ShardJob &job, const TaskState &attempt, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[attempt.worker];
+    const bool ranLong = now - attempt.since >= longServiceRun;
+    if (job.spec.workClass == WorkClass::Service && ranLong) {
+        job.failedOn.clear();
+        job.failures = 0;
+        return;
+    }
+    ++job.failures;
+    const bool known = std::find(job.failedOn.begin(), job.failedOn.end(), worker.vm.id) != job.failedOn.end();
+    const bool suspectsWorker = known || job.failedOn.size() < suspectLimit;
+    if (!known) {
+        job.failedOn.push_back(worker.vm.id);
+    }
+    if (suspectsWorker) {
+        uncharge(worker.health.onFailure(job.spec.id, now), worker.vm.id);
+    }
+    if (worker.health.state() == HealthState::Quarantined) {
+        m_state.wake(attempt.worker, worker.health.quarantinedUntil());
+    }
+    m_state.refresh(attempt.worker);
+}
+
+void ShardJobs::uncharge(const std::vector<JobId> &jobs, const WorkerId &worker)
+{
+    for (const JobId &id : jobs) {
+        ShardJob *job = m_state.job(id);
+        if (job == nullptr) {
+            continue;
+        }
+        const auto it = std::find(job->failedOn.begin(), job->failedOn.end(), worker);
+        if (it != job->failedOn.end()) {
+            job->failedOn.erase(it);
+            job->failures -= std::min(job->failures, 1U);
+        }
+    }
+}
+
+bool ShardJobs::isParkable(const ShardJob &job) const
+{
+    if (job.failures >= mostFailures) {
+        return true;
+    }
+    const auto credible = std::count_if(job.failedOn.begin(), job.failedOn.end(), [this](const WorkerId &id) {
+        const ShardWorker *worker = m_state.worker(id);
+        return worker == nullptr || worker->health.isCredible();
+    });
+    return credible >= failuresToPark;
+}
+
+void ShardJobs::stopAttempt(ShardJob &job, std::uint32_t task, TimePoint now)
+{
+    const TaskPhase phase = job.tasks.at(task).phase;
+    if (phase == TaskPhase::Reserved) {
+        endAttempt(job, task, AttemptEnd::NotStarted, {}, now);
+    } else if (mayRun(phase) && job.tasks.advance(task, TaskPhase::Stopping)) {
+        m_state.control(job, task, TaskAction::Stop, now);
+    }
+}
+
+void ShardJobs::checkpoint(ShardJob &job, std::uint32_t task, TimePoint now)
+{
+    const TaskPhase phase = job.tasks.at(task).phase;
+    if (phase == TaskPhase::Reserved) {
+        endAttempt(job, task, AttemptEnd::NotStarted, {}, now);
+    } else if (job.tasks.advance(task, TaskPhase::Checkpointing)) {
+        m_state.control(job, task, TaskAction::Checkpoint, now);
+    }
+}
+
+void ShardJobs::applyPower(ShardJob &job, std::uint32_t task, TimePoint now)
+{
+    const PowerEffect effect = powerEffect(m_state.power(), job.spec.workClass, job.spec.priority, job.spec.startOnce);
+    const bool throttled = job.tasks.at(task).throttled;
+    if (effect == PowerEffect::Checkpoint) {
+        checkpoint(job, task, now);
+    } else if (effect == PowerEffect::Throttle && !throttled) {
+        job.tasks.setThrottled(task, true);
+        m_state.everThrottled = true;
+        m_state.control(job, task, TaskAction::Throttle, now);
+    } else if (effect == PowerEffect::Run && throttled) {
+        job.tasks.setThrottled(task, false);
+        m_state.control(job, task, TaskAction::Resume, now);
+    }
+}
+
+void ShardJobs::close(ShardJob &job, JobState state, const std::string &reason, TimePoint now)
+{
+    job.closing = state;
+    job.reason = reason;
+    m_state.queue.remove(job.spec.id);
+    m_state.heldJobs.erase(job.spec.id);
+    m_state.clearRoom(job.spec.id);
+    if (m_state.gang.isActive() && m_state.gang.entry().job == job.spec.id) {
+        m_state.gang.end();
+    }
+    m_state.dirty = true;
+    const bool stops = state == JobState::Cancelled || state == JobState::Parked;
+    if (stops && job.tasks.live() > 0) {
+        const JobId id = job.spec.id;
+        for (std::uint32_t task = 0; m_state.job(id) == &job && task < job.tasks.size(); ++task) {
+            stopAttempt(job, task, now);
+        }
+    }
+    settle(job);
+}
+
+void ShardJobs::settle(ShardJob &job)
+{
+    if (!job.closing) {
+        return;
+    }
+    const bool over = job.tasks.live() == 0;
+    // A cancellation is recorded at once; other final states when nothing runs, so that a new owner still learns of the job.
+    if ((over || *job.closing == JobState::Cancelled) && !std::exchange(job.finalRequested, true)) {
+        m_state.record(job.spec.id, *job.closing, job.reason);
+    }
+    if (over && job.finalRecorded) {
+        forget(job.spec.id);
+    }
+}
+
+void ShardJobs::forget(const JobId &id)
+{
+    const JobId copy = id;
+    m_state.jobs.erase(copy);
+    m_state.finished.insert(copy);
+    m_state.finishedOrder.push_back(copy);
+    if (m_state.finishedOrder.size() > finishedMemory) {
+        m_state.finished.erase(m_state.finishedOrder.front());
+        m_state.finishedOrder.pop_front();
+    }
+}
+
+void ShardJobs::releaseHeld(TimePoint now)
+{
+    const std::unordered_set<JobId> held = std::exchange(m_state.heldJobs, {});
+    for (const JobId &id : held) {
+        ShardJob *job = m_state.job(id);
+        if (job == nullptr || job->closing) {
+            continue;
+        }
+        if (job->tasks.count(TaskPhase::Ended) == job->tasks.size()) {
+            close(*job, JobState::Succeeded, {}, now);
+        } else if (job->spec.startOnce && job->startRecorded && job->tasks.count(TaskPhase::Held) > 0) {
+            close(*job, JobState::Parked, "outcome unknown: the start was recorded and no worker has the task", now);
+        } else {
+            m_state.enqueueTasks(*job, job->tasks.releaseHeld(), now);
+        }
+    }
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/shardplacement.cpp
@@ -0,0 +1,210 @@
+// Rounds over the queue of a shard.
+#include "shardplacement_p.h"
+
+#include "power.h"
+#include "shardlimits_p.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr int mostStepsPerRound = 1000; // Keeps one tick within a few milliseconds; the rest follows at the next tick.
+constexpr Duration roundInterval{1000}; // Ageing and the minimum for requests change without an event.
+
+} // namespace
+
+ShardPlacement::ShardPlacement(ShardState &state, ShardJobs &jobs) : m_state(state), m_jobs(jobs) { }
+
+void ShardPlacement::run(TimePoint now)
+{
+    m_state.updateUnread();
+    enforceLimits(now);
+    expireGang(now);
+    makeRoomForRequests(now);
+    if (now >= m_nextRetry || now - m_lastRound >= roundInterval) {
+        m_nextRetry = TimePoint::max();
+        m_state.dirty = true;
+        m_state.overLimit.merge(m_stillOver);
+        m_stillOver.clear();
+    }
+    if (!m_state.dirty) {
+        return;
+    }
+    m_state.dirty = false;
+    m_lastRound = now;
+    m_state.queue.beginRound(now);
+    for (int steps = 0; steps < mostStepsPerRound; ++steps) {
+        const std::optional<QueueEntry> entry = m_state.queue.next();
+        if (!entry) {
+            return;
+        }
+        step(*entry, now);
+    }
+    m_state.dirty = true;
+}
+
+void ShardPlacement::step(const QueueEntry &entry, TimePoint now)
+{
+    ShardJob *job = m_state.job(entry.job);
+    if (job == nullptr || job->closing || job->tasks.count(TaskPhase::Queued) == 0) {
+        m_state.queue.remove(entry.job);
+        return;
+    }
+    if (mustWait(*job, entry, now)) {
+        m_state.queue.skip(entry.job);
+        return;
+    }
+    if (job->spec.startOnce && !job->startRecorded) {
+        m_jobs.requestStartRecord(*job);
+        m_state.queue.skip(entry.job);
+        return;
+    }
+    if (entry.allAtOnce) {
+        placeTogether(*job, entry, now);
+    } else {
+        placeOne(*job, entry, now);
+    }
+}
+
+bool ShardPlacement::mustWait(const ShardJob &job, const QueueEntry &entry, TimePoint now) const
+{
+    if (!mayStart(m_state.power(), job.spec.workClass, job.spec.priority) || now < job.retryAt) {
+        return true;
+    }
+    if (job.spec.partition == PartitionPolicy::Move && !m_state.leaseConfirmed) {
+        return true;
+    }
+    const bool reserves = m_state.gang.isActive() && m_state.gang.entry().job == entry.job;
+    if (m_state.gang.isActive() && !reserves && !m_state.gang.mayBackfill(entry, now)) {
+        return true;
+    }
+    return !leavesRequestMinimum(entry.demand * (entry.allAtOnce ? entry.tasks : 1), now);
+}
+
+bool ShardPlacement::leavesRequestMinimum(const Resources &demand, TimePoint now) const
+{
+    const bool requestsIdle = !m_state.wished || now - m_state.lastWish >= requestIdleSpan;
+    return requestsIdle || leavesMinimum(m_state.taskUse + demand, m_state.total);
+}
+
+PlacementOptions ShardPlacement::optionsFor(const ShardJob &job) const
+{
+    PlacementOptions options;
+    options.packTightly = m_state.power() == PowerSource::Generator;
+    if (job.failedOn.size() < m_state.readWorkers()) {
+        options.avoid = job.failedOn;
+    }
+    return options;
+}
+
+void ShardPlacement::takeFromQueue(const ShardJob &job, std::uint32_t tasks)
+{
+    m_state.queue.take(job.spec.id); // Charges the queue's account of the team.
+    m_state.teams[job.spec.team].running += job.spec.demand * tasks;
+}
+
+void ShardPlacement::placeOne(ShardJob &job, const QueueEntry &entry, TimePoint now)
+{
+    if (placeInRoom(job, now)) {
+        return;
+    }
+    const std::optional<WorkerId> chosen = m_state.index.choose(entry.demand, optionsFor(job));
+    if (chosen && m_state.place(job, m_state.workerIndex.at(*chosen), now)) {
+        takeFromQueue(job, 1);
+        return;
+    }
+    const std::string never = chosen ? std::string() : m_jobs.neverFits(job.spec);
+    if (!never.empty()) {
+        m_jobs.close(job, JobState::Parked, never, now);
+        return;
+    }
+    if (job.spec.priority == Priority::Urgent) {
+        makeRoomFor(job, entry.tasks, now);
+    }
+    if (chosen || !job.failedOn.empty()) {
+        m_state.queue.skip(entry.job);
+    } else {
+        m_state.queue.skipDemand(entry.priority, entry.demand);
+    }
+}
+
+bool ShardPlacement::placeInRoom(ShardJob &job, TimePoint now)
+{
+    const auto it = m_state.rooms.find(job.spec.id);
+    if (it == m_state.rooms.end()) {
+        return false;
+    }
+    for (const WorkerIndex index : it->second) {
+        ShardWorker *worker = m_state.workers[index].get();
+        const bool ours = worker != nullptr && worker->roomFor == job.spec.id;
+        if (!ours || worker->vm.leaving || worker->health.state() != HealthState::Healthy || !m_state.place(job, index, now)) {
+            continue;
+        }
+        takeFromQueue(job, 1);
+        worker->roomFor.reset();
+        it->second.erase(std::find(it->second.begin(), it->second.end(), index));
+        if (it->second.empty() || job.tasks.count(TaskPhase::Queued) == 0) {
+            m_state.clearRoom(job.spec.id);
+        }
+        m_state.refresh(index);
+        return true;
+    }
+    return false;
+}
+
+void ShardPlacement::placeTogether(ShardJob &job, const QueueEntry &entry, TimePoint now)
+{
+    const auto chosen = m_state.index.chooseAll(entry.demand, entry.tasks, optionsFor(job));
+    if (!chosen) {
+        const std::string never = m_jobs.neverFits(job.spec);
+        if (!never.empty()) {
+            m_jobs.close(job, JobState::Parked, never, now);
+            return;
+        }
+        (void)m_state.gang.begin(entry, now + m_state.settings.gangTimeout, now);
+        m_state.queue.skip(entry.job);
+        return;
+    }
+    takeFromQueue(job, entry.tasks);
+    std::uint32_t placed = 0;
+    while (placed < entry.tasks && m_state.place(job, m_state.workerIndex.at((*chosen)[placed]), now)) {
+        ++placed;
+    }
+    if (placed < entry.tasks) {
+        undoTogether(job, placed, entry.tasks, now);
+        m_state.queue.skip(entry.job);
+    }
+    if (m_state.gang.isActive() && m_state.gang.entry().job == entry.job) {
+        m_state.gang.end();
+        m_state.dirty = true;
+    }
+}
+
+void ShardPlacement::undoTogether(ShardJob &job, std::uint32_t placed, std::uint32_t taken, TimePoint now)
+{
+    const std::uint32_t unplaced = taken - placed;
+    m_state.discharge(job.spec.team, job.spec.demand * unplaced);
+    m_state.enqueueTasks(job, unplaced, now);
+    for (std::uint32_t task = 0; placed > 0 && task < job.tasks.size(); ++task) {
+        if (job.tasks.at(task).phase == TaskPhase::Reserved) {
+            m_jobs.endAttempt(job, task, AttemptEnd::NotStarted, {}, now);
+        }
+    }
+}
+
+void ShardPlacement::expireGang(TimePoint now)
+{
+    if (!m_state.gang.isActive() || !m_state.gang.isExpired(now)) {
+        return;
+    }
+    if (ShardJob *job = m_state.job(m_state.gang.entry().job); job != nullptr) {
+        job->retryAt = now + m_state.settings.gangTimeout;
+        m_nextRetry = std::min(m_nextRetry, job->retryAt);
+    }
+    m_state.gang.end();
+    m_state.dirty = true;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/shardpreemption.cpp
@@ -0,0 +1,154 @@
+// Running tasks that give way: to urgent work, to requests below their minimum, to lowered limits and to generator power.
+#include "shardlimits_p.h"
+#include "shardplacement_p.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::size_t mostCandidates = 32; // Workers looked at for one plan; the next search begins after them.
+constexpr std::uint32_t mostPlansPerStep = 8;
+
+} // namespace
+
+void ShardPlacement::makeRoomFor(const ShardJob &job, std::uint32_t waiting, TimePoint now)
+{
+    const auto known = m_state.rooms.find(job.spec.id);
+    const std::size_t pending = known != m_state.rooms.end() ? known->second.size() : 0;
+    const std::size_t missing = waiting > pending ? waiting - pending : 0;
+    for (std::size_t count = 0; count < std::min<std::size_t>(missing, mostPlansPerStep); ++count) {
+        const std::optional<PreemptionPlan> found = plan(job.spec.demand, now);
+        if (!found) {
+            return;
+        }
+        const WorkerIndex index = m_state.workerIndex.at(found->worker);
+        ShardWorker &worker = *m_state.workers[index];
+        worker.roomFor = job.spec.id;
+        worker.roomUntil = now + m_state.settings.urgentBound * 2;
+        worker.checkpointUntil = std::min(worker.checkpointUntil, now + m_state.settings.urgentBound / 2);
+        m_state.rooms[job.spec.id].push_back(index);
+        evict(*found, now);
+        m_state.refresh(index);
+        m_state.wake(index, worker.checkpointUntil);
+    }
+}
+
+void ShardPlacement::makeRoomForRequests(TimePoint now)
+{
+    const std::optional<Resources> demand = std::exchange(m_state.requestShortage, std::nullopt);
+    if (!demand || !isWithinMinimum(m_state.requestUse + *demand, m_state.total)) {
+        return;
+    }
+    if (const std::optional<PreemptionPlan> found = plan(*demand, now)) {
+        evict(*found, now);
+    }
+}
+
+std::optional<PreemptionPlan> ShardPlacement::plan(const Resources &demand, TimePoint now)
+{
+    std::vector<PreemptibleWorker> candidates;
+    const std::size_t count = m_state.workers.size();
+    for (std::size_t seen = 0; seen < std::min(count, mostCandidates); ++seen) {
+        m_cursor = (m_cursor + 1) % count;
+        const ShardWorker *worker = m_state.workers[m_cursor].get();
+        if (worker != nullptr && m_state.isPlaceable(*worker) && demand.fitsIn(worker->ledger.capacity())) {
+            candidates.push_back(describe(static_cast<WorkerIndex>(m_cursor), now));
+        }
+    }
+    return planPreemption(demand, candidates);
+}
+
+PreemptibleWorker ShardPlacement::describe(WorkerIndex index, TimePoint now) const
+{
+    const ShardWorker &worker = *m_state.workers[index];
+    PreemptibleWorker result;
+    result.worker = worker.vm.id;
+    result.free = worker.ledger.free();
+    for (const auto &[id, demand] : worker.ledger.tasks()) {
+        const ShardJob *job = m_state.currentOn(id, index);
+        if (job != nullptr && job->tasks.at(id.index).phase == TaskPhase::Running) {
+            result.tasks.push_back(describe(*job, id.index, now));
+        }
+    }
+    return result;
+}
+
+PreemptibleTask ShardPlacement::describe(const ShardJob &job, std::uint32_t task, TimePoint now) const
+{
+    const TaskState &state = job.tasks.at(task);
+    const Team *team = m_state.tables ? m_state.tables->team(job.spec.team) : nullptr;
+    const double weight = team != nullptr ? team->share : 1.0;
+    PreemptibleTask result;
+    result.id = TaskId{job.spec.id, task, state.attempt};
+    result.team = job.spec.team;
+    result.worker = m_state.workers[state.worker]->vm.id;
+    result.demand = job.spec.demand;
+    result.priority = job.spec.priority;
+    result.workClass = job.spec.workClass;
+    result.startOnce = job.spec.startOnce;
+    result.teamShare = m_state.queue.use(job.spec.team).dominantShareOf(m_state.total) / weight;
+    result.ran = now - state.since;
+    return result;
+}
+
+void ShardPlacement::evict(const PreemptionPlan &plan, TimePoint now)
+{
+    const WorkerIndex index = m_state.workerIndex.at(plan.worker);
+    for (const TaskId &id : plan.victims) {
+        if (ShardJob *job = m_state.currentOn(id, index); job != nullptr) {
+            m_jobs.checkpoint(*job, id.index, now);
+            ++m_state.counters.preemptions;
+        }
+    }
+}
+
+void ShardPlacement::enforceLimits(TimePoint now)
+{
+    const std::unordered_set<TeamId> due = std::exchange(m_state.overLimit, {});
+    for (const TeamId &team : due) {
+        enforceLimit(team, now);
+    }
+}
+
+void ShardPlacement::enforceLimit(const TeamId &team, TimePoint now)
+{
+    const TeamAccount &account = m_state.teams[team];
+    if (account.running.fitsIn(account.allotment)) {
+        return;
+    }
+    m_stillOver.insert(team);
+    Resources use = account.running;
+    std::vector<PreemptibleTask> tasks;
+    for (auto &[id, job] : m_state.jobs) {
+        for (std::uint32_t task = 0; job->spec.team == team && task < job->tasks.size(); ++task) {
+            const TaskPhase phase = job->tasks.at(task).phase;
+            if (phase == TaskPhase::Stopping || phase == TaskPhase::Checkpointing) {
+                use -= job->spec.demand;
+            } else if (phase == TaskPhase::Reserved || phase == TaskPhase::Running) {
+                tasks.push_back(describe(*job, task, now));
+            }
+        }
+    }
+    for (const TaskId &id : tasksOverLimit(use, account.allotment, std::move(tasks))) {
+        if (ShardJob *job = m_state.job(id.job); job != nullptr) {
+            m_jobs.checkpoint(*job, id.index, now);
+        }
+    }
+}
+
+void ShardPlacement::applyPower(TimePoint now)
+{
+    for (auto &[id, job] : m_state.jobs) {
+        for (std::uint32_t task = 0; task < job->tasks.size(); ++task) {
+            if (job->tasks.at(task).phase == TaskPhase::Running) {
+                m_jobs.applyPower(*job, task, now);
+            }
+        }
+    }
+    m_state.dirty = true;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/shardstate.cpp
@@ -0,0 +1,440 @@
+// Jobs, workers and charges of one shard.
+#include "shardstate_p.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr int longestAnswerFactor = 2; // Own bound on an answer, in units of syncTimeout, if the caller never gives one.
+constexpr unsigned opEpochBits = 32; // Answers to an earlier ownership of the same worker must not match.
+
+WorkerSessionSettings sessionSettings(const ShardSettings &settings)
+{
+    WorkerSessionSettings result;
+    result.owner = settings.owner;
+    result.epoch = settings.epoch;
+    result.answerTimeout = settings.syncTimeout * longestAnswerFactor;
+    result.inventoryInterval = settings.inventoryInterval;
+    result.startVoidAfter = settings.startVoidAfter;
+    result.ownerTerm = settings.ownerTerm;
+    result.margin = settings.margin;
+    result.guards = settings.guards;
+    return result;
+}
+
+ShardState::CapacityKey keyOf(const Resources &r)
+{
+    return {r.cpu.value(), r.memory.value(), r.accelerators.value(), r.slots.value()};
+}
+
+Resources resourcesOf(const ShardState::CapacityKey &key)
+{
+    return Resources{MilliCores(std::get<0>(key)), MebiBytes(std::get<1>(key)), Accelerators(std::get<2>(key)), Slots(std::get<3>(key))};
+}
+
+template<typename T>
+T larger(T a, T b)
+{
+    return std::max(a, b);
+}
+
+Resources largerOf(const Resources &a, const Resources &b)
+{
+    return Resources{larger(a.cpu, b.cpu), larger(a.memory, b.memory), larger(a.accelerators, b.accelerators), larger(a.slots, b.slots)};
+}
+
+template<typename T>
+std::int64_t copies(T part, T whole)
+{
+    return part.value() > 0 ? whole.value() / part.value() : INT64_MAX;
+}
+
+/// How many demands fit into an empty worker.
+std::int64_t copiesIn(const Resources &demand, const Resources &capacity)
+{
+    const std::int64_t compute = std::min(copies(demand.cpu, capacity.cpu), copies(demand.memory, capacity.memory));
+    return std::min({compute, copies(demand.accelerators, capacity.accelerators), copies(demand.slots, capacity.slots)});
+}
+
+} // namespace
+
+ShardState::ShardState(const ShardSettings &shardSettings, TimePoint now)
+    : settings(shardSettings)
+    , queue(FairQueueSettings{})
+    , index(shardSettings.rule)
+    , gang(shardSettings.gangTimeout)
+    , lastWish(now)
+    , random(shardSettings.seed)
+    , m_ops(shardSettings.epoch.value() << opEpochBits)
+    , m_largestRead(shardSettings.largestWorker)
+{
+}
+
+ShardJob *ShardState::job(const JobId &id)
+{
+    const auto it = jobs.find(id);
+    return it == jobs.end() ? nullptr : it->second.get();
+}
+
+const ShardJob *ShardState::job(const JobId &id) const
+{
+    const auto it = jobs.find(id);
+    return it == jobs.end() ? nullptr : it->second.get();
+}
+
+ShardWorker *ShardState::worker(const WorkerId &id)
+{
+    const auto it = workerIndex.find(id);
+    return it == workerIndex.end() ? nullptr : workers[it->second].get();
+}
+
+ShardJob *ShardState::currentOn(const TaskId &task, WorkerIndex worker)
+{
+    ShardJob *found = job(task.job);
+    if (found == nullptr || !found->tasks.isCurrent(task.index, task.attempt)) {
+        return nullptr;
+    }
+    const TaskState &state = found->tasks.at(task.index);
+    const bool live = state.phase == TaskPhase::Reserved || mayRun(state.phase);
+    return live && state.worker == worker ? found : nullptr;
+}
+
+void ShardState::applyTables(std::shared_ptr<const Tables> newTables)
+{
+    tables = std::move(newTables);
+    requestDemand = Resources{};
+    if (!tables) {
+        return;
+    }
+    for (const Team &team : tables->teams()) {
+        queue.setTeam(team.id, team.share);
+    }
+    for (const Route &route : tables->routes()) {
+        if (route.workClass == WorkClass::Request && route.pool == settings.pool) {
+            requestDemand = largerOf(requestDemand, route.demand);
+        }
+    }
+    dirty = true;
+}
+
+PowerSource ShardState::power() const
+{
+    const Pool *pool = tables ? tables->pool(settings.pool) : nullptr;
+    return pool != nullptr ? pool->power : PowerSource::Grid;
+}
+
+Resources ShardState::teamLimit(const TeamId &team) const
+{
+    const Team *found = tables ? tables->team(team) : nullptr;
+    return found != nullptr ? found->limit : Resources{};
+}
+
+bool ShardState::hasTables() const
+{
+    return tables != nullptr;
+}
+
+WorkerIndex ShardState::addWorker(const VmInfo &vm, TimePoint now)
+{
+    WorkerIndex position = static_cast<WorkerIndex>(workers.size());
+    if (freeWorkers.empty()) {
+        workers.emplace_back();
+    } else {
+        position = freeWorkers.back();
+        freeWorkers.pop_back();
+    }
+    workers[position] = std::make_unique<ShardWorker>(vm, sessionSettings(settings), now);
+    workerIndex[vm.id] = position;
+    setUnread(unread + 1);
+    return position;
+}
+
+void ShardState::removeWorker(WorkerIndex position)
+{
+    workers[position].reset();
+    freeWorkers.push_back(position);
+}
+
+bool ShardState::isPlaceable(const ShardWorker &worker) const
+{
+    if (!worker.session.mayCommit() || worker.vm.leaving || worker.roomFor || worker.health.state() == HealthState::Quarantined) {
+        return false;
+    }
+    if (worker.health.state() == HealthState::Probation && (!worker.ledger.tasks().empty() || worker.ledger.grantCount() > 0)) {
+        return false;
+    }
+    return worker.session.supportsEpochs() || leaseConfirmed;
+}
+
+void ShardState::countCapacity(ShardWorker &worker)
+{
+    const bool counts = worker.session.mayCommit() || worker.session.phase() == WorkerPhase::Unreachable;
+    std::optional<Resources> capacity;
+    if (counts && !worker.vm.leaving) {
+        capacity = worker.ledger.capacity();
+    }
+    if (worker.counted == capacity) {
+        return;
+    }
+    if (worker.counted) {
+        const auto it = capacities.find(keyOf(*worker.counted));
+        if (--it->second == 0) {
+            capacities.erase(it);
+        }
+        total -= *worker.counted;
+    }
+    if (capacity) {
+        ++capacities[keyOf(*capacity)];
+        total += *capacity;
+        m_largestRead = largerOf(m_largestRead, *capacity);
+        unreadChanged = true;
+    }
+    worker.counted = capacity;
+    queue.setTotal(total);
+}
+
+void ShardState::refresh(WorkerIndex position)
+{
+    ShardWorker &worker = *workers[position];
+    countCapacity(worker);
+    if (!isPlaceable(worker)) {
+        const auto listed = workerIndex.find(worker.vm.id);
+        if (listed == workerIndex.end() || listed->second == position) {
+            index.remove(worker.vm.id);
+        }
+        return;
+    }
+    WorkerLoad load;
+    load.worker = worker.vm.id;
+    load.rack = worker.vm.rack;
+    load.capacity = worker.ledger.capacity();
+    load.committed = worker.ledger.committed().limitedTo(load.capacity);
+    load.observed = worker.observed;
+    index.update(load);
+}
+
+void ShardState::setUnread(std::uint32_t count)
+{
+    unread = count;
+    unreadChanged = true;
+    dirty = true;
+}
+
+bool ShardState::allRead() const
+{
+    return unread == 0 && !workerIndex.empty();
+}
+
+std::uint32_t ShardState::readWorkers() const
+{
+    std::uint32_t count = 0;
+    for (const auto &[key, number] : capacities) {
+        count += number;
+    }
+    return count;
+}
+
+bool ShardState::couldEverFit(const Resources &demand, std::uint32_t count) const
+{
+    std::int64_t fitting = 0;
+    for (const auto &[key, number] : capacities) {
+        const std::int64_t perWorker = std::min<std::int64_t>(copiesIn(demand, resourcesOf(key)), count);
+        fitting += perWorker * number;
+    }
+    return fitting >= count;
+}
+
+void ShardState::charge(const TeamId &team, const Resources &amount)
+{
+    queue.charge(team, amount);
+    teams[team].running += amount;
+}
+
+void ShardState::discharge(const TeamId &team, const Resources &amount)
+{
+    queue.discharge(team, amount);
+    teams[team].running -= amount;
+    dirty = true;
+}
+
+void ShardState::updateUnread()
+{
+    if (!std::exchange(unreadChanged, false)) {
+        return;
+    }
+    const bool counted = settings.guards.countUnreadWorkers && unread > 0;
+    for (auto &[team, account] : teams) {
+        Resources most;
+        if (counted) {
+            // While no worker was read, the size of the VMs is unknown and only the allotment bounds what runs.
+            most = m_largestRead.isZero() ? account.allotment : account.allotment.limitedTo(m_largestRead * unread);
+        }
+        queue.discharge(team, account.reservedUnread);
+        queue.charge(team, most);
+        account.reservedUnread = most;
+    }
+}
+
+bool ShardState::place(ShardJob &job, WorkerIndex position, TimePoint now)
+{
+    ShardWorker &worker = *workers[position];
+    if (!worker.session.mayCommit() || job.tasks.count(TaskPhase::Queued) == 0 || !job.spec.demand.fitsIn(worker.ledger.free())) {
+        return false;
+    }
+    const std::optional<std::uint32_t> task = job.tasks.reserve(position, now);
+    if (!task) {
+        return false;
+    }
+    const TaskId id{job.spec.id, *task, job.tasks.at(*task).attempt};
+    if (!worker.ledger.commit(id, job.spec.demand)) {
+        (void)job.tasks.requeue(*task);
+        return false;
+    }
+    taskUse += job.spec.demand;
+    worker.starts.push_back(id);
+    refresh(position);
+    service(position);
+    return true;
+}
+
+void ShardState::releaseAttempt(const ShardJob &job, std::uint32_t task)
+{
+    const TaskState &state = job.tasks.at(task);
+    const Resources freed = workers[state.worker]->ledger.release(TaskId{job.spec.id, task, state.attempt});
+    taskUse -= freed;
+    discharge(job.spec.team, freed);
+    refresh(state.worker);
+}
+
+void ShardState::releaseOrphan(WorkerIndex position, const TaskId &task)
+{
+    ShardWorker &worker = *workers[position];
+    const auto it = worker.orphans.find(task);
+    if (it == worker.orphans.end()) {
+        return;
+    }
+    const TeamId team = it->second;
+    worker.orphans.erase(it);
+    const Resources freed = worker.ledger.release(task);
+    taskUse -= freed;
+    discharge(team, freed);
+    refresh(position);
+}
+
+void ShardState::requeue(ShardJob &job, std::uint32_t task, TimePoint now)
+{
+    if (job.tasks.requeue(task) && !job.closing) {
+        enqueueTasks(job, 1, now);
+    }
+}
+
+void ShardState::enqueueTasks(const ShardJob &job, std::uint32_t count, TimePoint now)
+{
+    if (count == 0) {
+        return;
+    }
+    QueueEntry entry;
+    entry.job = job.spec.id;
+    entry.team = job.spec.team;
+    entry.priority = job.spec.priority;
+    entry.demand = job.spec.demand;
+    entry.tasks = count;
+    entry.allAtOnce = job.spec.allAtOnce;
+    entry.declaredRunTime = job.spec.declaredRunTime;
+    entry.since = now;
+    queue.push(entry);
+    dirty = true;
+}
+
+void ShardState::dropWaiting(const ShardJob &job, TimePoint now)
+{
+    queue.remove(job.spec.id);
+    if (!job.closing) {
+        enqueueTasks(job, job.tasks.count(TaskPhase::Queued), now);
+    }
+}
+
+void ShardState::control(ShardJob &job, std::uint32_t task, TaskAction action, TimePoint now)
+{
+    const TaskState &state = job.tasks.at(task);
+    ShardWorker &worker = *workers[state.worker];
+    worker.controls.push_back(TaskControl{TaskId{job.spec.id, task, state.attempt}, action});
+    if (action == TaskAction::Checkpoint) {
+        worker.checkpointUntil = std::min(worker.checkpointUntil, now + settings.taskTerm);
+        wake(state.worker, worker.checkpointUntil);
+    }
+    service(state.worker);
+}
+
+void ShardState::clearRoom(const JobId &id)
+{
+    const auto it = rooms.find(id);
+    if (it == rooms.end()) {
+        return;
+    }
+    const std::vector<WorkerIndex> reserved = std::move(it->second);
+    rooms.erase(it);
+    for (const WorkerIndex position : reserved) {
+        if (workers[position] && workers[position]->roomFor == id) {
+            workers[position]->roomFor.reset();
+            refresh(position);
+        }
+    }
+    dirty = true;
+}
+
+void ShardState::dropGrant(const GrantId &id)
+{
+    const auto it = grants.find(id);
+    if (it == grants.end()) {
+        return;
+    }
+    const ShardGrant grant = it->second;
+    grants.erase(it);
+    ShardWorker &worker = *workers[grant.worker];
+    worker.lingering.erase(id);
+    const Resources freed = worker.ledger.release(id);
+    requestUse -= freed;
+    discharge(grant.team, freed);
+    refresh(grant.worker);
+}
+
+void ShardState::checkLimits()
+{
+    for (const auto &[team, account] : teams) {
+        overLimit.insert(team);
+    }
+}
+
+void ShardState::record(const JobId &job, JobState state, const std::string &reason)
+{
+    outputs.emplace_back(RecordJob{job, state, reason});
+}
+
+void ShardState::wake(WorkerIndex position, TimePoint at)
+{
+    ShardWorker &worker = *workers[position];
+    if (at < worker.wakeAt) {
+        worker.wakeAt = at;
+        timers.push(Timer{at, position});
+    }
+}
+
+void ShardState::service(WorkerIndex position)
+{
+    ShardWorker &worker = *workers[position];
+    if (!worker.queuedForService) {
+        worker.queuedForService = true;
+        serviceQueue.push_back(position);
+    }
+}
+
+OpId ShardState::nextOp()
+{
+    return OpId(++m_ops);
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/shardsync.cpp
@@ -0,0 +1,297 @@
+// Sending to workers: due batches, deadlines, and workers that are gone.
+#include "shardsync_p.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::size_t mostStartsPerBatch = 200;
+constexpr std::uint32_t mostBackoffDoublings = 3; // An unreachable worker is tried every 2 s at the default interval.
+constexpr Duration fencedInterval{5000}; // A worker that obeys a newer owner is only asked now and then.
+
+} // namespace
+
+ShardSync::ShardSync(ShardState &state, ShardJobs &jobs) : m_state(state), m_jobs(jobs) { }
+
+void ShardSync::setWorkers(const std::vector<VmInfo> &vms, TimePoint now)
+{
+    std::unordered_set<WorkerId> listed;
+    for (const VmInfo &vm : vms) {
+        listed.insert(vm.id);
+        ShardWorker *known = m_state.worker(vm.id);
+        if (known == nullptr || known->session.phase() == WorkerPhase::Gone) {
+            const Sequence last = known != nullptr ? known->session.lastSequence() : Sequence();
+            const WorkerIndex index = m_state.addWorker(vm, now);
+            m_state.workers[index]->session.continueAfter(last);
+            m_state.service(index);
+            continue;
+        }
+        const bool changed = known->vm.leaving != vm.leaving;
+        known->vm = vm;
+        if (changed) {
+            m_state.refresh(m_state.workerIndex[vm.id]);
+        }
+    }
+    std::vector<WorkerIndex> gone;
+    for (const auto &[id, index] : m_state.workerIndex) {
+        const bool newlyGone = listed.count(id) == 0 && m_state.workers[index]->session.phase() != WorkerPhase::Gone;
+        if (newlyGone) {
+            gone.push_back(index);
+        }
+    }
+    for (const WorkerIndex index : gone) {
+        ShardWorker &worker = *m_state.workers[index];
+        worker.session.setGone();
+        worker.goneSince = now;
+        m_state.refresh(index);
+        m_state.service(index);
+    }
+}
+
+void ShardSync::tick(TimePoint now)
+{
+    while (!m_state.timers.empty() && m_state.timers.top().at <= now) {
+        const ShardState::Timer timer = m_state.timers.top();
+        m_state.timers.pop();
+        if (m_state.workers[timer.worker] && m_state.workers[timer.worker]->wakeAt == timer.at) {
+            m_state.workers[timer.worker]->wakeAt = TimePoint::max();
+            serve(timer.worker, now);
+        }
+    }
+    const std::vector<WorkerIndex> waiting = std::exchange(m_state.serviceQueue, {});
+    for (const WorkerIndex index : waiting) {
+        if (m_state.workers[index]) {
+            m_state.workers[index]->queuedForService = false;
+            serve(index, now);
+        }
+    }
+}
+
+void ShardSync::serve(WorkerIndex index, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    if (worker.session.phase() == WorkerPhase::Gone) {
+        serveGone(index, now);
+        return;
+    }
+    if (worker.session.onTimeout(now)) {
+        onLost(index, now);
+    }
+    expireDeadlines(index, now);
+    if (!worker.session.isInFlight() && (now >= nextSync(worker) || hasNews(worker))) {
+        send(index, now);
+    }
+    scheduleNext(index, now);
+}
+
+void ShardSync::expireDeadlines(WorkerIndex index, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    if (worker.health.tick(now)) {
+        m_state.refresh(index);
+        m_state.dirty = true;
+    }
+    if (worker.roomFor && now >= worker.roomUntil) {
+        m_state.clearRoom(JobId(*worker.roomFor));
+    }
+    if (now >= worker.checkpointUntil) {
+        worker.checkpointUntil = TimePoint::max();
+        std::vector<TaskId> late;
+        for (const auto &[id, demand] : worker.ledger.tasks()) {
+            late.push_back(id);
+        }
+        for (const TaskId &id : late) {
+            ShardJob *job = m_state.currentOn(id, index);
+            if (job != nullptr && job->tasks.at(id.index).phase == TaskPhase::Checkpointing) {
+                m_jobs.stopAttempt(*job, id.index, now);
+            }
+        }
+    }
+    if (worker.earlierSlots.value() > 0 && now >= worker.earlierUntil) {
+        worker.earlierSlots = Slots(0);
+        worker.ledger.setReserve({});
+        m_state.refresh(index);
+        m_state.dirty = true;
+    }
+    trimLingering(index, INT64_MAX, now);
+    const ShardSettings &settings = m_state.settings;
+    // An unanswered batch may have renewed the leases once more, as late as the end of the answered renewal.
+    const TimePoint leaseOver = worker.session.lastAnswer() + settings.taskTerm * 2 + settings.margin;
+    if (worker.session.phase() == WorkerPhase::Unreachable && now >= leaseOver) {
+        endAll(index, true, now);
+    }
+}
+
+void ShardSync::serveGone(WorkerIndex index, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    const TimePoint leaseOver = worker.goneSince + m_state.settings.taskTerm + m_state.settings.margin;
+    const bool over = now >= leaseOver || !m_state.settings.guards.proveStoppedBeforeRestart;
+    endAll(index, over, now);
+    if (!over) {
+        m_state.wake(index, leaseOver);
+        return;
+    }
+    if (std::exchange(worker.countsUnread, false)) {
+        m_state.setUnread(m_state.unread - 1);
+    }
+    std::vector<GrantId> grants;
+    for (const auto &[id, grant] : m_state.grants) {
+        if (grant.worker == index) {
+            grants.push_back(id);
+        }
+    }
+    for (const GrantId &id : grants) {
+        m_state.dropGrant(id);
+    }
+    const auto listed = m_state.workerIndex.find(worker.vm.id);
+    if (listed != m_state.workerIndex.end() && listed->second == index) {
+        m_state.workerIndex.erase(listed);
+    }
+    m_state.removeWorker(index);
+    releaseHeldIfRead(now);
+}
+
+/// Ends the attempts that the removal of the VM, or with @p withLease the end of its leases, proves stopped.
+void ShardSync::endAll(WorkerIndex index, bool withLease, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    const bool gone = worker.session.phase() == WorkerPhase::Gone;
+    std::vector<TaskId> tasks;
+    for (const auto &[id, demand] : worker.ledger.tasks()) {
+        tasks.push_back(id);
+    }
+    for (const TaskId &id : tasks) {
+        ShardJob *job = m_state.currentOn(id, index);
+        if (job == nullptr) {
+            if (gone && withLease) {
+                m_state.releaseOrphan(index, id);
+            }
+            continue;
+        }
+        const bool leased = job->spec.partition == PartitionPolicy::Move;
+        const TaskPhase phase = job->tasks.at(id.index).phase;
+        const bool certain = phase != TaskPhase::Uncertain && phase != TaskPhase::Starting;
+        const bool startAnswered = certain && !job->tasks.at(id.index).uncertainStart;
+        if (phase == TaskPhase::Reserved || (gone && (!leased || withLease)) || (!gone && leased && withLease && startAnswered)) {
+            m_jobs.endAttempt(*job, id.index, phase == TaskPhase::Reserved ? AttemptEnd::NotStarted : AttemptEnd::Lost, {}, now);
+        }
+    }
+}
+
+TimePoint ShardSync::nextSync(const ShardWorker &worker)
+{
+    if (worker.session.lastSent() == TimePoint{}) {
+        return TimePoint{};
+    }
+    if (worker.session.isFenced()) {
+        return worker.session.lastSent() + fencedInterval;
+    }
+    const std::uint32_t doublings = std::min(worker.session.lostInRow(), mostBackoffDoublings);
+    return worker.session.lastSent() + m_state.settings.syncInterval * (1U << doublings);
+}
+
+bool ShardSync::hasNews(const ShardWorker &worker) const
+{
+    return worker.session.mayCommit() && (!worker.starts.empty() || !worker.controls.empty() || !worker.acks.empty());
+}
+
+void ShardSync::scheduleNext(WorkerIndex index, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    // A quarter of jitter keeps workers that became unreachable together from being tried together.
+    const auto span = static_cast<std::uint64_t>(m_state.settings.syncInterval.count() / 4 + 1);
+    const Duration jitter{worker.session.lostInRow() > 0 ? static_cast<std::int64_t>(m_state.random() % span) : 0};
+    TimePoint next = worker.session.isInFlight() ? worker.session.timeoutAt() : std::max(nextSync(worker) + jitter, now);
+    if (worker.health.state() == HealthState::Quarantined) {
+        next = std::min(next, worker.health.quarantinedUntil());
+    }
+    if (worker.roomFor) {
+        next = std::min(next, worker.roomUntil);
+    }
+    next = std::min(next, worker.checkpointUntil);
+    m_state.wake(index, next);
+}
+
+void ShardSync::send(WorkerIndex index, TimePoint now)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    if (!worker.session.supportsEpochs() && !m_state.leaseConfirmed) {
+        returnUnsent(index, now);
+    }
+    SyncWorker output;
+    output.op = m_state.nextOp();
+    output.worker = worker.vm.id;
+    output.address = worker.vm.address;
+    const bool reachable = worker.session.phase() != WorkerPhase::Unreachable;
+    output.request = worker.session.begin(output.op, now);
+    // Probes of an unreachable worker renew nothing, so that the end of its leases can be told.
+    output.request.renewLease = m_state.leaseConfirmed && reachable ? m_state.settings.taskTerm : Duration(0);
+    output.request.acknowledged = std::exchange(worker.acks, {});
+    output.request.controls = std::exchange(worker.controls, {});
+    if (worker.session.mayCommit()) {
+        addStarts(index, output.request);
+    }
+    ++m_state.counters.syncs;
+    m_state.outputs.emplace_back(std::move(output));
+}
+
+void ShardSync::addStarts(WorkerIndex index, SyncRequest &request)
+{
+    ShardWorker &worker = *m_state.workers[index];
+    std::vector<TaskId> sent;
+    std::size_t taken = 0;
+    while (taken < worker.starts.size() && sent.size() < mostStartsPerBatch) {
+        const TaskId &id = worker.starts[taken++];
+        ShardJob *job = m_state.currentOn(id, index);
+        if (job == nullptr || !job->tasks.advance(id.index, TaskPhase::Starting)) {
+            continue;
+        }
+        job->tasks.setStartSequence(id.index, request.sequence.value());
+        request.starts.push_back(startOf(*job, id, worker));
+        sent.push_back(id);
+    }
+    worker.starts.erase(worker.starts.begin(), worker.starts.begin() + static_cast<std::ptrdiff_t>(taken));
+    worker.session.setStarts(std::move(sent));
+}
+
+TaskStart ShardSync::startOf(const ShardJob &job, const TaskId &id, const ShardWorker &worker) const
+{
+    TaskStart start;
+    start.id = id;
+    start.team = job.spec.team;
+    start.route = job.spec.route;
+    start.demand = job.spec.demand;
+    start.runTime = job.spec.declaredRunTime;
+    start.lease = job.spec.partition == PartitionPolicy::Move ? m_state.settings.taskTerm : Duration(0);
+    start.voidAfter = worker.session.supportsEpochs() ? Duration(0) : m_state.settings.startVoidAfter;
+    start.payload = job.spec.payload;
+    return start;
+}
+
+void ShardSync::withdrawOutputs(TimePoint now)
+{
+    std::vector<ShardOutput> kept;
+    std::vector<WorkerIndex> withdrawn;
+    for (ShardOutput &output : m_state.outputs) {
+        const auto *sync = std::get_if<SyncWorker>(&output);
+        const auto known = sync != nullptr ? m_state.workerIndex.find(sync->worker) : m_state.workerIndex.end();
+        if (sync == nullptr) {
+            kept.push_back(std::move(output));
+        } else if (known != m_state.workerIndex.end()) {
+            ShardWorker &worker = *m_state.workers[known->second];
+            worker.controls.insert(worker.controls.begin(), sync->request.controls.begin(), sync->request.controls.end());
+            worker.session.withdraw(sync->op);
+            withdrawn.push_back(known->second);
+        }
+    }
+    m_state.outputs = std::move(kept);
+    for (const WorkerIndex index : withdrawn) {
+        onRefused(index, now);
+    }
+}
+
+} // namespace KingCupLadder
--- a/src/core/tasklifecycle.cpp
+++ b/src/core/tasklifecycle.cpp
@@ -103,11 +103,13 @@
             continue;
         }
         set(index, TaskPhase::Reserved);
-        task.attempt = std::max(task.attempt + 1, m_firstAttempt);
+        task.highest = std::max(task.highest + 1, m_firstAttempt);
+        task.attempt = task.highest;
         task.worker = worker;
         task.since = now;
         task.startSequence = 0;
         task.throttled = false;
+        task.uncertainStart = false;
         return index;
     }
     return std::nullopt;
@@ -120,21 +122,25 @@
     }
     TaskState &task = m_tasks[index];
     const bool free = task.phase == TaskPhase::Held || task.phase == TaskPhase::Queued;
-    if (!free || attempt < task.attempt) {
+    if (!free) {
         return false;
     }
     set(index, TaskPhase::Running);
     task.attempt = attempt;
+    task.highest = std::max(task.highest, attempt);
     task.worker = worker;
     task.since = now;
     task.startSequence = 0;
+    task.uncertainStart = false;
     return true;
 }
 
 void TaskLifecycle::learnAttempt(std::uint32_t index, std::uint32_t attempt)
 {
     if (index < m_tasks.size() && !mayRun(m_tasks[index].phase) && m_tasks[index].phase != TaskPhase::Reserved) {
-        m_tasks[index].attempt = std::max(m_tasks[index].attempt, attempt);
+        TaskState &task = m_tasks[index];
+        task.highest = std::max(task.highest, attempt);
+        task.attempt = task.highest;
     }
 }
 
@@ -152,6 +158,18 @@
     m_tasks[index].startSequence = sequence;
 }
 
+void TaskLifecycle::markUncertain(std::uint32_t index)
+{
+    m_tasks[index].uncertainStart = true;
+    (void)advance(index, TaskPhase::Uncertain);
+}
+
+void TaskLifecycle::confirm(std::uint32_t index)
+{
+    m_tasks[index].uncertainStart = false;
+    (void)advance(index, TaskPhase::Running);
+}
+
 void TaskLifecycle::setThrottled(std::uint32_t index, bool throttled)
 {
     m_tasks[index].throttled = throttled;
--- a/src/core/tasklifecycle.h
+++ b/src/core/tasklifecycle.h
@@ -30,12 +30,14 @@
 /// One index of a job. 32 bytes, since a controller holds 20,000 of them.
 struct TaskState {
     std::uint32_t attempt = 0; ///< The current or last attempt; 0: none yet.
+    std::uint32_t highest = 0; ///< Attempt numbers up to this one are used.
     std::uint32_t worker = 0; ///< Index of the worker; only meaningful from Reserved to Uncertain.
     TimePoint since{}; ///< When the attempt was placed.
     std::uint64_t startSequence = 0; ///< Of the batch that carried the start; later inventories may prove it stopped.
     TaskPhase phase = TaskPhase::Queued;
     bool throttled = false;
     bool succeeded = false; ///< Only with Ended.
+    bool uncertainStart = false; ///< The answer to its start was lost; only an inventory or the removal of the VM settles it.
 };
 
 class TaskLifecycle
@@ -53,13 +55,18 @@
 
     /// Puts a queued index on a worker under a new attempt. Empty if none is queued.
     [[nodiscard]] std::optional<std::uint32_t> reserve(std::uint32_t worker, TimePoint now);
-    /// Takes over an attempt found in an inventory. False if the index has a live or ended attempt already.
+    /// Takes over an attempt found in an inventory; an older one than expected too, since it is the one that runs. False if the
+    /// index has a live attempt or has ended.
     [[nodiscard]] bool adopt(std::uint32_t index, std::uint32_t attempt, std::uint32_t worker, TimePoint now);
     /// An attempt that is over was seen; later attempts get higher numbers.
     void learnAttempt(std::uint32_t index, std::uint32_t attempt);
     /// False, without effect, if the step is not one of the life cycle.
     [[nodiscard]] bool advance(std::uint32_t index, TaskPhase next);
     void setStartSequence(std::uint32_t index, std::uint64_t sequence);
+    /// The batch with its start was lost.
+    void markUncertain(std::uint32_t index);
+    /// An inventory lists the attempt as running.
+    void confirm(std::uint32_t index);
     void setThrottled(std::uint32_t index, bool throttled);
     /// The live attempt is proved stopped; the index waits again.
     [[nodiscard]] bool requeue(std::uint32_t index);
--- a/src/core/workersession.cpp
+++ b/src/core/workersession.cpp
@@ -7,10 +7,15 @@
 namespace KingCupLadder {
 
 WorkerSession::WorkerSession(const WorkerSessionSettings &settings, TimePoint now)
-    : m_settings(settings), m_settleFrom(now + settings.ownerTerm + settings.startVoidAfter), m_created(now), m_lastAnswer(now)
+    : m_settings(settings), m_settleFrom(now + settings.ownerTerm + settings.startVoidAfter), m_lastAnswer(now)
 {
 }
 
+void WorkerSession::continueAfter(Sequence last)
+{
+    m_sequence = std::max(m_sequence, last);
+}
+
 WorkerPhase WorkerSession::phase() const
 {
     return m_phase;
@@ -68,9 +73,17 @@
     m_starts = std::move(starts);
 }
 
+bool WorkerSession::isForeign(const WorkerReply &reply) const
+{
+    if (!reply.reply || reply.reply->refused || !reply.reply->supportsEpochs) {
+        return false;
+    }
+    return reply.reply->epoch != m_settings.epoch || reply.reply->sequence != m_flight->sequence;
+}
+
 ReplyEffect WorkerSession::onReply(const WorkerReply &reply, TimePoint now)
 {
-    if (!m_flight || m_flight->op != reply.op) {
+    if (!m_flight || m_flight->op != reply.op || isForeign(reply)) {
         return ReplyEffect::Ignored;
     }
     const Flight flight = *std::exchange(m_flight, std::nullopt);
@@ -140,9 +153,11 @@
     return ReplyEffect::Accepted;
 }
 
-void WorkerSession::withdraw()
+void WorkerSession::withdraw(OpId op)
 {
-    m_flight.reset();
+    if (m_flight && m_flight->op == op) {
+        m_flight.reset();
+    }
 }
 
 void WorkerSession::setGone()
--- a/src/core/workersession.h
+++ b/src/core/workersession.h
@@ -3,20 +3,13 @@
 #pragma once
 
 #include "messages.h"
+#include "shardguards.h"
 
 #include <optional>
 #include <vector>
 
 namespace KingCupLadder {
 
-/// Guards of the owner's side. All are on in production; a test switches one off to show which failure it prevents.
-struct ShardGuards {
-    bool inventoryBeforeCommit = true; ///< Nothing is committed on a worker before its inventory was read at this epoch.
-    bool sequenceOrder = true; ///< Each batch has a higher sequence than the one before, and only one is in flight.
-    bool proveStoppedBeforeRestart = true; ///< A task index starts again only after its earlier attempt is proved stopped.
-    bool countUnreadWorkers = true; ///< Workers that were not read count as running the most that they could.
-};
-
 struct WorkerSessionSettings {
     DaemonId owner;
     Epoch epoch;
@@ -46,6 +39,8 @@
 {
 public:
     WorkerSession(const WorkerSessionSettings &settings, TimePoint now);
+    /// Sequences go on after @p last, used for the same worker in this epoch by an earlier session.
+    void continueAfter(Sequence last);
 
     [[nodiscard]] WorkerPhase phase() const;
     /// Whether new tasks and grants may be committed now.
@@ -61,12 +56,12 @@
     /// The tasks that the batch in flight starts; their fate hangs on its answer.
     void setStarts(std::vector<TaskId> starts);
 
-    /// Ends the batch in flight. @p settles: the reply holds an inventory that proves absent tasks stopped.
+    /// Ends the batch in flight if the reply belongs to it.
     [[nodiscard]] ReplyEffect onReply(const WorkerReply &reply, TimePoint now);
     /// True if the batch in flight was given up. Same as a lost answer.
     [[nodiscard]] bool onTimeout(TimePoint now);
     /// Withdraws a batch that was never handed to the transport; it had no effect.
-    void withdraw();
+    void withdraw(OpId op);
     void setGone();
 
     /// Whether the inventory of the last accepted reply settles what runs. False for a worker without epochs while a delayed
@@ -87,6 +82,8 @@
         TimePoint sent{};
     };
 
+    /// Whether the reply answers another batch than the one in flight, by its epoch and sequence.
+    [[nodiscard]] bool isForeign(const WorkerReply &reply) const;
     void onLost(const Flight &flight);
     ReplyEffect onRefused(const SyncReply &reply);
     ReplyEffect onAccepted(const SyncReply &reply, const Flight &flight, TimePoint now);
@@ -102,7 +99,6 @@
     bool m_capacityKnown = false;
     bool m_needInventory = true;
     TimePoint m_settleFrom{}; ///< A worker without epochs: earlier inventories may miss a delayed start.
-    TimePoint m_created{};
     TimePoint m_lastInventory{};
     TimePoint m_lastSent{};
     TimePoint m_lastAnswer{};
