--- /dev/null
+++ b/src/core/connectionhealth.cpp
@@ -0,0 +1,92 @@
+// States of pooled connections.
+#include "connectionhealth.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+void ConnectionHealth::opened(ConnectionId connection, const std::string &upstream)
+{
+    if (m_connections.emplace(connection, Entry{upstream, State::Good}).second) {
+        m_pools[upstream].insert(connection);
+    }
+}
+
+void ConnectionHealth::closed(ConnectionId connection)
+{
+    const auto found = m_connections.find(connection);
+    if (found == m_connections.end()) {
+        return;
+    }
+    const auto pool = m_pools.find(found->second.upstream);
+    pool->second.erase(connection);
+    if (pool->second.empty()) {
+        m_pools.erase(pool);
+    }
+    m_connections.erase(found);
+}
+
+void ConnectionHealth::clear(ConnectionId connection)
+{
+    const auto found = m_connections.find(connection);
+    if (found != m_connections.end() && found->second.state != State::Lost) {
+        found->second.state = State::Good;
+    }
+}
+
+void ConnectionHealth::answered(ConnectionId connection)
+{
+    clear(connection);
+}
+
+void ConnectionHealth::probeStarted(ConnectionId connection)
+{
+    const auto found = m_connections.find(connection);
+    if (found != m_connections.end() && found->second.state == State::Suspect) {
+        found->second.state = State::Probing;
+    }
+}
+
+void ConnectionHealth::probeAnswered(ConnectionId connection)
+{
+    clear(connection);
+}
+
+void ConnectionHealth::timedOut(ConnectionId connection)
+{
+    const auto found = m_connections.find(connection);
+    if (found == m_connections.end()) {
+        return;
+    }
+    found->second.state = State::Lost;
+    for (ConnectionId sibling : m_pools.at(found->second.upstream)) {
+        State &state = m_connections.at(sibling).state;
+        if (state == State::Good) {
+            state = State::Suspect;
+        }
+    }
+}
+
+ConnectionVerdict ConnectionHealth::verdict(ConnectionId connection) const
+{
+    const auto found = m_connections.find(connection);
+    if (found == m_connections.end() || found->second.state == State::Lost) {
+        return ConnectionVerdict::Close;
+    }
+    return found->second.state == State::Good ? ConnectionVerdict::Use : ConnectionVerdict::ProbeFirst;
+}
+
+std::vector<ConnectionId> ConnectionHealth::toProbe(const std::string &upstream) const
+{
+    std::vector<ConnectionId> found;
+    const auto pool = m_pools.find(upstream);
+    if (pool == m_pools.end()) {
+        return found;
+    }
+    std::copy_if(
+        pool->second.begin(), pool->second.end(), std::back_inserter(found), [this](ConnectionId id) { return m_connections.at(id).state == State::Suspect; });
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/retry.h
@@ -0,0 +1,89 @@
+// Decides whether a failed attempt of a request may be repeated, and limits how many repeats the daemon adds to the load.
+#pragma once
+
+#include "error.h"
+#include "ids.h"
+#include "messages.h"
+#include "units.h"
+
+#include <cstdint>
+#include <random>
+#include <vector>
+
+namespace KingCupLadder {
+
+/// What is known about an attempt that failed.
+struct FailedAttempt {
+    bool idempotent = false; ///< The request may be executed more than once.
+    bool bytesSent = false; ///< At least one byte of the request may have reached the worker.
+    WorkerId worker; ///< The worker that failed it; empty if none was reached.
+    TimePoint deadline{}; ///< Of the request.
+};
+
+/// Another attempt, or the error for the caller.
+struct RetryVerdict {
+    bool retry = false;
+    std::vector<WorkerId> avoid; ///< Workers that the next attempt leaves out.
+    Error error; ///< ErrorKind::None exactly if retry.
+    Ran ran = Ran::NotRun; ///< Only read if there is an error.
+};
+
+struct RetryBudgetSettings {
+    double share = 0.2; ///< Retries per request.
+    double perSecond = 3.0; ///< Retries that are always allowed; keeps a quiet daemon able to retry.
+    double most = 200.0; ///< Retries that can be saved up; bounds the burst after a long quiet time.
+};
+
+/// Token bucket of retries. Without it, retries multiply the load of upstreams that fail because of load.
+class RetryBudget
+{
+public:
+    RetryBudget(const RetryBudgetSettings &settings, TimePoint now);
+
+    /// A first attempt was made.
+    void onRequest();
+    /// Takes one retry from the budget; false if it is used up.
+    [[nodiscard]] bool take(TimePoint now);
+    [[nodiscard]] double available(TimePoint now);
+
+private:
+    RetryBudgetSettings m_settings;
+    double m_tokens; ///< Between 0 and m_settings.most.
+    TimePoint m_refilled; ///< Never goes back.
+};
+
+/// The attempts of one request.
+class RetryPolicy
+{
+public:
+    /// @p shortestAttempt: an attempt with less time left until the deadline is not worth starting.
+    explicit RetryPolicy(std::uint32_t mostAttempts = 3, Duration shortestAttempt = Duration(20));
+
+    /// Takes one retry from @p budget exactly if the verdict is to retry.
+    [[nodiscard]] RetryVerdict afterFailure(const FailedAttempt &attempt, RetryBudget &budget, TimePoint now);
+
+private:
+    std::uint32_t m_mostAttempts;
+    Duration m_shortestAttempt;
+    std::uint32_t m_failures = 0;
+    std::vector<WorkerId> m_avoid;
+};
+
+/// Pauses between tries of a store operation: doubling, capped, with seeded jitter so that daemons don't retry in step.
+class RetryPause
+{
+public:
+    RetryPause(Duration first, Duration longest, std::uint64_t seed);
+
+    /// The next pause: between half and all of the doubled span.
+    [[nodiscard]] Duration next();
+    void reset();
+
+private:
+    Duration m_first;
+    Duration m_longest;
+    Duration m_span; ///< Between m_first and m_longest.
+    std::mt19937_64 m_random;
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/test/core/fakestore.h
@@ -0,0 +1,69 @@
+// A store in memory that executes transactions as section 5 of the design page says. Tests lose answers or hold writes back.
+#pragma once
+
+#include "core/messages.h"
+
+#include <map>
+#include <utility>
+
+namespace KingCupLadder {
+
+class FakeStore
+{
+public:
+    StoreReply execute(const StoreTransact &command)
+    {
+        StoreReply reply{command.op, StoreStatus::Ok, {}};
+        for (const RowWrite &write : command.writes) {
+            const Row current = row(write.table, write.key);
+            const RowVersion needed = write.kind == RowWrite::Kind::Insert ? RowVersion() : write.version;
+            if (current.version != needed) {
+                reply.status = StoreStatus::Conflict;
+                reply.rows.push_back(current);
+            }
+        }
+        for (const RowWrite &write : command.writes) {
+            if (reply.status == StoreStatus::Ok) {
+                apply(write, reply);
+            }
+        }
+        return reply;
+    }
+
+    StoreReply execute(const StoreRead &command) const
+    {
+        StoreReply reply{command.op, StoreStatus::Ok, {}};
+        for (const std::string &key : command.keys) {
+            reply.rows.push_back(row(command.table, key));
+        }
+        return reply;
+    }
+
+    Row row(const std::string &table, const std::string &key) const
+    {
+        const auto found = m_rows.find({table, key});
+        return found == m_rows.end() ? Row{table, key, {}, {}} : found->second;
+    }
+
+    void put(const std::string &table, const std::string &key, const std::string &value)
+    {
+        m_version = m_version.next();
+        m_rows[{table, key}] = Row{table, key, m_version, value};
+    }
+
+private:
+    void apply(const RowWrite &write, StoreReply &reply)
+    {
+        if (write.kind == RowWrite::Kind::Delete) {
+            m_rows.erase({write.table, write.key});
+        } else if (write.kind != RowWrite::Kind::Check) {
+            put(write.table, write.key, write.value);
+            reply.rows.push_back(Row{write.table, write.key, m_version, {}});
+        }
+    }
+
+    RowVersion m_version;
+    std::map<std::pair<std::string, std::string>, Row> m_rows;
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/test/core/testretry.cpp
@@ -0,0 +1,74 @@
+#include "core/retry.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+namespace {
+
+const TimePoint start{Duration(100000)};
+
+FailedAttempt failedOn(const char *worker, bool idempotent, bool bytesSent)
+{
+    return FailedAttempt{idempotent, bytesSent, WorkerId(worker), start + Duration(1000)};
+}
+
+} // namespace
+
+TEST_GROUP(RetryPolicy)
+{
+    RetryBudget budget{RetryBudgetSettings{}, start};
+    RetryPolicy policy;
+};
+
+// Guards against a payment that is sent twice.
+TEST(RetryPolicy, RefusesNonIdempotentRequestOnceAByteWasSent)
+{
+    const RetryVerdict verdict = policy.afterFailure(failedOn("w1", false, true), budget, start);
+    CHECK_FALSE(verdict.retry);
+    CHECK_TRUE(verdict.ran == Ran::Unknown);
+}
+
+// Guards against giving up on a request that certainly did not run.
+TEST(RetryPolicy, RepeatsNonIdempotentRequestOfWhichNothingWasSent)
+{
+    CHECK_TRUE(policy.afterFailure(failedOn("w1", false, false), budget, start).retry);
+}
+
+// Guards against an attempt whose answer nobody waits for.
+TEST(RetryPolicy, RefusesWhenTheDeadlineIsTooClose)
+{
+    CHECK_FALSE(policy.afterFailure(failedOn("w1", true, true), budget, start + Duration(990)).retry);
+}
+
+// Guards against sending a request back to the worker that just failed it.
+TEST(RetryPolicy, AvoidsEveryWorkerThatFailed)
+{
+    (void)policy.afterFailure(failedOn("w1", true, true), budget, start);
+    const RetryVerdict verdict = policy.afterFailure(failedOn("w2", true, true), budget, start);
+    CHECK_EQUAL(2U, verdict.avoid.size());
+}
+
+TEST_GROUP(RetryBudget){};
+
+// Guards against retries that multiply the load of a failing upstream.
+TEST(RetryBudget, AllowsAFifthOfTheRequestsBeyondTheFixedPart)
+{
+    RetryBudget budget(RetryBudgetSettings{}, start);
+    for (int i = 0; i < 100; ++i) {
+        budget.onRequest();
+    }
+    int taken = 0;
+    while (budget.take(start)) {
+        ++taken;
+    }
+    CHECK_TRUE(taken >= 22 && taken <= 23);
+}
+
+// Guards against a quiet daemon that may never retry.
+TEST(RetryBudget, RefillsAFewPerSecondWithoutRequests)
+{
+    RetryBudget budget(RetryBudgetSettings{}, start);
+    while (budget.take(start)) { }
+    CHECK_TRUE(budget.take(start + Duration(400)));
+}
