core: add admission, which makes jobs and their states durable

Cause: a job may be acknowledged only after its record is in the store, with few store writes, and a lost answer must not lead to a false "not run".

Change: class Admission batches submissions and state changes, one operation at a time. A conflicting row is answered by itself and the rest is sent again. A lost answer is settled by reading back; an absent row is inserted again, so that a delayed write and the new one can't both succeed. State changes are kept until durable; settled states are never replaced, and a start recorded by another run of a daemon is refused (JobRecordRefused).

Ruled out: "not run" at the admission timeout.

--- /dev/null
+++ b/src/core/admission.cpp
@@ -0,0 +1,663 @@
+// Admission as one state machine over jobs. Each job has a queue of items; only the front item is worked on, so that the
+// states of a job are written in the order in which they were recorded.
+#include "admission.h"
+
+#include "admissionrows.h"
+#include "retry.h"
+
+#include <algorithm>
+#include <deque>
+#include <unordered_map>
+
+namespace KingCupLadder {
+
+using namespace AdmissionRows;
+
+namespace {
+
+/// Rows of one submission; the smallest batch.
+constexpr std::size_t rowsPerJob = 2;
+
+Error invalid(const char *message, const char *remedy)
+{
+    return Error{ErrorKind::InvalidInput, message, remedy};
+}
+
+Error specConflict()
+{
+    return Error{ErrorKind::Conflict, "the job id belongs to another job", "use a new id or idempotency key"};
+}
+
+} // namespace
+
+class Admission::Private
+{
+public:
+    Private(const AdmissionSettings &admissionSettings, NextOp next)
+        : settings(admissionSettings)
+        , nextOp(std::move(next))
+        , pause(admissionSettings.firstPause, admissionSettings.longestPause, admissionSettings.seed)
+        , batchRows(admissionSettings.maxRows)
+    {
+    }
+
+    struct Item {
+        bool submission = false;
+        OpId op; ///< Of the submission.
+        JobRecord record; ///< Of the submission.
+        JobState state = JobState::Queued; ///< Of the state change.
+        std::string reason;
+        bool answered = false; ///< The caller got "outcome unknown"; the item is kept until that is settled.
+        bool lost = false; ///< A transaction with this item got no answer and may still arrive.
+        bool readFirst = false; ///< The rows have to be read before the next transaction.
+    };
+
+    /// What the front item of a job waits for.
+    enum class Stage {
+        NeedRow,
+        NeedQueueRow,
+        Ready,
+        InFlight,
+    };
+
+    struct Work {
+        std::deque<Item> items;
+        Stage stage = Stage::Ready;
+        std::uint64_t ticket = 0; ///< Of the one valid entry in a queue.
+    };
+
+    struct Waiting {
+        JobId job;
+        std::uint64_t ticket = 0;
+    };
+    using Queue = std::deque<Waiting>;
+
+    struct Deadline {
+        TimePoint at{};
+        JobId job;
+        OpId op;
+    };
+
+    // ---- queues
+
+    [[nodiscard]] Queue &queueOf(Stage stage)
+    {
+        if (stage == Stage::NeedRow) {
+            return needRow;
+        }
+        return stage == Stage::NeedQueueRow ? needQueueRow : ready;
+    }
+
+    [[nodiscard]] bool isStale(const Waiting &waiting) const
+    {
+        const auto found = works.find(waiting.job);
+        return found == works.end() || found->second.ticket != waiting.ticket;
+    }
+
+    [[nodiscard]] std::size_t queued() const
+    {
+        return needRow.size() + needQueueRow.size() + ready.size();
+    }
+
+    void enqueue(const JobId &job, Stage stage, TimePoint since)
+    {
+        Work &work = works.at(job);
+        work.stage = stage;
+        work.ticket = ++lastTicket;
+        queueOf(stage).push_back({job, work.ticket});
+        pendingSince = pendingSince ? std::min(*pendingSince, since) : since;
+    }
+
+    /// Entries of expired submissions stay in the queues until half of all entries are stale.
+    void purgeStale()
+    {
+        if (++staleEntries * 2 <= queued()) {
+            return;
+        }
+        staleEntries = 0;
+        for (Queue *queue : {&needRow, &needQueueRow, &ready}) {
+            const auto stale = [this](const Waiting &waiting) { return isStale(waiting); };
+            queue->erase(std::remove_if(queue->begin(), queue->end(), stale), queue->end());
+        }
+    }
+
+    /// Moves up to @p most valid jobs from the queue into flight, as long as @p take accepts them.
+    template<typename Take>
+    void drain(Queue &queue, Take take)
+    {
+        while (!queue.empty()) {
+            const Waiting waiting = queue.front();
+            if (!isStale(waiting)) {
+                if (!take(waiting.job)) {
+                    break;
+                }
+                works.at(waiting.job).stage = Stage::InFlight;
+                works.at(waiting.job).ticket = 0;
+                batch.push_back(waiting.job);
+            }
+            queue.pop_front();
+        }
+        if (queued() == 0) {
+            pendingSince.reset();
+        }
+    }
+
+    // ---- items
+
+    void add(const JobId &job, Item item, TimePoint now)
+    {
+        Work &work = works[job];
+        work.items.push_back(std::move(item));
+        ++itemCount;
+        if (work.items.size() == 1) {
+            advance(job, now);
+        }
+    }
+
+    void popFront(const JobId &job)
+    {
+        Work &work = works.at(job);
+        submissions -= work.items.front().submission ? 1 : 0;
+        work.items.pop_front();
+        --itemCount;
+    }
+
+    /// Settles front items that need nothing from the store and queues the first that does.
+    void advance(const JobId &job, TimePoint since)
+    {
+        Work &work = works.at(job);
+        while (!work.items.empty()) {
+            const std::optional<Stage> stage = nextStage(job, work.items.front());
+            if (stage) {
+                enqueue(job, *stage, since);
+                return;
+            }
+            popFront(job);
+        }
+        works.erase(job);
+        const auto rows = known.find(job);
+        if (rows != known.end() && (isFinal(rows->second.record.state) || known.size() > settings.maxKnownRows)) {
+            known.erase(rows);
+        }
+    }
+
+    void finishFront(const JobId &job, TimePoint now)
+    {
+        popFront(job);
+        advance(job, followUp(now));
+    }
+
+    /// Work that has already waited for its batch does not wait for the next flush again.
+    [[nodiscard]] TimePoint followUp(TimePoint now) const
+    {
+        return now - settings.flushInterval;
+    }
+
+    /// Empty: the item is settled.
+    [[nodiscard]] std::optional<Stage> nextStage(const JobId &job, const Item &item)
+    {
+        if (item.submission) {
+            return item.readFirst ? Stage::NeedRow : Stage::Ready;
+        }
+        const auto rows = known.find(job);
+        if (rows == known.end()) {
+            return Stage::NeedRow;
+        }
+        const JobRecord &stored = rows->second.record;
+        switch (transition(stored, wantedRecord(stored, item))) {
+        case Transition::Done:
+            outputs.emplace_back(JobRecorded{job, item.state});
+            return std::nullopt;
+        case Transition::Refuse:
+            outputs.emplace_back(JobRecordRefused{job, item.state, stored.state, refusalReason(stored)});
+            return std::nullopt;
+        case Transition::Write:
+            break;
+        }
+        return isFinal(item.state) && !rows->second.queue ? Stage::NeedQueueRow : Stage::Ready;
+    }
+
+    [[nodiscard]] JobRecord wantedRecord(const JobRecord &stored, const Item &item) const
+    {
+        JobRecord wanted = stored;
+        wanted.state = item.state;
+        wanted.reason = item.reason;
+        if (item.state == JobState::Started) {
+            wanted.reason = "started by " + settings.self.value() + "/" + std::to_string(settings.incarnation.value());
+        }
+        return wanted;
+    }
+
+    // ---- answers
+
+    void refuse(const Item &item, const Error &error, Ran ran, Duration retryAfter)
+    {
+        if (!item.answered) {
+            outputs.emplace_back(CallerAnswer{item.op, error, ran, retryAfter, {}});
+        }
+    }
+
+    void refuseUnknown(const Item &item, ErrorKind kind, const std::string &message)
+    {
+        refuse(item, Error{kind, message, "query job " + item.record.spec.id.value() + " before submitting it again"}, Ran::Unknown, settings.retryAfter);
+    }
+
+    void accept(const Item &item, bool existed, const JobRecord &stored)
+    {
+        if (!item.answered) {
+            outputs.emplace_back(CallerAnswer{item.op, {}, Ran::NotRun, Duration(0), JobAccepted{stored.spec.id, existed}});
+        }
+        // Also for a job that existed: whoever stored it may have died before forwarding it.
+        if (stored.state == JobState::Queued) {
+            outputs.emplace_back(JobStored{stored});
+        }
+    }
+
+    /// The job row of a submission exists.
+    void settleSubmission(const JobId &job, const Row &row, TimePoint now)
+    {
+        const Item &item = works.at(job).items.front();
+        const auto stored = JobRecord::fromJson(row.value);
+        if (stored && stored->spec == item.record.spec) {
+            known[job] = JobRows{*stored, row.version, std::nullopt};
+            accept(item, !item.lost || row.value != item.record.toJson(), *stored);
+        } else {
+            refuse(item, specConflict(), Ran::NotRun, Duration(0));
+        }
+        finishFront(job, now);
+    }
+
+    /// The job row that a state change concerns was read, or listed as a failed condition.
+    void settleUpdate(const JobId &job, const Row &row, TimePoint now)
+    {
+        const Item &item = works.at(job).items.front();
+        const auto stored = JobRecord::fromJson(row.value);
+        if (row.version != RowVersion() && stored) {
+            known[job] = JobRows{*stored, row.version, std::nullopt};
+            advance(job, followUp(now));
+            return;
+        }
+        known.erase(job);
+        const char *reason = stored || row.value.empty() ? "the store has no such job" : "the stored job can't be read";
+        outputs.emplace_back(JobRecordRefused{job, item.state, std::nullopt, reason});
+        finishFront(job, now);
+    }
+
+    // ---- sending
+
+    void step(TimePoint now)
+    {
+        if (inFlight != OpId() || now < notBefore || !isDue(now)) {
+            return;
+        }
+        const bool reads = !needRow.empty() || !needQueueRow.empty();
+        // Alternates, so that a stream of reads can't hold up transactions or the other way round.
+        if (!ready.empty() && (!reads || lastWasRead)) {
+            sendTransaction(now);
+        } else if (!needRow.empty()) {
+            sendRead(needRow, jobTable, now);
+        } else if (!needQueueRow.empty()) {
+            sendRead(needQueueRow, queueTable, now);
+        }
+    }
+
+    [[nodiscard]] bool isDue(TimePoint now) const
+    {
+        if (!pendingSince) {
+            return false;
+        }
+        return now - *pendingSince >= settings.flushInterval || ready.size() * rowsPerJob >= batchRows;
+    }
+
+    void sent(TimePoint now, bool read)
+    {
+        inFlight = nextOp();
+        sentAt = now;
+        lastWasRead = read;
+    }
+
+    void sendTransaction(TimePoint now)
+    {
+        StoreTransact command;
+        drain(ready, [&](const JobId &job) {
+            if (command.writes.size() + rowsPerJob > batchRows) {
+                return false;
+            }
+            const Item &item = works.at(job).items.front();
+            if (item.submission) {
+                appendInserts(command.writes, item.record);
+            } else {
+                const JobRows &rows = known.at(job);
+                appendUpdate(command.writes, rows, wantedRecord(rows.record, item));
+            }
+            return true;
+        });
+        if (batch.empty()) {
+            return;
+        }
+        sent(now, false);
+        command.op = inFlight;
+        outputs.emplace_back(std::move(command));
+    }
+
+    void sendRead(Queue &queue, const char *table, TimePoint now)
+    {
+        StoreRead command;
+        command.table = table;
+        drain(queue, [&](const JobId &job) {
+            if (command.keys.size() >= settings.maxRows) {
+                return false;
+            }
+            command.keys.push_back(keyOf(job, table));
+            return true;
+        });
+        if (batch.empty()) {
+            return;
+        }
+        readTable = table;
+        sent(now, true);
+        command.op = inFlight;
+        outputs.emplace_back(std::move(command));
+    }
+
+    [[nodiscard]] std::string keyOf(const JobId &job, const std::string &table) const
+    {
+        return table == jobTable ? job.value() : queueKey(known.at(job).record.shard, job);
+    }
+
+    // ---- answers of the store
+
+    void handle(const StoreReply &reply, TimePoint now)
+    {
+        inFlight = OpId();
+        const std::vector<JobId> jobs = std::exchange(batch, {});
+        if (lastWasRead) {
+            onReadReply(jobs, reply, now);
+        } else if (reply.status == StoreStatus::Ok) {
+            onCommitted(jobs, RowIndex(reply.rows), now);
+        } else if (reply.status == StoreStatus::Unknown || !onConflict(jobs, RowIndex(reply.rows), now)) {
+            onLost(jobs, now);
+        }
+    }
+
+    void onCommitted(const std::vector<JobId> &jobs, const RowIndex &rows, TimePoint now)
+    {
+        pause.reset();
+        batchRows = settings.maxRows;
+        for (const JobId &job : jobs) {
+            const Item item = works.at(job).items.front();
+            const JobRecord record = item.submission ? item.record : wantedRecord(known.at(job).record, item);
+            remember(job, record, rows);
+            if (item.submission) {
+                accept(item, false, record);
+            } else {
+                outputs.emplace_back(JobRecorded{job, item.state});
+            }
+            finishFront(job, now);
+        }
+    }
+
+    void remember(const JobId &job, const JobRecord &record, const RowIndex &rows)
+    {
+        const Row *jobRow = rows.find(jobTable, job.value());
+        if (jobRow == nullptr) {
+            known.erase(job);
+            return;
+        }
+        const Row *queueRow = rows.find(queueTable, queueKey(record.shard, job));
+        const auto before = known.find(job);
+        std::optional<RowVersion> queue = before == known.end() ? std::nullopt : before->second.queue;
+        if (queueRow != nullptr) {
+            queue = queueRow->version;
+        }
+        known[job] = JobRows{record, jobRow->version, queue};
+    }
+
+    /// False if the answer lists none of the batch's rows, so that it says nothing.
+    bool onConflict(const std::vector<JobId> &jobs, const RowIndex &rows, TimePoint now)
+    {
+        const auto isListed = [&](const JobId &job) {
+            return rows.find(jobTable, job.value()) != nullptr || rows.find(queueTable, frontQueueKey(job)) != nullptr;
+        };
+        if (std::none_of(jobs.begin(), jobs.end(), isListed)) {
+            return false;
+        }
+        pause.reset();
+        for (const JobId &job : jobs) {
+            if (isListed(job)) {
+                onRowConflict(job, rows, now);
+            } else {
+                enqueue(job, Stage::Ready, followUp(now));
+            }
+        }
+        return true;
+    }
+
+    [[nodiscard]] std::string frontQueueKey(const JobId &job) const
+    {
+        const Item &item = works.at(job).items.front();
+        return queueKey(item.submission ? item.record.shard : known.at(job).record.shard, job);
+    }
+
+    void onRowConflict(const JobId &job, const RowIndex &rows, TimePoint now)
+    {
+        const Item &item = works.at(job).items.front();
+        const Row *jobRow = rows.find(jobTable, job.value());
+        if (item.submission && jobRow != nullptr) {
+            settleSubmission(job, *jobRow, now);
+        } else if (item.submission) {
+            // An index row without its job: the job must not run under an index row that it did not write.
+            refuse(item, specConflict(), Ran::NotRun, Duration(0));
+            finishFront(job, now);
+        } else if (jobRow != nullptr) {
+            settleUpdate(job, *jobRow, now);
+        } else {
+            known.at(job).queue = rows.find(queueTable, frontQueueKey(job))->version;
+            advance(job, followUp(now));
+        }
+    }
+
+    void onLost(const std::vector<JobId> &jobs, TimePoint now)
+    {
+        notBefore = now + pause.next();
+        // A transaction that the store never answers must not block the others for good, so smaller ones are tried.
+        batchRows = std::max(rowsPerJob, batchRows / 2);
+        for (const JobId &job : jobs) {
+            Item &item = works.at(job).items.front();
+            if (item.submission && !settings.readBackLostAnswers) {
+                refuse(item, Error{ErrorKind::Unavailable, "the store did not answer", "submit the job again"}, Ran::NotRun, settings.retryAfter);
+                finishFront(job, now);
+                continue;
+            }
+            item.lost = true;
+            item.readFirst = true;
+            if (!item.submission) {
+                known.erase(job);
+            }
+            advance(job, followUp(now));
+        }
+    }
+
+    void onReadReply(const std::vector<JobId> &jobs, const StoreReply &reply, TimePoint now)
+    {
+        const RowIndex rows(reply.rows);
+        bool complete = reply.status == StoreStatus::Ok;
+        for (const JobId &job : jobs) {
+            const Row *row = reply.status == StoreStatus::Ok ? rows.find(readTable, keyOf(job, readTable)) : nullptr;
+            if (row != nullptr) {
+                onRowRead(job, *row, now);
+            } else {
+                complete = false;
+                enqueue(job, readTable == jobTable ? Stage::NeedRow : Stage::NeedQueueRow, followUp(now));
+            }
+        }
+        if (!complete) {
+            notBefore = now + pause.next();
+        }
+    }
+
+    void onRowRead(const JobId &job, const Row &row, TimePoint now)
+    {
+        Item &item = works.at(job).items.front();
+        if (readTable == queueTable) {
+            known.at(job).queue = row.version;
+            advance(job, followUp(now));
+        } else if (!item.submission) {
+            settleUpdate(job, row, now);
+        } else if (row.version != RowVersion()) {
+            settleSubmission(job, row, now);
+        } else {
+            // Absent, but the lost transaction may still arrive. Inserting again settles it: only one of the two can succeed.
+            item.readFirst = false;
+            advance(job, followUp(now));
+        }
+    }
+
+    // ---- timeouts
+
+    void expire(TimePoint now)
+    {
+        while (!deadlines.empty() && deadlines.front().at <= now) {
+            const Deadline deadline = deadlines.front();
+            deadlines.pop_front();
+            const auto work = works.find(deadline.job);
+            if (work != works.end()) {
+                expireItem(deadline, work->second, now);
+            }
+        }
+    }
+
+    void expireItem(const Deadline &deadline, Work &work, TimePoint now)
+    {
+        const auto item =
+            std::find_if(work.items.begin(), work.items.end(), [&](const Item &candidate) { return candidate.submission && candidate.op == deadline.op; });
+        if (item == work.items.end()) {
+            return;
+        }
+        refuseUnknown(*item, ErrorKind::OutcomeUnknown, "the store did not confirm the job in time");
+        item->answered = true;
+        const bool isFront = item == work.items.begin();
+        if (item->lost || (isFront && work.stage == Stage::InFlight)) {
+            return;
+        }
+        if (!isFront) {
+            work.items.erase(item);
+            --submissions;
+            --itemCount;
+            return;
+        }
+        popFront(deadline.job);
+        advance(deadline.job, now);
+        purgeStale();
+    }
+
+    AdmissionSettings settings;
+    NextOp nextOp;
+    RetryPause pause;
+    std::size_t batchRows; ///< Rows of the next transaction; at most settings.maxRows, fewer after lost answers.
+    std::unordered_map<JobId, Work> works; ///< Jobs with items; the front item is in one queue or in flight.
+    std::unordered_map<JobId, JobRows> known;
+    Queue needRow;
+    Queue needQueueRow;
+    Queue ready;
+    std::uint64_t lastTicket = 0;
+    std::size_t staleEntries = 0; ///< At least the number of stale entries since the last purge.
+    std::size_t itemCount = 0;
+    std::size_t submissions = 0; ///< Items that are submissions.
+    std::deque<Deadline> deadlines; ///< In order of time, as all submissions have the same timeout.
+    std::optional<TimePoint> pendingSince; ///< Of the oldest queued work; empty if the queues are.
+    TimePoint notBefore{}; ///< Of the next operation.
+    OpId inFlight; ///< 0: none. At most one operation at a time.
+    TimePoint sentAt{};
+    bool lastWasRead = false; ///< Kind of the operation in flight, or of the last one.
+    std::string readTable; ///< Of the last read.
+    std::vector<JobId> batch; ///< Jobs of the operation in flight.
+    std::vector<AdmissionOutput> outputs;
+};
+
+Admission::Admission() = default;
+
+Admission::~Admission() = default;
+
+Result<std::unique_ptr<Admission>> Admission::create(const AdmissionSettings &settings, NextOp nextOp, TimePoint /*now*/)
+{
+    if (settings.maxRows < rowsPerJob) {
+        return invalid("a transaction of admission needs room for two rows", "set maxRows to at least 2");
+    }
+    if (settings.self.isEmpty() || !nextOp) {
+        return invalid("admission needs the daemon's id and a source of operation numbers", "pass both");
+    }
+    std::unique_ptr<Admission> admission(new Admission);
+    admission->d = std::make_unique<Private>(settings, std::move(nextOp));
+    return admission;
+}
+
+void Admission::submit(OpId op, const JobRecord &record, TimePoint now)
+{
+    Private::Item item;
+    item.submission = true;
+    item.op = op;
+    item.record = record;
+    if (record.spec.id.isEmpty() || record.shard.isEmpty()) {
+        d->refuse(item, invalid("the job has no id or no shard", "give the job an id and a route with a pool"), Ran::NotRun, Duration(0));
+        return;
+    }
+    // A spec that changes by being stored could not be recognised when it is read back.
+    const auto stored = JobRecord::fromJson(record.toJson());
+    if (!stored || stored->spec != record.spec) {
+        d->refuse(item, invalid("the job contains text that is not UTF-8", "encode the payload, for example as Base64"), Ran::NotRun, Duration(0));
+        return;
+    }
+    if (d->submissions >= d->settings.maxWaiting) {
+        d->refuseUnknown(item, ErrorKind::LimitReached, "too many jobs wait to be stored");
+        return;
+    }
+    ++d->submissions;
+    d->deadlines.push_back({now + d->settings.admissionTimeout, record.spec.id, op});
+    d->add(record.spec.id, std::move(item), now);
+    d->step(now);
+}
+
+void Admission::record(const JobId &job, JobState state, const std::string &reason, TimePoint now)
+{
+    const auto work = d->works.find(job);
+    if (work != d->works.end() && !work->second.items.back().submission && work->second.items.back().state == state) {
+        return; // The last recorded state is repeated; its answer is still to come.
+    }
+    Private::Item item;
+    item.state = state;
+    item.reason = reason;
+    d->add(job, std::move(item), now);
+    d->step(now);
+}
+
+bool Admission::onStoreReply(const StoreReply &reply, TimePoint now)
+{
+    if (reply.op == OpId() || reply.op != d->inFlight) {
+        return false;
+    }
+    d->handle(reply, now);
+    d->step(now);
+    return true;
+}
+
+void Admission::tick(TimePoint now)
+{
+    if (d->inFlight != OpId() && now - d->sentAt >= d->settings.operationTimeout) {
+        d->handle(StoreReply{d->inFlight, StoreStatus::Unknown, {}}, now);
+    }
+    d->expire(now);
+    d->step(now);
+}
+
+std::vector<AdmissionOutput> Admission::takeOutputs()
+{
+    return std::exchange(d->outputs, {});
+}
+
+std::size_t Admission::pending() const
+{
+    return d->itemCount;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/core/admissionrows.cpp
@@ -0,0 +1,76 @@
+// Rows of jobs and the order of their states.
+#include "admissionrows.h"
+
+namespace KingCupLadder::AdmissionRows {
+
+const char *const jobTable = "jobs";
+const char *const queueTable = "queue";
+
+std::string queueKey(const ShardId &shard, const JobId &job)
+{
+    return shard.value() + "/" + job.value();
+}
+
+namespace {
+
+/// A parked job may still be cancelled, or reported as ended by a worker that was cut off.
+bool isSettled(JobState state)
+{
+    return isFinal(state) && state != JobState::Parked;
+}
+
+} // namespace
+
+Transition transition(const JobRecord &stored, const JobRecord &wanted)
+{
+    if (stored.state == wanted.state) {
+        // A start counts as recorded only if this run of this daemon wrote it. Two owners that both believe they recorded
+        // the start would start a start-once job twice.
+        const bool foreignStart = wanted.state == JobState::Started && stored.reason != wanted.reason;
+        return foreignStart ? Transition::Refuse : Transition::Done;
+    }
+    if (isSettled(stored.state) || wanted.state == JobState::Queued) {
+        return Transition::Refuse;
+    }
+    if (stored.state == JobState::Parked && wanted.state == JobState::Started) {
+        return Transition::Refuse;
+    }
+    return Transition::Write;
+}
+
+std::string refusalReason(const JobRecord &stored)
+{
+    if (stored.state == JobState::Started) {
+        return "the start is recorded by another owner: " + stored.reason;
+    }
+    return std::string("the job is ") + toString(stored.state);
+}
+
+void appendInserts(std::vector<RowWrite> &writes, const JobRecord &record)
+{
+    writes.push_back({RowWrite::Kind::Insert, jobTable, record.spec.id.value(), {}, record.toJson()});
+    writes.push_back({RowWrite::Kind::Insert, queueTable, queueKey(record.shard, record.spec.id), {}, record.spec.team.value()});
+}
+
+void appendUpdate(std::vector<RowWrite> &writes, const JobRows &rows, const JobRecord &wanted)
+{
+    writes.push_back({RowWrite::Kind::Update, jobTable, wanted.spec.id.value(), rows.job, wanted.toJson()});
+    if (isFinal(wanted.state) && rows.queue.value_or(RowVersion()) != RowVersion()) {
+        writes.push_back({RowWrite::Kind::Delete, queueTable, queueKey(wanted.shard, wanted.spec.id), *rows.queue, {}});
+    }
+}
+
+RowIndex::RowIndex(const std::vector<Row> &rows)
+{
+    for (const Row &row : rows) {
+        m_rows.emplace(std::pair(row.table, row.key), &row);
+    }
+}
+
+const Row *RowIndex::find(const std::string &table, const std::string &key) const
+{
+    const auto found = m_rows.find({table, key});
+    return found == m_rows.end() ? nullptr : found->second;
+}
+
+} // namespace KingCupLadder::AdmissionRows
--- a/src/core/idempotency.cpp
+++ b/src/core/idempotency.cpp
@@ -143,11 +143,9 @@
         Work &work = works.at(id);
         byOp.erase(work.inFlight);
         work.inFlight = OpId();
-        if (reply.status == StoreStatus::Unknown) {
-            onLost(id, work, now);
-        } else if (reply.status == StoreStatus::Ok && !work.reading) {
+        if (reply.status == StoreStatus::Ok && !work.reading) {
             onWritten(id, work, reply.rows.empty() ? RowVersion() : reply.rows.front().version, now);
-        } else if (reply.rows.empty()) {
+        } else if (reply.status == StoreStatus::Unknown || reply.rows.empty()) {
             onLost(id, work, now);
         } else {
             pause.reset();
--- /dev/null
+++ b/test/core/testadmission.cpp
@@ -0,0 +1,276 @@
+#include "core/admission.h"
+#include "fakestore.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace KingCupLadder;
+
+TEST_GROUP(Admission)
+{
+    TimePoint now{Duration(1000)};
+    std::uint64_t lastOp = 1000;
+    FakeStore store;
+    bool loseAnswers = false; ///< Writes take effect, their answers don't come.
+    bool down = false;
+    std::vector<StoreTransact> held; ///< Writes sent while the store is down; deliverHeld() lets them arrive late.
+    std::vector<StoreTransact> sent;
+    std::vector<CallerAnswer> answers;
+    std::vector<JobRecord> stored;
+    std::vector<JobRecorded> recorded;
+    std::vector<JobRecordRefused> refused;
+    AdmissionSettings settings;
+
+    std::unique_ptr<Admission> make(const char *self = "a")
+    {
+        settings.self = DaemonId(self);
+        auto made = Admission::create(
+            settings, [this] { return OpId(++lastOp); }, now);
+        return std::move(made).value();
+    }
+
+    static JobRecord job(const std::string &id, const char *payload = "p")
+    {
+        JobRecord record;
+        record.spec.id = JobId(id);
+        record.spec.team = TeamId("t");
+        record.spec.payload = payload;
+        record.shard = ShardId("pool/d1/0");
+        return record;
+    }
+
+    StoreReply reply(const StoreTransact &command)
+    {
+        sent.push_back(command);
+        if (down) {
+            held.push_back(command);
+            return StoreReply{command.op, StoreStatus::Unknown, {}};
+        }
+        const StoreReply real = store.execute(command);
+        return loseAnswers ? StoreReply{command.op, StoreStatus::Unknown, {}} : real;
+    }
+
+    StoreReply reply(const StoreRead &command)
+    {
+        return down ? StoreReply{command.op, StoreStatus::Unknown, {}} : store.execute(command);
+    }
+
+    void deliverHeld()
+    {
+        for (const StoreTransact &command : held) {
+            (void)store.execute(command);
+        }
+    }
+
+    void handle(Admission & admission, const AdmissionOutput &output)
+    {
+        if (const auto *write = std::get_if<StoreTransact>(&output)) {
+            admission.onStoreReply(reply(*write), now);
+        } else if (const auto *read = std::get_if<StoreRead>(&output)) {
+            admission.onStoreReply(reply(*read), now);
+        } else if (const auto *answer = std::get_if<CallerAnswer>(&output)) {
+            answers.push_back(*answer);
+        } else if (const auto *durable = std::get_if<JobStored>(&output)) {
+            stored.push_back(durable->record);
+        } else if (const auto *done = std::get_if<JobRecorded>(&output)) {
+            recorded.push_back(*done);
+        } else {
+            refused.push_back(std::get<JobRecordRefused>(output));
+        }
+    }
+
+    void drive(Admission & admission, Duration span)
+    {
+        for (const TimePoint end = now + span; now < end; now += Duration(5)) {
+            admission.tick(now);
+            for (const AdmissionOutput &output : admission.takeOutputs()) {
+                handle(admission, output);
+            }
+        }
+    }
+
+    JobState stateOf(const std::string &id) const
+    {
+        return JobRecord::fromJson(store.row("jobs", id).value)->state;
+    }
+
+    bool isStored(const std::string &id) const
+    {
+        return store.row("jobs", id).version != RowVersion();
+    }
+};
+
+// Guards against one store write per job.
+TEST(Admission, WritesJobsOfOneFlushInOneTransaction)
+{
+    const auto admission = make();
+    for (int i = 0; i < 50; ++i) {
+        admission->submit(OpId(1), job("j" + std::to_string(i)), now);
+    }
+    drive(*admission, Duration(50));
+    CHECK_EQUAL(1U, sent.size());
+    CHECK_EQUAL(50U, stored.size());
+}
+
+// Guards against a transaction that the store refuses for its size.
+TEST(Admission, WritesAtMostTheConfiguredRows)
+{
+    const auto admission = make();
+    for (int i = 0; i < 150; ++i) {
+        admission->submit(OpId(1), job("j" + std::to_string(i)), now);
+    }
+    drive(*admission, Duration(50));
+    CHECK_EQUAL(200U, sent.front().writes.size());
+    CHECK_EQUAL(150U, answers.size());
+}
+
+// Guards against jobs that fail because another job of their batch conflicts.
+TEST(Admission, StoresTheRestOfABatchWithAConflict)
+{
+    store.put("jobs", "bad", job("bad", "other").toJson());
+    const auto admission = make();
+    admission->submit(OpId(1), job("good"), now);
+    admission->submit(OpId(2), job("bad"), now);
+    drive(*admission, Duration(50));
+    CHECK_TRUE(isStored("good"));
+    const auto bad = std::find_if(answers.begin(), answers.end(), [](const CallerAnswer &answer) { return answer.op == OpId(2); });
+    CHECK_TRUE(bad->error.kind == ErrorKind::Conflict);
+}
+
+// Guards against a repeated submission that is refused or run a second time.
+TEST(Admission, AcceptsTheSameSpecAgainAsExisting)
+{
+    const auto admission = make();
+    admission->submit(OpId(1), job("j"), now);
+    admission->submit(OpId(2), job("j"), now);
+    drive(*admission, Duration(50));
+    CHECK_TRUE(std::get<JobAccepted>(answers.at(1).body).existed);
+}
+
+// Guards against a finished job that is forwarded and run again when it is submitted once more.
+TEST(Admission, DoesNotForwardAFinishedJobAgain)
+{
+    JobRecord done = job("j");
+    done.state = JobState::Succeeded;
+    store.put("jobs", "j", done.toJson());
+    const auto admission = make();
+    admission->submit(OpId(1), job("j"), now);
+    drive(*admission, Duration(50));
+    CHECK_EQUAL(0U, stored.size());
+}
+
+// Guards against the answer "not run" for a job that was stored although the answer was lost.
+TEST(Admission, SettlesALostAnswerByReadingBack)
+{
+    const auto admission = make();
+    loseAnswers = true;
+    admission->submit(OpId(1), job("j"), now);
+    drive(*admission, Duration(500));
+    CHECK_TRUE(answers.at(0).error.kind == ErrorKind::None);
+    CHECK_EQUAL(1U, stored.size());
+}
+
+// Guards against a caller that waits without end, and against "not run" for a write that may still arrive.
+TEST(Admission, AnswersUnknownWithinTheTimeoutWhileTheStoreIsDown)
+{
+    const auto admission = make();
+    down = true;
+    admission->submit(OpId(1), job("j"), now);
+    drive(*admission, settings.admissionTimeout + Duration(20));
+    CHECK_TRUE(answers.at(0).ran == Ran::Unknown);
+    CHECK_TRUE(answers.at(0).retryAfter > Duration(0));
+}
+
+// Guards against a job that is stored by a delayed write and that no owner hears of.
+TEST(Admission, ForwardsAJobWhoseDelayedWriteArrivesAfterTheAnswer)
+{
+    const auto admission = make();
+    down = true;
+    admission->submit(OpId(1), job("j"), now);
+    drive(*admission, Duration(6000));
+    down = false;
+    deliverHeld();
+    drive(*admission, Duration(5000));
+    CHECK_EQUAL(1U, stored.size());
+    CHECK_EQUAL(1U, answers.size());
+}
+
+// Guards against memory that grows with every submission of a long outage.
+TEST(Admission, KeepsNoExpiredSubmissionThatWasNeverSent)
+{
+    const auto admission = make();
+    down = true;
+    admission->submit(OpId(1), job("sent"), now);
+    drive(*admission, Duration(20));
+    for (int i = 0; i < 500; ++i) {
+        admission->submit(OpId(2), job("j" + std::to_string(i)), now);
+    }
+    drive(*admission, Duration(6000));
+    CHECK_TRUE(admission->pending() <= settings.maxRows);
+    CHECK_EQUAL(501U, answers.size());
+}
+
+// Guards against a completion that is lost in an outage, so that the job runs again later.
+TEST(Admission, KeepsACompletionUntilItIsDurable)
+{
+    const auto admission = make();
+    admission->submit(OpId(1), job("j"), now);
+    drive(*admission, Duration(50));
+    down = true;
+    admission->record(JobId("j"), JobState::Succeeded, "", now);
+    drive(*admission, Duration(60000));
+    CHECK_EQUAL(0U, recorded.size());
+    down = false;
+    drive(*admission, Duration(5000));
+    CHECK_TRUE(stateOf("j") == JobState::Succeeded);
+    CHECK_EQUAL(1U, recorded.size());
+}
+
+// Guards against an index row that makes a new owner run a finished job.
+TEST(Admission, RemovesTheIndexRowWithAFinalState)
+{
+    store.put("jobs", "j", job("j").toJson());
+    store.put("queue", "pool/d1/0/j", "t");
+    const auto admission = make();
+    admission->record(JobId("j"), JobState::Failed, "bad", now);
+    drive(*admission, Duration(100));
+    CHECK_TRUE(store.row("queue", "pool/d1/0/j").version == RowVersion());
+}
+
+// Guards against a start-once job that two owners both believe they may start.
+TEST(Admission, LetsOnlyOneOfTwoDaemonsRecordAStart)
+{
+    store.put("jobs", "j", job("j").toJson());
+    const auto a = make("a");
+    const auto b = make("b");
+    a->record(JobId("j"), JobState::Started, "", now);
+    drive(*a, Duration(100));
+    b->record(JobId("j"), JobState::Started, "", now);
+    drive(*b, Duration(100));
+    CHECK_EQUAL(1U, recorded.size());
+    CHECK_EQUAL(1U, refused.size());
+}
+
+// Guards against a start that is refused to its own recorder because the answer was lost.
+TEST(Admission, RecognisesItsOwnStartAfterALostAnswer)
+{
+    store.put("jobs", "j", job("j").toJson());
+    const auto admission = make();
+    loseAnswers = true;
+    admission->record(JobId("j"), JobState::Started, "", now);
+    drive(*admission, Duration(500));
+    CHECK_EQUAL(1U, recorded.size());
+}
+
+// Guards against a cancellation that replaces the outcome of a job that had finished.
+TEST(Admission, NeverReplacesASettledState)
+{
+    JobRecord done = job("j");
+    done.state = JobState::Succeeded;
+    store.put("jobs", "j", done.toJson());
+    const auto admission = make();
+    admission->record(JobId("j"), JobState::Cancelled, "", now);
+    drive(*admission, Duration(100));
+    CHECK_TRUE(refused.at(0).stored == JobState::Succeeded);
+}
--- a/test/core/testidempotency.cpp
+++ b/test/core/testidempotency.cpp
@@ -33,7 +33,7 @@
         return down ? StoreReply{command.op, StoreStatus::Unknown, {}} : store.execute(command);
     }
 
-    void run(Claims & claims, Duration span)
+    void drive(Claims & claims, Duration span)
     {
         for (const TimePoint end = now + span; now < end; now += Duration(10)) {
             claims.tick(now);
@@ -61,9 +61,9 @@
     const auto a = make("a");
     const auto b = make("b");
     a->claim(OpId(1), team, "k", "f", now);
-    run(*a, Duration(50));
+    drive(*a, Duration(50));
     b->claim(OpId(1), team, "k", "f", now);
-    run(*b, Duration(50));
+    drive(*b, Duration(50));
     CHECK_TRUE(state(0).mine);
     CHECK_FALSE(state(1).mine);
 }
@@ -74,7 +74,7 @@
     const auto a = make("a");
     loseAnswers = true;
     a->claim(OpId(1), team, "k", "f", now);
-    run(*a, Duration(500));
+    drive(*a, Duration(500));
     CHECK_TRUE(state(0).mine);
 }
 
@@ -84,7 +84,7 @@
     const auto a = make("a");
     a->claim(OpId(1), team, "k", "f", now);
     a->claim(OpId(2), team, "k", "other", now);
-    run(*a, Duration(50));
+    drive(*a, Duration(50));
     CHECK_TRUE(answers.at(1).error.kind == ErrorKind::Conflict);
 }
 
@@ -93,13 +93,13 @@
 {
     const auto a = make("a");
     a->claim(OpId(1), team, "k", "f", now);
-    run(*a, Duration(50));
+    drive(*a, Duration(50));
     loseAnswers = true;
     a->finish(OpId(2), team, "k", "paid", now);
-    run(*a, Duration(500));
+    drive(*a, Duration(500));
     loseAnswers = false;
     a->claim(OpId(3), team, "k", "f", now);
-    run(*a, Duration(50));
+    drive(*a, Duration(50));
     STRCMP_EQUAL("paid", state(2).outcome.c_str());
 }
 
@@ -108,9 +108,9 @@
 {
     const auto a = make("a");
     a->claim(OpId(1), team, "k", "f", now);
-    run(*a, Duration(50));
+    drive(*a, Duration(50));
     a->finish(OpId(2), team, "k", "", now);
-    run(*a, Duration(50));
+    drive(*a, Duration(50));
     CHECK_TRUE(store.row("claims", "t/k").version == RowVersion());
 }
 
@@ -119,12 +119,12 @@
 {
     const auto a = make("a");
     a->claim(OpId(1), team, "k", "f", now);
-    run(*a, Duration(50));
+    drive(*a, Duration(50));
     down = true;
     a->finish(OpId(2), team, "k", "paid", now);
-    run(*a, Duration(30000));
+    drive(*a, Duration(30000));
     down = false;
-    run(*a, Duration(5000));
+    drive(*a, Duration(5000));
     STRCMP_EQUAL("paid", ClaimRow::fromJson(store.row("claims", "t/k").value)->outcome.c_str());
 }
 
@@ -134,13 +134,13 @@
     const auto a = make("a");
     loseAnswers = true;
     a->claim(OpId(1), team, "k", "f", now);
-    run(*a, Duration(10));
+    drive(*a, Duration(10));
     down = true;
-    run(*a, Duration(6000));
+    drive(*a, Duration(6000));
     CHECK_TRUE(answers.at(0).ran == Ran::NotRun);
     CHECK_TRUE(store.row("claims", "t/k").version != RowVersion());
     down = false;
     loseAnswers = false;
-    run(*a, Duration(5000));
+    drive(*a, Duration(5000));
     CHECK_TRUE(store.row("claims", "t/k").version == RowVersion());
 }
