core: move the queues of admission into their own class

Change: AdmissionQueues holds the order of jobs per stage and purges entries of expired submissions.

--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -2,6 +2,7 @@
 // states of a job are written in the order in which they were recorded.
 #include "admission.h"
 
+#include "admissionqueues.h"
 #include "admissionrows.h"
 #include "retry.h"
 
@@ -52,25 +53,10 @@
         bool readFirst = false; ///< The rows have to be read before the next transaction.
     };
 
-    /// What the front item of a job waits for.
-    enum class Stage {
-        NeedRow,
-        NeedQueueRow,
-        Ready,
-        InFlight,
-    };
-
     struct Work {
         std::deque<Item> items;
-        Stage stage = Stage::Ready;
-        std::uint64_t ticket = 0; ///< Of the one valid entry in a queue.
-    };
-
-    struct Waiting {
-        JobId job;
-        std::uint64_t ticket = 0;
+        bool inFlight = false; ///< The front item belongs to the operation in flight; otherwise the job is queued.
     };
-    using Queue = std::deque<Waiting>;
 
     struct Deadline {
         TimePoint at{};
@@ -78,67 +64,16 @@
         OpId op;
     };
 
-    // ---- queues
-
-    [[nodiscard]] Queue &queueOf(Stage stage)
-    {
-        if (stage == Stage::NeedRow) {
-            return needRow;
-        }
-        return stage == Stage::NeedQueueRow ? needQueueRow : ready;
-    }
-
-    [[nodiscard]] bool isStale(const Waiting &waiting) const
-    {
-        const auto found = works.find(waiting.job);
-        return found == works.end() || found->second.ticket != waiting.ticket;
-    }
-
-    [[nodiscard]] std::size_t queued() const
-    {
-        return needRow.size() + needQueueRow.size() + ready.size();
-    }
-
-    void enqueue(const JobId &job, Stage stage, TimePoint since)
-    {
-        Work &work = works.at(job);
-        work.stage = stage;
-        work.ticket = ++lastTicket;
-        queueOf(stage).push_back({job, work.ticket});
-        pendingSince = pendingSince ? std::min(*pendingSince, since) : since;
-    }
-
-    /// Entries of expired submissions stay in the queues until half of all entries are stale.
-    void purgeStale()
-    {
-        if (++staleEntries * 2 <= queued()) {
-            return;
-        }
-        staleEntries = 0;
-        for (Queue *queue : {&needRow, &needQueueRow, &ready}) {
-            const auto stale = [this](const Waiting &waiting) { return isStale(waiting); };
-            queue->erase(std::remove_if(queue->begin(), queue->end(), stale), queue->end());
-        }
-    }
-
-    /// Moves up to @p most valid jobs from the queue into flight, as long as @p take accepts them.
+    /// Moves jobs of the stage into flight, as long as @p take accepts them.
     template<typename Take>
-    void drain(Queue &queue, Take take)
+    void drain(AdmissionStage stage, Take take)
     {
-        while (!queue.empty()) {
-            const Waiting waiting = queue.front();
-            if (!isStale(waiting)) {
-                if (!take(waiting.job)) {
-                    break;
-                }
-                works.at(waiting.job).stage = Stage::InFlight;
-                works.at(waiting.job).ticket = 0;
-                batch.push_back(waiting.job);
-            }
-            queue.pop_front();
-        }
-        if (queued() == 0) {
-            pendingSince.reset();
+        const JobId *front = queues.front(stage);
+        while (front != nullptr && take(*front)) {
+            works.at(*front).inFlight = true;
+            batch.push_back(*front);
+            queues.popFront(stage);
+            front = queues.front(stage);
         }
     }
 
@@ -167,9 +102,9 @@
     {
         Work &work = works.at(job);
         while (!work.items.empty()) {
-            const std::optional<Stage> stage = nextStage(job, work.items.front());
+            const std::optional<AdmissionStage> stage = nextStage(job, work.items.front());
             if (stage) {
-                enqueue(job, *stage, since);
+                queues.push(job, *stage, since);
                 return;
             }
             popFront(job);
@@ -194,14 +129,14 @@
     }
 
     /// Empty: the item is settled.
-    [[nodiscard]] std::optional<Stage> nextStage(const JobId &job, const Item &item)
+    [[nodiscard]] std::optional<AdmissionStage> nextStage(const JobId &job, const Item &item)
     {
         if (item.submission) {
-            return item.readFirst ? Stage::NeedRow : Stage::Ready;
+            return item.readFirst ? AdmissionStage::NeedRow : AdmissionStage::Ready;
         }
         const auto rows = known.find(job);
         if (rows == known.end()) {
-            return Stage::NeedRow;
+            return AdmissionStage::NeedRow;
         }
         const JobRecord &stored = rows->second.record;
         switch (transition(stored, wantedRecord(stored, item))) {
@@ -214,7 +149,7 @@
         case Transition::Write:
             break;
         }
-        return isFinal(item.state) && !rows->second.queue ? Stage::NeedQueueRow : Stage::Ready;
+        return isFinal(item.state) && !rows->second.queue ? AdmissionStage::NeedQueueRow : AdmissionStage::Ready;
     }
 
     [[nodiscard]] JobRecord wantedRecord(const JobRecord &stored, const Item &item) const
@@ -290,23 +225,22 @@
         if (inFlight != OpId() || now < notBefore || !isDue(now)) {
             return;
         }
-        const bool reads = !needRow.empty() || !needQueueRow.empty();
+        const bool needRow = queues.size(AdmissionStage::NeedRow) > 0;
+        const bool needQueueRow = queues.size(AdmissionStage::NeedQueueRow) > 0;
         // Alternates, so that a stream of reads can't hold up transactions or the other way round.
-        if (!ready.empty() && (!reads || lastWasRead)) {
+        if (queues.size(AdmissionStage::Ready) > 0 && (lastWasRead || !(needRow || needQueueRow))) {
             sendTransaction(now);
-        } else if (!needRow.empty()) {
-            sendRead(needRow, jobTable, now);
-        } else if (!needQueueRow.empty()) {
-            sendRead(needQueueRow, queueTable, now);
+        } else if (needRow) {
+            sendRead(AdmissionStage::NeedRow, jobTable, now);
+        } else if (needQueueRow) {
+            sendRead(AdmissionStage::NeedQueueRow, queueTable, now);
         }
     }
 
     [[nodiscard]] bool isDue(TimePoint now) const
     {
-        if (!pendingSince) {
-            return false;
-        }
-        return now - *pendingSince >= settings.flushInterval || ready.size() * rowsPerJob >= batchRows;
+        const auto since = queues.pendingSince();
+        return since && (now - *since >= settings.flushInterval || queues.size(AdmissionStage::Ready) * rowsPerJob >= batchRows);
     }
 
     void sent(TimePoint now, bool read)
@@ -319,7 +253,7 @@
     void sendTransaction(TimePoint now)
     {
         StoreTransact command;
-        drain(ready, [&](const JobId &job) {
+        drain(AdmissionStage::Ready, [&](const JobId &job) {
             if (command.writes.size() + rowsPerJob > batchRows) {
                 return false;
             }
@@ -332,28 +266,22 @@
             }
             return true;
         });
-        if (batch.empty()) {
-            return;
-        }
         sent(now, false);
         command.op = inFlight;
         outputs.emplace_back(std::move(command));
     }
 
-    void sendRead(Queue &queue, const char *table, TimePoint now)
+    void sendRead(AdmissionStage stage, const char *table, TimePoint now)
     {
         StoreRead command;
         command.table = table;
-        drain(queue, [&](const JobId &job) {
+        drain(stage, [&](const JobId &job) {
             if (command.keys.size() >= settings.maxRows) {
                 return false;
             }
             command.keys.push_back(keyOf(job, table));
             return true;
         });
-        if (batch.empty()) {
-            return;
-        }
         readTable = table;
         sent(now, true);
         command.op = inFlight;
@@ -371,6 +299,9 @@
     {
         inFlight = OpId();
         const std::vector<JobId> jobs = std::exchange(batch, {});
+        for (const JobId &job : jobs) {
+            works.at(job).inFlight = false;
+        }
         if (lastWasRead) {
             onReadReply(jobs, reply, now);
         } else if (reply.status == StoreStatus::Ok) {
@@ -427,7 +358,7 @@
             if (isListed(job)) {
                 onRowConflict(job, rows, now);
             } else {
-                enqueue(job, Stage::Ready, followUp(now));
+                queues.push(job, AdmissionStage::Ready, followUp(now));
             }
         }
         return true;
@@ -488,7 +419,7 @@
                 onRowRead(job, *row, now);
             } else {
                 complete = false;
-                enqueue(job, readTable == jobTable ? Stage::NeedRow : Stage::NeedQueueRow, followUp(now));
+                queues.push(job, readTable == jobTable ? AdmissionStage::NeedRow : AdmissionStage::NeedQueueRow, followUp(now));
             }
         }
         if (!complete) {
@@ -537,7 +468,7 @@
         refuseUnknown(*item, ErrorKind::OutcomeUnknown, "the store did not confirm the job in time");
         item->answered = true;
         const bool isFront = item == work.items.begin();
-        if (item->lost || (isFront && work.stage == Stage::InFlight)) {
+        if (item->lost || (isFront && work.inFlight)) {
             return;
         }
         if (!isFront) {
@@ -546,26 +477,21 @@
             --itemCount;
             return;
         }
+        queues.remove(deadline.job);
         popFront(deadline.job);
         advance(deadline.job, now);
-        purgeStale();
     }
 
     AdmissionSettings settings;
     NextOp nextOp;
     RetryPause pause;
     std::size_t batchRows; ///< Rows of the next transaction; at most settings.maxRows, fewer after lost answers.
-    std::unordered_map<JobId, Work> works; ///< Jobs with items; the front item is in one queue or in flight.
+    std::unordered_map<JobId, Work> works; ///< Jobs with items; the front item is queued or in flight.
     std::unordered_map<JobId, JobRows> known;
-    Queue needRow;
-    Queue needQueueRow;
-    Queue ready;
-    std::uint64_t lastTicket = 0;
-    std::size_t staleEntries = 0; ///< At least the number of stale entries since the last purge.
+    AdmissionQueues queues;
     std::size_t itemCount = 0;
     std::size_t submissions = 0; ///< Items that are submissions.
     std::deque<Deadline> deadlines; ///< In order of time, as all submissions have the same timeout.
-    std::optional<TimePoint> pendingSince; ///< Of the oldest queued work; empty if the queues are.
     TimePoint notBefore{}; ///< Of the next operation.
     OpId inFlight; ///< 0: none. At most one operation at a time.
     TimePoint sentAt{};
