--- a/test/core/fakestore.h
+++ b/test/core/fakestore.h
@@ -1,67 +1,80 @@
-// A store in memory with compare-and-set, as the platform's table service behaves.
+// A store in memory that executes transactions as section 5 of the design page says. Tests lose answers or hold writes back.
 #pragma once
 
 #include "core/messages.h"
 
 #include <map>
-#include <string>
 #include <utility>
 
+namespace KingCupLadder {
+
 class FakeStore
 {
 public:
-    KingCupLadder::StoreReply apply(const KingCupLadder::StoreTransact &transact)
+    StoreReply execute(const StoreTransact &command)
     {
-        using namespace KingCupLadder;
-        StoreReply reply{transact.op, StoreStatus::Ok, {}};
-        for (const RowWrite &write : transact.writes) {
+        StoreReply reply{command.op, StoreStatus::Ok, {}};
+        for (const RowWrite &write : command.writes) {
             const Row current = row(write.table, write.key);
-            const RowVersion wanted = write.kind == RowWrite::Kind::Insert ? RowVersion() : write.version;
-            if (current.version != wanted) {
+            const RowVersion needed = write.kind == RowWrite::Kind::Insert ? RowVersion() : write.version;
+            if (current.version != needed) {
                 reply.status = StoreStatus::Conflict;
                 reply.rows.push_back(current);
             }
         }
-        for (const RowWrite &write : transact.writes) {
-            if (reply.status == StoreStatus::Ok && write.kind != RowWrite::Kind::Check) {
-                put(write.table, write.key, write.value);
-                reply.rows.push_back(Row{write.table, write.key, row(write.table, write.key).version, {}});
+        for (const RowWrite &write : command.writes) {
+            if (reply.status == StoreStatus::Ok) {
+                apply(write, reply);
             }
         }
         return reply;
     }
 
-    KingCupLadder::StoreReply apply(const KingCupLadder::StoreScan &scan) const
+    StoreReply execute(const StoreScan &command) const
     {
-        KingCupLadder::StoreReply reply{scan.op, KingCupLadder::StoreStatus::Ok, {}};
+        StoreReply reply{command.op, StoreStatus::Ok, {}};
         for (const auto &[place, row] : m_rows) {
-            if (place.first == scan.table && place.second.rfind(scan.prefix, 0) == 0) {
+            if (place.first == command.table && place.second.rfind(command.prefix, 0) == 0) {
                 reply.rows.push_back(row);
             }
         }
         return reply;
     }
 
-    KingCupLadder::StoreReply apply(const KingCupLadder::StoreRead &read) const
+    StoreReply execute(const StoreRead &command) const
     {
-        KingCupLadder::StoreReply reply{read.op, KingCupLadder::StoreStatus::Ok, {}};
-        for (const std::string &key : read.keys) {
-            reply.rows.push_back(row(read.table, key));
+        StoreReply reply{command.op, StoreStatus::Ok, {}};
+        for (const std::string &key : command.keys) {
+            reply.rows.push_back(row(command.table, key));
         }
         return reply;
     }
 
-    KingCupLadder::Row row(const std::string &table, const std::string &key) const
+    Row row(const std::string &table, const std::string &key) const
     {
         const auto found = m_rows.find({table, key});
-        return found == m_rows.end() ? KingCupLadder::Row{table, key, KingCupLadder::RowVersion(), {}} : found->second;
+        return found == m_rows.end() ? Row{table, key, {}, {}} : found->second;
     }
 
     void put(const std::string &table, const std::string &key, const std::string &value)
     {
-        m_rows[{table, key}] = KingCupLadder::Row{table, key, row(table, key).version.next(), value};
+        m_version = m_version.next();
+        m_rows[{table, key}] = Row{table, key, m_version, value};
     }
 
 private:
-    std::map<std::pair<std::string, std::string>, KingCupLadder::Row> m_rows;
+    void apply(const RowWrite &write, StoreReply &reply)
+    {
+        if (write.kind == RowWrite::Kind::Delete) {
+            m_rows.erase({write.table, write.key});
+        } else if (write.kind != RowWrite::Kind::Check) {
+            put(write.table, write.key, write.value);
+            reply.rows.push_back(Row{write.table, write.key, m_version, {}});
+        }
+    }
+
+    RowVersion m_version;
+    std::map<std::pair<std::string, std::string>, Row> m_rows;
 };
+
+} // namespace KingCupLadder
--- a/test/core/ownershipfleet.h
+++ b/test/core/ownershipfleet.h
@@ -127,13 +127,13 @@
         if (beforeTransact) {
             beforeTransact(transact);
         }
-        return store.apply(transact);
+        return store.execute(transact);
     }
 
     template<typename T>
     KingCupLadder::StoreReply effect(const T &operation)
     {
-        return store.apply(operation);
+        return store.execute(operation);
     }
 
     void deliver()
--- a/test/matrix/fleet.cpp
+++ b/test/matrix/fleet.cpp
@@ -187,11 +187,11 @@
         }
         if (auto *transaction = std::get_if<StoreTransact>(&command)) {
             const std::string table = transaction->writes.empty() ? "nothing" : transaction->writes.back().table;
-            executeStore(daemon, transaction->op, "write " + table, true, [this, transaction = *transaction] { return store.transact(transaction); });
+            executeStore(daemon, transaction->op, "write " + table, true, [this, transaction = *transaction] { return store.execute(transaction); });
         } else if (auto *scan = std::get_if<StoreScan>(&command)) {
-            executeStore(daemon, scan->op, "scan " + scan->table, false, [this, scan = *scan] { return store.scan(scan); });
+            executeStore(daemon, scan->op, "scan " + scan->table, false, [this, scan = *scan] { return store.execute(scan); });
         } else if (auto *read = std::get_if<StoreRead>(&command)) {
-            executeStore(daemon, read->op, "read " + read->table, false, [this, read = *read] { return store.read(read); });
+            executeStore(daemon, read->op, "read " + read->table, false, [this, read = *read] { return store.execute(read); });
         } else if (auto *list = std::get_if<VmListRead>(&command)) {
             executeVmList(daemon, list->op);
         } else if (auto *sync = std::get_if<SyncWorker>(&command)) {
@@ -314,7 +314,7 @@
     }
     const JobSpec spec = submitted->second;
     m_submitted.erase(submitted);
-    const bool stored = store.find("jobs", spec.id.value()).version.value() > 0;
+    const bool stored = store.row("jobs", spec.id.value()).version.value() > 0;
     if (std::holds_alternative<JobAccepted>(answer.body)) {
         m_acknowledged[spec.id] = spec;
         if (!stored) {
@@ -406,7 +406,7 @@
 {
     std::string text;
     for (const auto &[id, spec] : m_acknowledged) {
-        const auto record = JobRecord::fromJson(store.find("jobs", id.value()).value);
+        const auto record = JobRecord::fromJson(store.row("jobs", id.value()).value);
         const bool cancelled = record && record->state == JobState::Cancelled;
         const bool recorded = record && record->state == JobState::Succeeded;
         if (!cancelled && !(recorded && checkers.hasSucceeded(id, spec.taskCount))) {
--- a/test/matrix/fleet.h
+++ b/test/matrix/fleet.h
@@ -4,7 +4,7 @@
 
 #include "checkers.h"
 #include "core/daemoncore.h"
-#include "fakestore.h"
+#include "core/fakestore.h"
 #include "fakeworker.h"
 
 #include <functional>
