--- /dev/null
+++ b/src/daemon/connectionpool.h
@@ -0,0 +1,100 @@
+// Connections to one upstream. Requests wait for a free connection up to their timeout; connections that may be silent are
+// probed before they carry a request.
+#pragma once
+
+#include "core/connectionhealth.h"
+#include "httpconnection.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace KingCupLadder {
+
+struct ConnectionPoolSettings {
+    std::size_t maxConnections = 8;
+    std::size_t maxWaiting = 1000; ///< Requests that wait for a connection; more fail at once.
+    std::size_t maxBody = 8 * 1024 * 1024; ///< Of an answer, in bytes.
+    Duration probeTimeout{300};
+};
+
+class ConnectionPool
+{
+public:
+    using Callback = HttpConnection::Callback;
+    using Ticket = std::uint64_t; ///< Names one request for cancel().
+
+    ConnectionPool(EventLoop &loop, std::string address, const ConnectionPoolSettings &settings);
+    ~ConnectionPool();
+    ConnectionPool(const ConnectionPool &) = delete;
+    ConnectionPool &operator=(const ConnectionPool &) = delete;
+
+    /// The callback comes exactly once, after this call returned, unless cancel() comes first.
+    Ticket send(const ClientRequest &request, Callback callback);
+    /// Drops the request without a callback; its connection is closed if it was in use. True if a byte was sent.
+    bool cancel(Ticket ticket);
+    [[nodiscard]] bool isIdle() const;
+    [[nodiscard]] TimePoint lastUse() const;
+    [[nodiscard]] std::size_t connectionCount() const;
+    [[nodiscard]] TrafficCounters traffic() const;
+
+private:
+    struct Slot {
+        std::unique_ptr<HttpConnection> connection;
+        Ticket ticket = 0; ///< 0: no request; a probe may be under way.
+    };
+    struct Waiting {
+        Ticket ticket;
+        ClientRequest request;
+        Callback callback;
+        TimePoint deadline;
+    };
+    using Slots = std::map<ConnectionId, Slot>;
+
+    void dispatch();
+    Slots::iterator freeSlot();
+    Slots::iterator open();
+    void startNext(Slots::iterator slot);
+    void onResult(ConnectionId id, const ClientResult &result, const Callback &callback);
+    void startProbes();
+    void onProbe(ConnectionId id, const ClientResult &result);
+    void remove(Slots::iterator slot);
+    void expireWaiting();
+    void armTimer();
+
+    EventLoop &m_loop;
+    std::string m_address;
+    ConnectionPoolSettings m_settings;
+    ConnectionHealth m_health;
+    Slots m_slots; ///< At most m_settings.maxConnections; all usable.
+    std::deque<Waiting> m_waiting; ///< At most m_settings.maxWaiting.
+    std::unique_ptr<EventWatch> m_timer;
+    std::shared_ptr<int> m_token; ///< Tells deferred calls whether this object still exists.
+    Ticket m_lastTicket = 0;
+    ConnectionId m_lastConnection;
+    TimePoint m_lastUse;
+    TrafficCounters m_closedTraffic; ///< Of connections that are gone.
+};
+
+/// One pool for each upstream address; pools without use are closed.
+class ConnectionPools
+{
+public:
+    ConnectionPools(EventLoop &loop, const ConnectionPoolSettings &settings);
+
+    [[nodiscard]] ConnectionPool &pool(const std::string &address);
+    [[nodiscard]] TrafficCounters traffic() const;
+    [[nodiscard]] std::size_t connectionCount() const;
+
+private:
+    void closeUnused();
+
+    EventLoop &m_loop;
+    ConnectionPoolSettings m_settings;
+    std::map<std::string, std::unique_ptr<ConnectionPool>> m_pools;
+    TrafficCounters m_closedTraffic;
+    std::unique_ptr<EventWatch> m_sweep;
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/daemon/corerunner.cpp
@@ -0,0 +1,134 @@
+// Events in, commands out.
+#include "corerunner.h"
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr Duration tickInterval{10}; // The core asks for at most 20 ms between ticks.
+
+template<typename... Functions>
+struct Overloaded : Functions... {
+    using Functions::operator()...;
+};
+template<typename... Functions>
+Overloaded(Functions...) -> Overloaded<Functions...>;
+
+} // namespace
+
+CoreRunner::CoreRunner(EventLoop &loop, std::unique_ptr<DaemonCore> core) : m_loop(loop), m_core(std::move(core)) { }
+
+CoreRunner::~CoreRunner() = default;
+
+void CoreRunner::start(CoreExecutors executors)
+{
+    m_executors = std::move(executors);
+    m_ticks = EventWatch::repeating(m_loop, tickInterval, [this] { drain(); });
+}
+
+void CoreRunner::onStoreReply(const StoreReply &reply)
+{
+    m_core->onStoreReply(reply, now());
+    scheduleDrain();
+}
+
+void CoreRunner::onVmList(const VmListReply &reply)
+{
+    m_core->onVmList(reply, now());
+    scheduleDrain();
+}
+
+void CoreRunner::onWorkerReply(const WorkerReply &reply)
+{
+    m_core->onWorkerReply(reply, now());
+    scheduleDrain();
+}
+
+void CoreRunner::onPeerMessage(const DaemonId &from, const PeerMessage &message)
+{
+    m_core->onPeerMessage(from, message, now());
+    scheduleDrain();
+}
+
+OpId CoreRunner::call(const Operation &operation, AnswerHandler handler)
+{
+    const OpId op = operation(*m_core, now());
+    m_waiting[op] = std::move(handler);
+    scheduleDrain();
+    return op;
+}
+
+void CoreRunner::abandonWish(OpId op)
+{
+    m_waiting.erase(op);
+    m_core->abandonWish(op, now());
+    scheduleDrain();
+}
+
+void CoreRunner::releaseGrant(const Grant &grant, GrantEnd end)
+{
+    m_core->releaseGrant(grant, end, now());
+    scheduleDrain();
+}
+
+DaemonCore &CoreRunner::core()
+{
+    return *m_core;
+}
+
+TimePoint CoreRunner::now() const
+{
+    return m_loop.now();
+}
+
+std::size_t CoreRunner::waitingCalls() const
+{
+    return m_waiting.size();
+}
+
+void CoreRunner::scheduleDrain()
+{
+    if (m_drainScheduled) {
+        return;
+    }
+    m_drainScheduled = true;
+    m_loop.defer([this] {
+        m_drainScheduled = false;
+        drain();
+    });
+}
+
+void CoreRunner::drain()
+{
+    m_core->tick(now());
+    for (const Command &command : m_core->takeCommands()) {
+        execute(command);
+    }
+}
+
+void CoreRunner::execute(const Command &command)
+{
+    std::visit(Overloaded{
+                   [this](const StoreTransact &transact) { m_executors.transact(transact); },
+                   [this](const StoreScan &scan) { m_executors.scan(scan); },
+                   [this](const StoreRead &read) { m_executors.read(read); },
+                   [this](const VmListRead &read) { m_executors.readVms(read); },
+                   [this](const SyncWorker &sync) { m_executors.sync(sync); },
+                   [this](const SendPeer &send) { m_executors.sendPeer(send); },
+                   [this](const CallerAnswer &reply) { answer(reply); },
+               },
+               command);
+}
+
+void CoreRunner::answer(const CallerAnswer &answer)
+{
+    const auto found = m_waiting.find(answer.op);
+    if (found == m_waiting.end()) {
+        return;
+    }
+    const AnswerHandler handler = std::move(found->second);
+    m_waiting.erase(found);
+    handler(answer);
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/daemon/corerunner.h
@@ -0,0 +1,67 @@
+// Drives the decision core: passes events in with the current time, executes the commands that come out, and hands the
+// answers of callers' operations to the callbacks that wait for them.
+#pragma once
+
+#include "core/daemoncore.h"
+#include "eventloop.h"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace KingCupLadder {
+
+/// Where commands go.
+struct CoreExecutors {
+    std::function<void(const StoreTransact &)> transact;
+    std::function<void(const StoreScan &)> scan;
+    std::function<void(const StoreRead &)> read;
+    std::function<void(const VmListRead &)> readVms;
+    std::function<void(const SyncWorker &)> sync;
+    std::function<void(const SendPeer &)> sendPeer;
+};
+
+class CoreRunner
+{
+public:
+    using AnswerHandler = std::function<void(const CallerAnswer &)>;
+    /// Calls an operation of the core at the given time.
+    using Operation = std::function<OpId(DaemonCore &, TimePoint)>;
+
+    CoreRunner(EventLoop &loop, std::unique_ptr<DaemonCore> core);
+    ~CoreRunner();
+    CoreRunner(const CoreRunner &) = delete;
+    CoreRunner &operator=(const CoreRunner &) = delete;
+
+    /// Starts the ticks.
+    void start(CoreExecutors executors);
+
+    void onStoreReply(const StoreReply &reply);
+    void onVmList(const VmListReply &reply);
+    void onWorkerReply(const WorkerReply &reply);
+    void onPeerMessage(const DaemonId &from, const PeerMessage &message);
+
+    /// Starts an operation of a caller; the handler gets its answer, later than this call returns.
+    OpId call(const Operation &operation, AnswerHandler handler);
+    void abandonWish(OpId op);
+    void releaseGrant(const Grant &grant, GrantEnd end);
+
+    [[nodiscard]] DaemonCore &core();
+    [[nodiscard]] TimePoint now() const;
+    [[nodiscard]] std::size_t waitingCalls() const;
+
+private:
+    void scheduleDrain();
+    void drain();
+    void execute(const Command &command);
+    void answer(const CallerAnswer &answer);
+
+    EventLoop &m_loop;
+    std::unique_ptr<DaemonCore> m_core;
+    CoreExecutors m_executors;
+    std::unordered_map<OpId, AnswerHandler> m_waiting; ///< One entry for each operation that is not answered.
+    std::unique_ptr<EventWatch> m_ticks;
+    bool m_drainScheduled = false;
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/daemon/eventloop.cpp
@@ -0,0 +1,158 @@
+// libevent behind EventLoop and EventWatch.
+#include "eventloop.h"
+
+#include <event2/event.h>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::int64_t millisecondsPerSecond = 1000;
+constexpr std::int64_t microsecondsPerMillisecond = 1000;
+
+timeval toTimeval(Duration span)
+{
+    const std::int64_t count = std::max<std::int64_t>(span.count(), 0);
+    timeval value{};
+    value.tv_sec = count / millisecondsPerSecond;
+    value.tv_usec = (count % millisecondsPerSecond) * microsecondsPerMillisecond;
+    return value;
+}
+
+} // namespace
+
+Result<std::unique_ptr<EventLoop>> EventLoop::create()
+{
+    std::unique_ptr<EventLoop> loop(new EventLoop);
+    event_config *config = event_config_new();
+    // Without early close detection a client that goes away would hold its grant until the deadline.
+    event_config_require_features(config, EV_FEATURE_EARLY_CLOSE | EV_FEATURE_ET);
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    loop->m_base = event_base_new_with_config(config);
+    event_config_free(config);
+    if (loop->m_base == nullptr) {
+        return Error{ErrorKind::Unavailable, "the event loop can't be created", "run on a Linux kernel with epoll"};
+    }
+    EventLoop *self = loop.get();
+    loop->m_deferredEvent = event_new(
+        loop->m_base, -1, 0, [](evutil_socket_t, short, void *argument) { static_cast<EventLoop *>(argument)->runDeferred(); }, self);
+    return loop;
+}
+
+EventLoop::~EventLoop()
+{
+    while (!m_deferred.empty()) {
+        runDeferred();
+    }
+    if (m_deferredEvent != nullptr) {
+        event_free(m_deferredEvent);
+    }
+    if (m_base != nullptr) {
+        event_base_free(m_base);
+    }
+}
+
+event_base *EventLoop::base() const
+{
+    return m_base;
+}
+
+TimePoint EventLoop::now() const
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+void EventLoop::run()
+{
+    event_base_dispatch(m_base);
+}
+
+void EventLoop::runOnce()
+{
+    event_base_loop(m_base, EVLOOP_ONCE);
+}
+
+void EventLoop::stop()
+{
+    event_base_loopbreak(m_base);
+}
+
+void EventLoop::defer(std::function<void()> function)
+{
+    m_deferred.push_back(std::move(function));
+    const timeval zero{0, 0};
+    event_add(m_deferredEvent, &zero);
+}
+
+void EventLoop::runDeferred()
+{
+    const auto functions = std::exchange(m_deferred, {});
+    for (const auto &function : functions) {
+        function();
+    }
+}
+
+EventWatch::EventWatch(EventLoop &loop, int descriptor, short flags, Handler handler) : m_handler(std::move(handler))
+{
+    m_event = event_new(
+        loop.base(),
+        descriptor,
+        flags,
+        [](evutil_socket_t, short, void *argument) {
+            // A copy, since the handler may destroy this object.
+            const Handler call = static_cast<EventWatch *>(argument)->m_handler;
+            call();
+        },
+        this);
+}
+
+EventWatch::~EventWatch()
+{
+    event_free(m_event);
+}
+
+std::unique_ptr<EventWatch> EventWatch::timer(EventLoop &loop, Handler handler)
+{
+    return std::unique_ptr<EventWatch>(new EventWatch(loop, -1, 0, std::move(handler)));
+}
+
+std::unique_ptr<EventWatch> EventWatch::repeating(EventLoop &loop, Duration interval, Handler handler)
+{
+    std::unique_ptr<EventWatch> watch(new EventWatch(loop, -1, EV_PERSIST, std::move(handler)));
+    watch->start(interval);
+    return watch;
+}
+
+std::unique_ptr<EventWatch> EventWatch::readable(EventLoop &loop, int descriptor, Handler handler)
+{
+    std::unique_ptr<EventWatch> watch(new EventWatch(loop, descriptor, EV_READ | EV_ET | EV_PERSIST, std::move(handler)));
+    event_add(watch->m_event, nullptr);
+    return watch;
+}
+
+std::unique_ptr<EventWatch> EventWatch::closed(EventLoop &loop, int descriptor, Handler handler)
+{
+    std::unique_ptr<EventWatch> watch(new EventWatch(loop, descriptor, EV_CLOSED, std::move(handler)));
+    event_add(watch->m_event, nullptr);
+    return watch;
+}
+
+std::unique_ptr<EventWatch> EventWatch::signal(EventLoop &loop, int number, Handler handler)
+{
+    std::unique_ptr<EventWatch> watch(new EventWatch(loop, number, EV_SIGNAL | EV_PERSIST, std::move(handler)));
+    event_add(watch->m_event, nullptr);
+    return watch;
+}
+
+void EventWatch::start(Duration span)
+{
+    const timeval value = toTimeval(span);
+    event_add(m_event, &value);
+}
+
+void EventWatch::stop()
+{
+    event_del(m_event);
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/daemon/eventloop.h
@@ -0,0 +1,72 @@
+// The one event loop of the process, on libevent, with its timers and descriptor watches as objects that clean up after
+// themselves.
+#pragma once
+
+#include "core/error.h"
+#include "core/units.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+struct event;
+struct event_base;
+
+namespace KingCupLadder {
+
+class EventLoop
+{
+public:
+    [[nodiscard]] static Result<std::unique_ptr<EventLoop>> create();
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    [[nodiscard]] event_base *base() const;
+    [[nodiscard]] TimePoint now() const;
+    /// Runs until stop().
+    void run();
+    /// Handles what is ready, waits for at least one event.
+    void runOnce();
+    void stop();
+    /// Calls the function after the events that are active now. Needed to free objects from inside their own callbacks.
+    void defer(std::function<void()> function);
+
+private:
+    EventLoop() = default;
+    void runDeferred();
+
+    event_base *m_base = nullptr;
+    event *m_deferredEvent = nullptr;
+    std::vector<std::function<void()>> m_deferred;
+};
+
+/// Calls a function when a span has passed, a descriptor has news or a signal arrives. Stops on destruction.
+class EventWatch
+{
+public:
+    using Handler = std::function<void()>;
+
+    [[nodiscard]] static std::unique_ptr<EventWatch> timer(EventLoop &loop, Handler handler);
+    [[nodiscard]] static std::unique_ptr<EventWatch> repeating(EventLoop &loop, Duration interval, Handler handler);
+    /// Edge-triggered: the handler must drain the descriptor.
+    [[nodiscard]] static std::unique_ptr<EventWatch> readable(EventLoop &loop, int descriptor, Handler handler);
+    /// The other side closed the connection; nothing is read from it.
+    [[nodiscard]] static std::unique_ptr<EventWatch> closed(EventLoop &loop, int descriptor, Handler handler);
+    [[nodiscard]] static std::unique_ptr<EventWatch> signal(EventLoop &loop, int number, Handler handler);
+    ~EventWatch();
+    EventWatch(const EventWatch &) = delete;
+    EventWatch &operator=(const EventWatch &) = delete;
+
+    /// Only for timers: (re)starts the span.
+    void start(Duration span);
+    void stop();
+
+private:
+    EventWatch(EventLoop &loop, int descriptor, short flags, Handler handler);
+
+    event *m_event = nullptr;
+    Handler m_handler;
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/daemon/jsonfields.cpp
@@ -0,0 +1,137 @@
+// Checked reading of JSON objects.
+#include "jsonfields.h"
+
+#include <limits>
+
+namespace KingCupLadder {
+
+std::optional<nlohmann::json> parseJson(const std::string &text)
+{
+    nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
+    if (value.is_discarded()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::string dumpJson(const nlohmann::json &value)
+{
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+JsonFields::JsonFields(const nlohmann::json &value, std::string &fault, std::string where) : m_value(value), m_fault(fault), m_where(std::move(where))
+{
+    if (!m_value.is_object()) {
+        fail("must be an object");
+    }
+}
+
+void JsonFields::fail(const std::string &reason)
+{
+    if (m_fault.empty()) {
+        m_fault = m_where + ": " + reason;
+    }
+}
+
+const nlohmann::json *JsonFields::find(const char *name, bool required)
+{
+    if (m_value.is_object()) {
+        const auto found = m_value.find(name);
+        if (found != m_value.end()) {
+            return &*found;
+        }
+    }
+    if (required) {
+        fail(std::string("field '") + name + "' is missing");
+    }
+    return nullptr;
+}
+
+bool JsonFields::has(const char *name) const
+{
+    return m_value.is_object() && m_value.contains(name);
+}
+
+std::string JsonFields::text(const char *name)
+{
+    const nlohmann::json *value = find(name, true);
+    if (value == nullptr) {
+        return {};
+    }
+    if (!value->is_string()) {
+        fail(std::string("field '") + name + "' must be a text");
+        return {};
+    }
+    return value->get<std::string>();
+}
+
+std::string JsonFields::textOr(const char *name, const std::string &fallback)
+{
+    return has(name) ? text(name) : fallback;
+}
+
+std::int64_t JsonFields::number(const char *name)
+{
+    const nlohmann::json *value = find(name, true);
+    if (value == nullptr) {
+        return 0;
+    }
+    const bool fits = value->is_number_integer()
+        && (!value->is_number_unsigned() || value->get<std::uint64_t>() <= static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()));
+    if (!fits || value->get<std::int64_t>() < 0) {
+        fail(std::string("field '") + name + "' must be a whole number from 0");
+        return 0;
+    }
+    return value->get<std::int64_t>();
+}
+
+std::int64_t JsonFields::numberOr(const char *name, std::int64_t fallback)
+{
+    return has(name) ? number(name) : fallback;
+}
+
+bool JsonFields::flagOr(const char *name, bool fallback)
+{
+    const nlohmann::json *value = find(name, false);
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->is_boolean()) {
+        fail(std::string("field '") + name + "' must be true or false");
+        return fallback;
+    }
+    return value->get<bool>();
+}
+
+Resources JsonFields::resources(const char *name)
+{
+    const nlohmann::json *value = find(name, false);
+    if (value == nullptr) {
+        return {};
+    }
+    JsonFields fields(*value, m_fault, m_where + "." + name);
+    return Resources{MilliCores(fields.numberOr("milliCores", 0)),
+                     MebiBytes(fields.numberOr("memoryMiB", 0)),
+                     Accelerators(fields.numberOr("accelerators", 0)),
+                     Slots(fields.numberOr("slots", 0))};
+}
+
+const nlohmann::json *JsonFields::array(const char *name)
+{
+    const nlohmann::json *value = find(name, false);
+    if (value != nullptr && !value->is_array()) {
+        fail(std::string("field '") + name + "' must be a list");
+        return nullptr;
+    }
+    return value;
+}
+
+nlohmann::json resourcesJson(const Resources &resources)
+{
+    return {{"milliCores", resources.cpu.value()},
+            {"memoryMiB", resources.memory.value()},
+            {"accelerators", resources.accelerators.value()},
+            {"slots", resources.slots.value()}};
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/daemon/platformclient.cpp
@@ -0,0 +1,159 @@
+// Store commands as HTTP requests.
+#include "platformclient.h"
+
+#include "storecodec.h"
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::size_t pageRows = 1000;
+constexpr std::size_t maxAnswerBytes = 64 * 1024 * 1024; // A page of a thousand jobs with large payloads.
+
+ConnectionPoolSettings poolSettings(const PlatformClientSettings &settings)
+{
+    ConnectionPoolSettings pool;
+    pool.maxConnections = settings.maxConnections;
+    pool.maxBody = maxAnswerBytes;
+    return pool;
+}
+
+bool isOk(const ClientResult &result)
+{
+    return result.kind == ClientResult::Kind::Answered && result.response.status == httpOk;
+}
+
+} // namespace
+
+/// A scan under way, page after page.
+struct PlatformClient::ScanState {
+    StoreScan command;
+    TimePoint deadline;
+    std::vector<Row> rows;
+};
+
+/// A read of several keys, one request each.
+struct PlatformClient::ReadState {
+    StoreRead command;
+    std::vector<Row> rows; ///< In the order of the keys.
+    std::size_t pending = 0;
+    bool failed = false;
+};
+
+PlatformClient::PlatformClient(EventLoop &loop, const PlatformClientSettings &settings, StoreHandler onStore, VmHandler onVms)
+    : m_loop(loop), m_settings(settings), m_onStore(std::move(onStore)), m_onVms(std::move(onVms)), m_pool(loop, settings.address, poolSettings(settings))
+{
+}
+
+void PlatformClient::get(const std::string &target, TimePoint deadline, ConnectionPool::Callback callback)
+{
+    ++m_operations;
+    ClientRequest request;
+    request.target = target;
+    request.timeout = std::max(deadline - m_loop.now(), Duration(1));
+    m_pool.send(request, std::move(callback));
+}
+
+void PlatformClient::transact(const StoreTransact &command)
+{
+    ++m_operations;
+    ++m_writes;
+    ClientRequest request;
+    request.method = "POST";
+    request.target = "/v1/tx";
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = encodeTransaction(command);
+    request.timeout = m_settings.timeout;
+    m_pool.send(request, [this, command](const ClientResult &result) {
+        const int status = result.kind == ClientResult::Kind::Answered ? result.response.status : 0;
+        m_onStore(decodeTransactionReply(command, status, result.response.body));
+    });
+}
+
+void PlatformClient::scan(const StoreScan &command)
+{
+    auto state = std::make_shared<ScanState>(ScanState{command, m_loop.now() + m_settings.timeout, {}});
+    scanPage(state, {});
+}
+
+void PlatformClient::scanPage(const std::shared_ptr<ScanState> &state, const std::string &after)
+{
+    const std::string target = rowsTarget(state->command.table, state->command.prefix, after, pageRows);
+    get(target, state->deadline, [this, state, after](const ClientResult &result) {
+        auto page = isOk(result) ? decodeRows(state->command.table, result.response.body) : std::nullopt;
+        // A page that does not move on would repeat for ever.
+        if (!page || (page->more && (page->rows.empty() || page->rows.back().key <= after))) {
+            m_onStore(StoreReply{state->command.op, StoreStatus::Unknown, {}});
+            return;
+        }
+        std::move(page->rows.begin(), page->rows.end(), std::back_inserter(state->rows));
+        if (page->more) {
+            scanPage(state, state->rows.back().key);
+            return;
+        }
+        m_onStore(StoreReply{state->command.op, StoreStatus::Ok, std::move(state->rows)});
+    });
+}
+
+void PlatformClient::read(const StoreRead &command)
+{
+    auto state = std::make_shared<ReadState>();
+    state->command = command;
+    state->rows.resize(command.keys.size());
+    state->pending = command.keys.size();
+    if (command.keys.empty()) {
+        m_loop.defer([this, op = command.op] { m_onStore(StoreReply{op, StoreStatus::Ok, {}}); });
+        return;
+    }
+    const TimePoint deadline = m_loop.now() + m_settings.timeout;
+    for (std::size_t index = 0; index < command.keys.size(); ++index) {
+        // The key itself is the first of all keys that start with it.
+        const std::string target = rowsTarget(command.table, command.keys[index], {}, 1);
+        get(target, deadline, [this, state, index](const ClientResult &result) { onReadRow(state, index, result); });
+    }
+}
+
+void PlatformClient::onReadRow(const std::shared_ptr<ReadState> &state, std::size_t index, const ClientResult &result)
+{
+    const std::string &key = state->command.keys[index];
+    auto page = isOk(result) ? decodeRows(state->command.table, result.response.body) : std::nullopt;
+    if (!page) {
+        state->failed = true;
+    } else if (!page->rows.empty() && page->rows.front().key == key) {
+        state->rows[index] = std::move(page->rows.front());
+    } else {
+        state->rows[index] = Row{state->command.table, key, RowVersion(), {}};
+    }
+    if (--state->pending > 0) {
+        return;
+    }
+    if (state->failed) {
+        m_onStore(StoreReply{state->command.op, StoreStatus::Unknown, {}});
+    } else {
+        m_onStore(StoreReply{state->command.op, StoreStatus::Ok, std::move(state->rows)});
+    }
+}
+
+void PlatformClient::readVms(const VmListRead &command)
+{
+    get("/v1/vms", m_loop.now() + m_settings.timeout, [this, op = command.op](const ClientResult &result) {
+        m_onVms(VmListReply{op, isOk(result) ? decodeVms(result.response.body) : std::nullopt});
+    });
+}
+
+std::uint64_t PlatformClient::operations() const
+{
+    return m_operations;
+}
+
+std::uint64_t PlatformClient::writes() const
+{
+    return m_writes;
+}
+
+TrafficCounters PlatformClient::traffic() const
+{
+    return m_pool.traffic();
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/daemon/settings.cpp
@@ -0,0 +1,414 @@
+// The schema of the settings file, one entry per key, and the checks across keys.
+#include "settings.h"
+
+#include "httptypes.h"
+#include "unittext.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <fstream>
+#include <functional>
+#include <set>
+#include <sstream>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::size_t maxFileBytes = 1024 * 1024;
+constexpr std::size_t digestDigits = 64;
+constexpr std::size_t curveKeyLength = 40; // Of a Z85 key.
+constexpr std::size_t longestName = 64;
+
+/// What is wrong with one value, without its line; empty message: nothing.
+struct Fault {
+    std::string message;
+    std::string remedy;
+};
+
+using Reader = std::function<Fault(const YAML::Node &, DaemonSettings &)>;
+
+struct Field {
+    std::string path; ///< Keys joined by dots.
+    bool required = false;
+    Reader read;
+};
+
+using TextReader = std::function<Fault(const std::string &, DaemonSettings &)>;
+
+Reader scalar(const TextReader &reader)
+{
+    return [reader](const YAML::Node &node, DaemonSettings &settings) -> Fault {
+        if (!node.IsScalar()) {
+            return {"must be a single value", "write it on the line of its key"};
+        }
+        return reader(node.Scalar(), settings);
+    };
+}
+
+Reader duration(Duration DaemonSettings::*member, Duration least, Duration most)
+{
+    return scalar([=](const std::string &text, DaemonSettings &settings) -> Fault {
+        const auto span = parseDuration(text);
+        if (!span) {
+            return {"'" + text + "' is not a span of time", "write a whole number with ms, s, m or h, such as 1500ms"};
+        }
+        if (*span < least || *span > most) {
+            return {"'" + text + "' is out of range", "choose " + std::to_string(least.count()) + "ms to " + std::to_string(most.count()) + "ms"};
+        }
+        settings.*member = *span;
+        return {};
+    });
+}
+
+Reader size(std::uint64_t DaemonSettings::*member, std::uint64_t least, std::uint64_t most)
+{
+    return scalar([=](const std::string &text, DaemonSettings &settings) -> Fault {
+        const auto bytes = parseSize(text);
+        if (!bytes) {
+            return {"'" + text + "' is not a size", "write a whole number with B, KiB, MiB or GiB, such as 8MiB"};
+        }
+        if (*bytes < least || *bytes > most) {
+            return {"'" + text + "' is out of range", "choose " + std::to_string(least) + "B to " + std::to_string(most) + "B"};
+        }
+        settings.*member = *bytes;
+        return {};
+    });
+}
+
+Reader count(std::uint64_t DaemonSettings::*member, std::uint64_t least, std::uint64_t most)
+{
+    return scalar([=](const std::string &text, DaemonSettings &settings) -> Fault {
+        const bool digits = !text.empty() && text.size() <= 9 && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
+        const std::uint64_t value = digits ? std::stoull(text) : 0;
+        if (!digits || value < least || value > most) {
+            return {"'" + text + "' is not a whole number in range", "choose " + std::to_string(least) + " to " + std::to_string(most)};
+        }
+        settings.*member = value;
+        return {};
+    });
+}
+
+Fault checkName(const std::string &text)
+{
+    const bool good = !text.empty() && text.size() <= longestName && std::all_of(text.begin(), text.end(), [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+    });
+    return good ? Fault{} : Fault{"'" + text + "' is not a name", "use 1 to 64 letters, digits, '-', '_' and '.'"};
+}
+
+template<typename IdType>
+Reader name(IdType DaemonSettings::*member)
+{
+    return scalar([=](const std::string &text, DaemonSettings &settings) -> Fault {
+        settings.*member = IdType(text);
+        return checkName(text);
+    });
+}
+
+Fault checkAddress(const std::string &text)
+{
+    const auto address = parseSocketAddress(text);
+    const bool good = address && address->host.find_first_not_of("0123456789abcdefABCDEF.:") == std::string::npos;
+    return good ? Fault{} : Fault{"'" + text + "' is not an address", "write an IP address and a port, such as 10.1.0.11:8080"};
+}
+
+Reader address(std::string DaemonSettings::*member)
+{
+    return scalar([=](const std::string &text, DaemonSettings &settings) -> Fault {
+        settings.*member = text;
+        return checkAddress(text);
+    });
+}
+
+Fault readSeeds(const YAML::Node &node, DaemonSettings &settings)
+{
+    if (!node.IsSequence()) {
+        return {"must be a list of addresses", "write [10.1.0.11:7070, 10.1.0.12:7070]"};
+    }
+    for (const YAML::Node &item : node) {
+        const Fault fault = item.IsScalar() ? checkAddress(item.Scalar()) : Fault{"holds an entry that is not an address", "write IP addresses with ports"};
+        if (!fault.message.empty()) {
+            return fault;
+        }
+        settings.seeds.push_back(item.Scalar());
+    }
+    return {};
+}
+
+Fault readDigest(const std::string &text, DaemonSettings &settings)
+{
+    settings.operatorKeyDigest = text;
+    if (text.size() == digestDigits && text.find_first_not_of("0123456789abcdef") == std::string::npos) {
+        return {};
+    }
+    // The value is not repeated: somebody may have written the key itself.
+    return {"is not a SHA-256 digest", "write the output of: printf %s KEY | sha256sum"};
+}
+
+Reader curveKey(std::string CurveKeys::*member)
+{
+    return scalar([=](const std::string &text, DaemonSettings &settings) -> Fault {
+        if (!settings.curve) {
+            settings.curve = CurveKeys{};
+        }
+        (*settings.curve).*member = text;
+        return text.size() == curveKeyLength ? Fault{} : Fault{"is not a CURVE key", "write the 40 characters of a Z85 key in quotes"};
+    });
+}
+
+Reader logLevel(std::optional<LogPart> part)
+{
+    return scalar([=](const std::string &text, DaemonSettings &settings) -> Fault {
+        const auto level = logLevelFromString(text);
+        if (!level) {
+            return {"'" + text + "' is not a log level", "choose debug, info, warning or error"};
+        }
+        if (part) {
+            settings.logLevels[*part] = *level;
+        } else {
+            settings.logLevel = *level;
+        }
+        return {};
+    });
+}
+
+std::vector<Field> durationFields()
+{
+    using S = DaemonSettings;
+    constexpr Duration hour{3600000};
+    return {
+        {"timeouts.store", false, duration(&S::storeTimeout, Duration(50), Duration(10000))},
+        {"timeouts.worker", false, duration(&S::workerTimeout, Duration(50), Duration(10000))},
+        {"timeouts.leaseTerm", false, duration(&S::leaseTerm, Duration(1000), Duration(60000))},
+        {"timeouts.leaseMargin", false, duration(&S::leaseMargin, Duration(100), Duration(10000))},
+        {"timeouts.heartbeat", false, duration(&S::heartbeatInterval, Duration(50), Duration(5000))},
+        {"timeouts.peer", false, duration(&S::peerTimeout, Duration(100), Duration(30000))},
+        {"timeouts.keyBound", false, duration(&S::keyBound, Duration(1000), Duration(30000))},
+        {"timeouts.admission", false, duration(&S::admissionTimeout, Duration(100), Duration(60000))},
+        {"timeouts.syncInterval", false, duration(&S::syncInterval, Duration(20), Duration(5000))},
+        {"timeouts.taskTerm", false, duration(&S::taskTerm, Duration(1000), Duration(600000))},
+        {"timeouts.requestDeadline", false, duration(&S::requestDeadline, Duration(100), hour)},
+        {"timeouts.clientIdle", false, duration(&S::clientIdle, Duration(1000), hour)},
+        {"timeouts.drainWait", false, duration(&S::drainWait, Duration(0), hour)},
+        {"timeouts.finishWait", false, duration(&S::finishWait, Duration(0), hour)},
+    };
+}
+
+std::vector<Field> schema()
+{
+    using S = DaemonSettings;
+    constexpr std::uint64_t kibibyte = 1024;
+    constexpr std::uint64_t mebibyte = 1024 * kibibyte;
+    std::vector<Field> fields{
+        {"daemon", true, name(&S::daemon)},
+        {"failureDomain", true, name(&S::domain)},
+        {"http.address", true, address(&S::httpAddress)},
+        {"http.maxBody", false, size(&S::maxBody, kibibyte, 64 * mebibyte)},
+        {"http.maxHeaders", false, size(&S::maxHeaders, kibibyte, mebibyte)},
+        {"http.maxActive", false, count(&S::maxActiveRequests, 1, 1000000)},
+        {"http.maxActivePerTeam", false, count(&S::maxActivePerTeam, 1, 1000000)},
+        {"peers.address", true, address(&S::peerAddress)},
+        {"peers.seeds", true, readSeeds},
+        {"peers.curve.publicKey", false, curveKey(&CurveKeys::publicKey)},
+        {"peers.curve.secretKey", false, curveKey(&CurveKeys::secretKey)},
+        {"platform.address", true, address(&S::platformAddress)},
+        {"platform.connections", false, count(&S::platformConnections, 2, 64)},
+        {"workers.connections", false, count(&S::workerConnections, 1, 60)},
+        {"operator.keyDigest", true, scalar(readDigest)},
+        {"log.default", false, logLevel(std::nullopt)},
+    };
+    for (const LogPart part : {LogPart::Daemon,
+                               LogPart::Settings,
+                               LogPart::Http,
+                               LogPart::Requests,
+                               LogPart::Api,
+                               LogPart::Peers,
+                               LogPart::Platform,
+                               LogPart::Workers,
+                               LogPart::Shutdown}) {
+        fields.push_back({std::string("log.") + toString(part), false, logLevel(part)});
+    }
+    std::vector<Field> durations = durationFields();
+    std::move(durations.begin(), durations.end(), std::back_inserter(fields));
+    return fields;
+}
+
+/// Walks the document along the schema.
+class SettingsWalk
+{
+public:
+    SettingsCheck run(const std::string &yaml);
+
+private:
+    void walk(const YAML::Node &node, const std::string &prefix);
+    void entry(const YAML::Node &key, const YAML::Node &value, const std::string &prefix);
+    void unknownKey(const YAML::Node &key, const std::string &path, const std::string &prefix);
+    void checkMissing();
+    void checkTogether();
+    void problem(int line, const std::string &message, const std::string &remedy);
+    [[nodiscard]] int lineOf(const std::string &path) const;
+    [[nodiscard]] bool isSection(const std::string &path) const;
+
+    std::vector<Field> m_fields = schema();
+    std::map<std::string, int> m_lines; ///< Of every key that was read.
+    DaemonSettings m_settings;
+    std::vector<SettingsProblem> m_problems;
+};
+
+void SettingsWalk::problem(int line, const std::string &message, const std::string &remedy)
+{
+    m_problems.push_back(SettingsProblem{line, message, remedy});
+}
+
+int SettingsWalk::lineOf(const std::string &path) const
+{
+    const auto found = m_lines.find(path);
+    return found == m_lines.end() ? 0 : found->second;
+}
+
+bool SettingsWalk::isSection(const std::string &path) const
+{
+    const std::string start = path + ".";
+    return std::any_of(m_fields.begin(), m_fields.end(), [&](const Field &field) { return field.path.compare(0, start.size(), start) == 0; });
+}
+
+void SettingsWalk::walk(const YAML::Node &node, const std::string &prefix)
+{
+    if (!node.IsMap()) {
+        problem(node.Mark().line + 1, prefix.empty() ? "the file is not a map of settings" : "'" + prefix + "' is not a section", "write 'key: value' lines");
+        return;
+    }
+    for (const auto &pair : node) {
+        entry(pair.first, pair.second, prefix);
+    }
+}
+
+void SettingsWalk::entry(const YAML::Node &key, const YAML::Node &value, const std::string &prefix)
+{
+    const int line = key.Mark().line + 1;
+    if (!key.IsScalar()) {
+        problem(line, "a key is not a name", "write 'key: value' lines");
+        return;
+    }
+    const std::string path = prefix.empty() ? key.Scalar() : prefix + "." + key.Scalar();
+    if (!m_lines.emplace(path, line).second) {
+        problem(line, "'" + path + "' is set twice", "remove one of the lines");
+        return;
+    }
+    if (isSection(path)) {
+        walk(value, path);
+        return;
+    }
+    const auto field = std::find_if(m_fields.begin(), m_fields.end(), [&](const Field &candidate) { return candidate.path == path; });
+    if (field == m_fields.end()) {
+        unknownKey(key, path, prefix);
+        return;
+    }
+    const Fault fault = field->read(value, m_settings);
+    if (!fault.message.empty()) {
+        problem(line, "'" + path + "': " + fault.message, fault.remedy);
+    }
+}
+
+void SettingsWalk::unknownKey(const YAML::Node &key, const std::string &path, const std::string &prefix)
+{
+    std::set<std::string> known;
+    for (const Field &field : m_fields) {
+        const std::size_t start = prefix.empty() ? 0 : prefix.size() + 1;
+        if (prefix.empty() || field.path.compare(0, start, prefix + ".") == 0) {
+            known.insert(field.path.substr(start, field.path.find('.', start) - start));
+        }
+    }
+    std::string list;
+    for (const std::string &candidate : known) {
+        list += (list.empty() ? "" : ", ") + candidate;
+    }
+    problem(key.Mark().line + 1, "'" + path + "' is not a setting", "use one of: " + list);
+}
+
+void SettingsWalk::checkMissing()
+{
+    for (const Field &field : m_fields) {
+        if (field.required && m_lines.count(field.path) == 0) {
+            problem(0, "'" + field.path + "' is missing", "add it");
+        }
+    }
+    const bool publicKey = m_lines.count("peers.curve.publicKey") > 0;
+    const bool secretKey = m_lines.count("peers.curve.secretKey") > 0;
+    if (publicKey != secretKey) {
+        problem(lineOf("peers.curve"), "'peers.curve' has only one of publicKey and secretKey", "set both or remove the section");
+    }
+}
+
+void SettingsWalk::checkTogether()
+{
+    const DaemonSettings &s = m_settings;
+    if (s.leaseMargin * 3 > s.leaseTerm) {
+        problem(lineOf("timeouts.leaseMargin"), "the lease margin is above a third of the lease term", "lower timeouts.leaseMargin or raise timeouts.leaseTerm");
+    }
+    if (s.storeTimeout * 2 > s.leaseTerm - s.leaseMargin) {
+        problem(lineOf("timeouts.store"),
+                "a lease would end before a lost renewal can be repeated",
+                "keep timeouts.store below half of leaseTerm minus leaseMargin");
+    }
+    if (s.heartbeatInterval * 3 > s.peerTimeout) {
+        problem(lineOf("timeouts.peer"), "a peer would count as gone after two lost heartbeats", "set timeouts.peer to at least three times timeouts.heartbeat");
+    }
+    if (s.keyBound < s.storeTimeout * 2) {
+        problem(lineOf("timeouts.keyBound"), "the key list can't be confirmed within its bound", "set timeouts.keyBound to at least twice timeouts.store");
+    }
+    if (s.maxActivePerTeam > s.maxActiveRequests) {
+        problem(lineOf("http.maxActivePerTeam"), "the limit of one team is above the limit of all", "lower http.maxActivePerTeam or raise http.maxActive");
+    }
+    if (!s.httpAddress.empty() && s.httpAddress == s.peerAddress) {
+        problem(lineOf("peers.address"), "callers and peers have the same address", "choose another port for peers.address");
+    }
+}
+
+SettingsCheck SettingsWalk::run(const std::string &yaml)
+{
+    if (yaml.size() > maxFileBytes) {
+        problem(0, "the file is larger than 1 MiB", "check that it is a settings file");
+        return SettingsCheck{std::nullopt, m_problems};
+    }
+    try {
+        walk(YAML::Load(yaml), {});
+    } catch (const YAML::ParserException &exception) {
+        problem(exception.mark.line + 1, "not YAML: " + exception.msg, "correct the syntax at this line");
+        return SettingsCheck{std::nullopt, m_problems};
+    } catch (const YAML::Exception &exception) {
+        problem(exception.mark.line + 1, "unreadable: " + exception.msg, "correct this line");
+        return SettingsCheck{std::nullopt, m_problems};
+    }
+    checkMissing();
+    checkTogether();
+    std::stable_sort(m_problems.begin(), m_problems.end(), [](const SettingsProblem &a, const SettingsProblem &b) { return a.line < b.line; });
+    return SettingsCheck{m_problems.empty() ? std::optional<DaemonSettings>(m_settings) : std::nullopt, m_problems};
+}
+
+} // namespace
+
+std::string SettingsProblem::text(const std::string &file) const
+{
+    return file + (line > 0 ? ":" + std::to_string(line) : "") + ": " + message + "; " + remedy;
+}
+
+SettingsCheck parseSettings(const std::string &yaml)
+{
+    return SettingsWalk().run(yaml);
+}
+
+SettingsCheck readSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        return SettingsCheck{std::nullopt, {SettingsProblem{0, "the file can't be read", "check its path and permissions"}}};
+    }
+    return parseSettings(text.str());
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/daemon/storecodec.cpp
@@ -0,0 +1,151 @@
+// JSON of the platform's table service and VM list.
+#include "storecodec.h"
+
+#include "httptypes.h"
+#include "jsonfields.h"
+
+namespace KingCupLadder {
+
+namespace {
+
+const char *kindText(RowWrite::Kind kind)
+{
+    switch (kind) {
+    case RowWrite::Kind::Insert:
+        return "insert";
+    case RowWrite::Kind::Update:
+        return "update";
+    case RowWrite::Kind::Delete:
+        return "delete";
+    case RowWrite::Kind::Check:
+        return "check";
+    }
+    return "check";
+}
+
+std::vector<Row> readRows(JsonFields &fields, std::string &fault)
+{
+    std::vector<Row> rows;
+    const nlohmann::json *list = fields.array("rows");
+    if (list == nullptr) {
+        fields.fail("field 'rows' is missing");
+        return rows;
+    }
+    for (const nlohmann::json &item : *list) {
+        JsonFields row(item, fault, "row");
+        Row out;
+        out.table = row.text("table");
+        out.key = row.text("key");
+        out.version = RowVersion(static_cast<std::uint64_t>(row.number("version")));
+        out.value = row.textOr("value", {});
+        rows.push_back(std::move(out));
+    }
+    return rows;
+}
+
+/// Every row of an answer must belong to a row of the transaction.
+bool rowsBelong(const StoreTransact &transact, const std::vector<Row> &rows)
+{
+    for (const Row &row : rows) {
+        bool found = false;
+        for (const RowWrite &write : transact.writes) {
+            found = found || (write.table == row.table && write.key == row.key);
+        }
+        if (!found) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::string encodeTransaction(const StoreTransact &transact)
+{
+    nlohmann::json writes = nlohmann::json::array();
+    for (const RowWrite &write : transact.writes) {
+        nlohmann::json item{{"kind", kindText(write.kind)}, {"table", write.table}, {"key", write.key}, {"version", write.version.value()}};
+        if (write.kind == RowWrite::Kind::Insert || write.kind == RowWrite::Kind::Update) {
+            item["value"] = write.value;
+        }
+        writes.push_back(std::move(item));
+    }
+    return dumpJson({{"writes", std::move(writes)}});
+}
+
+StoreReply decodeTransactionReply(const StoreTransact &transact, int httpStatus, const std::string &body)
+{
+    StoreReply unknown{transact.op, StoreStatus::Unknown, {}};
+    if (httpStatus != httpOk && httpStatus != httpConflict) {
+        return unknown;
+    }
+    const auto json = parseJson(body);
+    if (!json) {
+        return unknown;
+    }
+    std::string fault;
+    JsonFields fields(*json, fault, "answer");
+    const bool ok = fields.flagOr("ok", httpStatus != httpOk);
+    std::vector<Row> rows = readRows(fields, fault);
+    if (!fault.empty() || ok != (httpStatus == httpOk) || !rowsBelong(transact, rows)) {
+        return unknown;
+    }
+    return StoreReply{transact.op, ok ? StoreStatus::Ok : StoreStatus::Conflict, std::move(rows)};
+}
+
+std::string rowsTarget(const std::string &table, const std::string &prefix, const std::string &after, std::size_t limit)
+{
+    return "/v1/rows?table=" + percentEncode(table) + "&prefix=" + percentEncode(prefix) + "&after=" + percentEncode(after) + "&limit=" + std::to_string(limit);
+}
+
+std::optional<RowPage> decodeRows(const std::string &table, const std::string &body)
+{
+    const auto json = parseJson(body);
+    if (!json) {
+        return std::nullopt;
+    }
+    std::string fault;
+    JsonFields fields(*json, fault, "answer");
+    RowPage page;
+    page.rows = readRows(fields, fault);
+    page.more = fields.flagOr("more", false);
+    for (const Row &row : page.rows) {
+        if (row.table != table || row.version == RowVersion()) {
+            return std::nullopt;
+        }
+    }
+    if (!fault.empty()) {
+        return std::nullopt;
+    }
+    return page;
+}
+
+std::optional<std::vector<VmInfo>> decodeVms(const std::string &body)
+{
+    const auto json = parseJson(body);
+    if (!json) {
+        return std::nullopt;
+    }
+    std::string fault;
+    JsonFields fields(*json, fault, "answer");
+    const nlohmann::json *list = fields.array("vms");
+    if (list == nullptr) {
+        return std::nullopt;
+    }
+    std::vector<VmInfo> vms;
+    for (const nlohmann::json &item : *list) {
+        JsonFields vm(item, fault, "vm");
+        const std::string state = vm.text("state");
+        if (state != "live" && state != "leaving") {
+            vm.fail("field 'state' must be live or leaving");
+        }
+        vms.push_back(VmInfo{
+            WorkerId(vm.text("id")), vm.text("address"), vm.text("group"), FailureDomain(vm.text("domain")), RackId(vm.text("rack")), state == "leaving"});
+    }
+    if (!fault.empty()) {
+        return std::nullopt;
+    }
+    return vms;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/daemon/unittext.h
@@ -0,0 +1,18 @@
+// Spans and sizes with units as operators write them: "1500ms", "6s", "2m", "1h"; "512B", "64KiB", "8MiB", "1GiB".
+#pragma once
+
+#include "core/units.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace KingCupLadder {
+
+/// Empty if the number or the unit is missing, or the span is longer than a year.
+[[nodiscard]] std::optional<Duration> parseDuration(const std::string &text);
+
+/// Bytes. Empty if the number or the unit is missing, or the size is above 1024 GiB.
+[[nodiscard]] std::optional<std::uint64_t> parseSize(const std::string &text);
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/daemon/workerclient.cpp
@@ -0,0 +1,54 @@
+// Sync messages as HTTP requests, on connections of their own so that slow applications can't hold them up.
+#include "workerclient.h"
+
+#include "workercodec.h"
+
+namespace KingCupLadder {
+
+namespace {
+
+ConnectionPoolSettings poolSettings()
+{
+    ConnectionPoolSettings settings;
+    settings.maxConnections = 2; // One message is in flight; the second replaces one that went silent.
+    settings.maxWaiting = 4;
+    return settings;
+}
+
+} // namespace
+
+WorkerClient::WorkerClient(EventLoop &loop, Duration timeout, Handler handler)
+    : m_timeout(timeout), m_handler(std::move(handler)), m_pools(loop, poolSettings())
+{
+}
+
+void WorkerClient::sync(const SyncWorker &command)
+{
+    ++m_syncs;
+    ClientRequest request;
+    request.method = "POST";
+    request.target = "/v1/sync";
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = encodeSync(command.request);
+    request.timeout = m_timeout;
+    const bool inventory = command.request.inventory;
+    m_pools.pool(command.address).send(request, [this, op = command.op, worker = command.worker, inventory](const ClientResult &result) {
+        WorkerReply reply{op, worker, std::nullopt};
+        if (result.kind == ClientResult::Kind::Answered && (result.response.status == httpOk || result.response.status == httpConflict)) {
+            reply.reply = decodeSyncReply(worker, inventory, result.response.body);
+        }
+        m_handler(reply);
+    });
+}
+
+std::uint64_t WorkerClient::syncs() const
+{
+    return m_syncs;
+}
+
+TrafficCounters WorkerClient::traffic() const
+{
+    return m_pools.traffic();
+}
+
+} // namespace KingCupLadder
