--- a/src/daemon/connectionpool.cpp
+++ b/src/daemon/connectionpool.cpp
@@ -71,8 +71,8 @@
     m_waiting.pop_front();
     next.request.timeout = std::max(next.deadline - m_loop.now(), Duration(1));
     slot->second.ticket = next.ticket;
-    slot->second.connection->send(next.request,
-                                  [this, id = slot->first, callback = std::move(next.callback)](const ClientResult &result) { onResult(id, result, callback); });
+    slot->second.connection->send(
+        next.request, [this, id = slot->first, callback = std::move(next.callback)](const ClientResult &result) { onResult(id, result, callback); });
 }
 
 void ConnectionPool::onResult(ConnectionId id, const ClientResult &result, const Callback &callback)
--- a/src/daemon/httpconnection.cpp
+++ b/src/daemon/httpconnection.cpp
@@ -51,7 +51,8 @@
 
 } // namespace
 
-HttpConnection::HttpConnection(EventLoop &loop, const SocketAddress &address, std::size_t maxBody) : m_loop(loop), m_token(std::make_shared<int>(0)), m_host(address.host)
+HttpConnection::HttpConnection(EventLoop &loop, const SocketAddress &address, std::size_t maxBody)
+    : m_loop(loop), m_token(std::make_shared<int>(0)), m_host(address.host)
 {
     m_connection = evhttp_connection_base_new(loop.base(), nullptr, address.host.c_str(), address.port);
     if (m_connection == nullptr) {
@@ -88,6 +89,7 @@
 void HttpConnection::send(const ClientRequest &request, Callback callback)
 {
     m_callback = std::move(callback);
+    m_accept = request.accept;
     m_byteSent = false;
     const auto command = commandOf(request.method);
     evhttp_request *outgoing = command && isUsable()
@@ -125,7 +127,10 @@
         result.byteSent = true;
         m_traffic.bytesReceived += result.response.body.size();
     }
-    if (!answered || sameHeaderName(headerValue(result.response.headers, "Connection"), "close")) {
+    if (answered && m_accept && !m_accept(result.response)) {
+        result = ClientResult{ClientResult::Kind::Failed, true, {}};
+    }
+    if (result.kind == ClientResult::Kind::Failed || sameHeaderName(headerValue(result.response.headers, "Connection"), "close")) {
         // evhttp still uses the connection after this callback, so it is freed later. It has no request left that could call back.
         m_loop.defer([closing = detach()] { evhttp_connection_free(closing); });
     }
--- a/src/daemon/httpconnection.h
+++ b/src/daemon/httpconnection.h
@@ -23,6 +23,8 @@
     Headers headers;
     std::string body;
     Duration timeout{1000}; ///< For the whole exchange, connecting included.
+    /// If set and false for an answer, the answer belongs to something else: the exchange failed and the connection is closed.
+    std::function<bool(const HttpResponse &)> accept;
 };
 
 struct ClientResult {
@@ -74,6 +76,7 @@
     evhttp_connection *m_connection = nullptr; ///< Null once closed.
     std::unique_ptr<EventWatch> m_timer;
     Callback m_callback; ///< Set exactly while an exchange is in progress.
+    std::function<bool(const HttpResponse &)> m_accept;
     bool m_byteSent = false;
     TrafficCounters m_traffic;
 };
--- /dev/null
+++ b/src/daemon/httpfrontend.h
@@ -0,0 +1,60 @@
+// The HTTP server for callers and operators, on evhttp. Translates between evhttp requests and HttpCall, limits sizes, and
+// notices clients that go away.
+#pragma once
+
+#include "core/error.h"
+#include "eventloop.h"
+#include "httptypes.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+struct evhttp;
+struct evhttp_request;
+
+namespace KingCupLadder {
+
+struct HttpFrontendSettings {
+    std::string address; ///< "ip:port" to listen on; port 0 is not accepted.
+    std::size_t maxBody = 8 * 1024 * 1024;
+    std::size_t maxHeaders = 32 * 1024;
+    std::size_t maxActive = 20000; ///< Requests being handled; more are refused.
+    Duration clientIdle{60000};
+};
+
+class HttpFrontend
+{
+public:
+    [[nodiscard]] static Result<std::unique_ptr<HttpFrontend>> create(EventLoop &loop, const HttpFrontendSettings &settings, HttpHandler handler);
+    ~HttpFrontend();
+    HttpFrontend(const HttpFrontend &) = delete;
+    HttpFrontend &operator=(const HttpFrontend &) = delete;
+
+    /// While set, every answer closes its connection, so that callers move to other daemons.
+    void setClosing(bool closing);
+    [[nodiscard]] std::size_t activeCalls() const;
+    [[nodiscard]] std::uint64_t bytesReceived() const;
+    [[nodiscard]] std::uint64_t bytesSent() const;
+
+private:
+    struct Pending;
+
+    HttpFrontend(EventLoop &loop, const HttpFrontendSettings &settings, HttpHandler handler);
+    void onRequest(evhttp_request *request);
+    void onClientGone(Pending *pending);
+    void reply(Pending *pending, const HttpResponse &response);
+    void write(evhttp_request *request, const HttpResponse &response);
+
+    EventLoop &m_loop;
+    HttpFrontendSettings m_settings;
+    HttpHandler m_handler;
+    evhttp *m_server = nullptr;
+    std::unordered_map<Pending *, std::unique_ptr<Pending>> m_pending; ///< Requests without an answer.
+    bool m_closing = false;
+    std::uint64_t m_bytesReceived = 0;
+    std::uint64_t m_bytesSent = 0;
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/daemon/jobjson.cpp
@@ -0,0 +1,106 @@
+// JSON of job submissions.
+#include "jobjson.h"
+
+#include "jsonfields.h"
+#include "unittext.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::int64_t maxTasks = 100000;
+constexpr std::size_t maxPayload = 256 * 1024; // Bytes; the payload is stored in the job's row.
+constexpr std::size_t longestId = 200;
+
+Error invalid(const std::string &message, const std::string &remedy)
+{
+    return Error{ErrorKind::InvalidInput, message, remedy};
+}
+
+} // namespace
+
+bool isUsableJobId(const std::string &id)
+{
+    return !id.empty() && id.size() <= longestId && std::all_of(id.begin(), id.end(), [](char c) { return c > ' ' && c <= '~'; });
+}
+
+Result<JobRequest> parseJobRequest(const std::string &body)
+{
+    static const std::string remedy = R"(send {"route": "...", "tasks": 1, "runTime": "90s", "payload": "..."})";
+    const auto json = parseJson(body);
+    if (!json) {
+        return invalid("the body is not JSON", remedy);
+    }
+    std::string fault;
+    JsonFields fields(*json, fault, "job");
+    JobRequest request;
+    request.id = fields.textOr("id", {});
+    request.route = RouteName(fields.text("route"));
+    const std::int64_t tasks = fields.numberOr("tasks", 1);
+    request.payload = fields.textOr("payload", {});
+    const std::string runTime = fields.textOr("runTime", {});
+    if (!fault.empty()) {
+        return invalid(fault, remedy);
+    }
+    if (tasks < 1 || tasks > maxTasks) {
+        return invalid("job: field 'tasks' is out of range", "send a number from 1 to " + std::to_string(maxTasks));
+    }
+    request.tasks = static_cast<std::uint32_t>(tasks);
+    if (request.payload.size() > maxPayload) {
+        return invalid("job: field 'payload' is too large", "send at most 256 KiB and keep larger input in the object store");
+    }
+    if (!runTime.empty()) {
+        const auto span = parseDuration(runTime);
+        if (!span) {
+            return invalid("job: field 'runTime' is not a span of time", "send a whole number with ms, s, m or h, such as \"90s\"");
+        }
+        request.runTime = *span;
+    }
+    request.demand = json->value("demand", nlohmann::json::object());
+    return request;
+}
+
+Result<JobSpec> completeJob(const JobRequest &request, const Route &route)
+{
+    std::string fault;
+    JsonFields demand(request.demand, fault, "job.demand");
+    JobSpec spec;
+    spec.route = route.name;
+    spec.pool = route.pool;
+    spec.workClass = route.workClass;
+    spec.priority = route.priority;
+    spec.partition = route.partition;
+    spec.allAtOnce = route.allAtOnce;
+    spec.startOnce = route.startOnce;
+    spec.taskCount = request.tasks;
+    spec.demand.cpu = MilliCores(demand.numberOr("milliCores", route.demand.cpu.value()));
+    spec.demand.memory = MebiBytes(demand.numberOr("memoryMiB", route.demand.memory.value()));
+    spec.demand.accelerators = Accelerators(demand.numberOr("accelerators", route.demand.accelerators.value()));
+    spec.demand.slots = Slots(demand.numberOr("slots", route.demand.slots.value()));
+    spec.declaredRunTime = request.runTime;
+    spec.payload = request.payload;
+    if (!fault.empty()) {
+        return invalid(fault, "send whole numbers for milliCores, memoryMiB, accelerators and slots");
+    }
+    return spec;
+}
+
+nlohmann::json jobJson(const JobRecord &record)
+{
+    const JobSpec &spec = record.spec;
+    return {{"id", spec.id.value()},
+            {"team", spec.team.value()},
+            {"route", spec.route.value()},
+            {"pool", spec.pool.value()},
+            {"class", toString(spec.workClass)},
+            {"tasks", spec.taskCount},
+            {"demand", resourcesJson(spec.demand)},
+            {"runMs", spec.declaredRunTime.count()},
+            {"shard", record.shard.value()},
+            {"state", toString(record.state)},
+            {"reason", record.reason}};
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/daemon/metrics.cpp
@@ -0,0 +1,184 @@
+// Boost.Accumulators behind the metrics endpoint.
+#include "metrics.h"
+
+#include <sstream> // extended_p_square_quantile.hpp uses it without including it.
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <sys/resource.h>
+
+#include <array>
+#include <fstream>
+#include <map>
+
+namespace KingCupLadder {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+using WaitAccumulator = acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max, acc::tag::extended_p_square_quantile>>;
+
+constexpr std::array<double, 3> quantiles{0.5, 0.9, 0.99};
+constexpr double millisecondsPerSecond = 1000.0;
+constexpr double microsecondsPerSecond = 1e6;
+constexpr std::size_t maxSeries = 4000; // About a kilobyte each; later ones are counted as "other".
+const char prefix[] = "kingcupladder_";
+
+using SeriesKey = std::pair<std::string, std::string>;
+
+std::string routeTeamLabels(const SeriesKey &key)
+{
+    return "route=\"" + metricLabel(key.first) + "\",team=\"" + metricLabel(key.second) + "\"";
+}
+
+void line(std::ostream &out, const std::string &name, const std::string &labels, double value)
+{
+    out << prefix << name;
+    if (!labels.empty()) {
+        out << '{' << labels << '}';
+    }
+    out << ' ' << value << '\n';
+}
+
+double cpuSeconds()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const auto seconds = [](const timeval &time) { return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / microsecondsPerSecond; };
+    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+double residentBytes()
+{
+    constexpr double pageBytes = 4096;
+    std::ifstream statm("/proc/self/statm");
+    double total = 0;
+    double resident = 0;
+    statm >> total >> resident;
+    return resident * pageBytes;
+}
+
+} // namespace
+
+class Metrics::Private
+{
+public:
+    SeriesKey keyFor(const RouteName &route, const TeamId &team) const;
+    WaitAccumulator &waits(const SeriesKey &key);
+    void writeWaits(std::ostream &out) const;
+
+    std::map<SeriesKey, WaitAccumulator> waitSeries;
+    std::map<SeriesKey, std::uint64_t> answered;
+    std::map<SeriesKey, std::uint64_t> jobs;
+    std::map<ErrorKind, std::uint64_t> refusals;
+};
+
+SeriesKey Metrics::Private::keyFor(const RouteName &route, const TeamId &team) const
+{
+    const SeriesKey key{route.value(), team.value()};
+    return answered.size() + jobs.size() < maxSeries || answered.count(key) > 0 || jobs.count(key) > 0 ? key : SeriesKey{"other", "other"};
+}
+
+WaitAccumulator &Metrics::Private::waits(const SeriesKey &key)
+{
+    const auto found = waitSeries.find(key);
+    if (found != waitSeries.end()) {
+        return found->second;
+    }
+    return waitSeries.emplace(key, WaitAccumulator(acc::extended_p_square_probabilities = quantiles)).first->second;
+}
+
+void Metrics::Private::writeWaits(std::ostream &out) const
+{
+    out << "# TYPE " << prefix << "request_wait_seconds summary\n";
+    for (const auto &[key, series] : waitSeries) {
+        const std::string labels = routeTeamLabels(key);
+        for (const double quantile : quantiles) {
+            std::ostringstream text;
+            text << quantile;
+            line(out, "request_wait_seconds", labels + ",quantile=\"" + text.str() + "\"", acc::quantile(series, acc::quantile_probability = quantile));
+        }
+        line(out, "request_wait_seconds_count", labels, static_cast<double>(acc::count(series)));
+        line(out, "request_wait_seconds_sum", labels, acc::sum(series));
+        line(out, "request_wait_seconds_max", labels, acc::max(series));
+    }
+}
+
+Metrics::Metrics() : d(std::make_unique<Private>()) { }
+Metrics::~Metrics() = default;
+
+void Metrics::onRequest(const RequestReport &report)
+{
+    if (report.error != ErrorKind::None) {
+        ++d->refusals[report.error];
+    }
+    if (report.team.isEmpty()) {
+        return;
+    }
+    const SeriesKey key = d->keyFor(report.route, report.team);
+    ++d->answered[key];
+    if (report.waited) {
+        d->waits(key)(static_cast<double>(report.waited->count()) / millisecondsPerSecond);
+    }
+}
+
+void Metrics::onJob(const RouteName &route, const TeamId &team, ErrorKind error, Duration /*total*/)
+{
+    if (error != ErrorKind::None) {
+        ++d->refusals[error];
+        return;
+    }
+    ++d->jobs[d->keyFor(route, team)];
+}
+
+std::string Metrics::text(const std::vector<Metric> &core, const ControlCost &cost) const
+{
+    std::ostringstream out;
+    d->writeWaits(out);
+    for (const auto &[key, count] : d->answered) {
+        line(out, "requests_total", routeTeamLabels(key), static_cast<double>(count));
+    }
+    for (const auto &[key, count] : d->jobs) {
+        line(out, "jobs_accepted_total", routeTeamLabels(key), static_cast<double>(count));
+    }
+    for (const auto &[kind, count] : d->refusals) {
+        line(out, "refusals_total", std::string("reason=\"") + toString(kind) + "\"", static_cast<double>(count));
+    }
+    line(out, "control_cpu_seconds_total", {}, cpuSeconds());
+    line(out, "control_resident_bytes", {}, residentBytes());
+    line(out, "control_bytes_total", "direction=\"sent\"", static_cast<double>(cost.bytesSent));
+    line(out, "control_bytes_total", "direction=\"received\"", static_cast<double>(cost.bytesReceived));
+    line(out, "control_store_operations_total", {}, static_cast<double>(cost.storeOperations));
+    line(out, "control_store_writes_total", {}, static_cast<double>(cost.storeWrites));
+    line(out, "control_worker_syncs_total", {}, static_cast<double>(cost.workerSyncs));
+    line(out, "control_peer_messages_dropped_total", {}, static_cast<double>(cost.peerMessagesDropped));
+    line(out, "requests_active", {}, static_cast<double>(cost.activeRequests));
+    for (const Metric &metric : core) {
+        line(out, metric.name, metric.labels, metric.value);
+    }
+    return out.str();
+}
+
+std::string metricLabel(const std::string &value)
+{
+    std::string out;
+    for (const char c : value) {
+        if (c == '\n') {
+            out += "\\n";
+            continue;
+        }
+        if (c == '"' || c == '\\') {
+            out += '\\';
+        }
+        out += c;
+    }
+    return out;
+}
+
+} // namespace KingCupLadder
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -346,7 +346,8 @@
 {
     const DaemonSettings &s = m_settings;
     if (s.leaseMargin * 3 > s.leaseTerm) {
-        problem(lineOf("timeouts.leaseMargin"), "the lease margin is above a third of the lease term", "lower timeouts.leaseMargin or raise timeouts.leaseTerm");
+        problem(
+            lineOf("timeouts.leaseMargin"), "the lease margin is above a third of the lease term", "lower timeouts.leaseMargin or raise timeouts.leaseTerm");
     }
     if (s.storeTimeout * 2 > s.leaseTerm - s.leaseMargin) {
         problem(lineOf("timeouts.store"),
@@ -354,7 +355,8 @@
                 "keep timeouts.store below half of leaseTerm minus leaseMargin");
     }
     if (s.heartbeatInterval * 3 > s.peerTimeout) {
-        problem(lineOf("timeouts.peer"), "a peer would count as gone after two lost heartbeats", "set timeouts.peer to at least three times timeouts.heartbeat");
+        problem(
+            lineOf("timeouts.peer"), "a peer would count as gone after two lost heartbeats", "set timeouts.peer to at least three times timeouts.heartbeat");
     }
     if (s.keyBound < s.storeTimeout * 2) {
         problem(lineOf("timeouts.keyBound"), "the key list can't be confirmed within its bound", "set timeouts.keyBound to at least twice timeouts.store");
--- /dev/null
+++ b/src/daemon/slo.cpp
@@ -0,0 +1,116 @@
+// Ring of buckets for each objective.
+#include "slo.h"
+
+#include "jsonfields.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::size_t maxSeries = 4000; // About 1.5 KB each; more pairs of route and team are not counted.
+
+Duration bucketSpan(const Objective &objective, std::size_t buckets)
+{
+    return std::max(objective.window / static_cast<std::int64_t>(buckets), Duration(1));
+}
+
+std::int64_t bucketIndex(const Objective &objective, std::size_t buckets, TimePoint now)
+{
+    return now.time_since_epoch() / bucketSpan(objective, buckets);
+}
+
+bool sameObjective(const Objective &a, const Objective &b)
+{
+    return a.targetWait == b.targetWait && a.share == b.share && a.window == b.window;
+}
+
+/// The bad part divided by the allowed part.
+double burnRate(std::uint64_t good, std::uint64_t bad, const Objective &objective)
+{
+    const double allowed = std::max(1.0 - objective.share, 1e-9);
+    const std::uint64_t total = good + bad;
+    return total == 0 ? 0.0 : static_cast<double>(bad) / static_cast<double>(total) / allowed;
+}
+
+} // namespace
+
+void Slo::count(const RouteName &route, const TeamId &team, const Objective &objective, bool good, TimePoint now)
+{
+    const std::pair<RouteName, TeamId> key(route, team);
+    if (m_series.size() >= maxSeries && m_series.count(key) == 0) {
+        return;
+    }
+    Series &series = m_series[key];
+    if (!sameObjective(series.objective, objective)) {
+        series = Series{objective, {}}; // Counts against another objective say nothing about this one.
+    }
+    const std::int64_t index = bucketIndex(objective, buckets, now);
+    Bucket &bucket = series.ring.at(static_cast<std::size_t>(index) % buckets);
+    if (bucket.index != index) {
+        bucket = Bucket{index, 0, 0};
+    }
+    ++(good ? bucket.good : bucket.bad);
+}
+
+SloReport Slo::reportOf(const RouteName &route, const TeamId &team, const Series &series, TimePoint now)
+{
+    SloReport report;
+    report.route = route;
+    report.team = team;
+    report.objective = series.objective;
+    const std::int64_t current = bucketIndex(series.objective, buckets, now);
+    for (const Bucket &bucket : series.ring) {
+        const std::int64_t age = current - bucket.index;
+        if (bucket.index < 0 || age >= static_cast<std::int64_t>(buckets)) {
+            continue;
+        }
+        report.good += bucket.good;
+        report.bad += bucket.bad;
+        if (age < static_cast<std::int64_t>(shortBuckets)) {
+            report.shortGood += bucket.good;
+            report.shortBad += bucket.bad;
+        }
+    }
+    report.burnLong = burnRate(report.good, report.bad, series.objective);
+    report.burnShort = burnRate(report.shortGood, report.shortBad, series.objective);
+    report.budgetUsed = report.burnLong;
+    const double left = std::max(1.0 - report.budgetUsed, 0.0);
+    if (report.burnShort > 0.0) {
+        report.exhaustion = Duration(static_cast<std::int64_t>(left / report.burnShort * static_cast<double>(series.objective.window.count())));
+    }
+    return report;
+}
+
+std::vector<SloReport> Slo::reports(TimePoint now) const
+{
+    std::vector<SloReport> reports;
+    for (const auto &[key, series] : m_series) {
+        reports.push_back(reportOf(key.first, key.second, series, now));
+    }
+    return reports;
+}
+
+std::string Slo::toJson(const DaemonId &daemon, TimePoint now) const
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const SloReport &report : reports(now)) {
+        list.push_back({{"route", report.route.value()},
+                        {"team", report.team.value()},
+                        {"targetWaitMs", report.objective.targetWait.count()},
+                        {"share", report.objective.share},
+                        {"windowMs", report.objective.window.count()},
+                        {"good", report.good},
+                        {"bad", report.bad},
+                        {"shortGood", report.shortGood},
+                        {"shortBad", report.shortBad},
+                        {"budgetUsed", report.budgetUsed},
+                        {"burnShort", report.burnShort},
+                        {"burnLong", report.burnLong},
+                        {"exhaustionMs", report.exhaustion ? nlohmann::json(report.exhaustion->count()) : nlohmann::json()}});
+    }
+    return dumpJson({{"daemon", daemon.value()}, {"objectives", std::move(list)}});
+}
+
+} // namespace KingCupLadder
