--- a/src/core/daemoncorepeers.cpp
+++ b/src/core/daemoncorepeers.cpp
@@ -54,6 +54,7 @@
 {
     Heartbeat heartbeat;
     heartbeat.self = settings.self;
+    heartbeat.self.incarnation = ownership->incarnation();
     heartbeat.stamp = now - startedAt + Duration(1); // 0 would mean "none".
     for (const auto &[id, echo] : echoes) {
         heartbeat.echoes.push_back(echo);
@@ -98,7 +99,7 @@
     }
     newest = HeartbeatEcho{from, heartbeat.self.incarnation, heartbeat.stamp};
     const auto own = std::find_if(heartbeat.echoes.begin(), heartbeat.echoes.end(), [this](const HeartbeatEcho &echo) {
-        return echo.daemon == settings.self.id && echo.incarnation == settings.self.incarnation;
+        return echo.daemon == settings.self.id && echo.incarnation == ownership->incarnation();
     });
     if (own == heartbeat.echoes.end()) {
         // The age of this message is unknown until the peer echoes a stamp of this daemon.
