Test the shard controller against handwritten workers

The fake workers obey the (epoch, sequence) order and record a worker over its capacity, an index that runs twice and a team above its allotment. Each guard has a test that fails without it. A worker that becomes placeable now starts a placement round at once; before, it waited up to one second.

--- a/src/core/shardinventory.cpp
+++ b/src/core/shardinventory.cpp
@@ -272,7 +272,8 @@
         }
         const TaskState &state = job->tasks.at(id.index);
         // A start of the same batch may not be listed yet.
-        if (mayRun(state.phase) && state.startSequence < sequence) {
+        const bool later = state.startSequence < sequence || !m_state.settings.guards.sequenceOrder;
+        if (mayRun(state.phase) && later) {
             m_jobs.endAttempt(*job, id.index, AttemptEnd::Lost, {}, now);
         }
     }
--- a/src/core/shardstate.cpp
+++ b/src/core/shardstate.cpp
@@ -200,7 +200,10 @@
 {
     ShardWorker &worker = *workers[position];
     countCapacity(worker);
-    if (!isPlaceable(worker)) {
+    const bool placeable = isPlaceable(worker);
+    dirty = dirty || (placeable && !worker.indexed);
+    worker.indexed = placeable;
+    if (!placeable) {
         const auto listed = workerIndex.find(worker.vm.id);
         if (listed == workerIndex.end() || listed->second == position) {
             index.remove(worker.vm.id);
--- a/src/core/shardstate_p.h
+++ b/src/core/shardstate_p.h
@@ -65,6 +65,7 @@
     std::optional<Resources> counted; ///< Its part of the capacity totals.
     bool resendControls = false; ///< A batch was lost, and with it perhaps throttling.
     bool queuedForService = false;
+    bool indexed = false; ///< Offered to placements.
     bool countsUnread = true; ///< Part of ShardState::unread.
 };
 
--- /dev/null
+++ b/test/core/fakeshard.h
@@ -0,0 +1,322 @@
+// A shard controller with handwritten workers that obey the worker protocol: (epoch, sequence) order, leases, idempotent starts.
+// It records when a worker is over its capacity, a task index runs twice, or a team is above its allotment.
+#pragma once
+
+#include "core/shardcontroller.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace KingCupLadder {
+
+inline Resources cores(std::int64_t count, std::int64_t slots = 0)
+{
+    return Resources{MilliCores(count * 1000), MebiBytes(count * 1024), Accelerators(0), Slots(slots)};
+}
+
+struct FakeWorker {
+    VmInfo vm;
+    Resources capacity = cores(4, 8);
+    bool supportsEpochs = true;
+    bool failsAll = false;
+    Slots busySlots;
+    std::pair<Epoch, Sequence> highest;
+    std::map<TaskId, RunningTask> running;
+    std::map<TaskId, TimePoint> leaseEnds;
+    std::map<TaskId, EndedTask> ended;
+    std::set<TaskId> everStarted;
+    std::vector<TaskControl> controls;
+    Duration lastRenewal{0};
+
+    void end(const TaskId &id, TaskOutcome outcome)
+    {
+        if (running.count(id) > 0) {
+            ended[id] = EndedTask{id, running[id].team, outcome, "by test"};
+            running.erase(id);
+            leaseEnds.erase(id);
+        }
+    }
+
+    void expireLeases(TimePoint now)
+    {
+        const std::map<TaskId, TimePoint> ends = leaseEnds;
+        for (const auto &[id, at] : ends) {
+            if (now >= at) {
+                end(id, TaskOutcome::Expired);
+            }
+        }
+    }
+
+    void start(const TaskStart &start, TimePoint now)
+    {
+        if (!everStarted.insert(start.id).second) {
+            return;
+        }
+        running[start.id] = RunningTask{start.id, start.team, start.route, start.demand, {}, start.lease};
+        if (start.lease > Duration(0)) {
+            leaseEnds[start.id] = now + start.lease;
+        }
+        if (failsAll) {
+            end(start.id, TaskOutcome::Failed);
+        }
+    }
+
+    SyncReply handle(const SyncRequest &request, TimePoint now)
+    {
+        expireLeases(now);
+        SyncReply reply;
+        reply.refused = supportsEpochs && std::pair(request.epoch, request.sequence) < highest;
+        reply.supportsEpochs = supportsEpochs;
+        if (!reply.refused) {
+            apply(request, now);
+        }
+        reply.epoch = highest.first;
+        reply.sequence = highest.second;
+        reply.capacity = capacity;
+        reply.connections = 60;
+        reply.busySlots = busySlots;
+        reply.inventory = request.inventory;
+        for (const auto &[id, task] : running) {
+            reply.running.push_back(task);
+        }
+        for (const auto &[id, task] : ended) {
+            reply.ended.push_back(task);
+        }
+        return reply;
+    }
+
+    void apply(const SyncRequest &request, TimePoint now)
+    {
+        highest = std::max(highest, std::pair(request.epoch, request.sequence));
+        lastRenewal = request.renewLease;
+        for (auto &[id, at] : leaseEnds) {
+            at = request.renewLease > Duration(0) ? now + request.renewLease : at;
+        }
+        for (const TaskId &id : request.acknowledged) {
+            ended.erase(id);
+        }
+        for (const TaskStart &task : request.starts) {
+            start(task, now);
+        }
+        for (const TaskControl &control : request.controls) {
+            controls.push_back(control);
+            const bool ends = control.action == TaskAction::Stop || control.action == TaskAction::Checkpoint;
+            if (ends) {
+                end(control.id, control.action == TaskAction::Stop ? TaskOutcome::Stopped : TaskOutcome::Checkpointed);
+            }
+        }
+    }
+};
+
+/// What happens to a batch on its way.
+enum class Wire {
+    Deliver,
+    LoseAnswer, ///< It takes effect, the answer is lost.
+    Delay, ///< The answer is lost; it takes effect when the test says so.
+    Drop,
+};
+
+struct FakeShard {
+    ShardSettings settings;
+    TimePoint now{Duration(1000000)};
+    std::unique_ptr<ShardController> controller;
+    std::map<WorkerId, FakeWorker> workers;
+    std::map<WorkerId, Wire> wires;
+    std::vector<SyncWorker> delayed;
+    std::vector<SyncWorker> sent; ///< All batches.
+    std::vector<RecordJob> records; ///< All records asked for.
+    std::map<TeamId, Resources> allotments;
+    bool storeUp = true; ///< Records become durable at once.
+    bool doubleRun = false;
+    bool overCapacity = false;
+    bool overAllotment = false;
+
+    explicit FakeShard(int workerCount = 1, std::uint64_t epoch = 1)
+    {
+        settings.id = ShardId("pool/domain/0");
+        settings.pool = PoolName("pool");
+        settings.owner = DaemonId("d1");
+        settings.epoch = Epoch(epoch);
+        for (int i = 0; i < workerCount; ++i) {
+            const WorkerId id("w" + std::to_string(i));
+            workers[id].vm = VmInfo{id, "10.0.0.1:1", "g", FailureDomain("domain"), RackId("r"), false};
+        }
+    }
+
+    void create(std::shared_ptr<const Tables> tables = nullptr)
+    {
+        controller = std::move(ShardController::create(settings, std::move(tables), now).value());
+        controller->setLeaseConfirmed(true, now);
+        allot(cores(1000, 1000));
+        list();
+    }
+
+    void allot(const Resources &amount, const char *team = "a")
+    {
+        allotments[TeamId(team)] = amount;
+        controller->setAllotment(TeamId(team), amount, now);
+    }
+
+    void list()
+    {
+        std::vector<VmInfo> vms;
+        for (const auto &[id, worker] : workers) {
+            vms.push_back(worker.vm);
+        }
+        controller->setWorkers(vms, now);
+    }
+
+    /// Created, empty, with every worker read.
+    void createReady(std::shared_ptr<const Tables> tables = nullptr)
+    {
+        create(std::move(tables));
+        controller->recover({}, now);
+        run(20);
+    }
+
+    FakeWorker &worker(int number = 0)
+    {
+        return workers[WorkerId("w" + std::to_string(number))];
+    }
+
+    void wire(int number, Wire how)
+    {
+        wires[WorkerId("w" + std::to_string(number))] = how;
+    }
+
+    static JobSpec job(const char *id, std::uint32_t tasks = 1, const Resources &demand = cores(1))
+    {
+        JobSpec spec;
+        spec.id = JobId(id);
+        spec.team = TeamId("a");
+        spec.pool = PoolName("pool");
+        spec.taskCount = tasks;
+        spec.demand = demand;
+        return spec;
+    }
+
+    void enqueue(const JobSpec &spec)
+    {
+        (void)controller->enqueue(spec, now);
+    }
+
+    void run(int milliseconds)
+    {
+        for (int passed = 0; passed < milliseconds; passed += 10) {
+            now += Duration(10);
+            for (auto &[id, worker] : workers) {
+                worker.expireLeases(now);
+            }
+            controller->tick(now);
+            for (ShardOutput &output : controller->takeOutputs()) {
+                if (auto *sync = std::get_if<SyncWorker>(&output)) {
+                    carry(*sync);
+                } else {
+                    record(std::get<RecordJob>(output));
+                }
+            }
+            check();
+        }
+    }
+
+    void record(const RecordJob &record)
+    {
+        records.push_back(record);
+        if (storeUp) {
+            controller->jobRecorded(record.job, record.state, now);
+        }
+    }
+
+    void carry(const SyncWorker &sync)
+    {
+        sent.push_back(sync);
+        const auto wire = wires.find(sync.worker);
+        const Wire how = wire == wires.end() ? Wire::Deliver : wire->second;
+        const auto target = workers.find(sync.worker);
+        WorkerReply reply{sync.op, sync.worker, std::nullopt};
+        if (target != workers.end() && (how == Wire::Deliver || how == Wire::LoseAnswer)) {
+            const SyncReply answer = target->second.handle(sync.request, now);
+            if (how == Wire::Deliver) {
+                reply.reply = answer;
+            }
+        }
+        if (how == Wire::Delay) {
+            delayed.push_back(sync);
+        }
+        controller->onWorkerReply(reply, now);
+    }
+
+    void deliverDelayed()
+    {
+        for (const SyncWorker &sync : delayed) {
+            const auto target = workers.find(sync.worker);
+            if (target != workers.end()) {
+                (void)target->second.handle(sync.request, now);
+            }
+        }
+        delayed.clear();
+        check();
+    }
+
+    void check()
+    {
+        std::map<std::pair<JobId, std::uint32_t>, int> copies;
+        std::map<TeamId, Resources> use;
+        for (const auto &[id, worker] : workers) {
+            Resources sum;
+            for (const auto &[task, running] : worker.running) {
+                sum += running.demand;
+                use[running.team] += running.demand;
+                doubleRun = doubleRun || ++copies[{task.job, task.index}] > 1;
+            }
+            overCapacity = overCapacity || !sum.fitsIn(worker.capacity);
+        }
+        for (const auto &[team, amount] : use) {
+            overAllotment = overAllotment || !amount.fitsIn(allotments[team]);
+        }
+    }
+
+    [[nodiscard]] int runningTasks() const
+    {
+        std::size_t count = 0;
+        for (const auto &[id, worker] : workers) {
+            count += worker.running.size();
+        }
+        return static_cast<int>(count);
+    }
+
+    [[nodiscard]] std::string recorded(const char *id) const
+    {
+        std::string states;
+        for (const RecordJob &record : records) {
+            if (record.job == JobId(id)) {
+                states += (states.empty() ? "" : ",") + std::string(toString(record.state));
+            }
+        }
+        return states;
+    }
+
+    /// Ends every running task of the worker.
+    void endAll(int number, TaskOutcome outcome)
+    {
+        const std::map<TaskId, RunningTask> running = worker(number).running;
+        for (const auto &[id, task] : running) {
+            worker(number).end(id, outcome);
+        }
+    }
+
+    GrantWish wish(Duration term = Duration(1000)) const
+    {
+        GrantWish result;
+        result.route = RouteName("r");
+        result.pool = settings.pool;
+        result.team = TeamId("a");
+        result.demand = cores(0, 1);
+        result.term = term;
+        return result;
+    }
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/test/core/testshardcontroller.cpp
@@ -0,0 +1,390 @@
+#include "fakeshard.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+namespace {
+
+JobRecord queuedRecord(const JobSpec &spec, JobState state = JobState::Queued)
+{
+    return JobRecord{spec, ShardId("pool/domain/0"), state, {}};
+}
+
+RunningTask runningTask(const char *job, std::uint32_t attempt = 1, const Resources &demand = cores(1))
+{
+    return RunningTask{TaskId{JobId(job), 0, attempt}, TeamId("a"), {}, demand, {}, Duration(0)};
+}
+
+void put(FakeWorker &worker, const RunningTask &task)
+{
+    worker.running[task.id] = task;
+    worker.everStarted.insert(task.id);
+}
+
+} // namespace
+
+TEST_GROUP(ShardController){};
+
+// Guards against work that is admitted and never dispatched.
+TEST(ShardController, RunsAJobToItsSuccess)
+{
+    FakeShard shard;
+    shard.createReady();
+    shard.enqueue(FakeShard::job("j", 2));
+    shard.run(50);
+    LONGS_EQUAL(2, shard.runningTasks());
+    shard.endAll(0, TaskOutcome::Succeeded);
+    shard.run(1000);
+    STRCMP_EQUAL("succeeded", shard.recorded("j").c_str());
+}
+
+// Guards against a new owner that commits on top of what the old owner started.
+TEST(ShardController, DoesNotCommitBeforeTheInventory)
+{
+    FakeShard shard(1, 2);
+    put(shard.worker(), runningTask("old", 1, cores(4)));
+    shard.create();
+    shard.enqueue(FakeShard::job("j", 1, cores(2)));
+    shard.run(300);
+    CHECK_FALSE(shard.overCapacity);
+}
+
+// Shows that the test above depends on the guard.
+TEST(ShardController, CommitsTwiceWithoutTheInventoryGuard)
+{
+    FakeShard shard(1, 2);
+    shard.settings.guards.inventoryBeforeCommit = false;
+    shard.settings.guards.countUnreadWorkers = false;
+    put(shard.worker(), runningTask("old", 1, cores(4)));
+    shard.create();
+    shard.enqueue(FakeShard::job("j", 1, cores(2)));
+    shard.run(300);
+    CHECK_TRUE(shard.overCapacity);
+}
+
+// Guards against a second start while the first one, whose answer was lost, runs.
+TEST(ShardController, DoesNotRestartAfterALostAnswer)
+{
+    FakeShard shard(2);
+    shard.createReady();
+    shard.wire(0, Wire::LoseAnswer);
+    shard.wire(1, Wire::LoseAnswer);
+    shard.enqueue(FakeShard::job("j"));
+    shard.run(3000);
+    LONGS_EQUAL(1, shard.runningTasks());
+}
+
+// Shows that the test above depends on the guard.
+TEST(ShardController, RestartsTwiceWithoutTheStopProof)
+{
+    FakeShard shard(2);
+    shard.settings.guards.proveStoppedBeforeRestart = false;
+    shard.createReady();
+    shard.wire(0, Wire::LoseAnswer);
+    shard.wire(1, Wire::LoseAnswer);
+    shard.enqueue(FakeShard::job("j"));
+    shard.run(3000);
+    CHECK_TRUE(shard.doubleRun);
+}
+
+namespace {
+
+/// A start is delayed on the way, an inventory does not list it, the task starts elsewhere, then the delayed start arrives.
+bool delayedStartRunsTwice(bool sequenceOrder)
+{
+    FakeShard shard(2);
+    shard.settings.guards.sequenceOrder = sequenceOrder;
+    shard.createReady();
+    shard.wire(0, Wire::Delay);
+    shard.wire(1, Wire::Delay);
+    shard.enqueue(FakeShard::job("j"));
+    shard.run(20);
+    shard.wires.clear();
+    shard.run(3000);
+    shard.deliverDelayed();
+    return shard.doubleRun;
+}
+
+} // namespace
+
+// Guards against a delayed batch that takes effect after an inventory has settled its starts.
+TEST(ShardController, DelayedStartHasNoEffectAfterTheInventory)
+{
+    CHECK_FALSE(delayedStartRunsTwice(true));
+}
+
+// Shows that the test above depends on the guard.
+TEST(ShardController, DelayedStartRunsTwiceWithoutSequenceOrder)
+{
+    CHECK_TRUE(delayedStartRunsTwice(false));
+}
+
+// Guards against a task that stays lost when its start never arrived.
+TEST(ShardController, StartsAgainOnceAnInventoryLacksTheTask)
+{
+    FakeShard shard;
+    shard.createReady();
+    shard.wire(0, Wire::Drop);
+    shard.enqueue(FakeShard::job("j"));
+    shard.run(20);
+    shard.wires.clear();
+    shard.run(3000);
+    LONGS_EQUAL(1, shard.runningTasks());
+}
+
+// Guards against a second copy of a recovered task that runs on a worker which can't be read yet.
+TEST(ShardController, HoldsRecoveredTasksUntilAllWorkersAreRead)
+{
+    FakeShard shard(2, 2);
+    put(shard.worker(1), runningTask("j"));
+    shard.wire(1, Wire::Drop);
+    shard.create();
+    shard.controller->recover({queuedRecord(FakeShard::job("j"))}, shard.now);
+    shard.run(3000);
+    LONGS_EQUAL(0, static_cast<long>(shard.worker(0).running.size()));
+}
+
+// Guards against recovered work that is held for ever.
+TEST(ShardController, StartsRecoveredTasksThatNoWorkerHas)
+{
+    FakeShard shard(2, 2);
+    shard.create();
+    shard.controller->recover({queuedRecord(FakeShard::job("j"))}, shard.now);
+    shard.run(1000);
+    LONGS_EQUAL(1, shard.runningTasks());
+}
+
+// Guards against new work that waits for workers that can't be read.
+TEST(ShardController, StartsNewJobsWhileAWorkerIsUnread)
+{
+    FakeShard shard(2, 2);
+    shard.wire(1, Wire::Drop);
+    shard.createReady();
+    shard.enqueue(FakeShard::job("new"));
+    shard.run(500);
+    LONGS_EQUAL(1, shard.runningTasks());
+}
+
+// Guards against a recovered task that is stopped or started again although it runs.
+TEST(ShardController, AdoptsARunningTaskReadBeforeRecovery)
+{
+    FakeShard shard(1, 2);
+    put(shard.worker(), runningTask("j"));
+    shard.create();
+    shard.run(500);
+    shard.controller->recover({queuedRecord(FakeShard::job("j"))}, shard.now);
+    shard.run(500);
+    LONGS_EQUAL(1, static_cast<long>(shard.worker().running.count(TaskId{JobId("j"), 0, 1})));
+}
+
+// Guards against tasks of removed jobs that keep their room for ever.
+TEST(ShardController, StopsTasksOfUnknownJobs)
+{
+    FakeShard shard(1, 2);
+    put(shard.worker(), runningTask("unknown"));
+    shard.createReady();
+    shard.run(500);
+    LONGS_EQUAL(0, shard.runningTasks());
+}
+
+// Guards against a task that is lost with its VM.
+TEST(ShardController, RestartsATaskWhoseVmIsGone)
+{
+    FakeShard shard(1);
+    shard.createReady();
+    shard.enqueue(FakeShard::job("j"));
+    shard.run(50);
+    FakeShard other(2);
+    shard.workers = {{WorkerId("w1"), other.worker(1)}};
+    shard.list();
+    shard.run(500);
+    LONGS_EQUAL(1, shard.runningTasks());
+}
+
+// Guards against a restart of leased work while its lease may run on a VM that left the list.
+TEST(ShardController, WaitsForTheLeaseOfAGoneVm)
+{
+    FakeShard shard(2);
+    shard.createReady();
+    JobSpec spec = FakeShard::job("j");
+    spec.partition = PartitionPolicy::Move;
+    shard.enqueue(spec);
+    shard.run(50);
+    const int used = shard.worker(0).running.empty() ? 1 : 0;
+    shard.controller->setWorkers({shard.worker(1 - used).vm}, shard.now);
+    shard.run(9000);
+    LONGS_EQUAL(0, static_cast<long>(shard.worker(1 - used).running.size()));
+    shard.run(3000);
+    LONGS_EQUAL(1, static_cast<long>(shard.worker(1 - used).running.size()));
+}
+
+// Guards against "move" tasks that outlive the ownership of their shard.
+TEST(ShardController, RenewsNoLeaseWhileUnconfirmed)
+{
+    FakeShard shard;
+    shard.createReady();
+    shard.controller->setLeaseConfirmed(false, shard.now);
+    shard.run(1000);
+    LONGS_EQUAL(0, shard.worker().lastRenewal.count());
+}
+
+// Guards against output after the daemon's lease came into doubt.
+TEST(ShardController, EmitsNothingWhileSuspended)
+{
+    FakeShard shard;
+    shard.createReady();
+    shard.enqueue(FakeShard::job("j"));
+    shard.controller->setSuspended(true);
+    const std::size_t before = shard.sent.size();
+    shard.run(3000);
+    LONGS_EQUAL(static_cast<long>(before), static_cast<long>(shard.sent.size()));
+    shard.controller->setSuspended(false);
+    shard.run(100);
+    LONGS_EQUAL(1, shard.runningTasks());
+}
+
+// Guards against starts on a worker without epochs while the previous owner's starts may still arrive.
+TEST(ShardController, WaitsForOldStartsOnAWorkerWithoutEpochs)
+{
+    FakeShard shard;
+    shard.worker().supportsEpochs = false;
+    shard.createReady();
+    shard.enqueue(FakeShard::job("j"));
+    shard.run(9500);
+    LONGS_EQUAL(0, shard.runningTasks());
+    shard.run(1500);
+    LONGS_EQUAL(1, shard.runningTasks());
+}
+
+// Guards against a start-once task that is dispatched before its record is durable.
+TEST(ShardController, DispatchesAStartOnceTaskAfterItsRecord)
+{
+    FakeShard shard;
+    shard.createReady();
+    shard.storeUp = false;
+    JobSpec spec = FakeShard::job("j");
+    spec.startOnce = true;
+    shard.enqueue(spec);
+    shard.run(500);
+    LONGS_EQUAL(0, shard.runningTasks());
+    shard.controller->jobRecorded(JobId("j"), JobState::Started, shard.now);
+    shard.run(100);
+    LONGS_EQUAL(1, shard.runningTasks());
+}
+
+// Guards against a second payment: the start was recorded and the task is on no worker.
+TEST(ShardController, ParksALostStartOnceTask)
+{
+    FakeShard shard(1, 2);
+    JobSpec spec = FakeShard::job("j");
+    spec.startOnce = true;
+    shard.create();
+    shard.controller->recover({queuedRecord(spec, JobState::Started)}, shard.now);
+    shard.run(500);
+    STRCMP_EQUAL("parked", shard.recorded("j").c_str());
+}
+
+// Guards against a completion that a new owner can't learn of: the worker forgot it before the record was durable.
+TEST(ShardController, AcknowledgesSuccessOnlyAfterItsRecord)
+{
+    FakeShard shard;
+    shard.createReady();
+    shard.storeUp = false;
+    shard.enqueue(FakeShard::job("j"));
+    shard.run(50);
+    shard.endAll(0, TaskOutcome::Succeeded);
+    shard.run(2000);
+    LONGS_EQUAL(1, static_cast<long>(shard.worker().ended.size()));
+    shard.controller->jobRecorded(JobId("j"), JobState::Succeeded, shard.now);
+    shard.run(1000);
+    LONGS_EQUAL(0, static_cast<long>(shard.worker().ended.size()));
+}
+
+// Guards against a finished job that runs again because its admission is forwarded a second time.
+TEST(ShardController, IgnoresAFinishedJob)
+{
+    FakeShard shard;
+    shard.createReady();
+    shard.enqueue(FakeShard::job("j"));
+    shard.run(50);
+    shard.endAll(0, TaskOutcome::Succeeded);
+    shard.run(1000);
+    shard.enqueue(FakeShard::job("j"));
+    shard.run(500);
+    LONGS_EQUAL(0, shard.runningTasks());
+}
+
+// Guards against a service that stays down after it ended.
+TEST(ShardController, RestartsAService)
+{
+    FakeShard shard;
+    shard.createReady();
+    JobSpec spec = FakeShard::job("s");
+    spec.workClass = WorkClass::Service;
+    shard.enqueue(spec);
+    shard.run(50);
+    shard.endAll(0, TaskOutcome::Succeeded);
+    shard.run(1000);
+    LONGS_EQUAL(1, shard.runningTasks());
+}
+
+// Guards against cancelled tasks that go on running.
+TEST(ShardController, CancelStopsRunningTasks)
+{
+    FakeShard shard;
+    shard.createReady();
+    shard.enqueue(FakeShard::job("j", 6));
+    shard.run(50);
+    shard.controller->cancel(JobId("j"), shard.now);
+    shard.run(1000);
+    LONGS_EQUAL(0, shard.runningTasks());
+    LONGS_EQUAL(0, static_cast<long>(shard.controller->queuedTasks()));
+}
+
+// Guards against a job that fails everywhere and is tried for ever.
+TEST(ShardController, ParksAJobThatFailedOnThreeWorkers)
+{
+    FakeShard shard(4);
+    shard.createReady();
+    shard.enqueue(FakeShard::job("bad"));
+    for (int i = 0; i < 8; ++i) {
+        shard.run(600);
+        for (int number = 0; number < 4; ++number) {
+            shard.endAll(number, TaskOutcome::Failed);
+        }
+    }
+    STRCMP_EQUAL("parked", shard.recorded("bad").c_str());
+}
+
+// Guards against a worker that fails everything and thereby parks good jobs.
+TEST(ShardController, QuarantinesAWorkerThatFailsEverything)
+{
+    FakeShard shard(2);
+    shard.worker(0).failsAll = true;
+    shard.createReady();
+    for (const char *id : {"j1", "j2", "j3", "j4"}) {
+        shard.enqueue(FakeShard::job(id));
+        shard.run(1000);
+    }
+    LONGS_EQUAL(4, static_cast<long>(shard.worker(1).running.size()));
+}
+
+// Guards against a job that waits for ever although no VM can take it.
+TEST(ShardController, RefusesAJobThatNeverFits)
+{
+    FakeShard shard;
+    shard.createReady();
+    const Result<bool> result = shard.controller->enqueue(FakeShard::job("big", 1, cores(5)), shard.now);
+    CHECK_TRUE(result.reason().kind == ErrorKind::NeverFits);
+}
+
+// Guards against a refusal that is judged before the workers are known.
+TEST(ShardController, ParksAJobThatNeverFitsOnceWorkersAreRead)
+{
+    FakeShard shard;
+    shard.create();
+    CHECK_TRUE(shard.controller->enqueue(FakeShard::job("big", 1, cores(5)), shard.now).hasValue());
+    shard.run(2000);
+    STRCMP_EQUAL("parked", shard.recorded("big").c_str());
+}
--- /dev/null
+++ b/test/core/testshardlimits.cpp
@@ -0,0 +1,137 @@
+#include "fakeshard.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+TEST_GROUP(ShardLimits){};
+
+namespace {
+
+/// Two workers were busy with the team's whole allotment when the owner changed; one of them can't be read.
+bool passesAllotmentAfterTakeOver(bool countUnread)
+{
+    FakeShard shard(2, 2);
+    const TaskId old{JobId("old"), 0, 1};
+    shard.worker(1).running[old] = RunningTask{old, TeamId("a"), {}, cores(4), {}, Duration(0)};
+    shard.wire(1, Wire::Drop);
+    shard.settings.guards.countUnreadWorkers = countUnread;
+    shard.create();
+    shard.allot(cores(4));
+    shard.enqueue(FakeShard::job("j", 4));
+    shard.run(3000);
+    return shard.overAllotment;
+}
+
+} // namespace
+
+// Guards against a team that passes its limit because a new owner can't see what runs on an unread worker.
+TEST(ShardLimits, UnreadWorkersCountAgainstTheAllotment)
+{
+    CHECK_FALSE(passesAllotmentAfterTakeOver(true));
+}
+
+// Shows that the test above depends on the guard.
+TEST(ShardLimits, AllotmentIsPassedWithoutCountingUnreadWorkers)
+{
+    CHECK_TRUE(passesAllotmentAfterTakeOver(false));
+}
+
+// Guards against admission beyond the allotment.
+TEST(ShardLimits, StartsWithinTheAllotment)
+{
+    FakeShard shard(2);
+    shard.createReady();
+    shard.allot(cores(3));
+    shard.enqueue(FakeShard::job("j", 8));
+    shard.run(1000);
+    LONGS_EQUAL(3, shard.runningTasks());
+}
+
+// Guards against a lowered limit that only takes effect when tasks end by themselves.
+TEST(ShardLimits, LoweredAllotmentCheckpointsTheExcess)
+{
+    FakeShard shard(2);
+    shard.createReady();
+    shard.enqueue(FakeShard::job("j", 8));
+    shard.run(300);
+    shard.allot(cores(2));
+    shard.run(2000);
+    LONGS_EQUAL(2, shard.runningTasks());
+}
+
+// Guards against urgent work that waits behind long batch work on a full cell.
+TEST(ShardLimits, UrgentWorkStartsWithinItsBound)
+{
+    FakeShard shard(2);
+    shard.createReady();
+    shard.enqueue(FakeShard::job("batch", 8));
+    shard.run(500);
+    JobSpec urgent = FakeShard::job("urgent", 2, cores(2));
+    urgent.priority = Priority::Urgent;
+    shard.enqueue(urgent);
+    shard.run(2100);
+    LONGS_EQUAL(6, shard.runningTasks());
+}
+
+// Guards against a checkpointed task that is lost instead of queued again.
+TEST(ShardLimits, CheckpointedTaskRunsAgainAsANewAttempt)
+{
+    FakeShard shard;
+    shard.createReady();
+    shard.enqueue(FakeShard::job("j"));
+    shard.run(50);
+    shard.endAll(0, TaskOutcome::Checkpointed);
+    shard.run(1000);
+    LONGS_EQUAL(1, static_cast<long>(shard.worker().running.count(TaskId{JobId("j"), 0, 2})));
+}
+
+// Guards against an all-at-once job of which only some tasks start.
+TEST(ShardLimits, GangStartsWhollyOrNotAtAll)
+{
+    FakeShard shard(2);
+    shard.createReady();
+    shard.enqueue(FakeShard::job("small", 2));
+    shard.run(100);
+    JobSpec gang = FakeShard::job("gang", 4, cores(2));
+    gang.allAtOnce = true;
+    shard.enqueue(gang);
+    shard.run(1000);
+    LONGS_EQUAL(2, shard.runningTasks());
+    for (int number : {0, 1}) {
+        shard.endAll(number, TaskOutcome::Succeeded);
+    }
+    shard.run(1000);
+    LONGS_EQUAL(4, shard.runningTasks());
+}
+
+namespace {
+
+std::shared_ptr<const Tables> tablesWithPower(const std::string &power)
+{
+    const std::string teams = "teams:\n  - {name: a, workspace: w, limit: {cpu: 100, memory: 100GiB}}\n";
+    const std::string pools = "pools:\n  - {name: pool, vms: g, power: " + power + ", teams: [a]}\n";
+    const TablesCheck check = Tables::parse("routes: []\n", teams + pools);
+    return check.problems.empty() ? std::make_shared<const Tables>(*check.tables()) : nullptr;
+}
+
+// Parsed before the tests, since the parser keeps static data that the leak check of a test would report.
+const std::shared_ptr<const Tables> gridTables = tablesWithPower("grid");
+const std::shared_ptr<const Tables> generatorTables = tablesWithPower("generator");
+
+} // namespace
+
+// Guards against batch work that goes on while the site runs on its generator.
+TEST(ShardLimits, GeneratorPowerCheckpointsBatchUntilTheGridReturns)
+{
+    FakeShard shard;
+    shard.createReady(gridTables);
+    shard.enqueue(FakeShard::job("j", 2));
+    shard.run(300);
+    shard.controller->setTables(generatorTables, shard.now);
+    shard.run(1000);
+    LONGS_EQUAL(0, shard.runningTasks());
+    shard.controller->setTables(gridTables, shard.now);
+    shard.run(1000);
+    LONGS_EQUAL(2, shard.runningTasks());
+}
