--- a/src/core/daemoncore_p.h
+++ b/src/core/daemoncore_p.h
@@ -31,7 +31,6 @@
         std::unique_ptr<ShardController> controller;
         Epoch epoch;
         TimePoint gainedAt{};
-        bool queueRead = false; ///< Every queue row was seen at least once.
         bool scanning = false; ///< A scan of its queue rows is in flight.
         TimePoint nextScan{};
         bool suspended = false; ///< While it is being handed over.
@@ -136,7 +135,7 @@
     void updateWantedShards(TimePoint now);
     void updateWorkers(TimePoint now);
     void scanQueue(const ShardId &shard, TimePoint now);
-    void onQueueRows(const ShardId &shard, Epoch epoch, const StoreReply &reply, TimePoint now);
+    void onQueueRows(const ShardId &shard, Epoch epoch, std::uint64_t scan, const StoreReply &reply, TimePoint now);
     void takeJobRows(const ShardId &shard, Epoch epoch, const StoreReply &reply, TimePoint now);
     void takeJobs(Shard &shard, Epoch admittedFor, const std::vector<JobRecord> &records, TimePoint now);
     void enqueueHere(Shard &shard, const JobSpec &spec, TimePoint now);
@@ -161,7 +160,7 @@
     void exchangeConfig(const Heartbeat &heartbeat, TimePoint heardAt);
     void noticeLostPeers(TimePoint now);
     void onGrantRequest(const DaemonId &from, const GrantRequest &request, TimePoint now);
-    void onJobForward(const DaemonId &from, const JobForward &forward, TimePoint now);
+    void onJobForward(const DaemonId &from, const JobForward &forward);
     void onCancelForward(const DaemonId &from, const CancelForward &forward, TimePoint now);
     void cancelHere(const ShardId &shard, const std::vector<JobId> &cancelled, TimePoint now);
     void onStatusReply(const DaemonId &from, const StatusReply &reply);
--- a/src/core/daemoncoredrain.cpp
+++ b/src/core/daemoncoredrain.cpp
@@ -102,7 +102,8 @@
                                       sync.op = op;
                                       emit(std::move(sync));
                                   },
-                                  [&, &shardId = id](RecordJob &record) { recordJob(shardId, record, now); }},
+                                  [&, &shardId = id](RecordJob &record) { recordJob(shardId, record, now); },
+                                  [&, &state = owned](ScanQueue &) { state.nextScan = now; }},
                        output);
         }
     }
--- a/src/core/daemoncorepeers.cpp
+++ b/src/core/daemoncorepeers.cpp
@@ -37,7 +37,7 @@
                                   owned->controller->release(release.grant, release.end, now);
                               }
                           },
-                          [&](const JobForward &forward) { d->onJobForward(from, forward, now); },
+                          [&](const JobForward &forward) { d->onJobForward(from, forward); },
                           [&](const JobForwardReply &reply) { d->jobs.onForwardReply(reply, now); },
                           [&](const CancelForward &forward) { d->onCancelForward(from, forward, now); },
                           [&](const CancelForwardReply &reply) { d->jobs.onCancelReply(reply); },
@@ -182,7 +182,7 @@
     sendPeer(from, std::move(reply));
 }
 
-void DaemonCore::Private::onJobForward(const DaemonId &from, const JobForward &forward, TimePoint now)
+void DaemonCore::Private::onJobForward(const DaemonId &from, const JobForward &forward)
 {
     Shard *owned = shard(forward.shard);
     JobForwardReply reply{forward.op, forward.shard, false};
--- a/src/core/daemoncoreshards.cpp
+++ b/src/core/daemoncoreshards.cpp
@@ -191,10 +191,11 @@
     owned->scanning = true;
     owned->nextScan = now + rescanInterval;
     const Epoch epoch = owned->epoch;
-    scanStore("queue", id.value() + "/", [this, id, epoch](const StoreReply &reply, TimePoint at) { onQueueRows(id, epoch, reply, at); });
+    const std::uint64_t scan = owned->controller->beginQueueScan();
+    scanStore("queue", id.value() + "/", [this, id, epoch, scan](const StoreReply &reply, TimePoint at) { onQueueRows(id, epoch, scan, reply, at); });
 }
 
-void DaemonCore::Private::onQueueRows(const ShardId &id, Epoch epoch, const StoreReply &reply, TimePoint now)
+void DaemonCore::Private::onQueueRows(const ShardId &id, Epoch epoch, std::uint64_t scan, const StoreReply &reply, TimePoint now)
 {
     Shard *owned = shardAt(id, epoch);
     if (owned == nullptr) {
@@ -213,11 +214,10 @@
     }
     verifyJobs(id, epoch, unknown);
     if (unknown.empty()) {
-        owned->controller->setQueueRead(true, now);
-    } else if (!owned->queueRead) {
-        owned->nextScan = now + rescanRetry; // The next scan finds nothing unknown if every row was taken.
+        owned->controller->endQueueScan(scan, now);
+    } else {
+        owned->nextScan = std::min(owned->nextScan, now + rescanRetry); // The scan counts only once all its jobs were taken.
     }
-    owned->queueRead = owned->queueRead || unknown.empty();
 }
 
 void DaemonCore::Private::verifyJobs(const ShardId &id, Epoch epoch, const std::vector<std::string> &keys)
--- a/src/core/fairshare.cpp
+++ b/src/core/fairshare.cpp
@@ -35,6 +35,7 @@
     double share = 1.0;
     Resources allotment;
     Resources use;
+    Resources waiting; ///< Demand of all waiting tasks.
     std::array<TeamLane, priorities> lanes;
 };
 
@@ -205,6 +206,7 @@
     job = QueuedJob{entry, {entry.since, ++arrivals}, number, 0};
     TeamLane &lane = teams[number].lanes[priority];
     lane.jobs.push(job);
+    teams[number].waiting += entry.demand * entry.tasks;
     list(number, priority);
     if (entry.since < lane.ageKey) {
         setAgeKey(number, priority, entry.since);
@@ -216,6 +218,7 @@
     const QueueEntry entry = job->second.entry;
     const TeamNumber number = job->second.team;
     jobs.erase(job);
+    teams[number].waiting -= entry.demand * entry.tasks;
     teams[number].lanes[indexOf(entry.priority)].jobs.forget(entry, jobs);
 }
 
@@ -280,6 +283,7 @@
     QueuedJob &job = found->second;
     if (!job.entry.allAtOnce) {
         job.entry.tasks += entry.tasks;
+        d->teams[job.team].waiting += job.entry.demand * entry.tasks;
         d->teams[job.team].lanes[indexOf(job.entry.priority)].jobs.addTasks(entry.tasks);
         return;
     }
@@ -318,6 +322,12 @@
     return state == nullptr ? 0 : state->lanes[0].jobs.tasks() + state->lanes[1].jobs.tasks();
 }
 
+Resources FairQueue::waitingDemand(const TeamId &team) const
+{
+    const TeamState *state = d->find(team);
+    return state == nullptr ? Resources{} : state->waiting;
+}
+
 void FairQueue::beginRound(TimePoint now)
 {
     ++d->round;
@@ -386,6 +396,7 @@
         return;
     }
     entry.tasks -= taken;
+    d->teams[found->second.team].waiting -= entry.demand * taken;
     lane.jobs.subtractTasks(taken);
 }
 
--- a/src/core/fairshare.h
+++ b/src/core/fairshare.h
@@ -56,6 +56,8 @@
     [[nodiscard]] bool contains(const JobId &job) const;
     [[nodiscard]] std::uint32_t waitingTasks() const;
     [[nodiscard]] std::uint32_t waitingTasks(const TeamId &team) const;
+    /// Of all waiting tasks of the team.
+    [[nodiscard]] Resources waitingDemand(const TeamId &team) const;
 
     /// Starts a round of next() calls; forgets what was skipped.
     void beginRound(TimePoint now);
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -112,7 +112,7 @@
     std::string reason; ///< Why it failed or is parked.
     /// The ownership term for which the job was admitted. Owners of this term or an earlier one may have started it; an owner of
     /// a later term treats its tasks as possibly running.
-    Epoch epoch;
+    Epoch epoch{};
 
     /// JSON text; two equal records have equal texts.
     [[nodiscard]] std::string toJson() const;
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -352,7 +352,7 @@
     OpId op;
     ShardId shard;
     std::vector<JobSpec> jobs;
-    Epoch epoch; ///< The ownership term for which the jobs were admitted.
+    Epoch epoch{}; ///< The ownership term for which the jobs were admitted.
 };
 
 struct JobForwardReply {
--- a/src/core/shardcontroller.cpp
+++ b/src/core/shardcontroller.cpp
@@ -138,6 +138,27 @@
     d->sync.releaseHeldIfRead(now);
 }
 
+std::uint64_t ShardController::beginQueueScan()
+{
+    return ++d->state.scansBegun;
+}
+
+void ShardController::endQueueScan(std::uint64_t scan, TimePoint now)
+{
+    d->state.scanEnded = std::max(d->state.scanEnded, scan);
+    d->sync.adoptOrphans(now);
+}
+
+bool ShardController::knows(const JobId &job) const
+{
+    return d->state.job(job) != nullptr || d->state.finished.count(job) > 0;
+}
+
+bool ShardController::neverFits(const Resources &demand) const
+{
+    return d->state.allRead() && !d->state.couldEverFit(demand, 1);
+}
+
 Result<bool> ShardController::enqueue(const JobSpec &job, TimePoint now)
 {
     return d->jobs.enqueue(job, now);
@@ -224,7 +245,7 @@
     std::vector<TeamUse> result;
     d->state.updateUnread();
     for (const auto &[team, account] : d->state.teams) {
-        result.push_back({team, account.running, account.reservedUnread, account.allotment, d->state.queue.waitingTasks(team)});
+        result.push_back({team, account.running, account.reservedUnread, account.allotment, d->state.queue.waitingTasks(team), d->state.queue.waitingDemand(team)});
     }
     return result;
 }
--- a/src/core/shardcontroller.h
+++ b/src/core/shardcontroller.h
@@ -45,7 +45,12 @@
     std::string reason;
 };
 
-using ShardOutput = std::variant<SyncWorker, RecordJob>;
+/// A worker runs tasks of an unknown job: the queue rows have to be scanned again to tell whether it has ended.
+struct ScanQueue {
+    JobId job;
+};
+
+using ShardOutput = std::variant<SyncWorker, RecordJob, ScanQueue>;
 
 struct WorkerStatus {
     WorkerId id;
@@ -100,9 +105,11 @@
 
     /// Jobs found in the store after a take-over. Their tasks may be running on workers that have not been read.
     void recover(const std::vector<JobRecord> &jobs, TimePoint now);
-    /// Whether all queue rows of the shard have been handed in by recover(). Tasks on workers whose jobs are unknown are stopped
-    /// only after that, since their jobs are then known to have ended.
-    void setQueueRead(bool read, TimePoint now);
+    /// A scan of all queue rows of the shard begins; returns its number.
+    [[nodiscard]] std::uint64_t beginQueueScan();
+    /// Every job that the scan found is known to the controller. A job whose tasks were seen on a worker before the scan began
+    /// and that is still unknown has ended: its tasks are stopped and their reports acknowledged.
+    void endQueueScan(std::uint64_t scan, TimePoint now);
     /// A job that was admitted under this ownership: none of its tasks has started. Known jobs are ignored. Refused with
     /// ErrorKind::NeverFits if no worker can ever take a task of it.
     [[nodiscard]] Result<bool> enqueue(const JobSpec &job, TimePoint now);
--- a/src/core/shardinventory.cpp
+++ b/src/core/shardinventory.cpp
@@ -145,7 +145,7 @@
     ShardJob *job = m_state.job(ended.id.job);
     if (job == nullptr) {
         m_state.releaseOrphan(index, ended.id);
-        if (m_state.recoveredOnce) {
+        if (m_state.hasEnded(ended.id.job)) {
             worker.acks.push_back(ended.id);
         }
         return;
@@ -205,7 +205,7 @@
         m_state.taskUse += running.demand;
         m_state.charge(running.team, running.demand);
     }
-    if (m_state.recoveredOnce) {
+    if (m_state.job(running.id.job) != nullptr || m_state.hasEnded(running.id.job)) {
         worker.controls.push_back(TaskControl{running.id, TaskAction::Stop});
     }
 }
@@ -291,7 +291,7 @@
             RunningTask running;
             running.id = id;
             running.team = team;
-            if (!adopt(index, running, now)) {
+            if (!adopt(index, running, now) && (m_state.job(id.job) != nullptr || m_state.hasEnded(id.job))) {
                 worker.controls.push_back(TaskControl{id, TaskAction::Stop});
             }
         }
--- a/src/core/shardstate.cpp
+++ b/src/core/shardstate.cpp
@@ -412,6 +412,18 @@
     }
 }
 
+bool ShardState::hasEnded(const JobId &id)
+{
+    if (finished.count(id) > 0) {
+        return true;
+    }
+    const auto [known, added] = unknownJobs.emplace(id, scansBegun + 1);
+    if (added) {
+        outputs.emplace_back(ScanQueue{id});
+    }
+    return known->second <= scanEnded;
+}
+
 void ShardState::record(const JobId &job, JobState state, const std::string &reason)
 {
     outputs.emplace_back(RecordJob{job, state, reason});
--- a/src/core/shardstate_p.h
+++ b/src/core/shardstate_p.h
@@ -141,6 +141,9 @@
     /// Whether the worker may take new work now.
     [[nodiscard]] bool isPlaceable(const ShardWorker &worker) const;
 
+    /// Whether a job that is not known here has certainly ended. Asks for a scan of the queue rows if that is not known.
+    [[nodiscard]] bool hasEnded(const JobId &id);
+
     // Output.
 
     void record(const JobId &job, JobState state, const std::string &reason);
@@ -177,6 +180,9 @@
     std::map<CapacityKey, std::uint32_t> capacities; ///< Read, listed workers by capacity.
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers;
     std::vector<WorkerIndex> serviceQueue; ///< Workers with something to send.
+    std::unordered_map<JobId, std::uint64_t> unknownJobs; ///< Seen on workers -> the scan of the queue rows that settles it.
+    std::uint64_t scansBegun = 0;
+    std::uint64_t scanEnded = 0; ///< The newest that has ended.
     std::vector<ShardOutput> outputs;
     ShardCounters counters;
     Resources total; ///< Capacity of read, listed workers.
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
+// GCC 12 reports a false positive inside this header when it is inlined.
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
--- a/src/daemon/peercodec.cpp
+++ b/src/daemon/peercodec.cpp
@@ -117,6 +117,13 @@
         for (const KeyId &key : in.withdrawn) {
             out->add_withdrawn(key.value());
         }
+        out->set_stamp_ms(in.stamp.count());
+        for (const HeartbeatEcho &echo : in.echoes) {
+            Wire::HeartbeatEcho *entry = out->add_echoes();
+            entry->set_daemon(echo.daemon.value());
+            entry->set_incarnation(echo.incarnation.value());
+            entry->set_stamp_ms(echo.stamp.count());
+        }
     }
     void operator()(const ConfigPush &in) const
     {
@@ -162,6 +169,7 @@
         for (const JobSpec &job : in.jobs) {
             put(out->add_jobs(), job);
         }
+        out->set_epoch(in.epoch.value());
     }
     void operator()(const JobForwardReply &in) const
     {
@@ -179,6 +187,12 @@
             out->add_jobs(job.value());
         }
     }
+    void operator()(const CancelForwardReply &in) const
+    {
+        Wire::CancelForwardReply *out = envelope.mutable_cancel_forward_reply();
+        out->set_op(in.op.value());
+        out->set_shard(in.shard.value());
+    }
     void operator()(const HandOver &in) const
     {
         Wire::HandOver *out = envelope.mutable_hand_over();
@@ -368,6 +382,10 @@
     for (const std::string &key : in.withdrawn()) {
         out.withdrawn.emplace_back(key);
     }
+    out.stamp = duration(in.stamp_ms(), "stamp_ms");
+    for (const Wire::HeartbeatEcho &echo : in.echoes()) {
+        out.echoes.push_back(HeartbeatEcho{id<DaemonId>(echo.daemon(), "daemon"), Incarnation(echo.incarnation()), duration(echo.stamp_ms(), "stamp_ms")});
+    }
     return out;
 }
 
@@ -384,7 +402,7 @@
 
 JobForward Decoder::jobForward(const Wire::JobForward &in)
 {
-    JobForward out{OpId(in.op()), id<ShardId>(in.shard(), "shard"), {}};
+    JobForward out{OpId(in.op()), id<ShardId>(in.shard(), "shard"), {}, Epoch(in.epoch())};
     for (const Wire::Job &spec : in.jobs()) {
         out.jobs.push_back(job(spec));
     }
@@ -429,6 +447,10 @@
     }
     case Wire::Envelope::kCancelForward:
         return cancelForward(envelope.cancel_forward());
+    case Wire::Envelope::kCancelForwardReply: {
+        const Wire::CancelForwardReply &in = envelope.cancel_forward_reply();
+        return CancelForwardReply{OpId(in.op()), id<ShardId>(in.shard(), "shard")};
+    }
     case Wire::Envelope::kHandOver:
         return HandOver{id<ShardId>(envelope.hand_over().shard(), "shard"), Epoch(envelope.hand_over().epoch())};
     case Wire::Envelope::kStatusQuery:
--- a/test/core/ownershipfleet.h
+++ b/test/core/ownershipfleet.h
@@ -12,6 +12,8 @@
 #include <string>
 #include <vector>
 
+using KingCupLadder::FakeStore;
+
 /// One daemon of the fleet.
 struct FleetMember {
     KingCupLadder::PeerInfo self;
