Add the division of team limits over shards

Cause: a fleet-wide limit has to hold although several daemons start work at once and the store loses answers.

Change: Allotments runs one cycle at a time: read all rows, lower in force what own shards give up, wait for fresh needs, write all changed rows in one transaction, announce. A row holds each shard's allotment and its published wish; every daemon derives the same max-min division from it. A new owner writes the row once before it uses an inherited allotment, so that a late write of the previous owner fails. A row stays above what still runs. AllotmentSettings has growAfterConfirm and shrinkBeforeGrow for tests.

Ruled out: wishes rounded to steps (a shard then keeps up to a step that another one lacks); settling a lost write by a read that shows the old version (the write may still arrive; only a new version rules it out).

--- /dev/null
+++ b/src/core/allotmentrow.cpp
@@ -0,0 +1,155 @@
+// JSON of allotment rows, and the arithmetic of the division.
+#include "allotmentrow.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <numeric>
+
+namespace KingCupLadder {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json toJson(const Resources &amount)
+{
+    return Json{{"milliCores", amount.cpu.value()},
+                {"memoryMiB", amount.memory.value()},
+                {"accelerators", amount.accelerators.value()},
+                {"slots", amount.slots.value()}};
+}
+
+std::optional<std::int64_t> numberOf(const Json &object, const char *name)
+{
+    const auto found = object.find(name);
+    if (found == object.end() || !found->is_number_integer()) {
+        return std::nullopt;
+    }
+    const auto value = found->get<std::int64_t>();
+    return value >= 0 ? std::optional<std::int64_t>(value) : std::nullopt;
+}
+
+std::optional<Resources> resourcesOf(const Json &object)
+{
+    if (!object.is_object()) {
+        return std::nullopt;
+    }
+    const auto cpu = numberOf(object, "milliCores");
+    const auto memory = numberOf(object, "memoryMiB");
+    const auto accelerators = numberOf(object, "accelerators");
+    const auto slots = numberOf(object, "slots");
+    if (!cpu || !memory || !accelerators || !slots) {
+        return std::nullopt;
+    }
+    return Resources{MilliCores(*cpu), MebiBytes(*memory), Accelerators(*accelerators), Slots(*slots)};
+}
+
+/// Applies a function of numbers to each component.
+template<typename Function, typename... Vectors>
+Resources eachComponent(Function function, const Vectors &...vectors)
+{
+    return Resources{MilliCores(function(vectors.cpu.value()...)),
+                     MebiBytes(function(vectors.memory.value()...)),
+                     Accelerators(function(vectors.accelerators.value()...)),
+                     Slots(function(vectors.slots.value()...))};
+}
+
+std::vector<std::int64_t> divideNumber(std::int64_t limit, const std::vector<std::int64_t> &wanted)
+{
+    std::vector<std::size_t> order(wanted.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::stable_sort(order.begin(), order.end(), [&wanted](std::size_t a, std::size_t b) { return wanted[a] < wanted[b]; });
+    std::vector<std::int64_t> parts(wanted.size(), 0);
+    std::int64_t left = limit;
+    for (std::size_t i = 0; i < order.size(); ++i) {
+        const std::int64_t equalPart = left / static_cast<std::int64_t>(order.size() - i);
+        const std::int64_t part = std::min(wanted[order[i]], equalPart);
+        parts[order[i]] = part;
+        left -= part;
+    }
+    return parts;
+}
+
+/// Divides one component; @p get reads it from a vector.
+template<typename Get>
+std::vector<std::int64_t> divideComponent(const Resources &limit, const std::vector<Resources> &wanted, Get get)
+{
+    std::vector<std::int64_t> numbers;
+    numbers.reserve(wanted.size());
+    for (const Resources &wish : wanted) {
+        numbers.push_back(get(wish));
+    }
+    return divideNumber(get(limit), numbers);
+}
+
+} // namespace
+
+std::string allotmentsToJson(const AllotmentEntries &entries)
+{
+    Json row = Json::object();
+    for (const auto &[shard, entry] : entries) {
+        Json part = toJson(entry.allotment);
+        part["wanted"] = toJson(entry.wanted);
+        row[shard.value()] = std::move(part);
+    }
+    return row.dump();
+}
+
+std::optional<AllotmentEntries> allotmentsFromJson(const std::string &text)
+{
+    AllotmentEntries entries;
+    if (text.empty()) {
+        return entries;
+    }
+    const Json row = Json::parse(text, nullptr, false);
+    if (!row.is_object()) {
+        return std::nullopt;
+    }
+    for (const auto &[shard, part] : row.items()) {
+        const auto allotment = resourcesOf(part);
+        const auto wanted = part.contains("wanted") ? resourcesOf(part["wanted"]) : allotment;
+        if (!allotment || !wanted) {
+            return std::nullopt;
+        }
+        entries.emplace(ShardId(shard), AllotmentEntry{*allotment, *wanted});
+    }
+    return entries;
+}
+
+Resources sumOf(const AllotmentEntries &entries)
+{
+    Resources sum;
+    for (const auto &entry : entries) {
+        sum += entry.second.allotment;
+    }
+    return sum;
+}
+
+std::vector<Resources> divideFairly(const Resources &limit, const std::vector<Resources> &wanted)
+{
+    const auto cpu = divideComponent(limit, wanted, [](const Resources &r) { return r.cpu.value(); });
+    const auto memory = divideComponent(limit, wanted, [](const Resources &r) { return r.memory.value(); });
+    const auto accelerators = divideComponent(limit, wanted, [](const Resources &r) { return r.accelerators.value(); });
+    const auto slots = divideComponent(limit, wanted, [](const Resources &r) { return r.slots.value(); });
+    std::vector<Resources> parts;
+    parts.reserve(wanted.size());
+    for (std::size_t i = 0; i < wanted.size(); ++i) {
+        parts.push_back(Resources{MilliCores(cpu[i]), MebiBytes(memory[i]), Accelerators(accelerators[i]), Slots(slots[i])});
+    }
+    return parts;
+}
+
+Resources scaledDown(const Resources &amount, const Resources &part, const Resources &whole)
+{
+    return eachComponent(
+        [](std::int64_t a, std::int64_t p, std::int64_t w) {
+            // Through long double, since a x p may pass 64 bits for large limits.
+            return w > p ? static_cast<std::int64_t>(static_cast<long double>(a) * static_cast<long double>(p) / static_cast<long double>(w)) : a;
+        },
+        amount,
+        part,
+        whole);
+}
+
+} // namespace KingCupLadder
--- a/src/core/allotments.h
+++ b/src/core/allotments.h
@@ -16,6 +16,8 @@
     std::uint64_t seed = 1;
     Duration refreshInterval{1000}; ///< Between two reads of the rows.
     Duration operationTimeout{1500};
+    bool growAfterConfirm = true; ///< Off only in tests, to show what the guard prevents: growth is used before the row has it.
+    bool shrinkBeforeGrow = true; ///< Off only in tests: the smaller amount takes force only after the row has it.
 };
 
 /// What a shard of this daemon uses and would like to use of a team's limit.
--- /dev/null
+++ b/test/core/allotmentfleet.h
@@ -0,0 +1,265 @@
+// Several daemons that divide one team's limit over a fake table, for the tests of allotments.
+#pragma once
+
+#include "core/allotmentrow.h"
+#include "core/allotments.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+
+namespace KingCupLadder {
+
+inline Resources cores(std::int64_t count)
+{
+    return Resources{MilliCores(count * 1000), MebiBytes(count * 4096), Accelerators(0), Slots(count)};
+}
+
+/// What the fake table does with the next transactions.
+enum class TableMode {
+    Works,
+    LosesAnswers, ///< Writes, and answers Unknown.
+    LosesRequests, ///< Does not write, and answers Unknown.
+};
+
+inline TablesCheck tablesWithLimit(std::int64_t limitCores)
+{
+    const std::string count = std::to_string(limitCores);
+    const std::string limit = "{cpu: " + count + ", memory: " + std::to_string(limitCores * 4) + "GiB, accelerators: 0, slots: " + count + "}";
+    const std::string pools = "pools:\n  - name: p\n    vms: g\n    teams: [t]\n";
+    const std::string teams = "teams:\n  - name: t\n    workspace: w\n    share: 1\n    limit: " + limit + "\n";
+    return Tables::parse("routes: []\n", pools + teams);
+}
+
+/// One parse before any test runs: yaml-cpp fills caches at the first one, which the leak check would report.
+inline const bool tablesAreValid = tablesWithLimit(1).problems.empty();
+
+class AllotmentFleet
+{
+public:
+    struct Daemon {
+        std::unique_ptr<Allotments> allotments;
+        std::vector<ShardId> owned;
+    };
+    struct Shard {
+        std::int64_t wanted = 0; ///< Cores.
+        Resources told; ///< By the last AllotmentChanged.
+        Resources used;
+        bool stopsExcess = true; ///< Stops one core's worth of excess per step.
+    };
+
+    explicit AllotmentFleet(std::int64_t limitCores, std::size_t daemonCount = 2, const AllotmentSettings &settings = {})
+    {
+        for (std::size_t i = 0; i < daemonCount; ++i) {
+            AllotmentSettings own = settings;
+            own.seed = settings.seed + i;
+            const ShardId shard("p/d" + std::to_string(i) + "/0");
+            daemons.push_back({std::make_unique<Allotments>(
+                                   own, [this] { return OpId(++m_ops); }, now),
+                               {shard}});
+            shards[shard] = Shard{};
+        }
+        setLimit(limitCores);
+        announceShards();
+    }
+
+    void setLimit(std::int64_t limitCores)
+    {
+        const auto tables = std::make_shared<const Tables>(*tablesWithLimit(limitCores).tables());
+        for (Daemon &daemon : daemons) {
+            daemon.allotments->setTables(tables, now);
+        }
+    }
+
+    void announceShards()
+    {
+        std::vector<ShardId> all;
+        for (const auto &shard : shards) {
+            all.push_back(shard.first);
+        }
+        for (Daemon &daemon : daemons) {
+            daemon.allotments->setShards(all, daemon.owned, now);
+        }
+    }
+
+    /// Runs for the span in steps of 10 ms; each step every shard starts what it may, and every daemon acts.
+    void run(Duration span)
+    {
+        for (const TimePoint end = now + span; now < end; now += Duration(10)) {
+            for (std::size_t i = 0; i < daemons.size(); ++i) {
+                stepDaemon(daemons[i]);
+            }
+            answer();
+            deliver();
+            mostRunning = std::max(mostRunning, running());
+            mostInRow = std::max(mostInRow, sumOf(row()).cpu.value() / 1000);
+        }
+    }
+
+    AllotmentEntries row() const
+    {
+        const auto found = m_rows.find("t");
+        return found == m_rows.end() ? AllotmentEntries{} : *allotmentsFromJson(found->second.value);
+    }
+
+    std::int64_t running() const
+    {
+        std::int64_t sum = 0;
+        for (const auto &shard : shards) {
+            sum += shard.second.used.cpu.value() / 1000;
+        }
+        return sum;
+    }
+
+    std::int64_t told(int daemon) const
+    {
+        return shards.at(ShardId("p/d" + std::to_string(daemon) + "/0")).told.cpu.value() / 1000;
+    }
+
+    Shard &shard(int daemon)
+    {
+        return shards[ShardId("p/d" + std::to_string(daemon) + "/0")];
+    }
+
+    TimePoint now{Duration(100000)};
+    std::vector<Daemon> daemons;
+    std::map<ShardId, Shard> shards;
+    std::function<TableMode()> mode = [] { return TableMode::Works; };
+    std::function<Duration(std::size_t)> delay = [](std::size_t) { return Duration(10); }; ///< Of one way, by daemon.
+    std::int64_t mostRunning = 0; ///< Cores.
+    std::int64_t mostInRow = 0;
+    std::size_t writes = 0;
+    std::size_t changesTold = 0;
+    Row lastLost; ///< The last write whose request was lost.
+
+    void write(const Row &row)
+    {
+        m_rows[row.key] = row;
+    }
+
+private:
+    struct Pending {
+        TimePoint due;
+        std::size_t daemon;
+        std::variant<StoreTransact, StoreRead> operation;
+    };
+
+    struct Answer {
+        TimePoint due;
+        std::size_t daemon;
+        StoreReply reply;
+    };
+
+    void stepDaemon(Daemon &daemon)
+    {
+        std::vector<AllotmentNeed> needs;
+        for (const ShardId &id : daemon.owned) {
+            Shard &shard = shards[id];
+            act(shard);
+            needs.push_back({id, TeamId("t"), shard.used, cores(shard.wanted)});
+        }
+        daemon.allotments->setNeeds(needs, now);
+        daemon.allotments->tick(now);
+        take(daemon);
+    }
+
+    static void act(Shard &shard)
+    {
+        const Resources may = cores(shard.wanted).limitedTo(shard.told);
+        if (shard.used.fitsIn(may)) {
+            shard.used = may;
+        } else if (!shard.used.fitsIn(shard.told) && shard.stopsExcess) {
+            shard.used -= cores(1);
+        } else {
+            shard.used = shard.used.limitedTo(cores(shard.wanted));
+        }
+    }
+
+    void take(Daemon &daemon)
+    {
+        const auto number = static_cast<std::size_t>(&daemon - daemons.data());
+        for (AllotmentOutput &output : daemon.allotments->takeOutputs()) {
+            if (const auto *change = std::get_if<AllotmentChanged>(&output)) {
+                shards[change->shard].told = change->allotment;
+                ++changesTold;
+            } else if (auto *transaction = std::get_if<StoreTransact>(&output)) {
+                m_pending.push_back({now + delay(number), number, std::move(*transaction)});
+            } else {
+                m_pending.push_back({now + delay(number), number, std::move(std::get<StoreRead>(output))});
+            }
+        }
+    }
+
+    void answer()
+    {
+        std::deque<Pending> later;
+        std::deque<Pending> due;
+        for (Pending &pending : m_pending) {
+            (pending.due <= now ? due : later).push_back(std::move(pending));
+        }
+        m_pending = std::move(later);
+        for (const Pending &pending : due) {
+            StoreReply reply = std::holds_alternative<StoreRead>(pending.operation) ? read(std::get<StoreRead>(pending.operation))
+                                                                                    : transact(std::get<StoreTransact>(pending.operation));
+            m_answers.push_back({now + delay(pending.daemon), pending.daemon, std::move(reply)});
+        }
+    }
+
+    void deliver()
+    {
+        std::deque<Answer> later;
+        for (Answer &answer : std::exchange(m_answers, {})) {
+            if (answer.due > now) {
+                later.push_back(std::move(answer));
+                continue;
+            }
+            daemons[answer.daemon].allotments->onStoreReply(answer.reply, now);
+            take(daemons[answer.daemon]);
+        }
+        m_answers = std::move(later);
+    }
+
+    StoreReply read(const StoreRead &read) const
+    {
+        StoreReply reply{read.op, StoreStatus::Ok, {}};
+        for (const std::string &key : read.keys) {
+            const auto found = m_rows.find(key);
+            reply.rows.push_back(found == m_rows.end() ? Row{read.table, key, RowVersion(), ""} : found->second);
+        }
+        return reply;
+    }
+
+    StoreReply transact(const StoreTransact &transaction)
+    {
+        const TableMode behaviour = mode();
+        StoreReply reply{transaction.op, StoreStatus::Ok, {}};
+        if (behaviour == TableMode::LosesRequests) {
+            const RowWrite &lost = transaction.writes.front();
+            lastLost = Row{lost.table, lost.key, lost.version.next(), lost.value};
+            return StoreReply{transaction.op, StoreStatus::Unknown, {}};
+        }
+        for (const RowWrite &write : transaction.writes) {
+            const auto found = m_rows.find(write.key);
+            const Row current = found == m_rows.end() ? Row{write.table, write.key, RowVersion(), ""} : found->second;
+            if (current.version != write.version) {
+                reply.status = StoreStatus::Conflict;
+                reply.rows = {current};
+                return reply;
+            }
+        }
+        for (const RowWrite &write : transaction.writes) {
+            m_rows[write.key] = Row{write.table, write.key, write.version.next(), write.value};
+            reply.rows.push_back(Row{write.table, write.key, write.version.next(), ""});
+        }
+        ++writes;
+        return behaviour == TableMode::LosesAnswers ? StoreReply{transaction.op, StoreStatus::Unknown, {}} : reply;
+    }
+
+    std::uint64_t m_ops = 0;
+    std::map<std::string, Row> m_rows;
+    std::deque<Pending> m_pending;
+    std::deque<Answer> m_answers;
+};
+
+} // namespace KingCupLadder
