--- /dev/null
+++ b/test/core/testfairshare.cpp
@@ -0,0 +1,200 @@
+#include "core/fairshare.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+namespace {
+
+Resources oneCore(std::int64_t count = 1)
+{
+    return Resources{MilliCores(1000 * count), MebiBytes(1024 * count), Accelerators(0), Slots(0)};
+}
+
+QueueEntry entry(const std::string &job, const std::string &team, std::int64_t since = 0)
+{
+    QueueEntry result;
+    result.job = JobId(job);
+    result.team = TeamId(team);
+    result.demand = oneCore();
+    result.since = TimePoint(Duration(since));
+    return result;
+}
+
+std::string nameOf(const std::optional<QueueEntry> &found)
+{
+    return found ? found->job.value() : "none";
+}
+
+} // namespace
+
+TEST_GROUP(FairQueue)
+{
+    FairQueue queue{FairQueueSettings{}};
+
+    void setup() override
+    {
+        queue.setTotal(oneCore(100));
+        for (const char *team : {"a", "b"}) {
+            queue.setTeam(TeamId(team), 1.0);
+            queue.setAllotment(TeamId(team), oneCore(100));
+        }
+        queue.beginRound(TimePoint(Duration(1000)));
+    }
+
+    /// Takes what comes next, the stated number of times.
+    void takeNext(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            const auto found = queue.next();
+            CHECK_TRUE(found.has_value());
+            queue.take(found->job);
+        }
+    }
+};
+
+// Guards against a team being served in proportion to its backlog instead of its share.
+TEST(FairQueue, UseFollowsTheWeights)
+{
+    queue.setTeam(TeamId("b"), 3.0);
+    QueueEntry many = entry("ja", "a");
+    many.tasks = 100;
+    queue.push(many);
+    many.job = JobId("jb");
+    many.team = TeamId("b");
+    queue.push(many);
+    takeNext(40);
+    LONGS_EQUAL(30000, queue.use(TeamId("b")).cpu.value());
+}
+
+// Guards against urgent work waiting behind teams below their share.
+TEST(FairQueue, UrgentEntriesComeFirst)
+{
+    queue.charge(TeamId("b"), oneCore(50));
+    queue.push(entry("normal", "a"));
+    QueueEntry urgent = entry("urgent", "b", 500);
+    urgent.priority = Priority::Urgent;
+    queue.push(urgent);
+    STRCMP_EQUAL("urgent", nameOf(queue.next()).c_str());
+}
+
+// Guards against I4: a team starting beyond its allotment.
+TEST(FairQueue, EntryBeyondTheAllotmentIsPassedOver)
+{
+    queue.setAllotment(TeamId("a"), oneCore(0));
+    queue.push(entry("ja", "a"));
+    queue.push(entry("jb", "b"));
+    STRCMP_EQUAL("jb", nameOf(queue.next()).c_str());
+}
+
+// Guards against half of an all-at-once job being admitted.
+TEST(FairQueue, AllAtOnceNeedsRoomForAllTasks)
+{
+    queue.setAllotment(TeamId("a"), oneCore(3));
+    QueueEntry together = entry("ja", "a");
+    together.tasks = 4;
+    together.allAtOnce = true;
+    queue.push(together);
+    CHECK_FALSE(queue.next().has_value());
+}
+
+// Guards against a team above its share starving.
+TEST(FairQueue, TeamWithoutStartsForTheAgeingSpanGoesFirst)
+{
+    queue.charge(TeamId("a"), oneCore(50));
+    queue.push(entry("old", "a", 1000));
+    queue.push(entry("young", "b", 60000));
+    queue.beginRound(TimePoint(Duration(61000)));
+    STRCMP_EQUAL("old", nameOf(queue.next()).c_str());
+}
+
+// Guards against a long backlog turning the order by share into one by arrival.
+TEST(FairQueue, AgedBacklogOfAServedTeamKeepsToItsShare)
+{
+    queue.charge(TeamId("a"), oneCore(50));
+    queue.push(entry("old1", "a", 1000));
+    queue.push(entry("old2", "a", 1000));
+    queue.push(entry("young", "b", 60000));
+    queue.beginRound(TimePoint(Duration(61000)));
+    takeNext(1);
+    STRCMP_EQUAL("young", nameOf(queue.next()).c_str());
+}
+
+// Guards against one job that can't be placed blocking the rest of its team.
+TEST(FairQueue, SkippedJobIsPassedOver)
+{
+    queue.push(entry("first", "a", 1));
+    queue.push(entry("second", "a", 2));
+    queue.skip(JobId("first"));
+    STRCMP_EQUAL("second", nameOf(queue.next()).c_str());
+}
+
+// Guards against a skipped job being lost or losing its place.
+TEST(FairQueue, SkippedJobIsBackInTheNextRound)
+{
+    queue.push(entry("first", "a", 1));
+    queue.push(entry("second", "a", 2));
+    queue.skip(JobId("first"));
+    (void)queue.next();
+    queue.beginRound(TimePoint(Duration(1001)));
+    STRCMP_EQUAL("first", nameOf(queue.next()).c_str());
+}
+
+// Guards against a full shard trying every queued job in each round.
+TEST(FairQueue, SkippedDemandCoversLargerJobs)
+{
+    QueueEntry large = entry("large", "a");
+    large.demand = oneCore(2);
+    queue.push(large);
+    queue.push(entry("equal", "b"));
+    queue.skipDemand(Priority::Normal, oneCore());
+    CHECK_FALSE(queue.next().has_value());
+}
+
+// Guards against small work waiting although only large work did not fit.
+TEST(FairQueue, SkippedDemandLeavesSmallerJobs)
+{
+    queue.push(entry("small", "a"));
+    queue.skipDemand(Priority::Normal, oneCore(2));
+    STRCMP_EQUAL("small", nameOf(queue.next()).c_str());
+}
+
+// Guards against a cancelled job being started.
+TEST(FairQueue, RemovedJobDoesNotComeNext)
+{
+    queue.push(entry("gone", "a", 1));
+    queue.push(entry("kept", "a", 2));
+    queue.remove(JobId("gone"));
+    STRCMP_EQUAL("kept", nameOf(queue.next()).c_str());
+}
+
+// Guards against a burst of cancellations leaving counts or remains behind.
+TEST(FairQueue, BurstOfRemovalsLeavesNothing)
+{
+    for (int i = 0; i < 20000; ++i) {
+        queue.push(entry("j" + std::to_string(i), i % 2 == 0 ? "a" : "b", i));
+    }
+    for (int i = 0; i < 20000; ++i) {
+        queue.remove(JobId("j" + std::to_string(i)));
+    }
+    LONGS_EQUAL(0, queue.waitingTasks());
+    CHECK_FALSE(queue.next().has_value());
+}
+
+// Guards against a job that is requeued after its task was lost standing in line again.
+TEST(FairQueue, RequeuedJobKeepsItsArrival)
+{
+    queue.push(entry("young", "a", 500));
+    queue.push(entry("old", "a", 1));
+    STRCMP_EQUAL("old", nameOf(queue.next()).c_str());
+}
+
+// Guards against a second push of a job replacing the tasks that wait.
+TEST(FairQueue, PushOfAQueuedJobAddsItsTasks)
+{
+    queue.push(entry("j", "a"));
+    queue.push(entry("j", "a"));
+    LONGS_EQUAL(2, queue.waitingTasks(TeamId("a")));
+}
