standins: add the platform and worker stand-ins with fault modes

Cause: the daemon is tested against the platform's and the workers' published HTTP interface, with lost answers, delayed writes and silent connections.

Change: an evhttp server with fault modes per listening address; tables, VM list with a lag and objects; tasks under leases with a log of intervals, requests and violations. A frozen server executes what it held when the mode ends, so that late writes can be tested.

Ruled out: keeping run-once requests of a frozen server in the kernel's socket buffers, which would drop them when their client gives up.

--- /dev/null
+++ b/standins/platformmain.cpp
@@ -0,0 +1,110 @@
+// Stand-in of the platform: POST /v1/tx, GET /v1/rows, GET and PUT /v1/vms, GET and PUT /v1/objects/<name>, GET /v1/stats.
+// Options: --listen ip:port (repeatable: one address per failure domain, each with its own fault mode, so that a domain can be
+// cut off from the platform), --vm-lag-ms N.
+#include "server.h"
+#include "tableservice.h"
+
+#include <cstdlib>
+
+using namespace KingCupLadder::StandIn;
+
+namespace {
+
+constexpr std::size_t defaultPage = 1000;
+
+class Platform
+{
+public:
+    explicit Platform(std::int64_t lagMs) : m_vms(lagMs) { }
+
+    Answer handle(const Request &request)
+    {
+        if (request.path == "/v1/tx" && request.method == "POST") {
+            return transact(request);
+        }
+        if (request.path == "/v1/rows") {
+            ++m_reads;
+            return jsonAnswer(m_tables.rows(query(request, "table"), query(request, "prefix"), query(request, "after"), limit(request)));
+        }
+        if (request.path == "/v1/vms") {
+            return vms(request);
+        }
+        if (request.path.rfind("/v1/objects/", 0) == 0) {
+            return object(request);
+        }
+        if (request.path == "/v1/stats") {
+            return jsonAnswer({{"transactions", m_transactions}, {"rowsWritten", m_rowsWritten}, {"conflicts", m_conflicts}, {"reads", m_reads}});
+        }
+        return errorAnswer(404, "not found", "no such path", "see section 5 of docs/design.md");
+    }
+
+private:
+    static std::string query(const Request &request, const std::string &name)
+    {
+        const auto found = request.query.find(name);
+        return found == request.query.end() ? "" : found->second;
+    }
+
+    static std::size_t limit(const Request &request)
+    {
+        const std::string text = query(request, "limit");
+        return text.empty() ? defaultPage : std::strtoul(text.c_str(), nullptr, 10);
+    }
+
+    Answer transact(const Request &request)
+    {
+        const nlohmann::json answer = m_tables.transact(nlohmann::json::parse(request.body));
+        const bool ok = answer.at("ok");
+        ++m_transactions;
+        m_conflicts += ok ? 0 : 1;
+        m_rowsWritten += ok ? answer.at("rows").size() : 0;
+        return jsonAnswer(answer, ok ? 200 : 409);
+    }
+
+    Answer vms(const Request &request)
+    {
+        if (request.method == "PUT") {
+            m_vms.put(nlohmann::json::parse(request.body), nowMs());
+            return jsonAnswer({{"ok", true}});
+        }
+        ++m_reads;
+        return jsonAnswer(m_vms.shown(nowMs()));
+    }
+
+    Answer object(const Request &request)
+    {
+        if (request.method == "PUT") {
+            m_objects[request.path] = request.body;
+            return jsonAnswer({{"ok", true}});
+        }
+        const auto found = m_objects.find(request.path);
+        return found == m_objects.end() ? errorAnswer(404, "not found", "no such object", "put it first") : Answer{200, found->second, 0, {}};
+    }
+
+    TableService m_tables;
+    VmList m_vms;
+    std::map<std::string, std::string> m_objects; ///< By path.
+    std::uint64_t m_transactions = 0;
+    std::uint64_t m_rowsWritten = 0;
+    std::uint64_t m_conflicts = 0;
+    std::uint64_t m_reads = 0;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const Options options(argc, argv);
+    Platform platform(options.number("--vm-lag-ms", 0));
+    std::vector<std::string> addresses = options.all("--listen");
+    if (addresses.empty()) {
+        addresses.emplace_back("127.0.0.1:0");
+    }
+    event_base *base = event_base_new();
+    std::vector<std::unique_ptr<Server>> servers;
+    const int code = runServers(
+        base, addresses, [&](const Request &request) { return platform.handle(request); }, servers);
+    servers.clear();
+    event_base_free(base);
+    return code;
+}
--- /dev/null
+++ b/standins/workermain.cpp
@@ -0,0 +1,122 @@
+// Stand-in of a worker: POST /v1/sync, GET /v1/log, POST /fault and the application at ANY /app/... with ?ms=200&status=500 or the
+// headers X-Test-Ms and X-Test-Status.
+// Options: --listen ip:port, --id, --domain, --rack, --cpu (thousandths of cores), --memory (MiB), --accelerators, --slots,
+// --connections, --no-epochs, --time-scale, --usage-lag-ms, --checkpoint-ms.
+#include "server.h"
+#include "tasktable.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+using namespace KingCupLadder::StandIn;
+
+namespace {
+
+/// FNV-1a, 64 bits, as 16 hexadecimal digits.
+std::string checksum(const std::string &text)
+{
+    std::uint64_t hash = 14695981039346656037U;
+    for (unsigned char c : text) {
+        hash = (hash ^ c) * 1099511628211U;
+    }
+    std::array<char, 17> digits{};
+    std::snprintf(digits.data(), digits.size(), "%016llx", static_cast<unsigned long long>(hash));
+    return digits.data();
+}
+
+std::string find(const std::map<std::string, std::string> &values, const std::string &name)
+{
+    const auto found = values.find(name);
+    return found == values.end() ? "" : found->second;
+}
+
+int steering(const Request &request, const std::string &query, const std::string &header, int fallback)
+{
+    const std::string value = find(request.query, query).empty() ? find(request.headers, header) : find(request.query, query);
+    return value.empty() ? fallback : static_cast<int>(std::strtol(value.c_str(), nullptr, 10));
+}
+
+class Worker
+{
+public:
+    Worker(const WorkerSettings &settings, std::string domain, std::string rack) : m_tasks(settings), m_domain(std::move(domain)), m_rack(std::move(rack)) { }
+
+    Answer handle(const Request &request, const Server &server)
+    {
+        const bool failAll = server.fault() == FaultMode::FailAll;
+        if (request.path == "/v1/sync") {
+            return jsonAnswer(m_tasks.sync(nlohmann::json::parse(request.body), request.arrivedMs, nowMs(), failAll));
+        }
+        if (request.path == "/v1/log") {
+            nlohmann::json log = m_tasks.log(nowMs());
+            log["domain"] = m_domain;
+            log["rack"] = m_rack;
+            return jsonAnswer(log);
+        }
+        if (request.path == "/app" || request.path.rfind("/app/", 0) == 0) {
+            return application(request, failAll, server.connections());
+        }
+        return errorAnswer(404, "not found", "no such path", "see section 5 of docs/design.md");
+    }
+
+private:
+    Answer application(const Request &request, bool failAll, std::size_t connections)
+    {
+        const std::string id = find(request.headers, "x-request-id");
+        const int status = failAll ? 500 : steering(request, "status", "x-test-status", 200);
+        if (connections > static_cast<std::size_t>(m_tasks.settings().connections)) {
+            m_tasks.violation("too many connections", std::to_string(connections), nowMs());
+        }
+        const auto number = m_tasks.requestBegan({{"requestId", id},
+                                                  {"method", request.method},
+                                                  {"path", request.path},
+                                                  {"epoch", find(request.headers, "x-ladder-epoch")},
+                                                  {"checksum", checksum(request.body)},
+                                                  {"status", status}},
+                                                 nowMs());
+        if (!number) {
+            return errorAnswer(503, "no room", "no slot is free", "send the request to another worker");
+        }
+        Answer answer = jsonAnswer(
+            {{"requestId", id}, {"worker", m_tasks.settings().id}, {"path", request.path}, {"checksum", checksum(request.body)}, {"body", request.body}},
+            status);
+        answer.delayMs = steering(request, "ms", "x-test-ms", 0);
+        answer.onSent = [this, number] { m_tasks.requestEnded(*number, nowMs()); };
+        return answer;
+    }
+
+    TaskTable m_tasks;
+    std::string m_domain;
+    std::string m_rack;
+};
+
+WorkerSettings settingsFrom(const Options &options)
+{
+    WorkerSettings settings;
+    settings.id = options.text("--id", settings.id);
+    settings.epochs = !options.has("--no-epochs");
+    settings.timeScale = std::max(0.001, std::strtod(options.text("--time-scale", "1").c_str(), nullptr));
+    settings.capacity = {options.number("--cpu", settings.capacity[0]),
+                         options.number("--memory", settings.capacity[1]),
+                         options.number("--accelerators", settings.capacity[2]),
+                         options.number("--slots", settings.capacity[3])};
+    settings.connections = options.number("--connections", settings.connections);
+    settings.usageLagMs = options.number("--usage-lag-ms", settings.usageLagMs);
+    settings.checkpointMs = options.number("--checkpoint-ms", settings.checkpointMs);
+    return settings;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const Options options(argc, argv);
+    Worker worker(settingsFrom(options), options.text("--domain", "d1"), options.text("--rack", "r1"));
+    event_base *base = event_base_new();
+    std::vector<std::unique_ptr<Server>> servers;
+    const auto handler = [&](const Request &request) { return worker.handle(request, *servers.front()); };
+    const int code = runServers(base, {options.text("--listen", "127.0.0.1:0")}, handler, servers);
+    servers.clear();
+    event_base_free(base);
+    return code;
+}
--- /dev/null
+++ b/test/standins/testtableservice.cpp
@@ -0,0 +1,54 @@
+#include "standins/tableservice.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder::StandIn;
+using nlohmann::json;
+
+namespace {
+
+json write(const char *kind, const char *key, int version = 0)
+{
+    return {{"kind", kind}, {"table", "t"}, {"key", key}, {"version", version}, {"value", "v"}};
+}
+
+} // namespace
+
+TEST_GROUP(TableService)
+{
+    TableService tables;
+};
+
+// Guards against a stand-in that applies half of a refused transaction.
+TEST(TableService, WritesNothingIfOneConditionFails)
+{
+    (void)tables.transact({{"writes", {write("insert", "a")}}});
+    CHECK_FALSE(tables.transact({{"writes", {write("insert", "b"), write("insert", "a")}}}).at("ok").get<bool>());
+    CHECK_EQUAL(0U, tables.rows("t", "b", "", 10).at("rows").size());
+}
+
+// Guards against a compare-and-set that succeeds on a row that was deleted and inserted again.
+TEST(TableService, NeverReusesAVersionAfterADelete)
+{
+    (void)tables.transact({{"writes", {write("insert", "a")}}});
+    (void)tables.transact({{"writes", {write("delete", "a", 1)}}});
+    const json answer = tables.transact({{"writes", {write("insert", "a")}}});
+    CHECK_EQUAL(2, answer.at("rows").at(0).at("version").get<int>());
+}
+
+// Guards against readers that miss rows beyond the first page.
+TEST(TableService, SaysThatMoreRowsFollowAPage)
+{
+    (void)tables.transact({{"writes", {write("insert", "a"), write("insert", "b")}}});
+    CHECK_TRUE(tables.rows("t", "", "", 1).at("more").get<bool>());
+    CHECK_FALSE(tables.rows("t", "", "a", 1).at("more").get<bool>());
+}
+
+// Guards against a VM list without the lag that the platform has.
+TEST(TableService, ShowsTheVmListAfterItsLag)
+{
+    VmList vms(100);
+    vms.put({{"vms", {{{"id", "w1"}}}}}, 1000);
+    CHECK_EQUAL(0U, vms.shown(1099).at("vms").size());
+    CHECK_EQUAL(1U, vms.shown(1100).at("vms").size());
+}
--- /dev/null
+++ b/test/standins/testtasktable.cpp
@@ -0,0 +1,100 @@
+#include "standins/tasktable.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+
+using namespace KingCupLadder::StandIn;
+using nlohmann::json;
+
+TEST_GROUP(TaskTable)
+{
+    WorkerSettings settings;
+    std::unique_ptr<TaskTable> table;
+    void setup() override
+    {
+        settings.timeScale = 10;
+        table = std::make_unique<TaskTable>(settings);
+    }
+
+    static json task(const char *job, int cpu, int attempt = 1)
+    {
+        return {{"job", job}, {"index", 0}, {"attempt", attempt}, {"demand", {{"milliCores", cpu}}}, {"runMs", 1000}};
+    }
+
+    json sync(int epoch, int sequence, const json &more, std::int64_t now)
+    {
+        json body{{"owner", "d"}, {"epoch", epoch}, {"sequence", sequence}, {"inventory", true}};
+        if (more.is_object()) {
+            body.update(more);
+        }
+        return table->sync(body, now, now, false);
+    }
+
+    std::string violation(std::int64_t now)
+    {
+        const json found = table->log(now).at("violations");
+        return found.empty() ? "" : found.at(0).at("kind").get<std::string>();
+    }
+};
+
+// Guards against a delayed batch of an old owner that starts work.
+TEST(TaskTable, RefusesALowerEpoch)
+{
+    (void)sync(2, 1, {}, 0);
+    const json answer = sync(1, 9, {{"starts", {task("j", 1)}}}, 1);
+    CHECK_TRUE(answer.at("refused").get<bool>());
+    CHECK_EQUAL(0U, answer.at("running").size());
+}
+
+// Guards against an overcommitted worker that no test notices.
+TEST(TaskTable, LogsAndFailsAStartOverCapacity)
+{
+    const json answer = sync(1, 1, {{"starts", {task("a", 10000), task("b", 10000)}}}, 0);
+    CHECK_EQUAL(1U, answer.at("running").size());
+    STRCMP_EQUAL("over capacity", violation(0).c_str());
+}
+
+// Guards against a repeated batch that runs a task twice.
+TEST(TaskTable, StartsARepeatedTaskOnce)
+{
+    (void)sync(1, 1, {{"starts", {task("a", 1)}}}, 0);
+    CHECK_EQUAL(1U, sync(1, 1, {{"starts", {task("a", 1)}}}, 1).at("running").size());
+    STRCMP_EQUAL("", violation(1).c_str());
+}
+
+// Guards against a scheduler that starts a finished task again unnoticed.
+TEST(TaskTable, LogsAStartAfterItsEndWasAcknowledged)
+{
+    (void)sync(1, 1, {{"starts", {task("a", 1)}}}, 0);
+    (void)sync(1, 2, {{"acks", {"a/0/1"}}}, 500);
+    (void)sync(1, 3, {{"starts", {task("a", 1)}}}, 600);
+    STRCMP_EQUAL("started twice", violation(600).c_str());
+}
+
+// Guards against ended tasks that vanish before their completion is durable.
+TEST(TaskTable, ListsAnEndedTaskUntilItIsAcknowledged)
+{
+    (void)sync(1, 1, {{"starts", {task("a", 1)}}}, 0);
+    CHECK_EQUAL(1U, sync(1, 2, {}, 100).at("ended").size());
+    CHECK_EQUAL(0U, sync(1, 3, {{"acks", {"a/0/1"}}}, 101).at("ended").size());
+}
+
+// Guards against "move" tasks that outlive their lease.
+TEST(TaskTable, EndsATaskWhoseLeaseWasNotRenewed)
+{
+    json leased = task("a", 1);
+    leased["runMs"] = 0;
+    leased["leaseMs"] = 50;
+    (void)sync(1, 1, {{"starts", {leased}}}, 0);
+    STRCMP_EQUAL("expired", sync(1, 2, {}, 50).at("ended").at(0).at("outcome").get<std::string>().c_str());
+}
+
+// Guards against a start that takes effect after its sender gave it up, on a worker without epochs.
+TEST(TaskTable, IgnoresAStartThatArrivedTooLongAgo)
+{
+    json late = task("a", 1);
+    late["voidAfterMs"] = 100;
+    const json answer = table->sync({{"epoch", 1}, {"inventory", true}, {"starts", {late}}}, 0, 200, false);
+    CHECK_EQUAL(0U, answer.at("running").size());
+}
