--- a/src/daemon/unittext.cpp
+++ b/src/daemon/unittext.cpp
@@ -1,6 +1,8 @@
 // Parsing of numbers with units.
 #include "unittext.h"
 
+#include "core/quantity.h"
+
 #include <array>
 #include <charconv>
 #include <utility>
@@ -11,9 +13,8 @@
 
 using Unit = std::pair<const char *, std::uint64_t>;
 
-constexpr std::array<Unit, 4> durationUnits{{{"ms", 1}, {"s", 1000}, {"m", 60000}, {"h", 3600000}}};
 constexpr std::array<Unit, 4> sizeUnits{{{"B", 1}, {"KiB", 1024}, {"MiB", 1024 * 1024}, {"GiB", 1024 * 1024 * 1024}}};
-constexpr std::uint64_t longestSpan = 366ULL * 24 * 3600 * 1000;
+constexpr std::int64_t longestSpan = 366LL * 24 * 3600 * 1000; // Milliseconds.
 constexpr std::uint64_t largestSize = 1024ULL * 1024 * 1024 * 1024;
 
 template<std::size_t N>
@@ -37,8 +38,9 @@
 
 std::optional<Duration> parseDuration(const std::string &text)
 {
-    const auto span = parseWithUnit(text, durationUnits, longestSpan);
-    return span ? std::optional<Duration>(Duration(static_cast<std::int64_t>(*span))) : std::nullopt;
+    std::string fault;
+    const auto span = durationFormat().parse(text, longestSpan, fault);
+    return span ? std::optional<Duration>(Duration(*span)) : std::nullopt;
 }
 
 std::optional<std::uint64_t> parseSize(const std::string &text)
--- /dev/null
+++ b/test/daemon/testpath.cpp
@@ -0,0 +1,322 @@
+// The whole path of a request and of a job through front end, filters, handlers and clients, with a core that only answers.
+#include "daemon/apihandlers.h"
+#include "daemon/corerunner.h"
+#include "daemon/forwarder.h"
+#include "daemon/httpconnection.h"
+#include "daemon/platformclient.h"
+#include "daemon/requestfilters.h"
+#include "fakecore.h"
+#include "looptest.h"
+
+using namespace KingCupLadder;
+
+namespace {
+
+Route bookings()
+{
+    Route route;
+    route.name = RouteName("bookings");
+    route.path = "/bookings";
+    route.workClass = WorkClass::Request;
+    route.pool = PoolName("p");
+    return route;
+}
+
+Route rosters()
+{
+    Route route;
+    route.name = RouteName("rosters");
+    route.workClass = WorkClass::Batch;
+    route.pool = PoolName("p");
+    route.demand.cpu = MilliCores(500);
+    return route;
+}
+
+} // namespace
+
+TEST_GROUP(RequestPath)
+{
+    std::unique_ptr<EventLoop> loop;
+    std::unique_ptr<CoreRunner> runner;
+    std::unique_ptr<Forwarder> forwarder;
+    std::unique_ptr<PlatformClient> platform;
+    std::unique_ptr<ApiHandlers> api;
+    std::unique_ptr<RequestChain> chain;
+    std::unique_ptr<HttpFrontend> front;
+    std::unique_ptr<HttpFrontend> worker;
+    std::unique_ptr<HttpFrontend> store;
+    std::unique_ptr<HttpConnection> client;
+    std::vector<HttpCallPtr> atWorker;
+    std::vector<HttpCallPtr> atStore;
+    std::vector<RequestReport> reports;
+    std::optional<ClientResult> result;
+    std::string frontAddress;
+
+    void setup() override
+    {
+        fakeCore() = FakeCore();
+        loop = makeLoop();
+        fakeCore().workerAddress = freeAddress();
+        worker = serve(*loop, fakeCore().workerAddress, [this](const HttpCallPtr &call) { atWorker.push_back(call); });
+        PlatformClientSettings storeSettings;
+        storeSettings.address = freeAddress();
+        storeSettings.timeout = Duration(200);
+        store = serve(*loop, storeSettings.address, [this](const HttpCallPtr &call) { atStore.push_back(call); });
+        runner = std::make_unique<CoreRunner>(*loop, std::move(DaemonCore::create({}, loop->now())).value());
+        platform = std::make_unique<PlatformClient>(
+            *loop, storeSettings, [this](const StoreReply &reply) { runner->onStoreReply(reply); }, [](const VmListReply &) {});
+        forwarder = std::make_unique<Forwarder>(*loop, ConnectionPoolSettings());
+        CoreExecutors executors;
+        executors.transact = [this](const StoreTransact &command) { platform->transact(command); };
+        runner->start(executors);
+        ApiServices apiServices;
+        apiServices.digest = [](const std::string &text) { return "digest of " + text; };
+        apiServices.randomHex = [](std::size_t) { return std::optional<std::string>("random"); };
+        apiServices.route = [](const RouteName &name) { return name == RouteName("rosters") ? std::optional<Route>(rosters()) : std::nullopt; };
+        apiServices.team = [](const TeamId &id) { return id == TeamId("a") ? std::optional<Team>(Team()) : std::nullopt; };
+        apiServices.mayUse = [](const TeamId &, const PoolName &) { return true; };
+        apiServices.ready = [] { return true; };
+        apiServices.jobReport = [](const RouteName &, const TeamId &, ErrorKind, Duration) {};
+        api = std::make_unique<ApiHandlers>(*runner, ApiSettings{DaemonId("d"), "digest of operator"}, apiServices);
+        chain = std::make_unique<RequestChain>(requestServices(), RequestSettings());
+        frontAddress = freeAddress();
+        front = serve(*loop, frontAddress, [this](const HttpCallPtr &call) {
+            if (!api->handle(call)) {
+                chain->handle(call);
+            }
+        });
+        client = std::make_unique<HttpConnection>(*loop, *parseSocketAddress(frontAddress), 1024 * 1024);
+    }
+
+    RequestServices requestServices()
+    {
+        RequestServices services;
+        services.now = [this] { return loop->now(); };
+        services.routeForPath = [](const std::string &path) { return path.compare(0, 9, "/bookings") == 0 ? std::optional<Route>(bookings()) : std::nullopt; };
+        services.identify = [this](const std::string &secret) { return runner->core().identify(secret, loop->now()); };
+        services.mayUse = [](const TeamId &, const PoolName &) { return true; };
+        services.acquire = [this](const GrantWish &wish, RequestServices::AnswerHandler handler) {
+            return runner->call([wish](DaemonCore &core, TimePoint now) { return core.acquireGrant(wish, now); }, std::move(handler));
+        };
+        services.abandon = [this](OpId op) { runner->abandonWish(op); };
+        services.release = [this](const Grant &grant, GrantEnd end) { runner->releaseGrant(grant, end); };
+        services.claim = [this](const TeamId &team, const std::string &key, const std::string &print, RequestServices::AnswerHandler handler) {
+            runner->call([=](DaemonCore &core, TimePoint now) { return core.claim(team, key, print, now); }, std::move(handler));
+        };
+        services.finishClaim = [this](const TeamId &team, const std::string &key, const std::string &outcome) {
+            runner->call([=](DaemonCore &core, TimePoint now) { return core.finishClaim(team, key, outcome, now); }, [](const CallerAnswer &) {});
+        };
+        services.digest = [](const std::string &text) { return text; };
+        services.forward = [this](const ForwardRequest &request, ForwardCallback callback) { return forwarder->forward(request, std::move(callback)); };
+        services.newRequestId = [] { return std::string("request-1"); };
+        services.report = [this](const RequestReport &report) { reports.push_back(report); };
+        return services;
+    }
+
+    void teardown() override
+    {
+        client.reset();
+        front.reset();
+        chain.reset();
+        api.reset();
+        forwarder.reset();
+        platform.reset();
+        runner.reset();
+        worker.reset();
+        store.reset();
+        atWorker.clear();
+        atStore.clear();
+        loop.reset();
+        fakeCore() = FakeCore();
+    }
+
+    void send(const std::string &method, const std::string &target, const std::string &body, Headers extra = {}, const std::string &key = "team-secret")
+    {
+        ClientRequest request;
+        request.method = method;
+        request.target = target;
+        request.headers = std::move(extra);
+        request.headers.emplace_back("Authorization", "Bearer " + key);
+        request.body = body;
+        request.timeout = Duration(2000);
+        client->send(request, [this](const ClientResult &answer) { result = answer; });
+    }
+
+    void sendToWorker(Headers extra = {})
+    {
+        send("POST", "/bookings/7?x=1", "two beds", std::move(extra));
+        CHECK_TRUE(runUntil(*loop, [this] { return !atWorker.empty(); }));
+    }
+
+    int awaitStatus()
+    {
+        CHECK_TRUE(runUntil(*loop, [this] { return result.has_value(); }));
+        return result->response.status;
+    }
+};
+
+// Guards against a request that reaches the application under another path or without its body.
+TEST(RequestPath, ForwardsPathQueryAndBody)
+{
+    sendToWorker();
+    STRCMP_EQUAL("/app/bookings/7?x=1 two beds", (atWorker[0]->request().target + " " + atWorker[0]->request().body).c_str());
+}
+
+// Guards against team keys that leak to applications.
+TEST(RequestPath, KeepsTheKeyFromTheWorker)
+{
+    sendToWorker();
+    STRCMP_EQUAL("", headerValue(atWorker[0]->request().headers, "Authorization").c_str());
+}
+
+// Guards against workers that can't tell a grant of an old epoch.
+TEST(RequestPath, SendsTheEpochOfTheGrant)
+{
+    sendToWorker();
+    STRCMP_EQUAL("7", headerValue(atWorker[0]->request().headers, "X-Ladder-Epoch").c_str());
+}
+
+// Guards against answers that lose their body or status on the way back.
+TEST(RequestPath, ReturnsTheWholeAnswer)
+{
+    sendToWorker();
+    atWorker[0]->respond({201, {{"Content-Type", "text/plain"}}, std::string(100000, 'x')});
+    LONGS_EQUAL(201, awaitStatus());
+    LONGS_EQUAL(100000, result->response.body.size());
+}
+
+// Guards against slots that stay busy after their request has ended.
+TEST(RequestPath, ReleasesTheGrantAfterTheAnswer)
+{
+    sendToWorker();
+    atWorker[0]->respond({200, {}, "ok"});
+    awaitStatus();
+    CHECK_TRUE(fakeCore().releases == std::vector<GrantEnd>{GrantEnd::Succeeded});
+}
+
+// Guards against handing a caller the answer to somebody else's request.
+TEST(RequestPath, RefusesAnAnswerWithAnotherRequestId)
+{
+    sendToWorker();
+    atWorker[0]->respond({200, {{"X-Request-Id", "other"}}, "not yours"});
+    LONGS_EQUAL(502, awaitStatus());
+}
+
+// Guards against reporting "not run" for a request that the worker may have run.
+TEST(RequestPath, SaysUnknownWhenTheWorkerGoesSilent)
+{
+    sendToWorker({{"X-Deadline-Ms", "60"}});
+    awaitStatus();
+    CHECK_TRUE(result->response.body.find("\"ran\":\"unknown\"") != std::string::npos);
+}
+
+// Guards against a slot that counts as free while the worker still serves an aborted request.
+TEST(RequestPath, ReleasesAsTimedOutWhenTheClientLeaves)
+{
+    sendToWorker();
+    client->abort();
+    CHECK_TRUE(runUntil(*loop, [] { return !fakeCore().releases.empty(); }));
+    CHECK_TRUE(fakeCore().releases[0] == GrantEnd::TimedOut);
+}
+
+// Guards against losing the outcome of a charge whose caller has gone.
+TEST(RequestPath, RecordsTheOutcomeOfAClaimedRequestWhoseClientLeft)
+{
+    sendToWorker({{"Idempotency-Key", "charge-1"}});
+    client->abort();
+    runUntil(*loop, [this] { return front->activeCalls() == 0; });
+    atWorker[0]->respond({200, {}, "charged"});
+    CHECK_TRUE(runUntil(*loop, [] { return !fakeCore().finished.empty(); }));
+    CHECK_TRUE(fakeCore().finished[0].find("charged") != std::string::npos);
+}
+
+// Guards against a worker that is down being reported as "unknown": nothing was sent.
+TEST(RequestPath, SaysNotRunWhenNoWorkerCanBeReached)
+{
+    fakeCore().workerAddress = freeAddress();
+    send("POST", "/bookings", "x");
+    awaitStatus();
+    CHECK_TRUE(result->response.body.find("\"ran\":\"not run\"") != std::string::npos);
+}
+
+// Guards against refusals that give callers nothing to wait for.
+TEST(RequestPath, RefusalStatesRetryAfter)
+{
+    fakeCore().workerAddress.clear();
+    send("POST", "/bookings", "x");
+    awaitStatus();
+    STRCMP_EQUAL("1", headerValue(result->response.headers, "Retry-After").c_str());
+}
+
+// Guards against work for a key that is not in force.
+TEST(RequestPath, RefusesAnUnknownKey)
+{
+    send("POST", "/bookings", "x", {}, "wrong");
+    LONGS_EQUAL(401, awaitStatus());
+}
+
+// Guards against acknowledging a job before the store has it.
+TEST(RequestPath, AcceptsAJobOnlyAfterTheStoreAnswered)
+{
+    fakeCore().storeJobs = true;
+    send("POST", "/v1/jobs", R"({"route":"rosters","tasks":2,"runTime":"90s"})", {{"Idempotency-Key", "night-7"}});
+    CHECK_TRUE(runUntil(*loop, [this] { return !atStore.empty(); }));
+    CHECK_FALSE(result.has_value());
+    atStore[0]->respond(jsonResponse(200, R"({"ok":true,"rows":[{"table":"jobs","key":"a:night-7","version":1}]})"));
+    LONGS_EQUAL(202, awaitStatus());
+}
+
+// Guards against "accepted" or "not run" when the store's answer is lost.
+TEST(RequestPath, JobIsUnknownWhenTheStoreIsSilent)
+{
+    fakeCore().storeJobs = true;
+    send("POST", "/v1/jobs", R"({"route":"rosters"})", {{"Idempotency-Key", "night-7"}});
+    LONGS_EQUAL(502, awaitStatus());
+}
+
+// Guards against job ids that another team can take.
+TEST(RequestPath, PrefixesTheJobIdWithTheTeam)
+{
+    send("POST", "/v1/jobs", R"({"route":"rosters","id":"night-7"})");
+    awaitStatus();
+    STRCMP_EQUAL("a:night-7", fakeCore().jobs.at(0).id.value().c_str());
+}
+
+// Guards against jobs that lose the demand of their route.
+TEST(RequestPath, CompletesTheJobFromItsRoute)
+{
+    send("POST", "/v1/jobs", R"({"route":"rosters","demand":{"memoryMiB":64}})");
+    awaitStatus();
+    CHECK_TRUE(fakeCore().jobs.at(0).demand == (Resources{MilliCores(500), MebiBytes(64), {}, {}}));
+}
+
+// Guards against teams that read each other's jobs.
+TEST(RequestPath, HidesJobsOfOtherTeams)
+{
+    send("GET", "/v1/jobs/b:1", "");
+    LONGS_EQUAL(404, awaitStatus());
+}
+
+// Guards against operator calls with a team's key.
+TEST(RequestPath, KeysNeedTheOperatorKey)
+{
+    send("POST", "/v1/keys", R"({"team":"a"})");
+    LONGS_EQUAL(401, awaitStatus());
+}
+
+// Guards against storing a secret instead of its digest.
+TEST(RequestPath, StoresTheDigestOfANewKey)
+{
+    send("POST", "/v1/keys", R"({"team":"a"})", {}, "operator");
+    LONGS_EQUAL(201, awaitStatus());
+    STRCMP_EQUAL("digest of random", fakeCore().givenKeys.at(0).digest.c_str());
+}
+
+// Guards against a reported wait that leaves the objective without data.
+TEST(RequestPath, ReportsTheWaitingTime)
+{
+    sendToWorker();
+    atWorker[0]->respond({200, {}, "ok"});
+    awaitStatus();
+    CHECK_TRUE(reports.at(0).waited.has_value());
+}
