--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -6,7 +6,8 @@
 #include <easylogging++.h>
 
 #include <array>
-#include <unordered_map>
+#include <chrono>
+#include <functional>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -15,20 +16,23 @@
 namespace {
 
 constexpr Duration repeatInterval{10000};
-constexpr std::size_t maxSubjects = 10000; // Bounds the memory of the rate limit when subjects are ids.
+constexpr std::size_t repeatSlots = 1024; // Fixed, so that subjects from outside can't use up memory.
 
 constexpr std::array<const char *, 9> partNames{"daemon", "settings", "http", "requests", "api", "peers", "platform", "workers", "shutdown"};
 constexpr std::array<const char *, 4> levelNames{"debug", "info", "warning", "error"};
 
+/// The last line about one subject.
 struct Repeats {
+    std::size_t subject = 0; ///< Hash of part and subject; another subject in the same slot takes the slot over.
     std::chrono::steady_clock::time_point nextLine;
     std::uint64_t leftOut = 0;
 };
 
 struct LogState {
+    bool isSetUp = false; ///< Before that, lines are dropped: easylogging++ would write them to a file.
     LogLevel fallback = LogLevel::Info;
     std::map<LogPart, LogLevel> levels;
-    std::unordered_map<std::string, Repeats> repeats;
+    std::array<Repeats, repeatSlots> repeats;
 };
 
 LogState &state()
@@ -41,7 +45,7 @@
 {
     const auto found = state().levels.find(part);
     const LogLevel lowest = found == state().levels.end() ? state().fallback : found->second;
-    return level >= lowest;
+    return state().isSetUp && level >= lowest;
 }
 
 /// Control characters from outside could forge log lines.
@@ -94,6 +98,7 @@
     configuration.setGlobally(el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
     el::Loggers::reconfigureAllLoggers(configuration);
     el::Loggers::addFlag(el::LoggingFlag::DisableApplicationAbortOnFatalLog);
+    state().isSetUp = true;
 }
 
 void logLine(LogPart part, LogLevel level, const std::string &text)
@@ -123,18 +128,18 @@
     if (!isWritten(part, level)) {
         return;
     }
-    auto &repeats = state().repeats;
-    if (repeats.size() >= maxSubjects) {
-        repeats.clear();
-    }
+    const std::size_t hash = std::hash<std::string>()(std::string(toString(part)) + "/" + subject);
+    Repeats &entry = state().repeats.at(hash % repeatSlots);
     const auto now = std::chrono::steady_clock::now();
-    Repeats &entry = repeats[std::string(toString(part)) + "/" + subject];
-    if (now < entry.nextLine) {
+    if (entry.subject == hash && now < entry.nextLine) {
         ++entry.leftOut;
         return;
     }
+    if (entry.subject != hash) {
+        entry.leftOut = 0;
+    }
     const std::string suffix = entry.leftOut > 0 ? " (" + std::to_string(entry.leftOut) + " similar lines left out)" : "";
-    entry = Repeats{now + repeatInterval, 0};
+    entry = Repeats{hash, now + repeatInterval, 0};
     logLine(part, level, text + suffix);
 }
 
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -30,7 +30,8 @@
 [[nodiscard]] std::optional<LogPart> logPartFromString(const std::string &text);
 [[nodiscard]] std::optional<LogLevel> logLevelFromString(const std::string &text);
 
-/// The lowest level that is written; parts without an entry use @p fallback. To be called once, before the first line.
+/// The lowest level that is written; parts without an entry use @p fallback. To be called once; earlier lines are
+/// dropped.
 void setUpLog(LogLevel fallback, const std::map<LogPart, LogLevel> &levels);
 
 void logLine(LogPart part, LogLevel level, const std::string &text);
--- a/src/daemon/peercodec.cpp
+++ b/src/daemon/peercodec.cpp
@@ -1,6 +1,7 @@
 // Field by field translation between the core's peer messages and their protobuf form.
 #include "peercodec.h"
 
+#include <google/protobuf/stubs/logging.h>
 #include <peer.pb.h>
 
 namespace KingCupLadder {
@@ -462,6 +463,8 @@
     if (bytes.size() > maxPeerMessageBytes) {
         return malformed("larger than the maximum");
     }
+    // protobuf would write a line to stderr for each malformed text, without a limit.
+    const google::protobuf::LogSilencer silencer;
     Wire::Envelope envelope;
     if (!envelope.ParseFromString(bytes)) {
         return malformed("not an envelope");
--- a/src/daemon/slo.cpp
+++ b/src/daemon/slo.cpp
@@ -4,6 +4,7 @@
 #include "jsonfields.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace KingCupLadder {
 
@@ -78,7 +79,7 @@
     report.budgetUsed = report.burnLong;
     const double left = std::max(1.0 - report.budgetUsed, 0.0);
     if (report.burnShort > 0.0) {
-        report.exhaustion = Duration(static_cast<std::int64_t>(left / report.burnShort * static_cast<double>(series.objective.window.count())));
+        report.exhaustion = Duration(std::llround(left / report.burnShort * static_cast<double>(series.objective.window.count())));
     }
     return report;
 }
--- /dev/null
+++ b/test/daemon/testrequestfilters.cpp
@@ -0,0 +1,264 @@
+#include "daemon/requestfilters.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+TEST_GROUP(RequestFilters)
+{
+    RequestServices services;
+    RequestSettings settings;
+    Route route;
+    TimePoint now{Duration(5000)};
+    ClaimState claimState{true, {}};
+    Error claimError;
+    std::vector<ClientResult> results; // Of the next attempts.
+    std::vector<HttpCallPtr> calls;
+    std::vector<HttpResponse> answers;
+    std::vector<GrantWish> wishes;
+    std::vector<Duration> forwardTimeouts;
+    std::vector<GrantEnd> releases;
+    std::vector<std::string> finished;
+    std::vector<RequestServices::AnswerHandler> heldWishes;
+    bool holdWishes = false;
+    int claims = 0;
+
+    void setup() override
+    {
+        route.name = RouteName("r");
+        route.workClass = WorkClass::Request;
+        route.pool = PoolName("p");
+        route.deadline = Duration(1000);
+        services.now = [this] { return now; };
+        services.routeForPath = [this](const std::string &) { return std::optional<Route>(route); };
+        services.identify = [](const std::string &) { return Result<Identity>(Identity{KeyId("k"), TeamId("t"), {}}); };
+        services.mayUse = [](const TeamId &, const PoolName &) { return true; };
+        services.acquire = [this](const GrantWish &wish, const RequestServices::AnswerHandler &handler) { return acquire(wish, handler); };
+        services.abandon = [this](OpId) { heldWishes.clear(); };
+        services.release = [this](const Grant &, GrantEnd end) { releases.push_back(end); };
+        services.claim = [this](const TeamId &, const std::string &, const std::string &, const RequestServices::AnswerHandler &handler) {
+            ++claims;
+            CallerAnswer answer;
+            answer.error = claimError;
+            answer.body = claimState;
+            handler(answer);
+        };
+        services.finishClaim = [this](const TeamId &, const std::string &, const std::string &outcome) { finished.push_back(outcome); };
+        services.digest = [](const std::string &text) { return text; };
+        services.forward = [this](const ForwardRequest &request, const ForwardCallback &callback) {
+            forwardTimeouts.push_back(request.timeout);
+            const ClientResult result = results.empty() ? answered(200) : results.front();
+            if (!results.empty()) {
+                results.erase(results.begin());
+            }
+            pending.emplace_back([callback, result] { callback(result); });
+            return [] { return true; };
+        };
+        services.newRequestId = [] { return std::string("id"); };
+        services.report = [](const RequestReport &) {};
+    }
+
+    std::vector<std::function<void()>> pending;
+
+    OpId acquire(const GrantWish &wish, const RequestServices::AnswerHandler &handler)
+    {
+        wishes.push_back(wish);
+        if (holdWishes) {
+            heldWishes.push_back(handler);
+            return OpId(1);
+        }
+        pending.emplace_back([handler, n = wishes.size()] {
+            CallerAnswer answer;
+            answer.body = Grant{GrantId("g"), ShardId("s"), Epoch(1), WorkerId("w" + std::to_string(n)), "a:1", Duration(400)};
+            handler(answer);
+        });
+        return OpId(1);
+    }
+
+    static ClientResult answered(int status)
+    {
+        return {ClientResult::Kind::Answered, true, {status, {}, "body"}};
+    }
+
+    HttpCallPtr request(Headers headers = {})
+    {
+        headers.emplace_back("Authorization", "Bearer x");
+        HttpRequest incoming{"POST", "/a", "/a", "", std::move(headers), "", now};
+        auto call = std::make_shared<HttpCall>(incoming, [this](const HttpResponse &response) { answers.push_back(response); });
+        calls.push_back(call);
+        return call;
+    }
+
+    void run(const Headers &headers = {})
+    {
+        RequestChain(services, settings).handle(request(headers));
+        settle();
+    }
+
+    void settle()
+    {
+        while (!pending.empty()) {
+            const auto next = pending.front();
+            pending.erase(pending.begin());
+            next();
+        }
+    }
+};
+
+// Guards against a payment that is sent a second time.
+TEST(RequestFilters, SendsANonIdempotentRequestOnce)
+{
+    results = {{ClientResult::Kind::Failed, true, {}}, answered(200)};
+    run();
+    LONGS_EQUAL(1, forwardTimeouts.size());
+}
+
+// Guards against giving up although nothing was sent.
+TEST(RequestFilters, RetriesWhenNoByteWasSent)
+{
+    results = {{ClientResult::Kind::Failed, false, {}}, answered(200)};
+    run();
+    LONGS_EQUAL(200, answers.at(0).status);
+}
+
+// Guards against a retry on the worker that just failed.
+TEST(RequestFilters, RetryAvoidsTheWorkerThatFailed)
+{
+    results = {{ClientResult::Kind::Failed, false, {}}, answered(200)};
+    run();
+    CHECK_TRUE(wishes.at(1).avoid == std::vector<WorkerId>{WorkerId("w1")});
+}
+
+// Guards against lookups that fail with one bad worker.
+TEST(RequestFilters, RetriesAnIdempotentRequestAfterAServerError)
+{
+    route.idempotent = true;
+    results = {answered(500), answered(200)};
+    run();
+    LONGS_EQUAL(200, answers.at(0).status);
+}
+
+// Guards against hiding the answer of the application.
+TEST(RequestFilters, PassesAServerErrorOnWhenItMayNotRetry)
+{
+    results = {answered(500)};
+    run();
+    STRCMP_EQUAL("body", answers.at(0).body.c_str());
+}
+
+// Guards against a holder that uses a slot after its grant has ended.
+TEST(RequestFilters, ForwardEndsWithTheGrant)
+{
+    run();
+    LONGS_EQUAL(400, forwardTimeouts.at(0).count());
+}
+
+// Guards against a deadline of the caller that is ignored.
+TEST(RequestFilters, ShortensTheDeadlineToTheHeader)
+{
+    run({{"X-Deadline-Ms", "70"}});
+    LONGS_EQUAL(70, wishes.at(0).term.count());
+}
+
+// Guards against deadlines that nobody meant.
+TEST(RequestFilters, RejectsAMalformedDeadline)
+{
+    run({{"X-Deadline-Ms", "5s"}});
+    LONGS_EQUAL(400, answers.at(0).status);
+}
+
+// Guards against sending before the claim is in the store.
+TEST(RequestFilters, SendsNothingWhenTheClaimFails)
+{
+    claimError = {ErrorKind::Unavailable, "store down", "wait"};
+    run({{"Idempotency-Key", "k"}});
+    LONGS_EQUAL(0, wishes.size());
+}
+
+// Guards against a second charge: a repeat gets the recorded answer.
+TEST(RequestFilters, RepeatGetsTheRecordedAnswer)
+{
+    claimState = {false, encodeOutcome({201, {}, "charged"})};
+    run({{"Idempotency-Key", "k"}});
+    STRCMP_EQUAL("charged", answers.at(0).body.c_str());
+}
+
+// Guards against "not run" for a repeat whose first request may be running.
+TEST(RequestFilters, RepeatWithoutOutcomeIsUnknown)
+{
+    claimState = {false, {}};
+    run({{"Idempotency-Key", "k"}});
+    CHECK_TRUE(answers.at(0).body.find("\"ran\":\"unknown\"") != std::string::npos);
+}
+
+// Guards against a claim that blocks a request which never ran.
+TEST(RequestFilters, RemovesTheClaimOfARequestThatDidNotRun)
+{
+    route.deadline = Duration(10); // Leaves no time for a second attempt.
+    results = {{ClientResult::Kind::Failed, false, {}}};
+    run({{"Idempotency-Key", "k"}});
+    STRCMP_EQUAL("", finished.at(0).c_str());
+}
+
+// Guards against a claim that is removed although the request may have run.
+TEST(RequestFilters, KeepsTheClaimWhenTheOutcomeIsUnknown)
+{
+    results = {{ClientResult::Kind::TimedOut, true, {}}};
+    run({{"Idempotency-Key", "k"}});
+    LONGS_EQUAL(0, finished.size());
+}
+
+// Guards against an outcome that changes its bytes.
+TEST(RequestFilters, OutcomeKeepsBinaryBodies)
+{
+    const std::string body("\xff\x00\x01%", 4);
+    CHECK_TRUE(decodeOutcome(encodeOutcome({200, {}, body}))->body == body);
+}
+
+// Guards against half an answer that looks whole.
+TEST(RequestFilters, OutcomeOfALargeAnswerSaysThatItRan)
+{
+    const auto repeat = decodeOutcome(encodeOutcome({200, {}, std::string(65537, 'x')}));
+    CHECK_TRUE(repeat->body.find("\"ran\":\"ran\"") != std::string::npos);
+}
+
+// Guards against one team that fills the daemon.
+TEST(RequestFilters, RefusesATeamAboveItsLimit)
+{
+    settings.maxActivePerTeam = 1;
+    holdWishes = true;
+    RequestChain chain(services, settings);
+    chain.handle(request());
+    chain.handle(request());
+    LONGS_EQUAL(429, answers.at(0).status);
+    calls.at(0)->disconnect();
+}
+
+// Guards against a limit that counts requests which have ended.
+TEST(RequestFilters, CountsOnlyActiveRequests)
+{
+    settings.maxActivePerTeam = 1;
+    RequestChain chain(services, settings);
+    chain.handle(request());
+    settle();
+    chain.handle(request());
+    settle();
+    LONGS_EQUAL(200, answers.at(1).status);
+}
+
+// Guards against wishes that wait for callers who have gone.
+TEST(RequestFilters, AbandonsTheWishWhenTheClientLeaves)
+{
+    holdWishes = true;
+    run();
+    calls.at(0)->disconnect();
+    LONGS_EQUAL(0, heldWishes.size());
+}
+
+// Guards against claims for routes that may repeat requests anyway.
+TEST(RequestFilters, IdempotentRoutesNeedNoClaim)
+{
+    route.idempotent = true;
+    run({{"Idempotency-Key", "k"}});
+    LONGS_EQUAL(0, claims);
+}
--- /dev/null
+++ b/test/daemon/testsettings.cpp
@@ -0,0 +1,149 @@
+#include "daemon/settings.h"
+#include "mutate.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+namespace {
+
+const std::string digest(64, 'a');
+const std::string good = "daemon: d1\nfailureDomain: f1\nhttp: {address: 127.0.0.1:1}\npeers: {address: 127.0.0.1:2, seeds: []}\n"
+                         "platform: {address: 127.0.0.1:3}\noperator: {keyDigest: "
+    + digest + "}\n";
+
+// yaml-cpp builds static tables when it first meets a piece of syntax; the leak check would count those built during a test.
+const std::string everySyntax =
+    "%YAML 1.2\n---\n&a x: 'q''q'\ny: \"d\\n\\x41\"\n? k\n: !t *a\nl: [1, {z: ~, \"q\":1, ? k : v, ? [w]: 'x':1}]\ns: |+\n  t\nf: >-2\n   t\n# c\n- @\n";
+
+std::size_t parseEverySyntax()
+{
+    std::mt19937_64 random(16);
+    std::size_t problems = parseSettings(everySyntax).problems.size();
+    for (int i = 0; i < 500; ++i) {
+        problems += parseSettings(damaged(everySyntax, random)).problems.size();
+    }
+    return problems;
+}
+
+[[maybe_unused]] const std::size_t warmedUp = parseEverySyntax();
+
+/// The problems, one a line.
+std::string problemsOf(const std::string &yaml)
+{
+    std::string text;
+    for (const SettingsProblem &problem : parseSettings(yaml).problems) {
+        text += problem.text("f") + "\n";
+    }
+    return text;
+}
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+/// Examples are looked for from the build folder's parent, as set by scripts/test.
+std::string examplePath(const std::string &name)
+{
+    const std::string here = __FILE__;
+    return here.substr(0, here.rfind("/test/")) + "/examples/" + name + "/daemon.yaml";
+}
+
+} // namespace
+
+TEST_GROUP(Settings){};
+
+// Guards against a shortest file that no longer works.
+TEST(Settings, AcceptsTheRequiredKeysAlone)
+{
+    STRCMP_EQUAL("", problemsOf(good).c_str());
+}
+
+// Guards against an example that users copy and that does not work.
+TEST(Settings, AcceptsTheExampleOfNuitMusee)
+{
+    CHECK_TRUE(readSettings(examplePath("nuitmusee")).settings.has_value());
+}
+
+// Guards against an example that users copy and that does not work.
+TEST(Settings, AcceptsTheExampleOfHardangerfjord)
+{
+    CHECK_TRUE(readSettings(examplePath("hardangerfjord")).settings.has_value());
+}
+
+// Guards against misspelled keys that silently keep a default.
+TEST(Settings, NamesTheLineOfAnUnknownKey)
+{
+    CHECK_TRUE(contains(problemsOf(good + "timeouts:\n  stroe: 1s\n"), "f:8: 'timeouts.stroe' is not a setting; use one of: "));
+}
+
+// Guards against "1500" that is read as seconds by one and as milliseconds by another.
+TEST(Settings, RejectsASpanWithoutUnit)
+{
+    CHECK_TRUE(contains(problemsOf(good + "timeouts: {store: 1500}\n"), "'1500' is not a span of time"));
+}
+
+// Guards against a list where a value is expected.
+TEST(Settings, RejectsAMistypedValue)
+{
+    CHECK_TRUE(contains(problemsOf(good + "timeouts: {store: [1s]}\n"), "must be a single value"));
+}
+
+// Guards against host names, whose lookup needs a service that may be down.
+TEST(Settings, RejectsHostNames)
+{
+    CHECK_TRUE(contains(problemsOf("platform: {address: platform.example:80}\n"), "is not an address"));
+}
+
+// Guards against a lease that ends before its renewal can be repeated.
+TEST(Settings, RejectsValuesThatContradictEachOther)
+{
+    CHECK_TRUE(contains(problemsOf(good + "timeouts: {leaseTerm: 2s, leaseMargin: 500ms}\n"), "a lease would end before"));
+}
+
+// Guards against a second value that wins or loses by chance.
+TEST(Settings, RejectsAKeyThatIsSetTwice)
+{
+    CHECK_TRUE(contains(problemsOf(good + "daemon: d2\n"), "'daemon' is set twice"));
+}
+
+// Guards against correcting one problem at a time.
+TEST(Settings, ReportsAllProblemsAtOnce)
+{
+    // A bad name, an unknown key, a size without unit and six missing keys.
+    LONGS_EQUAL(9, parseSettings("daemon: 'a b'\nx: 1\nhttp: {maxBody: 8}\n").problems.size());
+}
+
+// Guards against an operator key in logs that was written in place of its digest.
+TEST(Settings, DoesNotRepeatAWrongDigest)
+{
+    CHECK_FALSE(contains(problemsOf("operator: {keyDigest: my-secret-key}\n"), "my-secret-key"));
+}
+
+// Guards against peers that are encrypted on one side only.
+TEST(Settings, RejectsHalfAKeyPair)
+{
+    const std::string yaml = "peers: {address: 127.0.0.1:2, seeds: [], curve: {publicKey: '" + std::string(40, 'x') + "'}}\n";
+    CHECK_TRUE(contains(problemsOf(yaml), "only one of publicKey and secretKey"));
+}
+
+// Guards against a file that can't be read and looks empty.
+TEST(Settings, ReportsAMissingFile)
+{
+    CHECK_TRUE(contains(readSettings("/nonexistent.yaml").problems.at(0).message, "can't be read"));
+}
+
+// Guards against crashes and wordless refusals on malformed files; seed 15.
+TEST(Settings, SurvivesDamagedFiles)
+{
+    std::mt19937_64 random(15);
+    const std::string text = good + "timeouts: {store: 1s, peer: 3s}\nlog: {default: info, peers: debug}\n";
+    for (int i = 0; i < 3000; ++i) {
+        const SettingsCheck check = parseSettings(damaged(text, random));
+        CHECK_TRUE(check.settings.has_value() == check.problems.empty());
+        for (const SettingsProblem &problem : check.problems) {
+            CHECK_FALSE(problem.message.empty() || problem.remedy.empty());
+        }
+    }
+}
--- /dev/null
+++ b/test/daemon/testshutdown.cpp
@@ -0,0 +1,71 @@
+#include "daemon/shutdown.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+TEST_GROUP(Shutdown)
+{
+    std::size_t active = 1;
+    bool coreStopped = false;
+    int begun = 0;
+    int exited = 0;
+    TimePoint start{Duration(1000)};
+    Shutdown shutdown{{Duration(100), Duration(1000), Duration(500), Duration(10)},
+                      {[this] { return active; }, [this] { ++begun; }, [this] { return coreStopped; }, [this] { ++exited; }, [](const char *) {}}};
+
+    void tickAt(int ms)
+    {
+        shutdown.tick(start + Duration(ms));
+    }
+};
+
+// Guards against callers that are sent to a daemon that is about to stop.
+TEST(Shutdown, IsNotReadyAtOnce)
+{
+    shutdown.begin(start);
+    CHECK_FALSE(shutdown.isReady());
+}
+
+// Guards against refusing requests that the balancer still sends during the drain wait.
+TEST(Shutdown, ServesDuringTheDrainWait)
+{
+    shutdown.begin(start);
+    tickAt(99);
+    CHECK_FALSE(shutdown.refusesWork());
+}
+
+// Guards against shards that are handed over while their requests are in flight.
+TEST(Shutdown, HandsOverOnlyAfterRequestsInFlight)
+{
+    shutdown.begin(start);
+    tickAt(100);
+    tickAt(101);
+    LONGS_EQUAL(0, begun);
+    active = 0;
+    tickAt(102);
+    LONGS_EQUAL(1, begun);
+}
+
+// Guards against a request that never ends and keeps the process for ever.
+TEST(Shutdown, DoesNotWaitLongerThanTheFinishWait)
+{
+    shutdown.begin(start);
+    tickAt(100);
+    tickAt(1100);
+    LONGS_EQUAL(1, begun);
+}
+
+// Guards against an exit before the last messages to peers have left.
+TEST(Shutdown, ExitsAfterTheFlush)
+{
+    active = 0;
+    coreStopped = true;
+    shutdown.begin(start);
+    tickAt(100);
+    tickAt(101);
+    tickAt(102);
+    LONGS_EQUAL(0, exited);
+    tickAt(112);
+    LONGS_EQUAL(1, exited);
+}
--- /dev/null
+++ b/test/daemon/testslo.cpp
@@ -0,0 +1,76 @@
+#include "daemon/slo.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+TEST_GROUP(Slo)
+{
+    Slo slo;
+    Objective objective{Duration(100), 0.9, Duration(60000)};
+    TimePoint start{Duration(1000000)};
+
+    void count(int good, int bad, TimePoint at)
+    {
+        for (int i = 0; i < good + bad; ++i) {
+            slo.count(RouteName("r"), TeamId("t"), objective, i < good, at);
+        }
+    }
+    SloReport report(TimePoint at)
+    {
+        return slo.reports(at).at(0);
+    }
+};
+
+// Guards against a burn rate that does not measure against the allowed part.
+TEST(Slo, BurnRateIsOneWhenTheAllowedPartIsBad)
+{
+    count(90, 10, start);
+    DOUBLES_EQUAL(1.0, report(start).burnLong, 1e-9);
+}
+
+// Guards against an alarm that goes on after the window.
+TEST(Slo, ForgetsCountsOutsideTheWindow)
+{
+    count(0, 10, start);
+    LONGS_EQUAL(0, report(start + Duration(60000)).bad);
+}
+
+// Guards against a short window that reacts as slowly as the long one.
+TEST(Slo, ShortWindowSeesOnlyTheLastTwelfth)
+{
+    count(0, 10, start);
+    count(10, 0, start + Duration(20000));
+    LONGS_EQUAL(0, report(start + Duration(20000)).shortBad);
+}
+
+// Guards against a bucket whose old counts are added to the new ones.
+TEST(Slo, ReusedBucketStartsEmpty)
+{
+    count(5, 0, start);
+    count(1, 0, start + Duration(60000));
+    LONGS_EQUAL(1, report(start + Duration(60000)).good);
+}
+
+// Guards against a time to exhaustion that ignores what is already used.
+TEST(Slo, TimeToExhaustionFollowsTheShortBurnRate)
+{
+    count(950, 50, start);
+    LONGS_EQUAL(60000, report(start).exhaustion->count());
+}
+
+// Guards against a promised exhaustion where nothing is burnt.
+TEST(Slo, NoExhaustionWithoutBadRequests)
+{
+    count(10, 0, start);
+    CHECK_FALSE(report(start).exhaustion.has_value());
+}
+
+// Guards against counts that were made against another objective.
+TEST(Slo, ANewObjectiveStartsOver)
+{
+    count(0, 10, start);
+    objective.targetWait = Duration(200);
+    count(1, 0, start);
+    LONGS_EQUAL(0, report(start).bad);
+}
