--- a/src/core/keys.cpp
+++ b/src/core/keys.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t digestBytes = 32;
 constexpr std::size_t digestLength = 2 * digestBytes;
 constexpr std::size_t maxNameLength = 128;
-constexpr std::size_t maxTextBytes = 32U * 1024 * 1024; ///< Of the stored list; about 150,000 keys.
+constexpr std::size_t maxTextBytes = std::size_t{32} * 1024 * 1024; ///< Of the stored list; about 150,000 keys.
 
 bool isDigest(const std::string &text)
 {
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -136,73 +136,73 @@
     std::set<WorkerId> leaving; ///< Marked by the platform or a peer; pruned to the VM list.
 };
 
-Membership::Membership(const MembershipSettings &settings, TimePoint now) : d(std::make_unique<Private>(settings, now)) { }
+Membership::Membership(const MembershipSettings &settings, TimePoint now) : m_d(std::make_unique<Private>(settings, now)) { }
 
 Membership::~Membership() = default;
 
 void Membership::onHeartbeat(const Heartbeat &heartbeat, TimePoint now)
 {
-    Peer *peer = d->entryFor(heartbeat.self, now);
+    Peer *peer = m_d->entryFor(heartbeat.self, now);
     if (peer == nullptr) {
         return;
     }
-    d->forgotten.erase(heartbeat.self.id);
+    m_d->forgotten.erase(heartbeat.self.id);
     peer->heartbeat = heartbeat;
     peer->heardAt = now;
     peer->knownAt = now;
     for (const PeerInfo &known : heartbeat.known) {
-        d->learn(known, now);
+        m_d->learn(known, now);
     }
-    const bool unlimited = !d->hasVms;
+    const bool anyVm = !m_d->hasVms;
     for (const WorkerId &vm : heartbeat.leaving) {
-        const bool listed = std::any_of(d->vms.begin(), d->vms.end(), [&](const VmInfo &info) { return info.id == vm; });
-        if (unlimited || listed) {
-            d->leaving.insert(vm);
+        const bool listed = std::any_of(m_d->vms.begin(), m_d->vms.end(), [&](const VmInfo &info) { return info.id == vm; });
+        if (anyVm || listed) {
+            m_d->leaving.insert(vm);
         }
     }
-    d->markLeaving();
-    d->forgetOld(now);
+    m_d->markLeaving();
+    m_d->forgetOld(now);
 }
 
 void Membership::onRegistered(const std::vector<PeerInfo> &daemons, TimePoint now)
 {
     for (const PeerInfo &daemon : daemons) {
-        if (Peer *peer = d->entryFor(daemon, now)) {
+        if (Peer *peer = m_d->entryFor(daemon, now)) {
             peer->knownAt = now;
-            d->forgotten.erase(daemon.id);
+            m_d->forgotten.erase(daemon.id);
         }
     }
-    d->forgetOld(now);
+    m_d->forgetOld(now);
 }
 
 void Membership::onVmList(const std::vector<VmInfo> &vms, TimePoint now)
 {
-    d->vms = vms;
-    d->hasVms = true;
+    m_d->vms = vms;
+    m_d->hasVms = true;
     std::set<WorkerId> leaving;
     for (const VmInfo &vm : vms) {
-        if (vm.leaving || d->leaving.count(vm.id) > 0) {
+        if (vm.leaving || m_d->leaving.count(vm.id) > 0) {
             leaving.insert(vm.id);
         }
     }
-    d->leaving = std::move(leaving);
-    d->markLeaving();
-    d->forgetOld(now);
+    m_d->leaving = std::move(leaving);
+    m_d->markLeaving();
+    m_d->forgetOld(now);
 }
 
 bool Membership::heartbeatDue(TimePoint now)
 {
-    return d->heartbeatTimer.due(now);
+    return m_d->heartbeatTimer.due(now);
 }
 
 std::vector<PeerInfo> Membership::heartbeatTargets() const
 {
     std::vector<PeerInfo> targets = knownPeers();
-    std::set<std::string> addresses{d->settings.self.peerAddress};
+    std::set<std::string> addresses{m_d->settings.self.peerAddress};
     for (const PeerInfo &peer : targets) {
         addresses.insert(peer.peerAddress);
     }
-    for (const std::string &address : d->settings.seedAddresses) {
+    for (const std::string &address : m_d->settings.seedAddresses) {
         if (addresses.insert(address).second) {
             PeerInfo unknown;
             unknown.peerAddress = address;
@@ -214,14 +214,14 @@
 
 bool Membership::vmListDue(TimePoint now)
 {
-    return d->vmListTimer.due(now);
+    return m_d->vmListTimer.due(now);
 }
 
 std::vector<PeerInfo> Membership::livePeers(TimePoint now) const
 {
     std::vector<PeerInfo> live;
-    for (const auto &[id, peer] : d->peers) {
-        if (d->isLive(peer, now)) {
+    for (const auto &[id, peer] : m_d->peers) {
+        if (m_d->isLive(peer, now)) {
             live.push_back(peer.info);
         }
     }
@@ -231,7 +231,7 @@
 std::vector<PeerInfo> Membership::knownPeers() const
 {
     std::vector<PeerInfo> known;
-    for (const auto &[id, peer] : d->peers) {
+    for (const auto &[id, peer] : m_d->peers) {
         known.push_back(peer.info);
     }
     return known;
@@ -239,25 +239,25 @@
 
 std::optional<PeerInfo> Membership::peer(const DaemonId &id) const
 {
-    const auto found = d->peers.find(id);
-    return found == d->peers.end() ? std::nullopt : std::optional<PeerInfo>(found->second.info);
+    const auto found = m_d->peers.find(id);
+    return found == m_d->peers.end() ? std::nullopt : std::optional<PeerInfo>(found->second.info);
 }
 
 const Heartbeat *Membership::lastHeartbeat(const DaemonId &id) const
 {
-    const auto found = d->peers.find(id);
-    return found == d->peers.end() || !found->second.heartbeat ? nullptr : &*found->second.heartbeat;
+    const auto found = m_d->peers.find(id);
+    return found == m_d->peers.end() || !found->second.heartbeat ? nullptr : &*found->second.heartbeat;
 }
 
 std::vector<DomainView> Membership::domainViews(Duration ownStoreAge, TimePoint now) const
 {
     std::map<FailureDomain, DomainView> views;
-    mergeView(views, DomainView{d->settings.self.domain, Duration(0), ownStoreAge});
-    const Duration never = d->settings.forgetAfter;
-    for (const VmInfo &vm : d->vms) {
+    mergeView(views, DomainView{m_d->settings.self.domain, Duration(0), ownStoreAge});
+    const Duration never = m_d->settings.forgetAfter;
+    for (const VmInfo &vm : m_d->vms) {
         mergeView(views, DomainView{vm.domain, never, never});
     }
-    for (const auto &[id, peer] : d->peers) {
+    for (const auto &[id, peer] : m_d->peers) {
         mergeView(views, DomainView{peer.info.domain, never, never});
         if (!peer.heartbeat) {
             continue;
@@ -279,17 +279,17 @@
 
 const std::vector<VmInfo> &Membership::vms() const
 {
-    return d->vms;
+    return m_d->vms;
 }
 
 bool Membership::hasVmList() const
 {
-    return d->hasVms;
+    return m_d->hasVms;
 }
 
 std::vector<WorkerId> Membership::leavingVms() const
 {
-    return {d->leaving.begin(), d->leaving.end()};
+    return {m_d->leaving.begin(), m_d->leaving.end()};
 }
 
 } // namespace KingCupLadder
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -54,7 +54,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace KingCupLadder
--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -290,7 +290,7 @@
         return *fault;
     }
     std::unique_ptr<Ownership> ownership(new Ownership());
-    ownership->d = std::make_unique<Private>(settings, std::move(nextOp), now);
+    ownership->m_d = std::make_unique<Private>(settings, std::move(nextOp), now);
     return ownership;
 }
 
@@ -299,11 +299,11 @@
 
 void Ownership::setWanted(const std::vector<WantedShard> &wanted, TimePoint)
 {
-    for (auto &[id, shard] : d->shards) {
+    for (auto &[id, shard] : m_d->shards) {
         shard.wanted = false;
     }
     for (const WantedShard &shard : wanted) {
-        ShardState &state = d->shards[shard.id];
+        ShardState &state = m_d->shards[shard.id];
         state.wanted = true;
         state.domain = shard.domain;
     }
@@ -313,69 +313,69 @@
 {
     std::map<DaemonId, Private::LivePeer> live;
     for (const PeerInfo &peer : peers) {
-        const auto known = d->peers.find(peer.id);
-        const bool same = known != d->peers.end() && known->second.info.incarnation == peer.incarnation;
-        if (peer.id != d->settings.self.id) {
+        const auto known = m_d->peers.find(peer.id);
+        const bool same = known != m_d->peers.end() && known->second.info.incarnation == peer.incarnation;
+        if (peer.id != m_d->settings.self.id) {
             live[peer.id] = Private::LivePeer{peer, same ? known->second.since : now};
         }
     }
-    d->peers = std::move(live);
+    m_d->peers = std::move(live);
 }
 
 bool Ownership::onStoreReply(const StoreReply &reply, TimePoint now)
 {
-    return d->onReply(reply, now);
+    return m_d->onReply(reply, now);
 }
 
 void Ownership::tick(TimePoint now)
 {
-    d->tick(now);
+    m_d->tick(now);
 }
 
 void Ownership::handOver(const ShardId &shard, const DaemonId &to, TimePoint)
 {
-    if (to != d->settings.self.id && !to.isEmpty()) {
-        d->giveUp(shard, to);
+    if (to != m_d->settings.self.id && !to.isEmpty()) {
+        m_d->giveUp(shard, to);
     }
 }
 
 void Ownership::release(const ShardId &shard, TimePoint)
 {
-    d->giveUp(shard, DaemonId());
+    m_d->giveUp(shard, DaemonId());
 }
 
 void Ownership::onHandOver(const HandOver &message, TimePoint now)
 {
-    d->toRead.insert(message.shard);
-    d->nextRead = std::min(d->nextRead, now);
+    m_d->toRead.insert(message.shard);
+    m_d->nextRead = std::min(m_d->nextRead, now);
 }
 
 void Ownership::beginStop(TimePoint)
 {
-    d->stopping = true;
+    m_d->stopping = true;
 }
 
 std::vector<OwnershipOutput> Ownership::takeOutputs()
 {
-    return std::exchange(d->outputs, {});
+    return std::exchange(m_d->outputs, {});
 }
 
 bool Ownership::leaseConfirmed(TimePoint now) const
 {
-    return d->lease.confirmed(now);
+    return m_d->lease.confirmed(now);
 }
 
 Incarnation Ownership::incarnation() const
 {
-    return d->lease.incarnation();
+    return m_d->lease.incarnation();
 }
 
 std::vector<ShardOwner> Ownership::owned() const
 {
     std::vector<ShardOwner> list;
-    for (const auto &[id, shard] : d->shards) {
+    for (const auto &[id, shard] : m_d->shards) {
         if (shard.owned) {
-            list.push_back(ShardOwner{id, d->settings.self.id, *shard.owned});
+            list.push_back(ShardOwner{id, m_d->settings.self.id, *shard.owned});
         }
     }
     return list;
@@ -384,7 +384,7 @@
 std::vector<ShardOwner> Ownership::owners() const
 {
     std::vector<ShardOwner> list;
-    for (const auto &[id, shard] : d->shards) {
+    for (const auto &[id, shard] : m_d->shards) {
         if (shard.version > RowVersion() && shard.readable && !shard.row.owner.isEmpty()) {
             list.push_back(ShardOwner{id, shard.row.owner, shard.row.epoch});
         }
@@ -394,12 +394,12 @@
 
 std::vector<PeerInfo> Ownership::registered() const
 {
-    return d->watch.registered();
+    return m_d->watch.registered();
 }
 
 bool Ownership::stopped() const
 {
-    return d->stopping && d->lease.retired() && !d->hasShardsLeft();
+    return m_d->stopping && m_d->lease.retired() && !m_d->hasShardsLeft();
 }
 
 } // namespace KingCupLadder
--- a/src/core/ownership.h
+++ b/src/core/ownership.h
@@ -115,7 +115,7 @@
 private:
     Ownership();
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 /// The daemon that should own the shard: rendezvous hashing over the daemons of the shard's own failure domain, else over
--- a/src/core/quantity.cpp
+++ b/src/core/quantity.cpp
@@ -86,6 +86,23 @@
     return scaled / thousand;
 }
 
+std::string QuantityFormat::format(std::int64_t amount) const
+{
+    const auto exact = std::find_if(m_units.rbegin(), m_units.rend(), [&](const QuantityUnit &unit) { return amount % unit.factor == 0; });
+    if (amount != 0 && exact != m_units.rend()) {
+        return std::to_string(amount / exact->factor) + exact->suffix;
+    }
+    const QuantityUnit &smallest = m_units.front();
+    std::string text = std::to_string(amount / smallest.factor);
+    const std::int64_t rest = amount % smallest.factor * thousand / smallest.factor;
+    if (rest != 0) {
+        const std::string digits = std::to_string(rest);
+        text += "." + std::string(maxFractionDigits - digits.size(), '0') + digits;
+        text.erase(text.find_last_not_of('0') + 1);
+    }
+    return text + smallest.suffix;
+}
+
 const char *QuantityFormat::example() const
 {
     return m_example;
--- a/src/core/quantity.h
+++ b/src/core/quantity.h
@@ -18,11 +18,14 @@
 class QuantityFormat
 {
 public:
-    /// @p maximum is in base units and at most 10^14, so that thousandths do not overflow.
+    /// @p units in ascending order of their factors.
     QuantityFormat(std::vector<QuantityUnit> units, const char *example);
 
+    /// @p maximum is in base units and at most 10^14, so that its thousandths do not overflow.
     /// The amount; empty if the text is malformed, negative, above @p maximum or finer than a base unit. @p fault then says what.
     [[nodiscard]] std::optional<std::int64_t> parse(const std::string &text, std::int64_t maximum, std::string &fault) const;
+    /// The amount as operators write it, in the largest unit that needs no decimals.
+    [[nodiscard]] std::string format(std::int64_t amount) const;
     /// How to write such an amount, for remedies.
     [[nodiscard]] const char *example() const;
 
--- a/src/core/tabledraft.cpp
+++ b/src/core/tabledraft.cpp
@@ -102,11 +102,11 @@
     route.allAtOnce = fields.flag("allAtOnce");
     const std::int64_t noDeadline = request ? Tables::defaultDeadline.count() : 0;
     route.deadline = Duration(fields.amount("deadline", durationFormat(), 1, Tables::longestDeadline.count(), noDeadline));
-    const std::vector<const char *> unfit = request ? std::vector<const char *>{"startOnce", "allAtOnce"} : std::vector<const char *>{"idempotent", "deadline"};
-    for (const char *option : unfit) {
+    const std::vector<std::string> unfit = request ? std::vector<std::string>{"startOnce", "allAtOnce"} : std::vector<std::string>{"idempotent", "deadline"};
+    const std::string fault = " of " + what + " is only for " + (request ? "jobs" : "requests");
+    for (const std::string &option : unfit) {
         if (fields.has(option)) {
-            const std::string others = request ? "jobs" : "requests";
-            fields.problem(option, std::string(option) + " of " + what + " is only for " + others, std::string("remove ") + option + " or change the class");
+            fields.problem(option, option + fault, "remove " + option + " or change the class");
         }
     }
     if (request && route.partition == PartitionPolicy::Move) {
@@ -125,12 +125,14 @@
         }
         return;
     }
+    const std::size_t before = problems.count();
     route.demand = readResources(*node, "demand of " + what, demandBounds, defaultSlots, problems);
+    if (problems.count() > before) {
+        return;
+    }
     if (route.workClass == WorkClass::Request && route.demand.slots == Slots(0)) {
         fields.problem("demand", "demand of " + what + " has no slot", "write slots: 1, or leave slots out");
-    } else if (node->IsMap() && node->size() == 0 && defaultSlots == 0) {
-        fields.problem("demand", "demand of " + what + " is empty", "write cpu and memory of one task");
-    } else if (route.demand.isZero() && node->IsMap()) {
+    } else if (route.demand.isZero()) {
         fields.problem("demand", "demand of " + what + " is zero", "write cpu and memory of one task");
     }
 }
@@ -211,8 +213,9 @@
     if (!limit) {
         fields.problem("limit", what + " has no limit", "add \"limit:\" with the most that it may have running, fleet-wide");
     } else {
+        const std::size_t before = problems.count();
         draft.team.limit = readResources(*limit, "limit of " + what, limitBounds, 0, problems);
-        if (limit->IsMap() && draft.team.limit.isZero()) {
+        if (problems.count() == before && draft.team.limit.isZero()) {
             fields.problem("limit", "limit of " + what + " holds nothing", "write at least one of cpu, memory, accelerators and slots");
         }
     }
@@ -280,28 +283,29 @@
 
 } // namespace
 
-std::vector<RouteDraft> readRoutes(const std::string &yaml, TableProblems &problems)
+bool readRoutes(const std::string &yaml, TablesDraft &draft, TableProblems &problems)
 {
     const auto root = loadDocument(yaml, problems);
     if (!root) {
-        return {};
+        return false;
     }
     FieldReader document(*root, "the routes document", problems);
-    auto routes = readEntries<RouteDraft>(document, "routes", problems, readRoute);
+    draft.routes = readEntries<RouteDraft>(document, "routes", problems, readRoute);
     document.finish();
-    return routes;
+    return document.isMapping();
 }
 
-void readPools(const std::string &yaml, TablesDraft &draft, TableProblems &problems)
+bool readPools(const std::string &yaml, TablesDraft &draft, TableProblems &problems)
 {
     const auto root = loadDocument(yaml, problems);
     if (!root) {
-        return;
+        return false;
     }
     FieldReader document(*root, "the pools document", problems);
     draft.teams = readEntries<TeamDraft>(document, "teams", problems, readTeam);
     draft.pools = readEntries<PoolDraft>(document, "pools", problems, readPool);
     document.finish();
+    return document.isMapping();
 }
 
 } // namespace KingCupLadder
--- a/src/core/tabledraft.h
+++ b/src/core/tabledraft.h
@@ -35,9 +35,10 @@
     std::vector<TeamDraft> teams;
 };
 
-[[nodiscard]] std::vector<RouteDraft> readRoutes(const std::string &yaml, TableProblems &problems);
-/// Fills the pools and the teams of the draft.
-void readPools(const std::string &yaml, TablesDraft &draft, TableProblems &problems);
+/// Fills the routes of the draft. False if the document could not be read at all.
+[[nodiscard]] bool readRoutes(const std::string &yaml, TablesDraft &draft, TableProblems &problems);
+/// Fills the pools and the teams of the draft. False if the document could not be read at all.
+[[nodiscard]] bool readPools(const std::string &yaml, TablesDraft &draft, TableProblems &problems);
 /// The checks that concern more than one entry.
 void checkDraft(const TablesDraft &draft, TableProblems &routeProblems, TableProblems &poolProblems);
 
--- a/src/core/tablereader.cpp
+++ b/src/core/tablereader.cpp
@@ -45,6 +45,11 @@
     m_problems.push_back(TableProblem{m_document, line, message, remedy});
 }
 
+std::size_t TableProblems::count() const
+{
+    return m_problems.size();
+}
+
 int lineOf(const YAML::Node &node)
 {
     return std::max(node.Mark().line + 1, 0);
@@ -52,10 +57,14 @@
 
 std::string quoted(const std::string &text)
 {
-    std::string shown = text.substr(0, maxQuoted);
+    std::size_t length = std::min(text.size(), maxQuoted);
+    while (length > 0 && length < text.size() && (static_cast<unsigned char>(text[length]) & 0xc0U) == 0x80U) {
+        --length; // Does not cut a UTF-8 sequence.
+    }
+    std::string shown = text.substr(0, length);
     std::replace_if(
         shown.begin(), shown.end(), [](char c) { return static_cast<unsigned char>(c) < ' ' || c == '\x7f'; }, '?');
-    return "\"" + shown + (text.size() > maxQuoted ? "...\"" : "\"");
+    return "\"" + shown + (text.size() > length ? "...\"" : "\"");
 }
 
 bool isTableName(const std::string &text)
@@ -82,7 +91,9 @@
         }
         return documents[0];
     } catch (const YAML::Exception &e) {
-        problems.add(std::max(e.mark.line + 1, 0), "the document is not valid YAML: " + e.msg, "correct the syntax at this line");
+        // The parser reports nesting beyond its own limit as a "bad file".
+        const std::string reason = e.msg == YAML::ErrorMsg::BAD_FILE ? "it is nested too deeply" : e.msg;
+        problems.add(std::max(e.mark.line + 1, 0), "the document is not valid YAML: " + reason, "correct the syntax at this line");
     }
     return std::nullopt;
 }
@@ -147,7 +158,7 @@
 
 std::optional<YAML::Node> FieldReader::list(const std::string &field, bool required)
 {
-    const auto value = node(field);
+    auto value = node(field);
     if (!value) {
         if (required && m_isMapping) {
             problem(field, m_what + " has no " + field, "add \"" + field + ":\" with a list");
--- a/src/core/tablereader.h
+++ b/src/core/tablereader.h
@@ -20,6 +20,7 @@
     TableProblems(std::string document, std::vector<TableProblem> &problems);
 
     void add(int line, const std::string &message, const std::string &remedy);
+    [[nodiscard]] std::size_t count() const;
 
 private:
     std::string m_document;
--- a/src/core/tables.cpp
+++ b/src/core/tables.cpp
@@ -54,9 +54,11 @@
     TableProblems routeProblems("routes", check.problems);
     TableProblems poolProblems("pools", check.problems);
     TablesDraft draft;
-    draft.routes = readRoutes(routesYaml, routeProblems);
-    readPools(poolsYaml, draft, poolProblems);
-    checkDraft(draft, routeProblems, poolProblems);
+    const bool routesRead = readRoutes(routesYaml, draft, routeProblems);
+    const bool poolsRead = readPools(poolsYaml, draft, poolProblems);
+    if (routesRead && poolsRead) {
+        checkDraft(draft, routeProblems, poolProblems); // Otherwise every name of the other document would seem undefined.
+    }
     if (!check.problems.empty()) {
         std::stable_sort(check.problems.begin(), check.problems.end(), comesBefore);
         shorten(check.problems);
