--- a/src/core/quantity.cpp
+++ b/src/core/quantity.cpp
@@ -2,6 +2,7 @@
 #include "quantity.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace KingCupLadder {
@@ -9,6 +10,13 @@
 namespace {
 
 constexpr std::int64_t thousand = 1000;
+constexpr QuantityUnit durationUnits[] = {{"ms", 1}, {"s", 1000}, {"m", 60000}, {"h", 3600000}, {"d", 86400000}};
+constexpr QuantityUnit memoryUnits[] = {{"MiB", 1}, {"GiB", 1024}};
+constexpr QuantityUnit cpuUnits[] = {{"m", 1}, {"", 1000}};
+constexpr QuantityUnit countUnits[] = {{"", 1}};
+constexpr QuantityUnit percentUnits[] = {{"%", 1000}};
+constexpr QuantityUnit weightUnits[] = {{"", 1000}};
+
 constexpr std::size_t maxDigits = 14; ///< Of the whole part; with three more digits the value stays below 2^63.
 constexpr std::size_t maxFractionDigits = 3;
 
@@ -54,8 +62,6 @@
 
 } // namespace
 
-QuantityFormat::QuantityFormat(std::vector<QuantityUnit> units, const char *example) : m_units(std::move(units)), m_example(example) { }
-
 std::optional<std::int64_t> QuantityFormat::parse(const std::string &text, std::int64_t maximum, std::string &fault) const
 {
     if (!text.empty() && text[0] == '-') {
@@ -69,8 +75,8 @@
         return std::nullopt;
     }
     const std::string suffix = text.substr(end);
-    const auto unit = std::find_if(m_units.begin(), m_units.end(), [&](const QuantityUnit &u) { return suffix == u.suffix; });
-    if (unit == m_units.end()) {
+    const auto unit = std::find_if(m_begin, m_end, [&](const QuantityUnit &u) { return suffix == u.suffix; });
+    if (unit == m_end) {
         fault = suffix.empty() ? "has no unit" : "has an unknown unit";
         return std::nullopt;
     }
@@ -88,11 +94,12 @@
 
 std::string QuantityFormat::format(std::int64_t amount) const
 {
-    const auto exact = std::find_if(m_units.rbegin(), m_units.rend(), [&](const QuantityUnit &unit) { return amount % unit.factor == 0; });
-    if (amount != 0 && exact != m_units.rend()) {
+    const auto last = std::make_reverse_iterator(m_begin);
+    const auto exact = std::find_if(std::make_reverse_iterator(m_end), last, [&](const QuantityUnit &unit) { return amount % unit.factor == 0; });
+    if (amount != 0 && exact != last) {
         return std::to_string(amount / exact->factor) + exact->suffix;
     }
-    const QuantityUnit &smallest = m_units.front();
+    const QuantityUnit &smallest = *m_begin;
     std::string text = std::to_string(amount / smallest.factor);
     const std::int64_t rest = amount % smallest.factor * thousand / smallest.factor;
     if (rest != 0) {
@@ -110,38 +117,37 @@
 
 const QuantityFormat &durationFormat()
 {
-    static const QuantityFormat format({{"ms", 1}, {"s", 1000}, {"m", 60000}, {"h", 3600000}, {"d", 86400000}},
-                                       "a duration with unit, such as 200ms, 2s, 5m, 1h or 30d");
+    static constexpr QuantityFormat format(durationUnits, "a duration with unit, such as 200ms, 2s, 5m, 1h or 30d");
     return format;
 }
 
 const QuantityFormat &memoryFormat()
 {
-    static const QuantityFormat format({{"MiB", 1}, {"GiB", 1024}}, "a size with unit, such as 256MiB or 4GiB");
+    static constexpr QuantityFormat format(memoryUnits, "a size with unit, such as 256MiB or 4GiB");
     return format;
 }
 
 const QuantityFormat &cpuFormat()
 {
-    static const QuantityFormat format({{"m", 1}, {"", 1000}}, "cores or millicores, such as 2, 1.5 or 500m");
+    static constexpr QuantityFormat format(cpuUnits, "cores or millicores, such as 2, 1.5 or 500m");
     return format;
 }
 
 const QuantityFormat &countFormat()
 {
-    static const QuantityFormat format({{"", 1}}, "a whole number, such as 1");
+    static constexpr QuantityFormat format(countUnits, "a whole number, such as 1");
     return format;
 }
 
 const QuantityFormat &percentFormat()
 {
-    static const QuantityFormat format({{"%", 1000}}, "a percentage, such as 99.9%");
+    static constexpr QuantityFormat format(percentUnits, "a percentage, such as 99.9%");
     return format;
 }
 
 const QuantityFormat &weightFormat()
 {
-    static const QuantityFormat format({{"", 1000}}, "a weight above 0, such as 3 or 0.5");
+    static constexpr QuantityFormat format(weightUnits, "a weight above 0, such as 3 or 0.5");
     return format;
 }
 
--- a/src/core/quantity.h
+++ b/src/core/quantity.h
@@ -1,10 +1,10 @@
 // Amounts as operators write them: durations, memory, processor time, counts and percentages, always with exact results.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace KingCupLadder {
 
@@ -18,11 +18,15 @@
 class QuantityFormat
 {
 public:
-    /// @p units in ascending order of their factors.
-    QuantityFormat(std::vector<QuantityUnit> units, const char *example);
+    /// @p units live as long as the program, in ascending order of their factors.
+    template<std::size_t count>
+    constexpr QuantityFormat(const QuantityUnit (&units)[count], const char *example) // NOLINT(modernize-avoid-c-arrays)
+        : m_begin(units), m_end(units + count), m_example(example)
+    {
+    }
 
-    /// @p maximum is in base units and at most 10^14, so that its thousandths do not overflow.
     /// The amount; empty if the text is malformed, negative, above @p maximum or finer than a base unit. @p fault then says what.
+    /// @p maximum is in base units and at most 10^14, so that its thousandths do not overflow.
     [[nodiscard]] std::optional<std::int64_t> parse(const std::string &text, std::int64_t maximum, std::string &fault) const;
     /// The amount as operators write it, in the largest unit that needs no decimals.
     [[nodiscard]] std::string format(std::int64_t amount) const;
@@ -30,7 +34,8 @@
     [[nodiscard]] const char *example() const;
 
 private:
-    std::vector<QuantityUnit> m_units;
+    const QuantityUnit *m_begin;
+    const QuantityUnit *m_end;
     const char *m_example;
 };
 
