Add ladder-bench for placement rules and queue order

Cause: the default placement rule needs a measured choice.

Change: seeded streams of both deployments' mixes drive queue, index and gang reservation in virtual time; decisions are timed.

--- /dev/null
+++ b/bench/mix.cpp
@@ -0,0 +1,207 @@
+// The mixes. Assumptions, since no recorded load exists:
+// - Nuit: most starts are short requests; rosters are urgent; imports and mailings are batch; planning runs are gangs of few
+//   members; booking applications are services.
+// - Hardanger: fewer requests; settlements are urgent; tallies are batch with much memory; payroll runs are gangs; lookups are
+//   served by services.
+// - Tenfold and target mix both. Target has the start rate of the design page, and run times scaled to it.
+// Teams ask in equal parts although their shares differ, so that shares matter when the installation is full.
+#include "mix.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::int64_t workerMilliCores = 16000;
+constexpr std::int64_t workerMemoryMiB = 64 * 1024;
+constexpr std::int64_t workerSlots = 8;
+constexpr double targetStartRate = 6800.0;
+
+std::vector<WorkKind> nuitKinds()
+{
+    return {{BenchClass::Request, 0.80, {250, 500}, {256, 512, 1024}, 0.04, 0.4, 1, 1},
+            {BenchClass::Urgent, 0.01, {1000, 2000}, {2048, 4096}, 2.0, 10.0, 1, 1},
+            {BenchClass::Batch, 0.15, {500, 1000, 2000, 4000}, {1024, 2048, 6144, 12288}, 2.0, 40.0, 1, 1},
+            {BenchClass::Gang, 0.01, {1000, 2000}, {2048, 4096}, 5.0, 20.0, 4, 8},
+            {BenchClass::Service, 0.03, {1000, 2000, 4000}, {4096, 8192, 16384}, 60.0, 180.0, 1, 1}};
+}
+
+std::vector<WorkKind> hardangerKinds()
+{
+    return {{BenchClass::Request, 0.50, {100, 250}, {128, 256}, 0.02, 0.2, 1, 1},
+            {BenchClass::Urgent, 0.01, {2000}, {8192}, 5.0, 20.0, 1, 1},
+            {BenchClass::Batch, 0.42, {1000, 2000, 4000, 8000}, {2048, 8192, 16384, 24576}, 5.0, 60.0, 1, 1},
+            {BenchClass::Gang, 0.04, {1000, 2000, 4000}, {4096, 8192, 16384}, 10.0, 40.0, 4, 8},
+            {BenchClass::Service, 0.03, {1000, 2000}, {4096, 8192}, 60.0, 180.0, 1, 1}};
+}
+
+std::vector<WorkKind> bothKinds()
+{
+    std::vector<WorkKind> kinds = nuitKinds();
+    const std::vector<WorkKind> others = hardangerKinds();
+    kinds.insert(kinds.end(), others.begin(), others.end());
+    for (WorkKind &kind : kinds) {
+        kind.startShare /= 2.0;
+    }
+    return kinds;
+}
+
+std::vector<double> manyShares(std::size_t count)
+{
+    constexpr std::size_t differentShares = 5;
+    std::vector<double> shares;
+    for (std::size_t i = 0; i < count; ++i) {
+        shares.push_back(1.0 + static_cast<double>(i % differentShares));
+    }
+    return shares;
+}
+
+double mean(const std::vector<std::int64_t> &values)
+{
+    return static_cast<double>(std::accumulate(values.begin(), values.end(), std::int64_t(0))) / static_cast<double>(values.size());
+}
+
+/// Of a log-uniform distribution.
+double meanSeconds(const WorkKind &kind)
+{
+    return (kind.longestSeconds - kind.shortestSeconds) / std::log(kind.longestSeconds / kind.shortestSeconds);
+}
+
+/// Core seconds of one task start on average.
+double coreSecondsPerStart(const std::vector<WorkKind> &kinds)
+{
+    double sum = 0.0;
+    for (const WorkKind &kind : kinds) {
+        sum += kind.startShare * mean(kind.milliCores) / 1000.0 * meanSeconds(kind);
+    }
+    return sum;
+}
+
+class StreamMaker
+{
+public:
+    StreamMaker(const BenchSize &size, double load, std::uint64_t seed) : m_size(size), m_random(seed)
+    {
+        const double cores = static_cast<double>(size.workers) * workerMilliCores / 1000.0;
+        const double natural = cores / coreSecondsPerStart(size.kinds);
+        m_rate = (size.startRate > 0.0 ? size.startRate : natural) * load;
+        m_runScale = size.startRate > 0.0 ? natural / size.startRate : 1.0;
+    }
+
+    std::vector<StreamJob> make()
+    {
+        std::vector<StreamJob> jobs;
+        for (const WorkKind &kind : m_size.kinds) {
+            addKind(kind, jobs);
+        }
+        std::stable_sort(jobs.begin(), jobs.end(), [](const StreamJob &a, const StreamJob &b) { return a.arrivalMs < b.arrivalMs; });
+        return jobs;
+    }
+
+private:
+    std::int64_t pick(const std::vector<std::int64_t> &values)
+    {
+        return values[std::uniform_int_distribution<std::size_t>(0, values.size() - 1)(m_random)];
+    }
+
+    double uniform(double low, double high)
+    {
+        return std::uniform_real_distribution<double>(low, high)(m_random);
+    }
+
+    StreamJob draw(const WorkKind &kind)
+    {
+        StreamJob job;
+        job.workClass = kind.workClass;
+        job.team = std::uniform_int_distribution<std::uint32_t>(0, static_cast<std::uint32_t>(m_size.teamShares.size()) - 1)(m_random);
+        job.shard = std::uniform_int_distribution<std::uint32_t>(0, m_size.domains - 1)(m_random);
+        job.tasks = std::uniform_int_distribution<std::uint32_t>(kind.fewestTasks, kind.mostTasks)(m_random);
+        const bool takesSlot = kind.workClass == BenchClass::Request;
+        job.demand = Resources{MilliCores(pick(kind.milliCores)), MebiBytes(pick(kind.memoryMiB)), Accelerators(0), Slots(takesSlot ? 1 : 0)};
+        const double seconds = kind.shortestSeconds * std::exp(uniform(0.0, std::log(kind.longestSeconds / kind.shortestSeconds))) * m_runScale;
+        job.runMs = std::max<std::int64_t>(1, std::llround(seconds * 1000.0));
+        job.declaredMs = std::max<std::int64_t>(1, std::llround(seconds * 1000.0 * std::exp2(uniform(-1.0, 1.0))));
+        return job;
+    }
+
+    void addKind(const WorkKind &kind, std::vector<StreamJob> &jobs)
+    {
+        const double tasksPerJob = (kind.fewestTasks + kind.mostTasks) / 2.0;
+        const double jobsPerSecond = m_rate * kind.startShare / tasksPerJob;
+        if (kind.workClass == BenchClass::Service) {
+            addRunningServices(kind, jobsPerSecond, jobs);
+        }
+        std::exponential_distribution<double> gap(jobsPerSecond);
+        for (double at = gap(m_random); at < m_size.seconds; at += gap(m_random)) {
+            StreamJob job = draw(kind);
+            job.arrivalMs = static_cast<std::int64_t>(at * 1000.0);
+            jobs.push_back(job);
+        }
+    }
+
+    /// As many services as the arrivals keep running; their remaining run times are spread evenly.
+    void addRunningServices(const WorkKind &kind, double jobsPerSecond, std::vector<StreamJob> &jobs)
+    {
+        const auto count = static_cast<int>(jobsPerSecond * meanSeconds(kind) * m_runScale);
+        for (int i = 0; i < count; ++i) {
+            StreamJob job = draw(kind);
+            job.runMs = std::max<std::int64_t>(1, static_cast<std::int64_t>(static_cast<double>(job.runMs) * uniform(0.0, 1.0)));
+            jobs.push_back(job);
+        }
+    }
+
+    const BenchSize &m_size;
+    std::mt19937_64 m_random;
+    double m_rate = 0.0;
+    double m_runScale = 1.0;
+};
+
+} // namespace
+
+const char *toString(BenchClass workClass)
+{
+    switch (workClass) {
+    case BenchClass::Request:
+        return "request";
+    case BenchClass::Urgent:
+        return "urgent";
+    case BenchClass::Batch:
+        return "batch";
+    case BenchClass::Gang:
+        return "gang";
+    case BenchClass::Service:
+        return "service";
+    }
+    return "unknown";
+}
+
+Resources workerCapacity()
+{
+    return Resources{MilliCores(workerMilliCores), MebiBytes(workerMemoryMiB), Accelerators(0), Slots(workerSlots)};
+}
+
+BenchSize benchSize(const std::string &name)
+{
+    // A few of the six workspaces of a deployment are large.
+    const std::vector<double> sixShares{4.0, 3.0, 2.0, 1.0, 1.0, 1.0};
+    if (name == "nuit") {
+        return {name, 50, 3, 8, sixShares, nuitKinds(), 0.0, 600.0};
+    }
+    if (name == "hardanger") {
+        return {name, 50, 4, 6, sixShares, hardangerKinds(), 0.0, 600.0};
+    }
+    if (name == "tenfold") {
+        return {name, 500, 4, 8, manyShares(12), bothKinds(), 0.0, 300.0};
+    }
+    return {"target", 7800, 5, 8, manyShares(50), bothKinds(), targetStartRate, 60.0};
+}
+
+std::vector<StreamJob> makeStream(const BenchSize &size, double load, std::uint64_t seed)
+{
+    return StreamMaker(size, load, seed).make();
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/bench/policyrun.h
@@ -0,0 +1,29 @@
+// Drives the queue, the placement index and the gang reservation with a stream, in virtual time and without machines: a task
+// runs for its drawn time. Decisions are timed with the real clock.
+#pragma once
+
+#include "core/placement.h"
+#include "measures.h"
+
+#include <vector>
+
+namespace KingCupLadder {
+
+struct PolicyChoice {
+    const char *name;
+    PlacementRule rule;
+    bool fairShares; ///< False: one queue by arrival for all teams, without shares, and without passing over what does not fit.
+};
+
+[[nodiscard]] RunResult runPolicy(const BenchSize &size, const std::vector<StreamJob> &stream, const PolicyChoice &choice);
+
+struct MemoryResult {
+    double perWorker = 0.0; ///< Bytes in the placement index.
+    double perTask = 0.0; ///< Bytes in the queue for a waiting job of one task.
+    double removeMicros = 0.0; ///< Mean time of one cancellation in a burst.
+};
+
+/// Memory of index and queue at this size, and the time of a burst of cancellations.
+[[nodiscard]] MemoryResult measureMemory(const BenchSize &size);
+
+} // namespace KingCupLadder
--- a/src/core/allotments.cpp
+++ b/src/core/allotments.cpp
@@ -242,7 +242,7 @@
 
 Allotments::~Allotments() = default;
 
-void Allotments::setTables(std::shared_ptr<const Tables> tables, TimePoint now)
+void Allotments::setTables(const std::shared_ptr<const Tables> &tables, TimePoint now)
 {
     std::map<TeamId, std::set<PoolName>> pools;
     for (const Pool &pool : tables->pools()) {
--- a/src/core/allotments.h
+++ b/src/core/allotments.h
@@ -47,7 +47,7 @@
     Allotments(const Allotments &) = delete;
     Allotments &operator=(const Allotments &) = delete;
 
-    void setTables(std::shared_ptr<const Tables> tables, TimePoint now);
+    void setTables(const std::shared_ptr<const Tables> &tables, TimePoint now);
     /// Shards that exist, owned here or not. The entries of shards that are gone are removed from the rows by any daemon.
     void setShards(const std::vector<ShardId> &all, const std::vector<ShardId> &owned, TimePoint now);
     void setNeeds(const std::vector<AllotmentNeed> &needs, TimePoint now);
