--- a/bench/mix.cpp
+++ b/bench/mix.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr std::int64_t workerMilliCores = 16000;
-constexpr std::int64_t workerMemoryMiB = 64 * 1024;
+constexpr std::int64_t workerMemoryMiB = 65536;
 constexpr std::int64_t workerSlots = 8;
 constexpr double targetStartRate = 6800.0;
 
--- a/bench/policyrun.cpp
+++ b/bench/policyrun.cpp
@@ -309,16 +309,17 @@
 {
     constexpr int jobs = 50000;
     MemoryResult result;
+    const std::uint32_t workers = size.workers / size.domains;
     const std::int64_t empty = allocatedBytes();
     PlacementIndex index(PlacementRule::BestFit);
-    for (std::uint32_t i = 0; i < size.workers / size.domains; ++i) {
+    for (std::uint32_t i = 0; i < workers; ++i) {
         index.update({WorkerId("vm-" + std::to_string(100000 + i)), RackId("rack" + std::to_string(i / size.rackSize)), workerCapacity(), {}, {}});
     }
     (void)index.choose(Resources{MilliCores(1), MebiBytes(1), {}, {}}, {});
     const std::int64_t withIndex = allocatedBytes();
-    result.perWorker = static_cast<double>(withIndex - empty) / static_cast<double>(size.workers / size.domains);
+    result.perWorker = static_cast<double>(withIndex - empty) / static_cast<double>(workers);
     FairQueue queue{FairQueueSettings{}};
-    for (int i = 0; i < jobs; ++i) {
+    for (std::int64_t i = 0; i < jobs; ++i) {
         QueueEntry entry;
         entry.job = JobId("job-" + std::to_string(1000000 + i));
         entry.team = teamId(static_cast<std::uint32_t>(i) % static_cast<std::uint32_t>(size.teamShares.size()));
