--- a/src/core/placementgrid.h
+++ b/src/core/placementgrid.h
@@ -52,8 +52,8 @@
     std::optional<std::uint32_t> bestOfLayers(Search &search, std::uint32_t mask, std::uint32_t value) const;
     std::optional<std::uint32_t> bestOfCell(Search &search, std::uint32_t cell) const;
 
-    std::array<std::vector<std::uint32_t>, layers * cellsPerLayer> m_cells; ///< Numbers of workers.
-    std::array<std::uint16_t, layers * levels> m_usedCells{}; ///< Per row of cells with the same processor level: bits by memory level.
+    std::array<std::vector<std::uint32_t>, std::size_t{layers} * cellsPerLayer> m_cells; ///< Numbers of workers.
+    std::array<std::uint16_t, std::size_t{layers} * levels> m_usedCells{}; ///< Per row of cells with the same processor level: bits by memory level.
     std::array<double, levels> m_middles{}; ///< Free share in the middle of each level.
     mutable std::vector<Candidate> m_candidates; ///< Of the running search; kept for its memory.
 };
