ctl: test the HTTP transport and fix two lint findings

Cause: whether a failed call was sent decides between asking the next daemon and "outcome unknown", and no test covered it. tables.h multiplied in int.

--- a/src/core/tables.h
+++ b/src/core/tables.h
@@ -83,7 +83,7 @@
 {
 public:
     /// Largest accepted size of one document, in bytes.
-    static constexpr std::size_t maxDocumentBytes = 1024 * 1024;
+    static constexpr std::size_t maxDocumentBytes = 1024UL * 1024;
 
     /// Parses both documents and checks them whole.
     [[nodiscard]] static TablesCheck parse(const std::string &routesYaml, const std::string &poolsYaml);
--- a/src/ctl/slohtml.cpp
+++ b/src/ctl/slohtml.cpp
@@ -4,6 +4,7 @@
 #include "render.h"
 
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 
 namespace KingCupLadder::Ctl {
@@ -59,7 +60,7 @@
 {
     const double used = route.budgetUsed();
     const std::string label = escaped(route.route + " (" + route.team + ")");
-    const int percent = static_cast<int>(used * 100 + 0.5);
+    const long percent = std::lround(used * 100);
     page << "<text x=\"" << labelWidth - 8 << "\" y=\"" << top + 17 << "\" text-anchor=\"end\">" << label << "</text>\n"
          << "<rect x=\"" << labelWidth << "\" y=\"" << top + 4 << "\" width=\"" << std::max(1, across(used)) << "\" height=\"" << rowHeight - 8 << "\" fill=\""
          << colourOf(used) << "\"><title>" << label << "</title></rect>\n"
--- /dev/null
+++ b/test/ctl/testhttptransport.cpp
@@ -0,0 +1,67 @@
+#include "ctl/transport.h"
+
+#include <CppUTest/TestHarness.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+
+using namespace KingCupLadder;
+using namespace KingCupLadder::Ctl;
+
+TEST_GROUP(HttpTransport)
+{
+    int listener = -1;
+    std::string address;
+    void setup() override
+    {
+        listener = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in own{};
+        own.sin_family = AF_INET;
+        own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(own);
+        CHECK_EQUAL(0, bind(listener, reinterpret_cast<sockaddr *>(&own), size));
+        getsockname(listener, reinterpret_cast<sockaddr *>(&own), &size);
+        address = "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
+    }
+    void teardown() override
+    {
+        close(listener);
+    }
+    HttpOutcome call(Duration timeout, int *progressed = nullptr) const
+    {
+        const auto progress = [progressed](const std::string &, Duration) {
+            if (progressed != nullptr) {
+                ++*progressed;
+            }
+        };
+        return libeventTransport(timeout, progress)({address, "POST", "/x", "{}", "key"});
+    }
+};
+
+// Guards against "outcome unknown" for a call that reached nobody, which would keep the tool from asking the next daemon.
+TEST(HttpTransport, ReportsARefusedConnectionAsNotSent)
+{
+    const HttpOutcome outcome = call(Duration(500));
+    CHECK_EQUAL(0, outcome.status);
+    CHECK_FALSE(outcome.sent);
+}
+
+// Guards against repeating a call that the daemon may have executed.
+TEST(HttpTransport, ReportsASilentDaemonAsSent)
+{
+    CHECK_EQUAL(0, listen(listener, 1));
+    const HttpOutcome outcome = call(Duration(200));
+    CHECK_EQUAL(0, outcome.status);
+    CHECK_TRUE(outcome.sent);
+}
+
+// Guards against a tool that seems to hang.
+TEST(HttpTransport, ShowsProgressAfterASecond)
+{
+    CHECK_EQUAL(0, listen(listener, 1));
+    int progressed = 0;
+    (void)call(Duration(1200), &progressed);
+    CHECK_EQUAL(1, progressed);
+}
