--- a/src/core/tables.h
+++ b/src/core/tables.h
@@ -85,7 +85,7 @@
 {
 public:
     /// Largest accepted size of one document, in bytes.
-    static constexpr std::size_t maxDocumentBytes = 1024 * 1024;
+    static constexpr std::size_t maxDocumentBytes = std::size_t{1024} * 1024;
     /// Most entries of each list of routes, pools or teams; bounds the time of the check.
     static constexpr std::size_t maxEntries = 2000;
     /// Deadline of a request route that states none.
--- a/src/daemon/apihandlers.cpp
+++ b/src/daemon/apihandlers.cpp
@@ -283,7 +283,7 @@
         call->respond(errorResponse(spec.reason()));
         return;
     }
-    const JobSpec job = spec.value();
+    const JobSpec &job = spec.value();
     m_runner.call([job](DaemonCore &core, TimePoint now) { return core.submitJob(job, now); },
                   [this, call, job](const CallerAnswer &answer) {
                       m_services.jobReport(job.route, job.team, answer.error.kind, m_runner.now() - call->request().arrival);
--- a/src/daemon/connectionpool.h
+++ b/src/daemon/connectionpool.h
@@ -15,7 +15,7 @@
 struct ConnectionPoolSettings {
     std::size_t maxConnections = 8;
     std::size_t maxWaiting = 1000; ///< Requests that wait for a connection; more fail at once.
-    std::size_t maxBody = 8 * 1024 * 1024; ///< Of an answer, in bytes.
+    std::size_t maxBody = 8UL * 1024 * 1024; ///< Of an answer, in bytes.
     Duration probeTimeout{300};
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -124,13 +124,13 @@
 std::optional<Error> Daemon::Private::open()
 {
     std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler): a write to a closed socket must only fail.
-    if (const auto error = openCore()) {
+    if (auto error = openCore()) {
         return error;
     }
     makeClients();
     makeShutdown();
     makeHandlers();
-    if (const auto error = openSockets()) {
+    if (auto error = openSockets()) {
         return error;
     }
     startCore();
--- a/src/daemon/httpconnection.cpp
+++ b/src/daemon/httpconnection.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::size_t maxAnswerHeadBytes = 64 * 1024;
+constexpr std::size_t maxAnswerHeadBytes = 64UL * 1024;
 
 std::optional<evhttp_cmd_type> commandOf(const std::string &method)
 {
--- a/src/daemon/httpfrontend.h
+++ b/src/daemon/httpfrontend.h
@@ -18,8 +18,8 @@
 
 struct HttpFrontendSettings {
     std::string address; ///< "ip:port" to listen on; port 0 is not accepted.
-    std::size_t maxBody = 8 * 1024 * 1024;
-    std::size_t maxHeaders = 32 * 1024;
+    std::size_t maxBody = 8UL * 1024 * 1024;
+    std::size_t maxHeaders = 32UL * 1024;
     std::size_t maxActive = 20000; ///< Requests being handled; more are refused.
     Duration clientIdle{60000};
 };
--- a/src/daemon/jobjson.cpp
+++ b/src/daemon/jobjson.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::int64_t maxTasks = 100000;
-constexpr std::size_t maxPayload = 256 * 1024; // Bytes; the payload is stored in the job's row.
+constexpr std::size_t maxPayload = 256UL * 1024; // Bytes; the payload is stored in the job's row.
 constexpr std::size_t longestId = 200;
 
 Error invalid(const std::string &message, const std::string &remedy)
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -4,15 +4,19 @@
 #include <sstream> // extended_p_square_quantile.hpp uses it without including it.
 
 // GCC 12 takes a member of Boost's quantile for uninitialized that is set before every read.
+#ifndef __clang__
 #pragma GCC diagnostic push
 #pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#ifndef __clang__
 #pragma GCC diagnostic pop
+#endif
 
 #include <sys/resource.h>
 
--- a/src/daemon/peercodec.h
+++ b/src/daemon/peercodec.h
@@ -9,7 +9,7 @@
 namespace KingCupLadder {
 
 /// Larger envelopes are refused on both sides; the tables may take 2 MiB.
-constexpr std::size_t maxPeerMessageBytes = 8 * 1024 * 1024;
+constexpr std::size_t maxPeerMessageBytes = 8UL * 1024 * 1024;
 
 struct PeerEnvelope {
     DaemonId from;
--- a/src/daemon/requestfilters.cpp
+++ b/src/daemon/requestfilters.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::size_t longestKey = 200; // Of an idempotency key; it becomes part of a row's key.
 constexpr std::size_t longestRequestId = 128;
-constexpr std::size_t maxOutcomeBody = 64 * 1024; // Of an answer kept for repeats, in bytes.
+constexpr std::size_t maxOutcomeBody = 64UL * 1024; // Of an answer kept for repeats, in bytes.
 constexpr std::int64_t longestDeadlineMs = 24LL * 3600 * 1000;
 
 bool isPrintable(const std::string &text)
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::size_t maxFileBytes = 1024 * 1024;
+constexpr std::size_t maxFileBytes = 1024UL * 1024;
 constexpr std::size_t digestDigits = 64;
 constexpr std::size_t curveKeyLength = 40; // Of a Z85 key.
 constexpr std::size_t longestName = 64;
@@ -128,7 +128,7 @@
         return {"must be a list of addresses", "write [10.1.0.11:7070, 10.1.0.12:7070]"};
     }
     for (const YAML::Node &item : node) {
-        const Fault fault = item.IsScalar() ? checkAddress(item.Scalar()) : Fault{"holds an entry that is not an address", "write IP addresses with ports"};
+        Fault fault = item.IsScalar() ? checkAddress(item.Scalar()) : Fault{"holds an entry that is not an address", "write IP addresses with ports"};
         if (!fault.message.empty()) {
             return fault;
         }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -45,8 +45,8 @@
     Duration drainWait{10000}; ///< Between "not ready" and the refusal of new work.
     Duration finishWait{30000}; ///< The longest wait for requests in flight after the drain wait.
 
-    std::uint64_t maxBody = 8 * 1024 * 1024; ///< Bytes of a request body.
-    std::uint64_t maxHeaders = 32 * 1024; ///< Bytes of a request head.
+    std::uint64_t maxBody = 8UL * 1024 * 1024; ///< Bytes of a request body.
+    std::uint64_t maxHeaders = 32UL * 1024; ///< Bytes of a request head.
     std::uint64_t maxActiveRequests = 20000; ///< Of all teams.
     std::uint64_t maxActivePerTeam = 4000; ///< Requests of one team that wait or run.
     std::uint64_t platformConnections = 6;
