Test ledger, session, health and life cycle; take the admission term into account

recover() queues a job at once if it was admitted for this ownership: no earlier owner can have started it.

--- a/src/core/shardjobs.cpp
+++ b/src/core/shardjobs.cpp
@@ -51,10 +51,15 @@
     if (!reason.empty()) {
         return Error{ErrorKind::NeverFits, reason, "lower the demand, use a pool with larger VMs, or raise the team's limit"};
     }
+    add(spec, now);
+    return true;
+}
+
+void ShardJobs::add(const JobSpec &spec, TimePoint now)
+{
     auto job = std::make_unique<ShardJob>(spec, false, firstAttemptOf(m_state.settings.epoch, false));
     m_state.enqueueTasks(*job, spec.taskCount, now);
     m_state.jobs.emplace(spec.id, std::move(job));
-    return true;
 }
 
 void ShardJobs::recover(const std::vector<JobRecord> &records, TimePoint now)
@@ -64,6 +69,10 @@
         if (isFinal(record.state) || spec.taskCount == 0 || m_state.job(spec.id) != nullptr) {
             continue;
         }
+        if (record.epoch >= m_state.settings.epoch && record.state == JobState::Queued) {
+            add(spec, now); // Admitted for this ownership, so no earlier owner has started it.
+            continue;
+        }
         const std::uint32_t first = firstAttemptOf(m_state.settings.epoch, true);
         auto job = std::make_unique<ShardJob>(spec, true, first);
         job->startRecorded = record.state == JobState::Started;
@@ -321,10 +330,9 @@
 
 void ShardJobs::forget(const JobId &id)
 {
-    const JobId copy = id;
-    m_state.jobs.erase(copy);
-    m_state.finished.insert(copy);
-    m_state.finishedOrder.push_back(copy);
+    m_state.finished.insert(id);
+    m_state.finishedOrder.push_back(id);
+    m_state.jobs.erase(id); // The id may be part of the job, so this comes last.
     if (m_state.finishedOrder.size() > finishedMemory) {
         m_state.finished.erase(m_state.finishedOrder.front());
         m_state.finishedOrder.pop_front();
--- a/src/core/shardjobs_p.h
+++ b/src/core/shardjobs_p.h
@@ -44,6 +44,8 @@
     void stopAttempt(ShardJob &job, std::uint32_t task, TimePoint now);
 
 private:
+    /// Queues a job of which nothing was started.
+    void add(const JobSpec &spec, TimePoint now);
     void applySuccess(ShardJob &job, std::uint32_t task, TimePoint now);
     void applyFailure(ShardJob &job, std::uint32_t task, const std::string &reason, TimePoint now);
     void applyInterruption(ShardJob &job, std::uint32_t task, AttemptEnd end, TimePoint now);
--- /dev/null
+++ b/test/core/testledger.cpp
@@ -0,0 +1,67 @@
+#include "core/ledger.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+namespace {
+
+Resources amount(int cpu, int memory, int accelerators = 0, int slots = 0)
+{
+    return Resources{MilliCores(cpu), MebiBytes(memory), Accelerators(accelerators), Slots(slots)};
+}
+
+TaskId task(std::uint32_t index)
+{
+    return TaskId{JobId("j"), index, 1};
+}
+
+} // namespace
+
+TEST_GROUP(Ledger)
+{
+    Ledger ledger;
+    void setup() override
+    {
+        ledger.setCapacity(amount(10, 10, 1, 2));
+    }
+};
+
+// Guards against a VM that is over-committed in one resource while the others have room.
+TEST(Ledger, RefusesWhatPassesOneResource)
+{
+    CHECK_TRUE(ledger.commit(task(0), amount(1, 1, 1)));
+    CHECK_FALSE(ledger.commit(task(1), amount(1, 1, 1)));
+}
+
+// Guards against a repeated commitment that is counted twice.
+TEST(Ledger, RefusesAnEntryThatExists)
+{
+    CHECK_TRUE(ledger.commit(task(0), amount(1, 1)));
+    CHECK_FALSE(ledger.commit(task(0), amount(1, 1)));
+    CHECK_TRUE(ledger.committed() == amount(1, 1));
+}
+
+// Guards against a release that frees room which was never taken.
+TEST(Ledger, ReleaseOfAnUnknownEntryFreesNothing)
+{
+    CHECK_TRUE(ledger.release(task(7)).isZero());
+    CHECK_TRUE(ledger.free() == amount(10, 10, 1, 2));
+}
+
+// Guards against new commitments on a VM whose capacity shrank below what runs.
+TEST(Ledger, AdmitsNothingAboveAShrunkenCapacity)
+{
+    ledger.adopt(task(0), amount(8, 8));
+    ledger.setCapacity(amount(4, 4));
+    CHECK_FALSE(ledger.commit(task(1), amount(1, 0)));
+}
+
+// Guards against a reserve that adds up each time it is replaced.
+TEST(Ledger, ReserveIsReplaced)
+{
+    ledger.setReserve(amount(0, 0, 0, 2));
+    ledger.setReserve(amount(0, 0, 0, 1));
+    CHECK_TRUE(ledger.commit(GrantId("g"), amount(0, 0, 0, 1)));
+    CHECK_FALSE(ledger.commit(GrantId("h"), amount(0, 0, 0, 1)));
+}
--- a/test/core/testshardcontroller.cpp
+++ b/test/core/testshardcontroller.cpp
@@ -8,7 +8,7 @@
 
 JobRecord queuedRecord(const JobSpec &spec, JobState state = JobState::Queued)
 {
-    return JobRecord{spec, ShardId("pool/domain/0"), state, {}};
+    return JobRecord{spec, ShardId("pool/domain/0"), state, {}, Epoch(1)};
 }
 
 RunningTask runningTask(const char *job, std::uint32_t attempt = 1, const Resources &demand = cores(1))
--- a/test/core/testshardsoak.cpp
+++ b/test/core/testshardsoak.cpp
@@ -128,7 +128,7 @@
         std::vector<JobRecord> open;
         for (const JobSpec &spec : m_jobs) {
             if (m_shard.recorded(spec.id.value().c_str()).empty()) {
-                open.push_back(JobRecord{spec, m_shard.settings.id, JobState::Queued, {}});
+                open.push_back(JobRecord{spec, m_shard.settings.id, JobState::Queued, {}, Epoch()});
             }
         }
         m_shard.settings.epoch = m_shard.settings.epoch.next();
--- /dev/null
+++ b/test/core/testtasklifecycle.cpp
@@ -0,0 +1,54 @@
+#include "core/tasklifecycle.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+TEST_GROUP(TaskLifecycle)
+{
+    TimePoint now{Duration(1000)};
+};
+
+// Guards against an index that is placed twice at once.
+TEST(TaskLifecycle, ReservesEachIndexOnce)
+{
+    TaskLifecycle tasks(1, false, 1);
+    CHECK_TRUE(tasks.reserve(0, now).has_value());
+    CHECK_FALSE(tasks.reserve(0, now).has_value());
+}
+
+// Guards against a start of a task that may run on a worker which was not read.
+TEST(TaskLifecycle, HeldIndexesAreNotPlaced)
+{
+    TaskLifecycle tasks(1, true, 1);
+    CHECK_FALSE(tasks.reserve(0, now).has_value());
+    LONGS_EQUAL(1, tasks.releaseHeld());
+    CHECK_TRUE(tasks.reserve(0, now).has_value());
+}
+
+// Guards against an attempt number that is used twice.
+TEST(TaskLifecycle, NewAttemptsGetHigherNumbers)
+{
+    TaskLifecycle tasks(1, false, 1);
+    CHECK_TRUE(tasks.adopt(0, 7, 0, now));
+    CHECK_TRUE(tasks.requeue(0));
+    (void)tasks.reserve(0, now);
+    LONGS_EQUAL(8, tasks.at(0).attempt);
+}
+
+// Guards against a second adoption while an attempt runs.
+TEST(TaskLifecycle, AdoptsNothingBesideALiveAttempt)
+{
+    TaskLifecycle tasks(1, false, 1);
+    (void)tasks.reserve(0, now);
+    CHECK_FALSE(tasks.adopt(0, 3, 1, now));
+}
+
+// Guards against a finished index that runs again.
+TEST(TaskLifecycle, EndedIndexIsNotQueuedAgain)
+{
+    TaskLifecycle tasks(1, false, 1);
+    (void)tasks.reserve(0, now);
+    tasks.end(0, true);
+    CHECK_FALSE(tasks.requeue(0));
+}
--- /dev/null
+++ b/test/core/testworkerhealth.cpp
@@ -0,0 +1,56 @@
+#include "core/workerhealth.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+TEST_GROUP(WorkerHealth)
+{
+    TimePoint now{Duration(1000)};
+    WorkerHealth health{WorkerHealthSettings{}};
+
+    void quarantine()
+    {
+        for (const char *job : {"a", "b", "c"}) {
+            (void)health.onFailure(JobId(job), now);
+        }
+    }
+};
+
+// Guards against good jobs that are blamed for a bad worker.
+TEST(WorkerHealth, QuarantineReturnsTheJobsThatAreNotToBlame)
+{
+    (void)health.onFailure(JobId("a"), now);
+    (void)health.onFailure(JobId("b"), now);
+    LONGS_EQUAL(3, static_cast<long>(health.onFailure(JobId("c"), now).size()));
+}
+
+// Guards against a worker that is blamed for one bad job.
+TEST(WorkerHealth, FailuresOfOneJobDoNotQuarantine)
+{
+    for (int i = 0; i < 5; ++i) {
+        (void)health.onFailure(JobId("a"), now);
+    }
+    CHECK_TRUE(health.state() == HealthState::Healthy);
+}
+
+// Guards against a quarantine that never ends.
+TEST(WorkerHealth, ReturnsThroughProbation)
+{
+    quarantine();
+    now = health.quarantinedUntil();
+    CHECK_TRUE(health.tick(now));
+    health.onSuccess();
+    CHECK_TRUE(health.state() == HealthState::Healthy);
+}
+
+// Guards against a worker that fails one task for each short quarantine.
+TEST(WorkerHealth, FailedProbationDoublesTheQuarantine)
+{
+    quarantine();
+    const Duration first = health.quarantinedUntil() - now;
+    now = health.quarantinedUntil();
+    (void)health.tick(now);
+    (void)health.onFailure(JobId("d"), now);
+    CHECK_TRUE(health.quarantinedUntil() - now == first * 2);
+}
--- /dev/null
+++ b/test/core/testworkersession.cpp
@@ -0,0 +1,67 @@
+#include "core/workersession.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+TEST_GROUP(WorkerSession)
+{
+    TimePoint now{Duration(1000)};
+    WorkerSessionSettings settings;
+    void setup() override
+    {
+        settings.epoch = Epoch(2);
+    }
+
+    static WorkerReply answer(OpId op, const SyncRequest &request)
+    {
+        SyncReply reply;
+        reply.epoch = request.epoch;
+        reply.sequence = request.sequence;
+        reply.inventory = request.inventory;
+        return WorkerReply{op, {}, reply};
+    }
+};
+
+// Guards against commitments on a worker of which nothing is known.
+TEST(WorkerSession, MayCommitAfterTheInventoryOnly)
+{
+    WorkerSession session(settings, now);
+    CHECK_FALSE(session.mayCommit());
+    CHECK_TRUE(session.onReply(answer(OpId(1), session.begin(OpId(1), now)), now) == ReplyEffect::Accepted);
+    CHECK_TRUE(session.mayCommit());
+}
+
+// Guards against commitments while the fate of a lost batch is open.
+TEST(WorkerSession, LostAnswerRequiresAnInventory)
+{
+    WorkerSession session(settings, now);
+    (void)session.onReply(answer(OpId(1), session.begin(OpId(1), now)), now);
+    (void)session.begin(OpId(2), now);
+    CHECK_TRUE(session.onReply(WorkerReply{OpId(2), {}, std::nullopt}, now) == ReplyEffect::Lost);
+    CHECK_FALSE(session.mayCommit());
+    CHECK_TRUE(session.begin(OpId(3), now).inventory);
+}
+
+// Guards against a late answer that is taken for the answer of the batch in flight.
+TEST(WorkerSession, IgnoresAnAnswerToAnEarlierBatch)
+{
+    WorkerSession session(settings, now);
+    const SyncRequest first = session.begin(OpId(1), now);
+    now += settings.answerTimeout;
+    CHECK_TRUE(session.onTimeout(now));
+    (void)session.begin(OpId(2), now);
+    CHECK_TRUE(session.onReply(answer(OpId(1), first), now) == ReplyEffect::Ignored);
+    CHECK_TRUE(session.isInFlight());
+}
+
+// Guards against a session that never gets past a worker which has seen higher sequences of this epoch.
+TEST(WorkerSession, GoesOnAfterTheSequenceOfARefusal)
+{
+    WorkerSession session(settings, now);
+    WorkerReply refusal = answer(OpId(1), session.begin(OpId(1), now));
+    refusal.reply->refused = true;
+    refusal.reply->sequence = Sequence(9);
+    CHECK_TRUE(session.onReply(refusal, now) == ReplyEffect::Refused);
+    CHECK_TRUE(session.begin(OpId(2), now).sequence == Sequence(10));
+}
