--- a/src/core/jobcontroller.cpp
+++ b/src/core/jobcontroller.cpp
@@ -74,6 +74,7 @@
         return;
     }
     std::vector<JobSpec> specs;
+    specs.reserve(ids.size());
     for (const JobId &id : ids) {
         specs.push_back(jobs.at(id).record.spec);
     }
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -6,12 +6,16 @@
 // GCC 12 takes a member of Boost's quantile for uninitialized that is set before every read.
 #ifndef __clang__
 #pragma GCC diagnostic push
+#ifndef __clang__
 #pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
 #endif
+#endif
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 // GCC 12 reports a false positive inside this header when it is inlined.
+#ifndef __clang__
 #pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
--- a/test/core/fakeshard.h
+++ b/test/core/fakeshard.h
@@ -169,6 +169,8 @@
         controller->setWorkers(vms, now);
     }
 
+    bool queueRowsRead = true; ///< Every open job was handed in by recover(); a scan of the queue rows ends at once.
+
     /// Created, empty, with every worker read.
     void createReady(std::shared_ptr<const Tables> tables = nullptr)
     {
@@ -216,8 +218,8 @@
                     carry(*sync);
                 } else if (const auto *wanted = std::get_if<RecordJob>(&output)) {
                     record(*wanted);
-                } else {
-                    controller->endQueueScan(controller->beginQueueScan(), now); // All open jobs were handed in by recover().
+                } else if (queueRowsRead) {
+                    controller->endQueueScan(controller->beginQueueScan(), now);
                 }
             }
             runFormerOwner();
--- a/test/core/testownership.cpp
+++ b/test/core/testownership.cpp
@@ -12,6 +12,7 @@
 std::vector<WantedShard> shardsOf(const std::string &domain, int count)
 {
     std::vector<WantedShard> shards;
+    shards.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         shards.push_back(WantedShard{ShardId("pool" + std::to_string(i) + "/" + domain + "/0"), FailureDomain(domain)});
     }
--- a/test/core/testshardcontroller.cpp
+++ b/test/core/testshardcontroller.cpp
@@ -170,6 +170,7 @@
 TEST(ShardController, AdoptsARunningTaskReadBeforeRecovery)
 {
     FakeShard shard(1, 2);
+    shard.queueRowsRead = false;
     put(shard.worker(), runningTask("j"));
     shard.create();
     shard.run(500);
--- a/test/daemon/looptest.h
+++ b/test/daemon/looptest.h
@@ -23,8 +23,8 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof(address);
-    bind(descriptor, reinterpret_cast<sockaddr *>(&address), length);
-    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length);
+    const bool bound = bind(descriptor, reinterpret_cast<sockaddr *>(&address), length) == 0;
+    CHECK_TRUE(bound && getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length) == 0);
     close(descriptor);
     return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
@@ -51,7 +51,7 @@
 {
     HttpFrontendSettings settings;
     settings.address = address;
-    settings.maxBody = 1024 * 1024;
+    settings.maxBody = std::size_t{1024} * 1024;
     auto server = HttpFrontend::create(loop, settings, std::move(handler));
     CHECK_TRUE(server.hasValue());
     return std::move(server).value();
--- a/test/daemon/testrequestfilters.cpp
+++ b/test/daemon/testrequestfilters.cpp
@@ -89,7 +89,7 @@
         return call;
     }
 
-    void run(const Headers &headers = {})
+    void handle(const Headers &headers = {})
     {
         RequestChain(services, settings).handle(request(headers));
         settle();
@@ -109,7 +109,7 @@
 TEST(RequestFilters, SendsANonIdempotentRequestOnce)
 {
     results = {{ClientResult::Kind::Failed, true, {}}, answered(200)};
-    run();
+    handle();
     LONGS_EQUAL(1, forwardTimeouts.size());
 }
 
@@ -117,7 +117,7 @@
 TEST(RequestFilters, RetriesWhenNoByteWasSent)
 {
     results = {{ClientResult::Kind::Failed, false, {}}, answered(200)};
-    run();
+    handle();
     LONGS_EQUAL(200, answers.at(0).status);
 }
 
@@ -125,7 +125,7 @@
 TEST(RequestFilters, RetryAvoidsTheWorkerThatFailed)
 {
     results = {{ClientResult::Kind::Failed, false, {}}, answered(200)};
-    run();
+    handle();
     CHECK_TRUE(wishes.at(1).avoid == std::vector<WorkerId>{WorkerId("w1")});
 }
 
@@ -134,7 +134,7 @@
 {
     route.idempotent = true;
     results = {answered(500), answered(200)};
-    run();
+    handle();
     LONGS_EQUAL(200, answers.at(0).status);
 }
 
@@ -142,28 +142,28 @@
 TEST(RequestFilters, PassesAServerErrorOnWhenItMayNotRetry)
 {
     results = {answered(500)};
-    run();
+    handle();
     STRCMP_EQUAL("body", answers.at(0).body.c_str());
 }
 
 // Guards against a holder that uses a slot after its grant has ended.
 TEST(RequestFilters, ForwardEndsWithTheGrant)
 {
-    run();
+    handle();
     LONGS_EQUAL(400, forwardTimeouts.at(0).count());
 }
 
 // Guards against a deadline of the caller that is ignored.
 TEST(RequestFilters, ShortensTheDeadlineToTheHeader)
 {
-    run({{"X-Deadline-Ms", "70"}});
+    handle({{"X-Deadline-Ms", "70"}});
     LONGS_EQUAL(70, wishes.at(0).term.count());
 }
 
 // Guards against deadlines that nobody meant.
 TEST(RequestFilters, RejectsAMalformedDeadline)
 {
-    run({{"X-Deadline-Ms", "5s"}});
+    handle({{"X-Deadline-Ms", "5s"}});
     LONGS_EQUAL(400, answers.at(0).status);
 }
 
@@ -171,7 +171,7 @@
 TEST(RequestFilters, SendsNothingWhenTheClaimFails)
 {
     claimError = {ErrorKind::Unavailable, "store down", "wait"};
-    run({{"Idempotency-Key", "k"}});
+    handle({{"Idempotency-Key", "k"}});
     LONGS_EQUAL(0, wishes.size());
 }
 
@@ -179,7 +179,7 @@
 TEST(RequestFilters, RepeatGetsTheRecordedAnswer)
 {
     claimState = {false, encodeOutcome({201, {}, "charged"})};
-    run({{"Idempotency-Key", "k"}});
+    handle({{"Idempotency-Key", "k"}});
     STRCMP_EQUAL("charged", answers.at(0).body.c_str());
 }
 
@@ -187,7 +187,7 @@
 TEST(RequestFilters, RepeatWithoutOutcomeIsUnknown)
 {
     claimState = {false, {}};
-    run({{"Idempotency-Key", "k"}});
+    handle({{"Idempotency-Key", "k"}});
     CHECK_TRUE(answers.at(0).body.find("\"ran\":\"unknown\"") != std::string::npos);
 }
 
@@ -196,7 +196,7 @@
 {
     route.deadline = Duration(10); // Leaves no time for a second attempt.
     results = {{ClientResult::Kind::Failed, false, {}}};
-    run({{"Idempotency-Key", "k"}});
+    handle({{"Idempotency-Key", "k"}});
     STRCMP_EQUAL("", finished.at(0).c_str());
 }
 
@@ -204,7 +204,7 @@
 TEST(RequestFilters, KeepsTheClaimWhenTheOutcomeIsUnknown)
 {
     results = {{ClientResult::Kind::TimedOut, true, {}}};
-    run({{"Idempotency-Key", "k"}});
+    handle({{"Idempotency-Key", "k"}});
     LONGS_EQUAL(0, finished.size());
 }
 
@@ -250,7 +250,7 @@
 TEST(RequestFilters, AbandonsTheWishWhenTheClientLeaves)
 {
     holdWishes = true;
-    run();
+    handle();
     calls.at(0)->disconnect();
     LONGS_EQUAL(0, heldWishes.size());
 }
@@ -259,6 +259,6 @@
 TEST(RequestFilters, IdempotentRoutesNeedNoClaim)
 {
     route.idempotent = true;
-    run({{"Idempotency-Key", "k"}});
+    handle({{"Idempotency-Key", "k"}});
     LONGS_EQUAL(0, claims);
 }
--- a/test/matrix/fleet.cpp
+++ b/test/matrix/fleet.cpp
@@ -134,7 +134,7 @@
     m_daemons[daemon].pausedUntil = m_now + span;
 }
 
-void Fleet::inDaemon(std::size_t daemon, std::uint64_t run, std::function<void(DaemonCore &)> action)
+void Fleet::inDaemon(std::size_t daemon, std::uint64_t run, const std::function<void(DaemonCore &)> &action)
 {
     Daemon &state = m_daemons[daemon];
     if (state.core == nullptr || state.run != run) {
@@ -204,7 +204,7 @@
     }
 }
 
-void Fleet::executeStore(std::size_t daemon, OpId op, const std::string &name, bool isWrite, std::function<StoreReply()> effect)
+void Fleet::executeStore(std::size_t daemon, OpId op, const std::string &name, bool isWrite, const std::function<StoreReply()> &effect)
 {
     const std::uint64_t run = m_daemons[daemon].run;
     const std::string domain = m_daemons[daemon].info.domain.value();
@@ -258,7 +258,7 @@
     const std::string name = sync.request.inventory && !hasStarts ? "sync inventory" : hasStarts ? "sync start" : "sync renew";
     step(daemon, name + " before");
     const TimePoint deadline = m_now + workerTimeout;
-    const auto answer = [=](std::optional<SyncReply> reply, TimePoint when) {
+    const auto answer = [=](const std::optional<SyncReply> &reply, TimePoint when) {
         at(when, [=] { inDaemon(daemon, run, [=](DaemonCore &core) { core.onWorkerReply(WorkerReply{sync.op, sync.worker, reply}, m_now); }); });
     };
     if (worker == nullptr || isCut(domain, worker->vm().domain.value())) {
--- a/test/matrix/fleet.h
+++ b/test/matrix/fleet.h
@@ -130,10 +130,10 @@
 
     void at(TimePoint when, std::function<void()> action);
     /// Runs the action in the daemon if it is still the same run, after a pause if it is paused.
-    void inDaemon(std::size_t daemon, std::uint64_t run, std::function<void(DaemonCore &)> action);
+    void inDaemon(std::size_t daemon, std::uint64_t run, const std::function<void(DaemonCore &)> &action);
     void tickDaemon(std::size_t daemon, std::uint64_t run);
     void execute(std::size_t daemon);
-    void executeStore(std::size_t daemon, OpId op, const std::string &name, bool isWrite, std::function<StoreReply()> effect);
+    void executeStore(std::size_t daemon, OpId op, const std::string &name, bool isWrite, const std::function<StoreReply()> &effect);
     void executeVmList(std::size_t daemon, OpId op);
     void executeSync(std::size_t daemon, const SyncWorker &sync);
     void executePeer(std::size_t daemon, const SendPeer &send);
