--- a/test/core/allotmentfleet.h
+++ b/test/core/allotmentfleet.h
@@ -46,6 +46,7 @@
         std::int64_t wanted = 0; ///< Cores.
         Resources told; ///< By the last AllotmentChanged.
         Resources used;
+        bool mayRunMore = false; ///< Its workers have not been read.
         bool stopsExcess = true; ///< Stops one core's worth of excess per step.
     };
 
@@ -157,7 +158,7 @@
         for (const ShardId &id : daemon.owned) {
             Shard &shard = shards[id];
             act(shard);
-            needs.push_back({id, TeamId("t"), shard.used, cores(shard.wanted)});
+            needs.push_back({id, TeamId("t"), shard.used, cores(shard.wanted), shard.mayRunMore});
         }
         daemon.allotments->setNeeds(needs, now);
         daemon.allotments->tick(now);
--- a/test/core/testadmission.cpp
+++ b/test/core/testadmission.cpp
@@ -274,3 +274,17 @@
     drive(*admission, Duration(100));
     CHECK_TRUE(refused.at(0).stored == JobState::Succeeded);
 }
+
+// Guards against a former owner of a shard recording the end of a job that the new owner runs again.
+TEST(Admission, RefusesARecordWhoseFenceRowHasChanged)
+{
+    const auto admission = make();
+    admission->submit(OpId(1), job("j"), now);
+    drive(*admission, Duration(100));
+    store.put("shards", "pool/d1/0", "new owner");
+    const RowFence former{"shards", "pool/d1/0", RowVersion(1)};
+    admission->record(JobId("j"), JobState::Succeeded, "", now, former);
+    drive(*admission, Duration(100));
+    LONGS_EQUAL(1, refused.size());
+    CHECK_TRUE(refused.front().fenced);
+}
--- a/test/core/testallotments.cpp
+++ b/test/core/testallotments.cpp
@@ -237,3 +237,17 @@
     fleet.run(Duration(15000));
     LONGS_EQUAL(0, fleet.row().count(ShardId("p/d0/0")));
 }
+
+// Guards against a restarted owner giving away room in which tasks of its previous run still run.
+TEST(Allotments, PartIsKeptWhileWorkersAreUnread)
+{
+    AllotmentFleet fleet(12);
+    fleet.shard(0).wanted = 8;
+    fleet.run(Duration(10000));
+    fleet.shard(0).wanted = 0;
+    fleet.shard(0).used = Resources{};
+    fleet.shard(0).mayRunMore = true;
+    fleet.shard(1).wanted = 12;
+    fleet.run(Duration(20000));
+    CHECK_TRUE(fleet.told(1) <= 4);
+}
