Let kingcupladderctl speak the daemon's API

Cause: three calls of kingcupladderctl did not match the daemon. The status call lacked scope=fleet, so that the answer of one daemon came without "parts" and every apply, give and withdraw ended as unconfirmed. The run time was sent as runMs, which the daemon ignores. The daemon stores a job as team:id, but looked it up by the id as given. The targets in test/ctl/testcli.cpp were the wrong call and now hold the right one; each fault has a test.

--- a/src/ctl/fleet.cpp
+++ b/src/ctl/fleet.cpp
@@ -10,19 +10,11 @@
 constexpr Duration pollInterval{500};
 constexpr Duration progressAfter{1000};
 
-/// The one list in an object; null if there is none or more than one.
+/// The list in an object that has no other member; null otherwise. A list beside other members, such as the live peers of a
+/// daemon, is one of its properties and not a list of rows.
 const Json *onlyList(const Json &object)
 {
-    const Json *found = nullptr;
-    for (const auto &[name, value] : object.items()) {
-        if (value.is_array()) {
-            if (found != nullptr) {
-                return nullptr;
-            }
-            found = &value;
-        }
-    }
-    return found;
+    return object.size() == 1 && object.begin()->is_array() ? &*object.begin() : nullptr;
 }
 
 void appendRow(Json &rows, const Json &daemon, const Json &members)
@@ -87,7 +79,7 @@
 
 Reply fleetStatus(Context &context, const std::string &topic)
 {
-    return context.client.call("GET", "/v1/status?topic=" + urlEncoded(topic));
+    return context.client.call("GET", "/v1/status?scope=fleet&topic=" + urlEncoded(topic));
 }
 
 Json statusRows(const Json &status)
--- a/src/ctl/fleet.h
+++ b/src/ctl/fleet.h
@@ -8,7 +8,7 @@
 
 namespace KingCupLadder::Ctl {
 
-/// GET /v1/status?topic=T.
+/// GET /v1/status?scope=fleet&topic=T: the topic on every daemon, not only on the one that is asked.
 [[nodiscard]] Reply fleetStatus(Context &context, const std::string &topic);
 
 /// The parts as one list of rows, each with the member "daemon". A part whose status holds one list gives a row for each item,
--- a/src/ctl/jobscommands.cpp
+++ b/src/ctl/jobscommands.cpp
@@ -41,7 +41,7 @@
         body["demand"] = demand;
     }
     if (options.runMs > 0) {
-        body["runMs"] = options.runMs;
+        body["runTime"] = std::to_string(options.runMs) + "ms";
     }
     return body;
 }
--- a/src/daemon/apihandlers.cpp
+++ b/src/daemon/apihandlers.cpp
@@ -217,12 +217,19 @@
     } else if (id.empty()) {
         listJobs(call, caller.value());
     } else if (method == "GET") {
-        readJob(call, caller.value(), JobId(id));
+        readJob(call, caller.value(), fullJobId(id, caller.value()));
     } else {
-        cancelJob(call, caller.value(), JobId(id));
+        cancelJob(call, caller.value(), fullJobId(id, caller.value()));
     }
 }
 
+JobId ApiHandlers::fullJobId(const std::string &given, const Caller &caller)
+{
+    const std::string prefix = caller.team.value() + ":";
+    const bool isFull = caller.isOperator || given.compare(0, prefix.size(), prefix) == 0;
+    return JobId(isFull ? given : prefix + given);
+}
+
 Result<JobId> ApiHandlers::jobIdFor(const HttpRequest &request, const std::string &given, const TeamId &team) const
 {
     std::string local = headerValue(request.headers, "Idempotency-Key");
--- a/src/daemon/apihandlers.h
+++ b/src/daemon/apihandlers.h
@@ -65,6 +65,8 @@
     [[nodiscard]] Result<Caller> identify(const HttpRequest &request) const;
     [[nodiscard]] Result<Caller> identifyFor(const HttpRequest &request, const Route &route) const;
     [[nodiscard]] Result<JobSpec> readSpec(const HttpRequest &request) const;
+    /// The id under which a job is stored: a team may leave out its own prefix, as it did at the submission.
+    [[nodiscard]] static JobId fullJobId(const std::string &given, const Caller &caller);
     [[nodiscard]] Result<JobId> jobIdFor(const HttpRequest &request, const std::string &given, const TeamId &team) const;
 
     CoreRunner &m_runner;
--- a/test/ctl/testcli.cpp
+++ b/test/ctl/testcli.cpp
@@ -47,7 +47,7 @@
     }
     void config(int first, int second)
     {
-        fleet.answer("GET /v1/status?topic=config",
+        fleet.answer("GET /v1/status?scope=fleet&topic=config",
                      200,
                      R"({"parts":[{"daemon":"a","status":{"tables":)" + std::to_string(first) + R"(,"keys":9}},{"daemon":"b","status":{"tables":)"
                          + std::to_string(second) + R"(,"keys":9}}],"silent":[]})");
@@ -184,17 +184,35 @@
 // Guards against a list of bad VMs that includes the good ones.
 TEST(Cli, ListsOnlyQuarantinedVms)
 {
-    fleet.answer(
-        "GET /v1/status?topic=vms", 200, R"({"parts":[{"daemon":"a","status":{"vms":[{"id":"w1","phase":"ready"},{"id":"w2","phase":"quarantined"}]}}]})");
+    fleet.answer("GET /v1/status?scope=fleet&topic=vms",
+                 200,
+                 R"({"parts":[{"daemon":"a","status":{"vms":[{"id":"w1","phase":"ready"},{"id":"w2","phase":"quarantined"}]}}]})");
     CHECK_EQUAL(0, fleet.run({"quarantine"}));
     CHECK_FALSE(printed("w1"));
     CHECK_TRUE(printed("w2"));
 }
 
+// Guards against a daemon that is shown once for each of its live peers, or not at all without one.
+TEST(Cli, ListsEachDaemonOnce)
+{
+    fleet.answer("GET /v1/status?scope=fleet&topic=daemon", 200, R"({"parts":[{"daemon":"a","status":{"domain":"north","livePeers":["b","c"]}}]})");
+    CHECK_EQUAL(0, fleet.run({"daemons", "-o", "json"}));
+    CHECK_EQUAL(1, Json::parse(fleet.out.str()).at("daemons").size());
+    CHECK_TRUE(printed("north"));
+}
+
+// Guards against a run time under a name that the daemon does not read, so that the job runs until it is stopped.
+TEST(Cli, SubmitsTheRunTimeAsTheApiReadsIt)
+{
+    fleet.answer("POST /v1/jobs", 202, jobBody);
+    CHECK_EQUAL(0, fleet.run({"jobs", "submit", "--route", "r", "--id", "j", "--run-ms", "500"}));
+    STRCMP_EQUAL("500ms", Json::parse(fleet.calls.at(0).body).value("runTime", "").c_str());
+}
+
 // Guards against a view that looks complete although a daemon did not answer.
 TEST(Cli, NamesDaemonsThatDidNotAnswer)
 {
-    fleet.answer("GET /v1/status?topic=shards", 200, R"({"parts":[],"silent":["b"]})");
+    fleet.answer("GET /v1/status?scope=fleet&topic=shards", 200, R"({"parts":[],"silent":["b"]})");
     CHECK_EQUAL(0, fleet.run({"shards"}));
     CHECK_TRUE(printed("no answer from b"));
 }
--- a/test/daemon/testpath.cpp
+++ b/test/daemon/testpath.cpp
@@ -297,6 +297,14 @@
     LONGS_EQUAL(404, awaitStatus());
 }
 
+// Guards against a submitter who can't find a job by the id that was submitted.
+TEST(RequestPath, FindsAJobByItsIdWithoutTheTeam)
+{
+    send("DELETE", "/v1/jobs/night-7", "");
+    awaitStatus();
+    CHECK_TRUE(result->response.body.find("\"a:night-7\"") != std::string::npos);
+}
+
 // Guards against operator calls with a team's key.
 TEST(RequestPath, KeysNeedTheOperatorKey)
 {
