bench: drive the shard controller with synthetic worker answers

Cause: the bench measured the policy modules only, not a shard with admission, sync messages and answers. Change: subcommands shard and memory. Answers arrive one tick (10 ms) after the request; processor time is that of the thread, so that other load on the machine does not count. Machines are not modelled.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,12 +1,15 @@
-// ladder-bench: drives the decision core with seeded synthetic streams and prints one table.
+// ladder-bench: drives the decision core with seeded synthetic streams and prints one table. "ladder-bench shard"
+// and "ladder-bench memory" drive the shard controller instead.
 #include "measures.h"
 #include "mix.h"
 #include "policyrun.h"
+#include "shardreport.h"
 
 #include <CLI/CLI.hpp>
 
 #include <array>
 #include <cstdio>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -57,6 +60,21 @@
     std::printf("\n");
 }
 
+void addShardCommands(CLI::App &app, ShardRunSettings &settings)
+{
+    const std::map<std::string, PlacementRule> rules{{"first", PlacementRule::FirstFit}, {"best", PlacementRule::BestFit}, {"dot", PlacementRule::DotProduct}};
+    CLI::App *run = app.add_subcommand("shard", "drives a shard controller with synthetic worker answers");
+    run->add_option("--load", settings.load, "1: the start rate of the target");
+    run->add_option_function<std::int64_t>(
+        "--interval", [&settings](std::int64_t span) { settings.syncInterval = Duration(span); }, "sync interval in ms");
+    run->add_option("--seed", settings.seed, "seed of the stream");
+    run->add_option("--tasks-per-job", settings.tasksPerJob, "tasks of each normal job");
+    run->add_option("--rule", settings.rule, "placement rule")->transform(CLI::CheckedTransformer(rules));
+    run->add_flag("--list-always", settings.listAlways, "workers list their running tasks in every answer");
+    CLI::App *memory = app.add_subcommand("memory", "bytes of a shard controller per worker and task");
+    memory->add_option("--tasks-per-job", settings.tasksPerJob, "tasks of each job");
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -68,7 +86,17 @@
     app.add_option("--size", sizeName, "nuit, hardanger, tenfold or target")->check(CLI::IsMember({"nuit", "hardanger", "tenfold", "target"}));
     app.add_option("--seed", seed, "seed of the stream");
     app.add_option("--load", load, "offered work as a part of the installation's processors")->check(CLI::Range(0.05, 5.0));
+    ShardRunSettings shard;
+    addShardCommands(app, shard);
     CLI11_PARSE(app, argc, argv);
+    if (app.got_subcommand("shard")) {
+        printShardRuns(shard);
+        return 0;
+    }
+    if (app.got_subcommand("memory")) {
+        printShardMemory(shard.tasksPerJob);
+        return 0;
+    }
     const BenchSize size = benchSize(sizeName);
     const std::vector<StreamJob> stream = makeStream(size, load, seed);
     printHeader(size, load, seed, stream.size());
--- /dev/null
+++ b/bench/shardreport.cpp
@@ -0,0 +1,71 @@
+// Tables of the shard runs.
+#include "shardreport.h"
+
+#include "wirebytes.h"
+
+#include <array>
+#include <cstdio>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::array<std::uint32_t, 4> sizes{50, 500, 1560, 2000};
+
+void printRun(std::uint32_t workers, const ShardRunResult &run)
+{
+    std::printf("%7u %9.0f %9.0f %6.1f%% %7.1f %7.1f %7.1f %7.0f %7.0f %7.2f %8.0f %8.0f %8.0f %8.0f %6.0f/%6.0f %6.0f/%6.0f %6llu\n",
+                workers,
+                static_cast<double>(run.starts) / run.virtualSeconds,
+                static_cast<double>(run.starts) / run.coreSeconds,
+                100.0 * run.coreSeconds / run.virtualSeconds,
+                run.startMicros.percentile(0.5),
+                run.startMicros.percentile(0.99),
+                run.startMicros.percentile(0.999),
+                run.tickMicros.percentile(0.5),
+                run.tickMicros.percentile(0.99),
+                run.messages,
+                run.bytes,
+                run.messages * headerBytesPerSync,
+                run.running,
+                run.queued,
+                run.urgentWaitMs.percentile(0.5),
+                run.urgentWaitMs.percentile(0.99),
+                run.normalWaitMs.percentile(0.5),
+                run.normalWaitMs.percentile(0.99),
+                static_cast<unsigned long long>(run.preemptions));
+    std::fflush(stdout);
+}
+
+} // namespace
+
+void printShardRuns(const ShardRunSettings &settings)
+{
+    std::printf("shard controller, load %.2f, sync interval %lld ms, rule %d, %u tasks per job%s; us of processor time\n",
+                settings.load,
+                static_cast<long long>(settings.syncInterval.count()),
+                static_cast<int>(settings.rule),
+                settings.tasksPerJob,
+                settings.listAlways ? ", running tasks in every answer" : "");
+    std::printf("workers  starts/s  per core    core   p50/st  p99/st p999/st tickp50 tickp99   msg/s   body/s   head/s  running   queued"
+                " urgent p50/p99 normal p50/p99 preempt\n");
+    for (const std::uint32_t workers : sizes) {
+        ShardRunSettings sized = settings;
+        sized.workers = workers;
+        printRun(workers, runShard(sized));
+    }
+}
+
+void printShardMemory(std::uint32_t tasksPerJob)
+{
+    std::printf("memory, bytes: workers, tasks per job, per worker, per running task, per queued task\n");
+    for (const std::uint32_t workers : sizes) {
+        for (const std::uint32_t tasks : {1U, tasksPerJob}) {
+            const ShardMemory memory = measureShardMemory(workers, tasks);
+            std::printf("%7u %5u %8.0f %8.0f %8.0f\n", workers, tasks, memory.perWorker, memory.perRunning, memory.perQueued);
+            std::fflush(stdout);
+        }
+    }
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/bench/shardrun.cpp
@@ -0,0 +1,303 @@
+// The event loop around a shard controller: arrivals, ticks every 10 ms, answers one tick after their request.
+#include "shardrun.h"
+
+#include "answerer.h"
+#include "mix.h"
+#include "wirebytes.h"
+
+#include "core/shardcontroller.h"
+
+#include <algorithm>
+#include <ctime>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr Duration step{10};
+constexpr Duration warmUp{20000};
+constexpr Duration measured{20000};
+constexpr std::uint32_t teamCount = 50;
+constexpr double startsPerWorker = 6800.0 / 7800.0; // Per second, at the target's peak.
+constexpr double servicesPerWorker = 72000.0 / 7800.0 / 5.0; // A fifth of the running tasks.
+constexpr double urgentJobShare = 0.05; // Part of the starts; assumed.
+// With the shares above, 8.47 s of mean run time give 72,000 running tasks at 7,800 workers.
+constexpr std::int64_t shortestRunMs = 2000;
+constexpr std::int64_t longestRunMs = 14940;
+
+double threadSeconds()
+{
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+class ShardLoop
+{
+public:
+    explicit ShardLoop(const ShardRunSettings &settings);
+
+    ShardRunResult run();
+    void advance(Duration span);
+    void addJobs(std::uint32_t tasks, WorkClass workClass);
+    /// Destroys the controller; returns the bytes that it held.
+    std::int64_t destroy();
+    [[nodiscard]] std::size_t runningTasks() const;
+    [[nodiscard]] std::size_t queuedTasks() const;
+
+private:
+    struct Arrived {
+        TimePoint at;
+        Priority priority;
+    };
+
+    template<typename Call>
+    double timed(Call call)
+    {
+        const double begin = threadSeconds();
+        call();
+        const double spent = threadSeconds() - begin;
+        m_result.coreSeconds += spent;
+        return spent;
+    }
+    JobSpec makeJob(std::uint32_t tasks, WorkClass workClass, Priority priority);
+    void enqueue(JobSpec job);
+    void arrive();
+    void tick();
+    void handle(ShardOutput &output, std::uint64_t &placed);
+    void noteStarts(const SyncRequest &request);
+    void answer();
+
+    ShardRunSettings m_settings;
+    std::mt19937_64 m_random;
+    TimePoint m_now{Duration(1000000)};
+    std::unique_ptr<ShardController> m_controller;
+    Answerer m_answerer;
+    std::vector<SyncWorker> m_requests;
+    std::unordered_map<JobId, Arrived> m_arrivals;
+    std::uint64_t m_jobs = 0;
+    double m_owed = 0.0; ///< Normal tasks that should have arrived.
+    double m_owedUrgent = 0.0;
+    double m_tickSeconds = 0.0;
+    std::uint64_t m_messages = 0;
+    std::uint64_t m_bytes = 0;
+    ShardRunResult m_result;
+};
+
+ShardLoop::ShardLoop(const ShardRunSettings &settings) : m_settings(settings), m_random(settings.seed), m_answerer(settings.listAlways)
+{
+    ShardSettings shard;
+    shard.id = ShardId("pool/domain/0");
+    shard.pool = PoolName("pool");
+    shard.domain = FailureDomain("domain");
+    shard.owner = DaemonId("entry-1");
+    shard.epoch = Epoch(1);
+    shard.syncInterval = settings.syncInterval;
+    shard.rule = settings.rule;
+    m_controller = std::move(ShardController::create(shard, nullptr, m_now)).value();
+    m_controller->setLeaseConfirmed(true, m_now);
+    for (std::uint32_t team = 0; team < teamCount; ++team) {
+        m_controller->setAllotment(TeamId("team" + std::to_string(team)), workerCapacity() * settings.workers, m_now);
+    }
+    std::vector<VmInfo> vms;
+    for (std::uint32_t i = 0; i < settings.workers; ++i) {
+        const std::string id = "worker" + std::to_string(i);
+        vms.push_back(VmInfo{WorkerId(id), "10.0.100.100:8080", "group", FailureDomain("domain"), RackId("rack" + std::to_string(i / 40)), false});
+    }
+    m_controller->setWorkers(vms, m_now);
+    m_controller->recover({}, m_now);
+    m_controller->endQueueScan(m_controller->beginQueueScan(), m_now);
+    advance(Duration(1000));
+}
+
+JobSpec ShardLoop::makeJob(std::uint32_t tasks, WorkClass workClass, Priority priority)
+{
+    std::uniform_int_distribution<std::int64_t> size(2, 5);
+    std::uniform_int_distribution<std::int64_t> run(shortestRunMs, longestRunMs);
+    JobSpec job;
+    job.id = JobId("job-of-the-bench-" + std::to_string(++m_jobs));
+    job.team = TeamId("team" + std::to_string(m_random() % teamCount));
+    job.workspace = WorkspaceId("workspace");
+    job.route = RouteName("route");
+    job.pool = PoolName("pool");
+    job.workClass = workClass;
+    job.priority = priority;
+    job.taskCount = tasks;
+    const std::int64_t halves = size(m_random); // 1 to 2.5 cores, 1.75 on average.
+    job.demand = Resources{MilliCores(halves * 500), MebiBytes(halves * 2000), Accelerators(0), Slots(0)};
+    job.declaredRunTime = Duration(workClass == WorkClass::Service ? 0 : run(m_random));
+    job.payload = "{\"command\":\"run the tally of this week\"}";
+    return job;
+}
+
+void ShardLoop::enqueue(JobSpec job)
+{
+    m_arrivals.emplace(job.id, Arrived{m_now, job.priority});
+    timed([&] { (void)m_controller->enqueue(job, m_now); });
+}
+
+void ShardLoop::addJobs(std::uint32_t tasks, WorkClass workClass)
+{
+    for (std::uint32_t added = 0; added < tasks; added += m_settings.tasksPerJob) {
+        enqueue(makeJob(std::min(m_settings.tasksPerJob, tasks - added), workClass, Priority::Normal));
+    }
+}
+
+void ShardLoop::arrive()
+{
+    const double tasks = startsPerWorker * m_settings.workers * m_settings.load * static_cast<double>(step.count()) / 1000.0;
+    m_owed += tasks * (1.0 - urgentJobShare);
+    m_owedUrgent += tasks * urgentJobShare;
+    while (m_owed >= m_settings.tasksPerJob) {
+        enqueue(makeJob(m_settings.tasksPerJob, WorkClass::Batch, Priority::Normal));
+        m_owed -= m_settings.tasksPerJob;
+    }
+    while (m_owedUrgent >= 1.0) {
+        enqueue(makeJob(1, WorkClass::Batch, Priority::Urgent));
+        m_owedUrgent -= 1.0;
+    }
+}
+
+void ShardLoop::noteStarts(const SyncRequest &request)
+{
+    for (const TaskStart &start : request.starts) {
+        const auto arrived = m_arrivals.find(start.id.job);
+        if (arrived == m_arrivals.end() || start.id.attempt > 1 || start.runTime == Duration(0)) {
+            continue;
+        }
+        const auto wait = static_cast<double>((m_now - arrived->second.at).count());
+        (arrived->second.priority == Priority::Urgent ? m_result.urgentWaitMs : m_result.normalWaitMs).add(wait);
+    }
+}
+
+void ShardLoop::handle(ShardOutput &output, std::uint64_t &placed)
+{
+    if (auto *sync = std::get_if<SyncWorker>(&output)) {
+        placed += sync->request.starts.size();
+        noteStarts(sync->request);
+        m_bytes += bodyBytes(sync->request);
+        ++m_messages;
+        m_requests.push_back(std::move(*sync));
+    } else if (const auto *record = std::get_if<RecordJob>(&output)) {
+        timed([&] { m_controller->jobRecorded(record->job, record->state, m_now); });
+    }
+}
+
+void ShardLoop::answer()
+{
+    for (const SyncWorker &sync : std::exchange(m_requests, {})) {
+        const WorkerReply reply = m_answerer.answer(sync, m_now);
+        m_bytes += bodyBytes(*reply.reply);
+        timed([&] { m_controller->onWorkerReply(reply, m_now); });
+    }
+}
+
+void ShardLoop::tick()
+{
+    m_now += step;
+    answer();
+    const double spent = timed([&] { m_controller->tick(m_now); });
+    std::vector<ShardOutput> outputs;
+    timed([&] { outputs = m_controller->takeOutputs(); });
+    std::uint64_t placed = 0;
+    for (ShardOutput &output : outputs) {
+        handle(output, placed);
+    }
+    m_tickSeconds += spent;
+    m_result.tickMicros.add(spent * 1e6);
+    for (std::uint64_t i = 0; i < placed; ++i) {
+        m_result.startMicros.add(spent * 1e6 / static_cast<double>(placed));
+    }
+}
+
+void ShardLoop::advance(Duration span)
+{
+    for (Duration passed{0}; passed < span; passed += step) {
+        tick();
+    }
+}
+
+ShardRunResult ShardLoop::run()
+{
+    addJobs(static_cast<std::uint32_t>(servicesPerWorker * m_settings.workers), WorkClass::Service);
+    for (Duration passed{0}; passed < warmUp; passed += step) {
+        arrive();
+        tick();
+    }
+    m_result = ShardRunResult();
+    m_tickSeconds = 0.0;
+    m_messages = 0;
+    m_bytes = 0;
+    const ShardCounters before = m_controller->counters();
+    for (Duration passed{0}; passed < measured; passed += step) {
+        arrive();
+        tick();
+    }
+    const ShardCounters after = m_controller->counters();
+    m_result.starts = after.taskStarts - before.taskStarts;
+    m_result.preemptions = after.preemptions - before.preemptions;
+    m_result.virtualSeconds = static_cast<double>(measured.count()) / 1000.0;
+    m_result.tickShare = m_tickSeconds / m_result.coreSeconds;
+    const double workerSeconds = m_result.virtualSeconds * m_settings.workers;
+    m_result.messages = static_cast<double>(m_messages) / workerSeconds;
+    m_result.bytes = static_cast<double>(m_bytes) / workerSeconds;
+    m_result.running = static_cast<double>(m_answerer.running());
+    m_result.queued = m_controller->queuedTasks();
+    return m_result;
+}
+
+std::int64_t ShardLoop::destroy()
+{
+    const std::int64_t before = allocatedBytes();
+    m_controller.reset();
+    return before - allocatedBytes();
+}
+
+std::size_t ShardLoop::runningTasks() const
+{
+    return m_answerer.running();
+}
+
+std::size_t ShardLoop::queuedTasks() const
+{
+    return m_controller->queuedTasks();
+}
+
+} // namespace
+
+ShardRunResult runShard(const ShardRunSettings &settings)
+{
+    ShardLoop loop(settings);
+    return loop.run();
+}
+
+ShardMemory measureShardMemory(std::uint32_t workers, std::uint32_t tasksPerJob)
+{
+    ShardRunSettings settings;
+    settings.workers = workers;
+    settings.tasksPerJob = tasksPerJob;
+    ShardMemory memory;
+    const auto idle = static_cast<double>(ShardLoop(settings).destroy());
+    memory.perWorker = idle / workers;
+    const std::uint32_t fitting = workers * 5; // Services of at most 2.5 cores: all run.
+    ShardLoop busy(settings);
+    busy.addJobs(fitting, WorkClass::Service);
+    busy.advance(Duration(3000));
+    const auto running = static_cast<double>(busy.runningTasks());
+    const auto used = static_cast<double>(busy.destroy());
+    memory.perRunning = (used - idle) / running;
+    ShardLoop full(settings);
+    full.addJobs(workers * 40, WorkClass::Service);
+    full.advance(Duration(5000));
+    const auto queued = static_cast<double>(full.queuedTasks());
+    const auto fullRunning = static_cast<double>(full.runningTasks());
+    memory.perQueued = (static_cast<double>(full.destroy()) - idle - fullRunning * memory.perRunning) / queued;
+    return memory;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/bench/wirebytes.cpp
@@ -0,0 +1,87 @@
+// Templates of the messages and the sums over their lists.
+#include "wirebytes.h"
+
+#include <string_view>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::string_view requestText = R"({"owner":"","epoch":12,"sequence":123456,"inventory":false,"leaseMs":10000,"starts":[],"stops":[],"acks":[]})";
+constexpr std::string_view idText = R"("job":"","index":123,"attempt":1)";
+constexpr std::string_view ackText = R"("/123/1",)";
+constexpr std::string_view controlText = R"({"task":"/123/1","how":"checkpoint"},)";
+constexpr std::string_view demandText = R"("demand":{"milliCores":1500,"memoryMiB":4096,"accelerators":0,"slots":0},)";
+constexpr std::string_view startText = R"({,"team":"","route":"",,"runMs":10000,"leaseMs":10000,"voidAfterMs":0,"payload":""},)";
+constexpr std::string_view replyText = R"({"worker":"w1234","accepted":true,"refused":false,"epoch":12,"sequence":123456,"supportsEpochs":true,)"
+                                       R"("capacity":{"milliCores":16000,"memoryMiB":65536,"accelerators":0,"slots":8,"connections":60},)"
+                                       R"("running":[],"ended":[],"busySlots":0})";
+constexpr std::string_view runningText = R"({,"team":"","route":"",,,"leaseMs":10000},)";
+constexpr std::string_view endedText = R"({"task":"/123/1","outcome":"succeeded","reason":""},)";
+
+constexpr std::size_t textField = 2;
+constexpr std::size_t numberField = 4;
+constexpr std::size_t nestedField = 2;
+
+std::size_t bytesOf(const PeerInfo &peer)
+{
+    const std::size_t texts = peer.id.value().size() + peer.domain.value().size() + peer.peerAddress.size() + peer.httpAddress.size();
+    return texts + 4 * textField + numberField + nestedField;
+}
+
+} // namespace
+
+std::size_t bodyBytes(const SyncRequest &request)
+{
+    std::size_t bytes = requestText.size() + request.owner.value().size();
+    for (const TaskStart &start : request.starts) {
+        const std::size_t texts = start.id.job.value().size() + start.team.value().size() + start.route.value().size() + start.payload.size();
+        bytes += startText.size() + idText.size() + demandText.size() + texts;
+    }
+    for (const TaskControl &control : request.controls) {
+        bytes += controlText.size() + control.id.job.value().size();
+    }
+    for (const TaskId &id : request.acknowledged) {
+        bytes += ackText.size() + id.job.value().size();
+    }
+    return bytes;
+}
+
+std::size_t bodyBytes(const SyncReply &reply)
+{
+    std::size_t bytes = replyText.size();
+    for (const RunningTask &task : reply.running) {
+        const std::size_t texts = task.id.job.value().size() + task.team.value().size() + task.route.value().size();
+        bytes += runningText.size() + idText.size() + 2 * demandText.size() + texts;
+    }
+    for (const EndedTask &task : reply.ended) {
+        bytes += endedText.size() + task.id.job.value().size() + task.reason.size();
+    }
+    return bytes;
+}
+
+std::size_t bodyBytes(const Heartbeat &heartbeat)
+{
+    std::size_t bytes = bytesOf(heartbeat.self) + 6 * numberField;
+    for (const HeartbeatEcho &echo : heartbeat.echoes) {
+        bytes += echo.daemon.value().size() + textField + 2 * numberField + nestedField;
+    }
+    for (const DomainView &view : heartbeat.domains) {
+        bytes += view.domain.value().size() + textField + 2 * numberField + nestedField;
+    }
+    for (const PeerInfo &peer : heartbeat.known) {
+        bytes += bytesOf(peer);
+    }
+    for (const OwnedShard &shard : heartbeat.owned) {
+        bytes += shard.id.value().size() + textField + 6 * numberField + 2 * nestedField;
+    }
+    for (const WorkerId &worker : heartbeat.leaving) {
+        bytes += worker.value().size() + textField;
+    }
+    for (const KeyId &key : heartbeat.withdrawn) {
+        bytes += key.value().size() + textField;
+    }
+    return bytes;
+}
+
+} // namespace KingCupLadder
