bench: drive 7, 35 and 70 whole daemons with a store in memory

Cause: the cost of a daemon apart from its shards (VM list, heartbeats, store operations) was not measured. Change: subcommand daemons. The VM list is copied outside the measured time.

--- /dev/null
+++ b/bench/daemonrun.cpp
@@ -0,0 +1,290 @@
+// The loop around the daemons: every answer and message is delivered one tick (20 ms) after its command.
+#include "daemonrun.h"
+
+#include "answerer.h"
+#include "memorystore.h"
+#include "mix.h"
+#include "wirebytes.h"
+
+#include "core/daemoncore.h"
+
+#include <ctime>
+#include <functional>
+#include <memory>
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr Duration step{20};
+constexpr Duration warmUp{20000};
+constexpr Duration measured{10000};
+constexpr std::uint32_t domainCount = 5;
+constexpr std::uint32_t teamCount = 50;
+
+double threadSeconds()
+{
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+std::string poolsYaml()
+{
+    std::string teams = "teams:\n";
+    std::string names;
+    for (std::uint32_t i = 0; i < teamCount; ++i) {
+        const std::string name = "team" + std::to_string(i);
+        teams += "  - {name: " + name + ", workspace: space, share: 1, limit: {cpu: 20000, memory: 80000GiB, slots: 20000}}\n";
+        names += (i == 0 ? "" : ", ") + name;
+    }
+    return teams + "pools:\n  - {name: pool, vms: group, power: grid, teams: [" + names + "]}\n";
+}
+
+constexpr const char *routesYaml = "routes:\n  - name: batch\n    class: batch\n    pool: pool\n    demand: {cpu: 2, memory: 4GiB}\n";
+
+struct Daemon {
+    PeerInfo info;
+    std::unique_ptr<DaemonCore> core;
+    std::vector<std::function<void(DaemonCore &, TimePoint)>> inbox;
+    double seconds = 0.0;
+    Samples tickMicros;
+    std::uint64_t syncs = 0;
+    std::uint64_t peerMessages = 0;
+    std::uint64_t peerBytes = 0;
+    bool owns = false;
+};
+
+class DaemonLoop
+{
+public:
+    explicit DaemonLoop(const DaemonRunSettings &settings);
+    DaemonRunResult run();
+
+private:
+    void addDaemon(std::uint32_t index);
+    void advance(Duration span);
+    void submit();
+    void serve(Daemon &daemon);
+    void execute(Daemon &daemon, Command &command);
+    void executeStore(Daemon &daemon, const std::string &name, StoreReply reply);
+    void executePeer(Daemon &from, SendPeer &send);
+    void executeSync(Daemon &daemon, const SyncWorker &sync);
+    void clearMeters();
+    void addTo(DaemonRole &role, const Daemon &daemon) const;
+
+    DaemonRunSettings m_settings;
+    TimePoint m_now{Duration(1000000)};
+    std::mt19937_64 m_random{1};
+    MemoryStore m_store;
+    Answerer m_answerer{false};
+    std::vector<VmInfo> m_vms;
+    std::vector<Daemon> m_daemons;
+    double m_owedJobs = 0.0;
+    std::uint64_t m_jobs = 0;
+    std::uint64_t m_starts = 0;
+    std::uint64_t m_accepted = 0;
+    std::uint64_t m_rows = 0;
+    std::map<std::string, std::uint64_t> m_ops;
+    DaemonRunResult m_result;
+};
+
+DaemonLoop::DaemonLoop(const DaemonRunSettings &settings) : m_settings(settings)
+{
+    for (std::uint32_t i = 0; i < settings.workers; ++i) {
+        const FailureDomain domain("domain" + std::to_string(i % domainCount));
+        m_vms.push_back(VmInfo{WorkerId("worker" + std::to_string(i)), "10.0.100.100:8080", "group", domain, RackId("rack" + std::to_string(i / 40)), false});
+    }
+    for (std::uint32_t i = 0; i < settings.daemons; ++i) {
+        addDaemon(i);
+    }
+}
+
+void DaemonLoop::addDaemon(std::uint32_t index)
+{
+    Daemon daemon;
+    daemon.info.id = DaemonId("entry-" + std::to_string(index));
+    daemon.info.incarnation = Incarnation(1);
+    daemon.info.domain = FailureDomain("domain" + std::to_string(index % domainCount));
+    daemon.info.peerAddress = "10.0.0." + std::to_string(index) + ":7070";
+    daemon.info.httpAddress = "10.0.0." + std::to_string(index) + ":8080";
+    DaemonCoreSettings core;
+    core.self = daemon.info;
+    core.seed = 1000 + index;
+    core.syncInterval = Duration(m_settings.syncIntervalMs);
+    core.peerAddresses = {"10.0.0.0:7070"};
+    daemon.core = std::move(DaemonCore::create(core, m_now)).value();
+    m_daemons.push_back(std::move(daemon));
+}
+
+void DaemonLoop::executeStore(Daemon &daemon, const std::string &name, StoreReply reply)
+{
+    ++m_ops[name];
+    daemon.inbox.emplace_back([reply = std::move(reply)](DaemonCore &core, TimePoint now) { core.onStoreReply(reply, now); });
+}
+
+void DaemonLoop::executePeer(Daemon &from, SendPeer &send)
+{
+    ++from.peerMessages;
+    if (const auto *heartbeat = std::get_if<Heartbeat>(&send.message)) {
+        const std::size_t bytes = bodyBytes(*heartbeat);
+        from.peerBytes += bytes;
+        m_result.heartbeatBytes.add(static_cast<double>(bytes));
+    }
+    for (Daemon &daemon : m_daemons) {
+        if (daemon.info.peerAddress == send.address) {
+            daemon.inbox.emplace_back(
+                [id = from.info.id, message = std::move(send.message)](DaemonCore &core, TimePoint now) { core.onPeerMessage(id, message, now); });
+            return;
+        }
+    }
+}
+
+void DaemonLoop::executeSync(Daemon &daemon, const SyncWorker &sync)
+{
+    ++daemon.syncs;
+    m_starts += sync.request.starts.size();
+    daemon.inbox.emplace_back([reply = m_answerer.answer(sync, m_now)](DaemonCore &core, TimePoint now) { core.onWorkerReply(reply, now); });
+}
+
+void DaemonLoop::execute(Daemon &daemon, Command &command)
+{
+    if (const auto *write = std::get_if<StoreTransact>(&command)) {
+        m_rows += write->writes.size();
+        executeStore(daemon, "write " + (write->writes.empty() ? "nothing" : write->writes.back().table), m_store.execute(*write));
+    } else if (const auto *scan = std::get_if<StoreScan>(&command)) {
+        executeStore(daemon, "scan " + scan->table, m_store.execute(*scan));
+    } else if (const auto *read = std::get_if<StoreRead>(&command)) {
+        executeStore(daemon, "read " + read->table, m_store.execute(*read));
+    } else if (const auto *list = std::get_if<VmListRead>(&command)) {
+        ++m_ops["list vms"];
+        daemon.inbox.emplace_back([reply = VmListReply{list->op, m_vms}](DaemonCore &core, TimePoint now) { core.onVmList(reply, now); });
+    } else if (const auto *sync = std::get_if<SyncWorker>(&command)) {
+        executeSync(daemon, *sync);
+    } else if (auto *send = std::get_if<SendPeer>(&command)) {
+        executePeer(daemon, *send);
+    } else if (const auto *answer = std::get_if<CallerAnswer>(&command)) {
+        m_accepted += answer->error.kind == ErrorKind::None ? 1 : 0;
+    }
+}
+
+void DaemonLoop::submit()
+{
+    constexpr std::int64_t shortestRunMs = 2000;
+    constexpr std::int64_t longestRunMs = 14940; // As in the runs of a shard.
+    std::uniform_int_distribution<std::int64_t> run(shortestRunMs, longestRunMs);
+    m_owedJobs += m_settings.jobsPerSecond * static_cast<double>(step.count()) / 1000.0;
+    for (; m_owedJobs >= 1.0; m_owedJobs -= 1.0) {
+        JobSpec job;
+        job.id = JobId("job-of-the-bench-" + std::to_string(++m_jobs));
+        job.team = TeamId("team" + std::to_string(m_random() % teamCount));
+        job.workspace = WorkspaceId("space");
+        job.route = RouteName("batch");
+        job.pool = PoolName("pool");
+        job.taskCount = m_settings.tasksPerJob;
+        job.demand = Resources{MilliCores(1500), MebiBytes(6000), Accelerators(0), Slots(0)};
+        job.declaredRunTime = Duration(run(m_random));
+        Daemon &daemon = m_daemons[m_jobs % m_daemons.size()];
+        daemon.inbox.emplace_back([job](DaemonCore &core, TimePoint now) { (void)core.submitJob(job, now); });
+    }
+}
+
+void DaemonLoop::serve(Daemon &daemon)
+{
+    const auto inbox = std::exchange(daemon.inbox, {});
+    const double begin = threadSeconds();
+    for (const auto &event : inbox) {
+        event(*daemon.core, m_now);
+    }
+    const double tickBegin = threadSeconds();
+    daemon.core->tick(m_now);
+    std::vector<Command> commands = daemon.core->takeCommands();
+    const double end = threadSeconds();
+    daemon.seconds += end - begin;
+    daemon.tickMicros.add((end - tickBegin) * 1e6);
+    for (Command &command : commands) {
+        execute(daemon, command);
+    }
+}
+
+void DaemonLoop::advance(Duration span)
+{
+    for (Duration passed{0}; passed < span; passed += step) {
+        m_now += step;
+        submit();
+        for (Daemon &daemon : m_daemons) {
+            serve(daemon);
+        }
+    }
+}
+
+void DaemonLoop::clearMeters()
+{
+    for (Daemon &daemon : m_daemons) {
+        daemon.owns = daemon.syncs > 0;
+        daemon.seconds = 0.0;
+        daemon.tickMicros = Samples();
+        daemon.syncs = 0;
+        daemon.peerMessages = 0;
+        daemon.peerBytes = 0;
+    }
+    m_result = DaemonRunResult();
+    m_ops.clear();
+    m_starts = 0;
+    m_accepted = 0;
+    m_rows = 0;
+}
+
+void DaemonLoop::addTo(DaemonRole &role, const Daemon &daemon) const
+{
+    const double seconds = static_cast<double>(measured.count()) / 1000.0;
+    ++role.daemons;
+    role.coreShare += daemon.seconds / seconds;
+    role.syncs += static_cast<double>(daemon.syncs) / seconds;
+    role.peerMessages += static_cast<double>(daemon.peerMessages) / seconds;
+    role.peerBytes += static_cast<double>(daemon.peerBytes) / seconds;
+    for (const double part : {0.5, 0.99, 1.0}) {
+        role.tickMicros.add(daemon.tickMicros.percentile(part));
+    }
+}
+
+DaemonRunResult DaemonLoop::run()
+{
+    constexpr Duration settling{3000}; // The daemons learn of each other and confirm their leases.
+    advance(settling);
+    (void)m_daemons[0].core->applyTables(ConfigVersion(), routesYaml, poolsYaml(), m_now);
+    advance(warmUp);
+    for (Daemon &daemon : m_daemons) {
+        daemon.syncs = 0;
+    }
+    advance(Duration(2000)); // Tells who owns a shard now.
+    clearMeters();
+    advance(measured);
+    const double seconds = static_cast<double>(measured.count()) / 1000.0;
+    for (const Daemon &daemon : m_daemons) {
+        addTo(daemon.owns ? m_result.owners : m_result.others, daemon);
+    }
+    for (const auto &[name, count] : m_ops) {
+        const double rate = static_cast<double>(count) / seconds;
+        m_result.storeOps[name] = rate;
+        (name[0] == 'w' ? m_result.storeWrites : name[0] == 'l' ? m_result.vmLists : m_result.storeReads) += rate;
+    }
+    m_result.storeRows = static_cast<double>(m_rows) / seconds;
+    m_result.starts = static_cast<double>(m_starts) / seconds;
+    m_result.accepted = static_cast<double>(m_accepted) / seconds;
+    m_result.running = static_cast<double>(m_answerer.running());
+    return m_result;
+}
+
+} // namespace
+
+DaemonRunResult runDaemons(const DaemonRunSettings &settings)
+{
+    DaemonLoop loop(settings);
+    return loop.run();
+}
+
+} // namespace KingCupLadder
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,5 +1,6 @@
-// ladder-bench: drives the decision core with seeded synthetic streams and prints one table. "ladder-bench shard"
-// and "ladder-bench memory" drive the shard controller instead.
+// ladder-bench: drives the decision core with seeded synthetic streams and prints one table. The subcommands shard and memory
+// drive a shard controller instead, the subcommand daemons drives whole daemons.
+#include "daemonrun.h"
 #include "measures.h"
 #include "mix.h"
 #include "policyrun.h"
@@ -75,6 +76,16 @@
     memory->add_option("--tasks-per-job", settings.tasksPerJob, "tasks of each job");
 }
 
+void addDaemonCommand(CLI::App &app, DaemonRunSettings &settings, std::vector<std::uint32_t> &counts)
+{
+    CLI::App *run = app.add_subcommand("daemons", "drives whole daemons with one store in memory");
+    run->add_option("--daemons", counts, "numbers of daemons, one run each");
+    run->add_option("--workers", settings.workers, "workers over 5 failure domains");
+    run->add_option("--jobs", settings.jobsPerSecond, "jobs submitted per second");
+    run->add_option("--tasks-per-job", settings.tasksPerJob, "tasks of each job");
+    run->add_option("--interval", settings.syncIntervalMs, "sync interval in ms");
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -88,11 +99,18 @@
     app.add_option("--load", load, "offered work as a part of the installation's processors")->check(CLI::Range(0.05, 5.0));
     ShardRunSettings shard;
     addShardCommands(app, shard);
+    DaemonRunSettings daemons;
+    std::vector<std::uint32_t> daemonCounts{7, 35, 70};
+    addDaemonCommand(app, daemons, daemonCounts);
     CLI11_PARSE(app, argc, argv);
     if (app.got_subcommand("shard")) {
         printShardRuns(shard);
         return 0;
     }
+    if (app.got_subcommand("daemons")) {
+        printDaemonRuns(daemons, daemonCounts);
+        return 0;
+    }
     if (app.got_subcommand("memory")) {
         printShardMemory(shard.tasksPerJob);
         return 0;
