--- a/src/core/daemoncore.cpp
+++ b/src/core/daemoncore.cpp
@@ -20,6 +20,7 @@
     claims.incarnation = settings.self.incarnation;
     claims.seed = settings.seed + 1;
     claims.operationTimeout = settings.storeTimeout;
+    claims.readBackLostAnswers = settings.guards.claimsReadBack;
     return claims;
 }
 
@@ -52,6 +53,8 @@
     ownership.leaseMargin = settings.leaseMargin;
     ownership.renewInterval = settings.leaseTerm / 3;
     ownership.operationTimeout = settings.storeTimeout;
+    ownership.checkLeaseRowOnTakeover = settings.guards.checkLeaseRowOnTakeover;
+    ownership.readBackLostAnswers = settings.guards.ownershipReadsBack;
     return ownership;
 }
 
@@ -63,9 +66,18 @@
     admission.seed = settings.seed + 5;
     admission.operationTimeout = settings.storeTimeout;
     admission.admissionTimeout = settings.admissionTimeout;
+    admission.readBackLostAnswers = settings.guards.admissionReadsBack;
     return admission;
 }
 
+AllotmentSettings allotmentSettings(const DaemonCoreSettings &settings)
+{
+    AllotmentSettings allotments;
+    allotments.growAfterConfirm = settings.guards.growAfterConfirm;
+    allotments.shrinkBeforeGrow = settings.guards.shrinkBeforeGrow;
+    return allotments;
+}
+
 Error storeSilent(const char *what)
 {
     return Error{ErrorKind::Unavailable, std::string("the store does not answer, so ") + what, "try again later"};
@@ -76,7 +88,7 @@
 DaemonCore::Private::Private(const DaemonCoreSettings &coreSettings, TimePoint now)
     : settings(coreSettings)
     , startedAt(now)
-    , config(ConfigSettings{coreSettings.configInterval, coreSettings.storeTimeout}, [this] { return newOp(); })
+    , config(ConfigSettings{coreSettings.configInterval, coreSettings.storeTimeout, coreSettings.guards.versionsOnlyGrow}, [this] { return newOp(); })
     , membership(membershipSettings(coreSettings), now)
     , claims(claimSettings(coreSettings), [this] { return newOp(); })
     , grants(grantSettings(coreSettings),
@@ -92,7 +104,7 @@
     , jobs(
           JobControllerSettings{}, [this] { return newOp(); }, [this](const ShardId &id, TimePoint at) { return choiceFor(id, at); })
     , allotments(
-          AllotmentSettings{}, [this] { return newOp(); }, now)
+          allotmentSettings(coreSettings), [this] { return newOp(); }, now)
 {
 }
 
--- a/src/core/daemoncore.h
+++ b/src/core/daemoncore.h
@@ -6,6 +6,7 @@
 #include "error.h"
 #include "keys.h"
 #include "messages.h"
+#include "shardguards.h"
 #include "tables.h"
 
 #include <cstdint>
@@ -15,6 +16,18 @@
 
 namespace KingCupLadder {
 
+/// Switches that let a test turn off one safety rule and show which failure the rule prevents. All are on in production.
+struct CoreGuards {
+    ShardGuards shard;
+    bool checkLeaseRowOnTakeover = true; ///< See OwnershipSettings.
+    bool ownershipReadsBack = true; ///< OwnershipSettings::readBackLostAnswers.
+    bool growAfterConfirm = true; ///< See AllotmentSettings.
+    bool shrinkBeforeGrow = true; ///< See AllotmentSettings.
+    bool admissionReadsBack = true; ///< AdmissionSettings::readBackLostAnswers.
+    bool claimsReadBack = true; ///< ClaimSettings::readBackLostAnswers.
+    bool versionsOnlyGrow = true; ///< See ConfigSettings.
+};
+
 struct DaemonCoreSettings {
     PeerInfo self;
     std::uint64_t seed = 1; ///< Of all randomness.
@@ -32,6 +45,7 @@
     Duration configInterval{1000}; ///< Between two reads of the configuration rows.
     Duration admissionTimeout{5000}; ///< A job submission is answered within this span.
     std::size_t maxWaitingRequests = 10000; ///< Grant wishes that wait for a slot.
+    CoreGuards guards;
 };
 
 /// Who a key belongs to.
--- a/src/core/daemoncoreshards.cpp
+++ b/src/core/daemoncoreshards.cpp
@@ -111,6 +111,7 @@
     shardSettings.syncTimeout = settings.workerTimeout;
     shardSettings.taskTerm = settings.taskTerm;
     shardSettings.margin = settings.leaseMargin;
+    shardSettings.guards = settings.guards.shard;
     shardSettings.ownerTerm = settings.leaseTerm + settings.leaseMargin;
     auto controller = ShardController::create(shardSettings, knownTables, now);
     if (!controller) {
--- a/test/matrix/fleet.cpp
+++ b/test/matrix/fleet.cpp
@@ -265,6 +265,16 @@
         answer(std::nullopt, deadline);
         return;
     }
+    const bool late = syncDelayChance > 0.0 && std::bernoulli_distribution(syncDelayChance)(m_random);
+    if (late) {
+        answer(std::nullopt, deadline);
+        at(deadline + delay(syncDelay), [=] {
+            if (worker->alive) {
+                static_cast<void>(worker->sync(sync.request, m_now));
+            }
+        });
+        return;
+    }
     at(m_now + delay(Duration(2)), [=] {
         if (!worker->alive) {
             answer(std::nullopt, deadline);
--- a/test/matrix/fleet.h
+++ b/test/matrix/fleet.h
@@ -46,6 +46,8 @@
     bool vmListFrozen = false; ///< The list stays as it is, however old.
     double duplicateChance = 0.0; ///< Of messages between daemons.
     Duration peerJitter{2}; ///< Reorders messages between daemons.
+    double syncDelayChance = 0.0; ///< Of a message to a worker that arrives after the sender's timeout.
+    Duration syncDelay{4000}; ///< The most that such a message is late.
     std::vector<std::unique_ptr<FakeWorker>> workers;
     std::function<void(const Step &)> onStep; ///< Called at every step.
 
