Scan lease rows often enough for short lease terms

Cause: a lease term of 3 s made the daemon refuse to start, since the scan interval stayed at 1 s; and two types named ShardState in one namespace broke the one-definition rule, which crashed daemons built with -O2. Change: the scan interval follows the lease term; the ownership's type is ShardOwnership.

--- a/src/core/daemoncore.cpp
+++ b/src/core/daemoncore.cpp
@@ -52,6 +52,7 @@
     ownership.leaseTerm = settings.leaseTerm;
     ownership.leaseMargin = settings.leaseMargin;
     ownership.renewInterval = settings.leaseTerm / 3;
+    ownership.scanInterval = std::min(ownership.scanInterval, settings.leaseTerm / 6);
     ownership.operationTimeout = settings.storeTimeout;
     ownership.checkLeaseRowOnTakeover = settings.guards.checkLeaseRowOnTakeover;
     ownership.readBackLostAnswers = settings.guards.ownershipReadsBack;
--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -224,7 +224,7 @@
     }
     for (const ShardId &id : absent) {
         observeShard(id, Row{shardsTable, id.value(), RowVersion(), {}}, operation.sentAt, now);
-        const ShardState &shard = shards[id];
+        const ShardOwnership &shard = shards[id];
         const bool unused = !shard.wanted && !shard.writing && !shard.unsettledSince && shard.highest == Epoch();
         if (unused) {
             shards.erase(id);
@@ -303,7 +303,7 @@
         shard.wanted = false;
     }
     for (const WantedShard &shard : wanted) {
-        ShardState &state = m_d->shards[shard.id];
+        ShardOwnership &state = m_d->shards[shard.id];
         state.wanted = true;
         state.domain = shard.domain;
     }
--- a/src/core/ownershipstate.h
+++ b/src/core/ownershipstate.h
@@ -14,7 +14,7 @@
 namespace KingCupLadder {
 
 /// One shard as this daemon knows it.
-struct ShardState {
+struct ShardOwnership {
     FailureDomain domain;
     bool wanted = false;
     bool seen = false; ///< The row was read, or is known to be absent.
@@ -80,21 +80,21 @@
 
     // Shard rows and claims.
 
-    [[nodiscard]] bool isMine(const ShardState &shard) const;
+    [[nodiscard]] bool isMine(const ShardOwnership &shard) const;
     void observeShard(const ShardId &id, const Row &row, TimePoint sentAt, TimePoint now);
-    void store(ShardState &shard, const Row &row);
-    void evaluate(const ShardId &id, ShardState &shard, TimePoint now);
-    void gain(const ShardId &id, ShardState &shard, TimePoint now);
-    void lose(const ShardId &id, ShardState &shard);
+    void store(ShardOwnership &shard, const Row &row);
+    void evaluate(const ShardId &id, ShardOwnership &shard, TimePoint now);
+    void gain(const ShardId &id, ShardOwnership &shard, TimePoint now);
+    void lose(const ShardId &id, ShardOwnership &shard);
     void applyWritten(const Pending &operation, const StoreReply &reply, TimePoint now);
     void presumeWritten(const Pending &operation, TimePoint now);
-    [[nodiscard]] bool isClaimable(const ShardState &shard) const;
-    [[nodiscard]] Duration claimDelayOf(const ShardId &id, const ShardState &shard);
-    [[nodiscard]] bool claimDue(const ShardId &id, ShardState &shard, TimePoint now);
+    [[nodiscard]] bool isClaimable(const ShardOwnership &shard) const;
+    [[nodiscard]] Duration claimDelayOf(const ShardId &id, const ShardOwnership &shard);
+    [[nodiscard]] bool claimDue(const ShardId &id, ShardOwnership &shard, TimePoint now);
     void claim(TimePoint now);
     [[nodiscard]] std::vector<ShardId> shardsToClaim(TimePoint now);
     [[nodiscard]] std::vector<RowWrite> claimWrites(const std::vector<ShardId> &ids);
-    [[nodiscard]] RowWrite shardWrite(const ShardId &id, ShardState &shard, const DaemonId &owner, Incarnation incarnation);
+    [[nodiscard]] RowWrite shardWrite(const ShardId &id, ShardOwnership &shard, const DaemonId &owner, Incarnation incarnation);
     [[nodiscard]] RowWrite ownLeaseCheck() const;
 
     // Hand-overs.
@@ -116,7 +116,7 @@
     Backoff readBackoff;
     LeaseKeeper lease;
     LeaseWatch watch;
-    std::map<ShardId, ShardState> shards;
+    std::map<ShardId, ShardOwnership> shards;
     std::map<DaemonId, LivePeer> peers; ///< Never contains this daemon.
     std::map<OpId, Pending> pending; ///< At most one write of shard rows or of the own lease row, one read and one scan of each kind.
     std::set<ShardId> toRead;
--- a/src/core/shardclaims.cpp
+++ b/src/core/shardclaims.cpp
@@ -13,13 +13,13 @@
 
 } // namespace
 
-bool Ownership::Private::isMine(const ShardState &shard) const
+bool Ownership::Private::isMine(const ShardOwnership &shard) const
 {
     const bool named = shard.version > RowVersion() && shard.readable && shard.row.owner == settings.self.id;
     return named && lease.held() && shard.row.incarnation == lease.incarnation();
 }
 
-void Ownership::Private::store(ShardState &shard, const Row &row)
+void Ownership::Private::store(ShardOwnership &shard, const Row &row)
 {
     shard.version = row.version;
     if (row.version == RowVersion()) {
@@ -36,7 +36,7 @@
 
 void Ownership::Private::observeShard(const ShardId &id, const Row &row, TimePoint sentAt, TimePoint now)
 {
-    ShardState &shard = shards[id];
+    ShardOwnership &shard = shards[id];
     const bool absent = row.version == RowVersion();
     const bool stale = absent ? shard.updatedAt > sentAt : row.version < shard.version;
     if (shard.seen && stale) {
@@ -53,7 +53,7 @@
     evaluate(id, shard, now);
 }
 
-void Ownership::Private::evaluate(const ShardId &id, ShardState &shard, TimePoint now)
+void Ownership::Private::evaluate(const ShardId &id, ShardOwnership &shard, TimePoint now)
 {
     const bool mine = isMine(shard);
     if (shard.owned && (!mine || shard.row.epoch != *shard.owned)) {
@@ -76,7 +76,7 @@
     }
 }
 
-void Ownership::Private::gain(const ShardId &id, ShardState &shard, TimePoint now)
+void Ownership::Private::gain(const ShardId &id, ShardOwnership &shard, TimePoint now)
 {
     shard.owned = shard.row.epoch;
     shard.ownedSince = now;
@@ -85,7 +85,7 @@
     outputs.emplace_back(ShardGained{id, shard.row.epoch});
 }
 
-void Ownership::Private::lose(const ShardId &id, ShardState &shard)
+void Ownership::Private::lose(const ShardId &id, ShardOwnership &shard)
 {
     shard.givenUp = std::max(shard.givenUp, *shard.owned);
     shard.owned.reset();
@@ -109,12 +109,12 @@
 void Ownership::Private::presumeWritten(const Pending &operation, TimePoint now)
 {
     for (const ShardId &id : operation.shards) {
-        const ShardState &shard = shards[id];
+        const ShardOwnership &shard = shards[id];
         observeShard(id, Row{shardsTable, id.value(), shard.version.next(), shard.planned.toJson()}, now, now);
     }
 }
 
-bool Ownership::Private::isClaimable(const ShardState &shard) const
+bool Ownership::Private::isClaimable(const ShardOwnership &shard) const
 {
     if (!shard.wanted || !shard.seen || !shard.readable || shard.owned || shard.target || shard.unsettledSince || shard.writing) {
         return false;
@@ -125,7 +125,7 @@
     return watch.stateOf(shard.row.owner, shard.row.incarnation) != HolderState::Live;
 }
 
-Duration Ownership::Private::claimDelayOf(const ShardId &id, const ShardState &shard)
+Duration Ownership::Private::claimDelayOf(const ShardId &id, const ShardOwnership &shard)
 {
     if (shard.version > RowVersion() && shard.row.owner == settings.self.id) {
         return Duration(0);
@@ -140,7 +140,7 @@
     return rank == 0 ? Duration(0) : delayPerRank * std::min(rank, mostRanks) + random.upTo(delayPerRank / 2);
 }
 
-bool Ownership::Private::claimDue(const ShardId &id, ShardState &shard, TimePoint now)
+bool Ownership::Private::claimDue(const ShardId &id, ShardOwnership &shard, TimePoint now)
 {
     if (!isClaimable(shard)) {
         shard.claimableSince.reset();
@@ -182,7 +182,7 @@
     std::vector<RowWrite> writes{ownLeaseCheck()};
     std::set<DaemonId> guarded;
     for (const ShardId &id : ids) {
-        ShardState &shard = shards[id];
+        ShardOwnership &shard = shards[id];
         const DaemonId holder = shard.version == RowVersion() ? DaemonId() : shard.row.owner;
         const bool other = !holder.isEmpty() && holder != settings.self.id;
         const HolderState state = other ? watch.stateOf(holder, shard.row.incarnation) : HolderState::Superseded;
@@ -195,7 +195,7 @@
     return writes;
 }
 
-RowWrite Ownership::Private::shardWrite(const ShardId &id, ShardState &shard, const DaemonId &owner, Incarnation incarnation)
+RowWrite Ownership::Private::shardWrite(const ShardId &id, ShardOwnership &shard, const DaemonId &owner, Incarnation incarnation)
 {
     shard.writing = true;
     shard.planned = ShardRow{owner, incarnation, shard.highest.next(), nonces.next()};
--- a/src/core/shardhandovers.cpp
+++ b/src/core/shardhandovers.cpp
@@ -114,7 +114,7 @@
     }
     std::vector<RowWrite> writes{ownLeaseCheck()};
     for (const ShardId &id : due) {
-        ShardState &shard = shards[id];
+        ShardOwnership &shard = shards[id];
         writes.push_back(shardWrite(id, shard, *shard.target, incarnationOf(*shard.target)));
     }
     start(StoreTransact{OpId(), std::move(writes)}, OpKind::HandOver, due, now);
@@ -145,7 +145,7 @@
 bool Ownership::Private::hasShardsLeft() const
 {
     return std::any_of(shards.begin(), shards.end(), [&](const auto &entry) {
-        const ShardState &shard = entry.second;
+        const ShardOwnership &shard = entry.second;
         return shard.owned || shard.writing || (lease.held() && (shard.unsettledSince || isMine(shard)));
     });
 }
--- a/test/process/testprocess.cpp
+++ b/test/process/testprocess.cpp
@@ -118,6 +118,9 @@
     }
     void teardown() override
     {
+        if (fleet == nullptr) {
+            return; // The fleet did not start; setup() has reported it.
+        }
         fleet->setPlatformFault("none");
         STRCMP_EQUAL("[]", fleet->violations().dump().c_str());
     }
