--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t digestDigits = 64;
 constexpr std::size_t curveKeyLength = 40; // Of a Z85 key.
 constexpr std::size_t longestName = 64;
+constexpr Duration leaseScanInterval{1000}; // OwnershipSettings::scanInterval.
 
 /// What is wrong with one value, without its line; empty message: nothing.
 struct Fault {
@@ -354,6 +355,12 @@
                 "a lease would end before a lost renewal can be repeated",
                 "keep timeouts.store below half of leaseTerm minus leaseMargin");
     }
+    // The core reads the lease rows every second; a slower reading could miss the end of a lease.
+    if ((s.storeTimeout + leaseScanInterval) * 2 > s.leaseTerm) {
+        problem(lineOf("timeouts.leaseTerm"),
+                "the lease rows would be read too rarely to notice an expired lease",
+                "set timeouts.leaseTerm to at least twice the sum of timeouts.store and 1s");
+    }
     if (s.heartbeatInterval * 3 > s.peerTimeout) {
         problem(
             lineOf("timeouts.peer"), "a peer would count as gone after two lost heartbeats", "set timeouts.peer to at least three times timeouts.heartbeat");
--- a/test/daemon/testsettings.cpp
+++ b/test/daemon/testsettings.cpp
@@ -102,6 +102,12 @@
     CHECK_TRUE(contains(problemsOf(good + "timeouts: {leaseTerm: 2s, leaseMargin: 500ms}\n"), "a lease would end before"));
 }
 
+// Guards against settings that pass the check and that the core refuses at the start.
+TEST(Settings, RejectsALeaseTermThatTheCoreRefuses)
+{
+    CHECK_TRUE(contains(problemsOf(good + "timeouts: {leaseTerm: 3s, leaseMargin: 1s, store: 700ms}\n"), "read too rarely"));
+}
+
 // Guards against a second value that wins or loses by chance.
 TEST(Settings, RejectsAKeyThatIsSetTwice)
 {
--- a/test/process/testprocess.cpp
+++ b/test/process/testprocess.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-// Lease term and margin are 3 s and 1 s here; with the claim of the new owner and its first inventory a takeover stays below this.
+// Lease term and margin are 4 s and 1 s here; with the claim of the new owner and its first inventory a takeover stays below this.
 constexpr Millis takeoverBound{20000};
 constexpr Millis jobBound{10000};
 constexpr Millis withdrawalBound{5000}; // Invariant I3 with the default key bound.
