Give idle shards a spare part of unwanted room

Cause: in a store outage a team that had not worked in a shard before was refused with its limit used up although nothing of it ran, since an idle shard held none of the limit. Change: room that no shard wants goes to idle shards, at most a quarter of an equal part each; it moves as soon as another shard wants it. Ruled out: a standing minimum for each shard, which would keep a gang that needs the whole limit waiting for ever.

--- a/src/core/allotments.h
+++ b/src/core/allotments.h
@@ -15,6 +15,9 @@
 struct AllotmentSettings {
     std::uint64_t seed = 1;
     Duration refreshInterval{1000}; ///< Between two reads of the rows.
+    /// Room that no shard wants is given to idle shards, up to (limit / shards) / idleDivisor each, so that their first work can
+    /// start while the store is down. 0: idle shards hold nothing.
+    std::int64_t idleDivisor = 4;
     Duration operationTimeout{1500};
     bool growAfterConfirm = true; ///< Off only in tests, to show what the guard prevents: growth is used before the row has it.
     bool shrinkBeforeGrow = true; ///< Off only in tests: the smaller amount takes force only after the row has it.
--- a/src/core/allotmentteam.cpp
+++ b/src/core/allotmentteam.cpp
@@ -9,6 +9,14 @@
 
 namespace {
 
+Resources quotient(const Resources &amount, std::int64_t divisor)
+{
+    return Resources{MilliCores(amount.cpu.value() / divisor),
+                     MebiBytes(amount.memory.value() / divisor),
+                     Accelerators(amount.accelerators.value() / divisor),
+                     Slots(amount.slots.value() / divisor)};
+}
+
 /// A wish that has passed is forgotten after one to two of these spans.
 constexpr Duration peakSpan{2000};
 /// Shards that have published nothing yet count as wanting an equal part for this long, so that the first daemon of a cold start
@@ -167,13 +175,27 @@
         }
     }
     const std::vector<Resources> parts = divideFairly(m_limit, wishes);
+    const Resources spare = sparePart(parts);
     std::map<ShardId, Resources> result;
     for (std::size_t i = 0; i < order.size(); ++i) {
-        result.emplace(order[i], parts[i]);
+        result.emplace(order[i], larger(parts[i], spare));
     }
     return result;
 }
 
+Resources AllotmentTeam::sparePart(const std::vector<Resources> &parts) const
+{
+    if (m_settings.idleDivisor == 0) {
+        return {};
+    }
+    Resources left = m_limit;
+    for (const Resources &part : parts) {
+        left -= part;
+    }
+    const auto count = static_cast<std::int64_t>(std::max<std::size_t>(parts.size(), 1));
+    return quotient(left.clampedToZero(), count).limitedTo(quotient(m_limit, count * m_settings.idleDivisor));
+}
+
 void AllotmentTeam::lowerFor(const std::map<ShardId, Resources> &targets)
 {
     Resources shortage = (m_limit - sumOf(m_entries)).clampedToZero() * -1;
--- a/src/core/allotmentteam.h
+++ b/src/core/allotmentteam.h
@@ -83,6 +83,8 @@
     [[nodiscard]] Resources wish(const ShardId &shard) const;
     [[nodiscard]] AllotmentEntry entryOf(const ShardId &shard) const;
     [[nodiscard]] std::map<ShardId, Resources> targets(const AllotmentShards &shards, TimePoint now) const;
+    /// What a shard without wishes gets of room that no shard wants, so that its first work can start while the store is down.
+    [[nodiscard]] Resources sparePart(const std::vector<Resources> &parts) const;
     void lowerToLimit(TimePoint now);
     void lowerFor(const std::map<ShardId, Resources> &targets);
     void shrink(AllotmentEntries &entries) const;
