--- a/test/process/testprocess.cpp
+++ b/test/process/testprocess.cpp
@@ -130,6 +130,10 @@
                 return last == state;
             },
             bound);
+        if (last != state) {
+            UT_PRINT(fleet->asOperator(daemon, "GET", "/v1/status?scope=fleet&topic=explain/guides:" + id).body.c_str());
+            UT_PRINT(fleet->asOperator(daemon, "GET", "/v1/status?scope=fleet&topic=vms").body.c_str());
+        }
         STRCMP_EQUAL(state.c_str(), last.c_str());
     }
     /// Submits a job and waits until all its tasks run; the owner of its shard.
