--- a/bench/daemonrun.cpp
+++ b/bench/daemonrun.cpp
@@ -115,6 +115,7 @@
     core.self = daemon.info;
     core.seed = 1000 + index;
     core.syncInterval = Duration(m_settings.syncIntervalMs);
+    core.vmListInterval = Duration(m_settings.vmListIntervalMs);
     core.peerAddresses = {"10.0.0.0:7070"};
     daemon.core = std::move(DaemonCore::create(core, m_now)).value();
     m_daemons.push_back(std::move(daemon));
--- a/bench/daemonrun.h
+++ b/bench/daemonrun.h
@@ -16,6 +16,7 @@
     double jobsPerSecond = 0.0; ///< Submitted to the daemons in turn.
     std::uint32_t tasksPerJob = 900;
     std::int64_t syncIntervalMs = 250;
+    std::int64_t vmListIntervalMs = 1000;
 };
 
 /// Means over the measured span, per daemon of one role and second where not stated otherwise.
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -84,6 +84,7 @@
     run->add_option("--jobs", settings.jobsPerSecond, "jobs submitted per second");
     run->add_option("--tasks-per-job", settings.tasksPerJob, "tasks of each job");
     run->add_option("--interval", settings.syncIntervalMs, "sync interval in ms");
+    run->add_option("--vm-interval", settings.vmListIntervalMs, "interval of VM list reads in ms");
 }
 
 } // namespace
