--- a/test/matrix/checkers.h
+++ b/test/matrix/checkers.h
@@ -17,6 +17,7 @@
     /// Limits as they are in force; a lowered limit is passed once it must hold.
     std::map<TeamId, Resources> limits;
     std::vector<std::string> violations;
+    std::set<JobId> cancelled; ///< Jobs whose confirmed cancellation has reached the owner; none of their tasks may start.
 
     void taskStarted(const WorkerId &worker, const Resources &capacity, bool leavingTooLong, const TaskStart &start)
     {
@@ -27,6 +28,9 @@
         if (m_succeeded.count(place) > 0) {
             report("task " + start.id.text() + " started on " + worker.value() + " although it had succeeded");
         }
+        if (cancelled.count(start.id.job) > 0) {
+            report("task " + start.id.text() + " started after its confirmed cancellation");
+        }
         m_running[place].insert(worker);
         m_committed[worker] += start.demand;
         if (!m_committed[worker].fitsIn(capacity)) {
--- a/test/matrix/fakeworker.h
+++ b/test/matrix/fakeworker.h
@@ -18,6 +18,7 @@
     bool failsEverything = false;
     bool supportsEpochs = true;
     bool fences = true; ///< Off: accepts lower (epoch, sequence) pairs; shows what fencing prevents.
+    Slots busySlots; ///< Requests being served, as reported to the owner.
     TimePoint leavingSince = TimePoint::max();
 
     [[nodiscard]] const VmInfo &vm() const
@@ -46,6 +47,7 @@
         reply.supportsEpochs = supportsEpochs;
         reply.capacity = m_capacity;
         reply.connections = 60;
+        reply.busySlots = busySlots;
         reply.inventory = true;
         for (const auto &[id, task] : m_running) {
             reply.running.push_back(RunningTask{id, task.start.team, task.start.route, task.start.demand, task.start.demand, task.start.lease});
--- /dev/null
+++ b/test/matrix/testconfigmatrix.cpp
@@ -0,0 +1,258 @@
+// Keys and tables under faults: withdrawals stop a key in time, keyed work goes on only while no withdrawal can be missed,
+// accepted versions are in force in time and never go down, and of two operators one wins.
+#include "scenario.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdio>
+#include <string>
+#include <vector>
+
+using namespace KingCupLadder;
+using namespace KingCupLadder::Matrix;
+
+namespace {
+
+constexpr Duration bound{5000}; // Design page, section 3.9.
+constexpr std::size_t seedsPerFault = 10;
+const char *const secret = "secret of red";
+
+struct ConfigFault {
+    std::string name;
+    std::function<void(Fleet &)> inject;
+};
+
+std::vector<ConfigFault> configFaults()
+{
+    const auto delayed = [](Fleet &f) {
+        f.duplicateChance = 0.3;
+        f.peerJitter = Duration(1500);
+    };
+    return {
+        {"none", [](Fleet &) {}},
+        {"domains cut", [](Fleet &f) { f.cutBothWays("a", "b"); }},
+        {"one-way cut", [](Fleet &f) { f.cut("a", "b"); }},
+        {"other way cut", [](Fleet &f) { f.cut("b", "a"); }},
+        {"store down", [](Fleet &f) { f.storeDown = true; }},
+        {"answers lost", [](Fleet &f) { f.storeLosesAnswers = true; }},
+        {"heartbeats delayed", delayed},
+        {"domain b cut from store", [](Fleet &f) { f.cutBothWays("b", "store"); }},
+        {"domain b cut from all",
+         [](Fleet &f) {
+             f.cutBothWays("b", "store");
+             f.cutBothWays("a", "b");
+         }},
+        {"domain b cut from store and delayed",
+         [delayed](Fleet &f) {
+             f.cutBothWays("b", "store");
+             delayed(f);
+         }},
+        {"store slow", [](Fleet &f) { f.storeDelay = Duration(600); }},
+    };
+}
+
+bool accepted(const std::optional<CallerAnswer> &answer)
+{
+    return answer && answer->error.kind == ErrorKind::None;
+}
+
+bool identifies(Fleet &fleet, std::size_t daemon)
+{
+    return fleet.isUp(daemon) && static_cast<bool>(fleet.core(daemon).identify(secret, fleet.now()));
+}
+
+void giveKey(Fleet &fleet)
+{
+    TeamKey key;
+    key.id = KeyId("key1");
+    key.team = TeamId("red");
+    key.digest = keyDigest(secret);
+    if (!accepted(fleet.await(0, fleet.core(0).giveKey(key, fleet.now()), Duration(8000)))) {
+        fleet.checkers.report("the key was not given");
+    }
+    fleet.run(Duration(4000));
+}
+
+std::string firstOf(const Fleet &fleet)
+{
+    return fleet.checkers.violations.empty() ? std::string() : fleet.checkers.violations.front();
+}
+
+/// Withdraws the key under the fault and watches every daemon that is up, cut off or not.
+std::string withdrawUnder(const ConfigFault &fault, std::uint64_t seed, std::size_t &confirmed)
+{
+    FleetOptions options;
+    options.seed = seed;
+    Fleet fleet(options);
+    settle(fleet, 8);
+    giveKey(fleet);
+    for (std::size_t i = 0; i < fleet.daemonCount(); ++i) {
+        if (!identifies(fleet, i)) {
+            fleet.checkers.report("the key is not known at daemon " + std::to_string(i));
+        }
+    }
+    fault.inject(fleet);
+    fleet.run(Duration(static_cast<std::int64_t>(seed * 700 % 9000)));
+    const std::size_t operatorsDaemon = seed % fleet.daemonCount();
+    const OpId op = fleet.core(operatorsDaemon).withdrawKey(KeyId("key1"), fleet.now());
+    const bool taken = accepted(fleet.await(operatorsDaemon, op, Duration(10000)));
+    confirmed += taken ? 1 : 0;
+    for (int second = 0; taken && second < 150; ++second) {
+        fleet.run(Duration(100));
+        for (std::size_t i = 0; i < fleet.daemonCount() && Duration(100) * (second + 1) > bound; ++i) {
+            if (identifies(fleet, i)) {
+                fleet.checkers.report("the withdrawn key works at daemon " + std::to_string(i) + " " + std::to_string(second + 1) + "00 ms later");
+            }
+        }
+    }
+    return firstOf(fleet);
+}
+
+/// A newer table version is accepted under the fault; the daemons that reach the store or the writer must have it in time.
+std::string applyUnder(const ConfigFault &fault, std::uint64_t seed, std::size_t &confirmed)
+{
+    FleetOptions options;
+    options.seed = seed;
+    Fleet fleet(options);
+    settle(fleet, 8);
+    const bool cutOff = fault.name == "domain b cut from all";
+    fault.inject(fleet);
+    fleet.run(Duration(static_cast<std::int64_t>(seed * 300 % 3000)));
+    const std::size_t writer = seed % fleet.daemonCount();
+    const ConfigVersion before = fleet.core(writer).tablesVersion();
+    const OpId op = fleet.core(writer).applyTables(before, routesOfScenario(), poolsOfScenario(9), fleet.now());
+    const auto answer = fleet.await(writer, op, Duration(10000));
+    if (accepted(answer)) {
+        ++confirmed;
+        const ConfigVersion version = std::get<ConfigAccepted>(answer->body).version;
+        fleet.run(bound);
+        for (std::size_t i = 0; i < fleet.daemonCount(); ++i) {
+            const bool reachable = !cutOff || fleet.domainOf(i) == fleet.domainOf(writer);
+            if (reachable && fleet.core(i).tablesVersion() < version) {
+                fleet.checkers.report("daemon " + std::to_string(i) + " has an older version 5 s after it was accepted");
+            }
+        }
+    }
+    fleet.run(Duration(3000));
+    healEverything(fleet);
+    fleet.run(Duration(8000));
+    return firstOf(fleet);
+}
+
+/// Two operators apply different tables to the same version at two daemons.
+std::string raceUnder(const ConfigFault &fault, std::uint64_t seed, std::size_t &wins)
+{
+    FleetOptions options;
+    options.seed = seed;
+    Fleet fleet(options);
+    settle(fleet, 8);
+    const ConfigVersion before = fleet.core(0).tablesVersion();
+    fault.inject(fleet);
+    const std::string first = poolsOfScenario(11);
+    const std::string second = poolsOfScenario(12);
+    const OpId opFirst = fleet.core(0).applyTables(before, routesOfScenario(), first, fleet.now());
+    const OpId opSecond = fleet.core(1).applyTables(before, routesOfScenario(), second, fleet.now());
+    const auto answerFirst = fleet.await(0, opFirst, Duration(15000));
+    const auto answerSecond = fleet.await(1, opSecond, Duration(15000));
+    healEverything(fleet);
+    fleet.run(Duration(8000));
+    const std::string inForce = fleet.core(2).poolsYaml();
+    const auto check = [&](const std::optional<CallerAnswer> &answer, const std::string &own) {
+        if (!answer) {
+            fleet.checkers.report("an operator got no answer");
+        } else if (accepted(answer) && inForce != own) {
+            fleet.checkers.report("an operator was told that the tables are accepted and they are not in force");
+        } else if (!accepted(answer) && answer->ran == Ran::NotRun && inForce == own) {
+            fleet.checkers.report("an operator was told that the tables are not accepted and they are in force");
+        }
+    };
+    check(answerFirst, first);
+    check(answerSecond, second);
+    if (accepted(answerFirst) && accepted(answerSecond)) {
+        fleet.checkers.report("both operators won");
+    }
+    const bool won = accepted(answerFirst) || accepted(answerSecond);
+    wins += won ? 1 : 0;
+    if (!won && fault.name == "none") {
+        fleet.checkers.report("no operator won without a fault");
+    }
+    return firstOf(fleet);
+}
+
+using Run = std::function<std::string(const ConfigFault &, std::uint64_t, std::size_t &)>;
+
+void overAllFaults(const char *title, const Run &run)
+{
+    std::string failures;
+    std::size_t runs = 0;
+    std::size_t accepts = 0;
+    for (const ConfigFault &fault : configFaults()) {
+        for (std::size_t i = 0; i < seedsPerFault; ++i) {
+            const std::uint64_t seed = seedFromEnvironment() * 1000 + i;
+            const std::string violation = run(fault, seed, accepts);
+            ++runs;
+            if (!violation.empty()) {
+                failures += "\n  [" + fault.name + "] " + violation + repeatWith("ConfigMatrix", seed);
+            }
+        }
+    }
+    std::printf("%s: %zu runs, %zu with an accepted change\n", title, runs, accepts);
+    STRCMP_EQUAL("", failures.c_str());
+}
+
+} // namespace
+
+TEST_GROUP(ConfigMatrix){};
+
+TEST(ConfigMatrix, AWithdrawnKeyStopsEverywhereWithinFiveSeconds)
+{
+    overAllFaults("withdrawals", withdrawUnder);
+}
+
+TEST(ConfigMatrix, AcceptedTablesAreInForceWithinFiveSecondsAndNeverGoDown)
+{
+    overAllFaults("tables", applyUnder);
+}
+
+TEST(ConfigMatrix, OfTwoOperatorsOneWinsAndNoneIsToldAFalsehood)
+{
+    overAllFaults("two operators", raceUnder);
+}
+
+TEST(ConfigMatrix, KeyedWorkGoesOnInAStoreOutageWhileAllDomainsAreHeard)
+{
+    FleetOptions options;
+    options.seed = seedFromEnvironment();
+    Fleet fleet(options);
+    settle(fleet, 8);
+    giveKey(fleet);
+    fleet.storeDown = true;
+    fleet.run(Duration(10000));
+    for (int step = 0; step < 600; ++step) {
+        fleet.run(Duration(100));
+        for (std::size_t i = 0; i < fleet.daemonCount(); ++i) {
+            if (!identifies(fleet, i)) {
+                fleet.checkers.report("daemon " + std::to_string(i) + " refuses the key in an outage, " + std::to_string(step) + "00 ms after its first 10 s"
+                                      + repeatWith("ConfigMatrix", options.seed));
+            }
+        }
+    }
+    STRCMP_EQUAL("", firstOf(fleet).c_str());
+}
+
+TEST(ConfigMatrix, KeyedWorkIsRefusedWhereAWithdrawalMayBeMissed)
+{
+    FleetOptions options;
+    options.seed = seedFromEnvironment();
+    Fleet fleet(options);
+    settle(fleet, 8);
+    giveKey(fleet);
+    fleet.cutBothWays("b", "store");
+    fleet.cutBothWays("a", "b");
+    fleet.run(bound + Duration(1000));
+    const auto refused = fleet.core(1).identify(secret, fleet.now());
+    const std::string repeat = repeatWith("ConfigMatrix", options.seed);
+    CHECK_FALSE_TEXT(static_cast<bool>(refused), ("the daemon that is cut off accepts the key" + repeat).c_str());
+    CHECK_TRUE_TEXT(refused.reason().kind == ErrorKind::Unavailable, ("the reason is not an outdated key list" + repeat).c_str());
+    CHECK_TRUE_TEXT(identifies(fleet, 0), ("the daemon that reaches the store refuses the key" + repeat).c_str());
+}
