--- a/test/matrix/testgrantmatrix.cpp
+++ b/test/matrix/testgrantmatrix.cpp
@@ -229,8 +229,8 @@
         }
     }
     std::printf("grants: %zu runs, %zu grants, at most %lld in use on one worker\n", runs, granted, static_cast<long long>(mostInUse));
-    CHECK_TRUE_TEXT(mostInUse == slotsPerWorker, ("no run used all slots of a worker" + repeatWith("GrantMatrix", seedFromEnvironment() * 1000)).c_str());
     STRCMP_EQUAL("", failures.c_str());
+    CHECK_TRUE_TEXT(mostInUse == slotsPerWorker, ("no run used all slots of a worker" + repeatWith("GrantMatrix", seedFromEnvironment() * 1000)).c_str());
 }
 
 // Guards against a non-idempotent request that is sent by two daemons.
