--- a/test/matrix/testguards.cpp
+++ b/test/matrix/testguards.cpp
@@ -23,6 +23,7 @@
     Scenario scenario;
     std::vector<std::string> kinds; ///< Parts of the violations that the guard prevents.
     std::size_t domains = 2;
+    std::size_t runs = runsPerGuard;
 };
 
 void submitIfUp(Fleet &fleet, std::size_t daemon, const JobSpec &job)
@@ -179,7 +180,7 @@
     std::string with;
     std::size_t runsWithout = 0;
     std::size_t runsWith = 0;
-    for (std::size_t run = 0; run < runsPerGuard; ++run) {
+    for (std::size_t run = 0; run < guard.runs; ++run) {
         const std::uint64_t seed = seedFromEnvironment() * 1000 + run;
         runsWithout += violationsOf(guard, true, seed, without) > 0 ? 1 : 0;
         runsWith += violationsOf(guard, false, seed, with) > 0 ? 1 : 0;
@@ -187,7 +188,7 @@
     std::printf("guard %s: violated in %zu of %zu runs without it, in %zu with it; first without: %s; first with: %s\n",
                 guard.name.c_str(),
                 runsWithout,
-                runsPerGuard,
+                guard.runs,
                 runsWith,
                 without.c_str(),
                 with.c_str());
@@ -215,7 +216,7 @@
 TEST(Guards, ProofOfStopKeepsATaskFromRunningTwiceWhenItsWorkerIsUnreachable)
 {
     const auto silent = [](Fleet &fleet, std::mt19937_64 &) { takeOverWithSilentWorker(fleet, 100); };
-    checkGuard({"proof of stop", [](CoreGuards &g) { g.shard.proveStoppedBeforeRestart = false; }, silent, placementKinds});
+    checkGuard({"proof of stop", [](CoreGuards &g) { g.shard.proveStoppedBeforeRestart = false; }, silent, placementKinds, 2, 40});
 }
 
 // Listed in KNOWN-RED.txt: the limit is passed with the guard on, too.
@@ -232,7 +233,7 @@
 
 TEST(Guards, GrowthAfterConfirmationKeepsATeamWithinItsLimit)
 {
-    checkGuard({"grow after confirm", [](CoreGuards &g) { g.growAfterConfirm = false; }, loadMovesBetweenShards, limitKinds});
+    checkGuard({"grow after confirm", [](CoreGuards &g) { g.growAfterConfirm = false; }, loadMovesBetweenShards, limitKinds, 2, 32});
 }
 
 TEST(Guards, ShrinkBeforeGrowKeepsATeamWithinItsLimit)
