Count refused wishes of other daemons as wanted

Cause: a team whose first requests came through a daemon without shards was refused for its allotment for ever, since the owner counted only wishes that wait at itself. Change: a wish of a peer that was refused for the allotment counts as wanted for 2 s.

--- a/src/core/daemoncore_p.h
+++ b/src/core/daemoncore_p.h
@@ -62,6 +62,12 @@
         TimePoint until{};
     };
 
+    /// The last request of a team that a shard refused for its allotment; other daemons repeat their wishes while they wait.
+    struct RefusedWish {
+        Resources demand;
+        TimePoint until{}; ///< Counts as wanted before this moment.
+    };
+
     /// The state of a shard as its owner reports it in heartbeats.
     struct RemoteShard {
         DaemonId owner;
@@ -97,6 +103,7 @@
     std::unordered_map<JobId, Cancellation> cancellations;
     /// Jobs whose end was recorded here lately. A row that was read before the end is not taken for a waiting job.
     std::unordered_map<JobId, TimePoint> endedLately;
+    std::map<std::pair<ShardId, TeamId>, RefusedWish> refusedWishes;
     std::map<OpId, Gathering> gatherings;
     std::unordered_map<DaemonId, HeartbeatEcho> echoes; ///< Newest stamp of each peer.
     std::map<ShardId, RemoteShard> remoteShards;
@@ -141,6 +148,7 @@
     void takeJobs(Shard &shard, Epoch admittedFor, const std::vector<JobRecord> &records, TimePoint now);
     void enqueueHere(Shard &shard, const JobSpec &spec, TimePoint now);
     void recordJob(const ShardId &shard, const RecordJob &record, TimePoint now);
+    void rememberEnd(const JobId &job, TimePoint now);
     void onJobRecorded(const JobRecorded &recorded, TimePoint now);
     void onRecordRefused(const JobRecordRefused &refused, TimePoint now);
     void answerCancellation(const JobId &job, JobState state, TimePoint now);
--- a/src/core/daemoncorepeers.cpp
+++ b/src/core/daemoncorepeers.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Duration endMemory{60000}; // Longer than a read of the store can be under way.
+constexpr Duration refusalMemory{2000}; // Longer than the pause between two tries of a waiting wish.
 
 template<typename... Handlers>
 struct Overloaded : Handlers... {
@@ -177,6 +177,9 @@
             reply.grant = std::move(grant).value();
         } else {
             reply.error = grant.reason();
+            if (reply.error.kind == ErrorKind::LimitReached) {
+                refusedWishes[{request.shard, request.wish.team}] = RefusedWish{request.wish.demand, now + refusalMemory};
+            }
         }
     }
     sendPeer(from, std::move(reply));
@@ -214,7 +217,7 @@
 {
     Shard *owned = shard(id);
     for (const JobId &job : cancelled) {
-        endedLately[job] = now + endMemory;
+        rememberEnd(job, now);
         if (owned != nullptr) {
             owned->controller->cancel(job, now);
         }
--- a/src/core/daemoncoreshards.cpp
+++ b/src/core/daemoncoreshards.cpp
@@ -12,6 +12,7 @@
 constexpr Duration rescanRetry{1000};
 constexpr Duration handOverTimeout{4000}; // A hand-over that is not done by then is given up, and the shard goes on here.
 constexpr Duration endMemory{60000}; // Longer than a read of the store can be under way.
+constexpr std::int64_t remoteWishes = 8; // Requests that are counted for daemons whose wishes were refused; grows with each round.
 constexpr std::size_t maxKeysPerRead = 200;
 
 std::vector<std::string> jobKeys(const ShardId &shard, const std::vector<Row> &rows)
@@ -291,10 +292,15 @@
     admission->record(record.job, record.state, record.reason, now, RowFence{"shards", id.value(), owned});
 }
 
+void DaemonCore::Private::rememberEnd(const JobId &job, TimePoint now)
+{
+    endedLately[job] = now + endMemory;
+}
+
 void DaemonCore::Private::onJobRecorded(const JobRecorded &recorded, TimePoint now)
 {
     if (isFinal(recorded.state)) {
-        endedLately[recorded.job] = now + endMemory;
+        rememberEnd(recorded.job, now);
     }
     const auto waiting = recording.find(recorded.job);
     if (waiting != recording.end()) {
@@ -316,7 +322,7 @@
         // The stored end of the job stands: what still runs of it is stopped.
         const bool ended = !refused.fenced && (!refused.stored || isFinal(*refused.stored));
         if (owned != nullptr && ended) {
-            endedLately[refused.job] = now + endMemory;
+            rememberEnd(refused.job, now);
             owned->controller->cancel(refused.job, now);
         }
     }
@@ -361,7 +367,10 @@
         for (const Team &team : knownTables->teams()) {
             const TeamUse &use = uses[team.id];
             const Resources used = use.running + use.reservedUnread;
-            needs.push_back(AllotmentNeed{id, team.id, used, used + use.queuedDemand + grants.waitingDemand(team.id, pool), !owned.everRead});
+            const auto refused = refusedWishes.find({id, team.id});
+            const bool wished = refused != refusedWishes.end() && now < refused->second.until;
+            const Resources remote = wished ? refused->second.demand * remoteWishes : Resources{};
+            needs.push_back(AllotmentNeed{id, team.id, used, used + use.queuedDemand + grants.waitingDemand(team.id, pool) + remote, !owned.everRead});
         }
     }
     allotments.setNeeds(needs, now);
