--- a/test/process/fleet.cpp
+++ b/test/process/fleet.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -222,6 +223,8 @@
     const int log = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     m_pid = fork();
     if (m_pid == 0) {
+        // A test program that is killed would otherwise leave its processes behind.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
         execv(pointers.front(), pointers.data());
