Make dot product the default placement rule of a shard

Cause: docs/placement.md recommends dot product, ShardSettings::rule was best fit. Conclusion: dot product meets the urgent bound on both mixes; it takes longer for gangs at hardanger.

--- a/src/core/shardcontroller.h
+++ b/src/core/shardcontroller.h
@@ -33,7 +33,7 @@
     Duration urgentBound{2100}; ///< Urgent work starts within this span.
     Duration gangTimeout{10000}; ///< A reservation for an all-at-once job is given up after this span.
     Duration inventoryInterval{5000}; ///< Between two inventories of a worker that answers.
-    PlacementRule rule = PlacementRule::BestFit;
+    PlacementRule rule = PlacementRule::DotProduct; ///< Lowest urgent waits on both deployments; see docs/placement.md.
     Resources largestWorker; ///< The largest VM of the pool if it is known; zero: the largest that was read.
     ShardGuards guards;
 };
