Update a shard's workers only when something changed

Cause: every 100 ms the whole VM list was sorted into shards, which cost an idle daemon about 3% of a core at 7,800 workers. Change: workers are updated by a new VM list, by tables, and when the lease or the set of leaving VMs changes. The last linter findings are mended.

--- a/src/core/daemoncore.cpp
+++ b/src/core/daemoncore.cpp
@@ -266,7 +266,7 @@
         d->ownership->setLivePeers(d->membership.livePeers(now), now);
         d->membership.onRegistered(d->ownership->registered(), now);
         d->noticeLostPeers(now);
-        d->updateWorkers(now);
+        d->updateWorkersIfChanged(now);
         d->updateAllotmentNeeds(now);
         d->expireCancellations(now);
         d->finishGatherings(now);
--- a/src/core/daemoncore_p.h
+++ b/src/core/daemoncore_p.h
@@ -113,6 +113,8 @@
     TimePoint vmListSent{}; ///< Of the request in flight.
     TimePoint vmListTaken{}; ///< Sending time of the request whose list is in force.
     TimePoint nextSlowTick{};
+    bool workersUnderLease = false; ///< Whether the lease was confirmed at the last updateWorkers().
+    std::size_t leavingTaken = 0; ///< Leaving VMs at the last updateWorkers().
     std::shared_ptr<const Tables> knownTables;
 
     OpId newOp();
@@ -142,6 +144,8 @@
     void startHandOver(const HandOverWanted &wanted, TimePoint now);
     void updateWantedShards(TimePoint now);
     void updateWorkers(TimePoint now);
+    /// For what changes without a new list: the lease, and VMs that peers report as leaving.
+    void updateWorkersIfChanged(TimePoint now);
     void scanQueue(const ShardId &shard, TimePoint now);
     void onQueueRows(const ShardId &shard, Epoch epoch, std::uint64_t scan, const StoreReply &reply, TimePoint now);
     void takeJobRows(const ShardId &shard, Epoch epoch, const StoreReply &reply, TimePoint now);
--- a/src/core/daemoncoreshards.cpp
+++ b/src/core/daemoncoreshards.cpp
@@ -164,6 +164,8 @@
         }
     }
     const bool confirmed = ownership->leaseConfirmed(now);
+    workersUnderLease = confirmed;
+    leavingTaken = membership.leavingVms().size();
     for (auto &[id, owned] : shards) {
         // A worker is taken on only from a list that was requested after the shard was gained and under a confirmed lease.
         // Otherwise a stale owner could start work on a VM that a newer owner does not know of.
@@ -184,6 +186,13 @@
     }
 }
 
+void DaemonCore::Private::updateWorkersIfChanged(TimePoint now)
+{
+    if (ownership->leaseConfirmed(now) != workersUnderLease || membership.leavingVms().size() != leavingTaken) {
+        updateWorkers(now);
+    }
+}
+
 void DaemonCore::Private::scanQueue(const ShardId &id, TimePoint now)
 {
     Shard *owned = shard(id);
--- a/test/process/fleet.cpp
+++ b/test/process/fleet.cpp
@@ -180,7 +180,7 @@
     static int next = static_cast<int>(getpid()) % portCount;
     while (true) {
         next = (next + 1) % portCount;
-        const std::string text = "127.0.0.1:" + std::to_string(firstPort + next);
+        std::string text = "127.0.0.1:" + std::to_string(firstPort + next);
         const Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
         const sockaddr_in address = addressOf(text);
         if (bind(socket.get(), reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0) {
@@ -216,6 +216,7 @@
 Process::Process(const std::vector<std::string> &arguments, const std::string &logFile)
 {
     std::vector<char *> pointers;
+    pointers.reserve(arguments.size() + 1);
     for (const std::string &argument : arguments) {
         pointers.push_back(const_cast<char *>(argument.c_str()));
     }
@@ -294,7 +295,7 @@
         return "LADDER_BUILD_DIR is not set or there is no temporary folder";
     }
     for (const auto &step : {&Fleet::startStandIns, &Fleet::startDaemons, &Fleet::configure}) {
-        const std::string failure = (this->*step)();
+        std::string failure = (this->*step)();
         if (!failure.empty()) {
             return failure;
         }
