--- a/src/core/daemoncorestatus.cpp
+++ b/src/core/daemoncorestatus.cpp
@@ -48,7 +48,10 @@
         }
         return text({{"id", settings.self.id.value()},
                      {"domain", settings.self.domain.value()},
-                     {"http", settings.self.httpAddress},
+                     {"httpAddress", settings.self.httpAddress},
+                     {"ready", !stopping && knownTables != nullptr},
+                     {"tables", config.version(ConfigKind::Tables).value()},
+                     {"keys", config.version(ConfigKind::Keys).value()},
                      {"stopping", stopping},
                      {"leaseConfirmed", ownership->leaseConfirmed(now)},
                      {"storeAgeMs", storeAge(now).count()},
--- a/src/core/shardcontroller.cpp
+++ b/src/core/shardcontroller.cpp
@@ -267,7 +267,7 @@
 {
     const ShardJob *job = d->state.job(id);
     if (job == nullptr) {
-        return "not known to this shard";
+        return d->state.finished.count(id) > 0 ? "it has ended" : "not known to this shard";
     }
     if (job->closing) {
         return std::string(toString(*job->closing)) + (job->reason.empty() ? "" : ": " + job->reason);
--- a/src/daemon/slo.cpp
+++ b/src/daemon/slo.cpp
@@ -99,11 +99,11 @@
     for (const SloReport &report : reports(now)) {
         list.push_back({{"route", report.route.value()},
                         {"team", report.team.value()},
-                        {"targetWaitMs", report.objective.targetWait.count()},
+                        {"targetMs", report.objective.targetWait.count()},
                         {"share", report.objective.share},
                         {"windowMs", report.objective.window.count()},
                         {"good", report.good},
-                        {"bad", report.bad},
+                        {"total", report.good + report.bad},
                         {"shortGood", report.shortGood},
                         {"shortBad", report.shortBad},
                         {"budgetUsed", report.budgetUsed},
@@ -111,7 +111,7 @@
                         {"burnLong", report.burnLong},
                         {"exhaustionMs", report.exhaustion ? nlohmann::json(report.exhaustion->count()) : nlohmann::json()}});
     }
-    return dumpJson({{"daemon", daemon.value()}, {"objectives", std::move(list)}});
+    return dumpJson({{"daemon", daemon.value()}, {"routes", std::move(list)}});
 }
 
 } // namespace KingCupLadder
--- a/test/daemon/testslo.cpp
+++ b/test/daemon/testslo.cpp
@@ -1,5 +1,7 @@
 #include "daemon/slo.h"
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace KingCupLadder;
@@ -74,3 +76,13 @@
     count(1, 0, start);
     LONGS_EQUAL(0, report(start).bad);
 }
+
+// Guards against a report that kingcupladderctl can't read.
+TEST(Slo, JsonHasTheFieldsOfTheReport)
+{
+    slo.count(RouteName("r"), TeamId("t"), objective, true, start);
+    const auto json = nlohmann::json::parse(slo.toJson(DaemonId("d"), start));
+    const auto &row = json.at("routes").at(0);
+    LONGS_EQUAL(100, row.at("targetMs").get<int>());
+    LONGS_EQUAL(1, row.at("total").get<int>());
+}
