--- /dev/null
+++ b/src/cell/celljob.cpp
@@ -0,0 +1,89 @@
+// Checks and sums over the steps of a job.
+#include "celljob.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+Error stepError(std::size_t step, const std::string &what, const std::string &remedy)
+{
+    return {ErrorKind::InvalidInput, "step " + std::to_string(step) + " " + what, remedy};
+}
+
+} // namespace
+
+Result<bool> checkJob(const CellJob &job)
+{
+    if (job.id.isEmpty()) {
+        return Error{ErrorKind::InvalidInput, "the job has no id", "send the id as the last part of the path"};
+    }
+    if (job.steps.empty() || job.steps.size() > maxStepsPerJob) {
+        return Error{ErrorKind::InvalidInput, "the job has no steps or too many", "send 1 to " + std::to_string(maxStepsPerJob) + " steps"};
+    }
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+        const StepSpec &step = job.steps[i];
+        if (step.count < 1 || step.count > maxTasksPerStep) {
+            return stepError(i, "has no tasks or too many", "send a count of 1 to " + std::to_string(maxTasksPerStep));
+        }
+        const bool ordered = std::all_of(step.after.begin(), step.after.end(), [i](int before) { return before >= 0 && before < static_cast<int>(i); });
+        if (!ordered) {
+            return stepError(i, "waits for a step that does not come before it", "name only earlier steps, counted from 0");
+        }
+        if (step.demand.cpu.value() < 0 || step.demand.memory.value() < 0 || step.demand.accelerators.value() < 0) {
+            return stepError(i, "has a negative demand", "send amounts of zero or more");
+        }
+    }
+    return true;
+}
+
+Duration longestChain(const std::vector<StepSpec> &steps)
+{
+    std::vector<Duration> ends;
+    Duration longest{0};
+    for (const StepSpec &step : steps) {
+        Duration begin{0};
+        for (const int before : step.after) {
+            begin = std::max(begin, ends.at(static_cast<std::size_t>(before)));
+        }
+        ends.push_back(begin + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+std::int64_t workOf(const std::vector<StepSpec> &steps)
+{
+    std::int64_t sum = 0;
+    for (const StepSpec &step : steps) {
+        sum += step.count * step.demand.cpu.value() * step.estimate.count() / 1000;
+    }
+    return sum;
+}
+
+const char *toString(CellJobState state)
+{
+    switch (state) {
+    case CellJobState::Pending:
+        return "pending";
+    case CellJobState::Active:
+        return "active";
+    case CellJobState::Succeeded:
+        return "succeeded";
+    case CellJobState::Failed:
+        return "failed";
+    case CellJobState::Cancelled:
+        return "cancelled";
+    case CellJobState::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+bool isFinal(CellJobState state)
+{
+    return state == CellJobState::Succeeded || state == CellJobState::Failed || state == CellJobState::Cancelled;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/cell/cellplacement.cpp
@@ -0,0 +1,432 @@
+// Placement of waiting tasks and gangs by CellScheduler.
+#include "cellscheduler_p.h"
+
+#include <algorithm>
+#include <climits>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr int lateTier = 50; // Work that can still be on time goes before work that is late.
+constexpr int excessTier = 100; // Work beyond a workspace's rate goes last.
+constexpr Duration ticketMargin{60}; // A start has to reach the worker before its ticket runs out.
+constexpr Duration renewAhead{250}; // Tickets of a gang that could start soon are renewed this much earlier than needed.
+constexpr int mostReservations = 4; // Gangs that hold room back from later work.
+constexpr std::size_t mostNamed = 100; // Workers that one advice call may name.
+constexpr std::size_t renewedAtOnce = 8; // Workers for which single tasks renew their tickets.
+constexpr int spareChoice = 8; // Workers that are asked about beyond what the tasks need.
+constexpr int workersPerTask = 4; // A policy may allow a third of the workers, and some of these are full.
+constexpr Duration adviceRetry{150};
+constexpr Duration overrunStep{200}; // A run past its expected end is expected to go on for about this time.
+constexpr Duration repairTerm{1200}; // A member of a gang that was refused may go to another worker for so long.
+constexpr Duration prefetchSlack{150};
+constexpr Duration adviceTransit{200}; // An answer rarely takes longer from the service to here.
+
+} // namespace
+
+/// One round of placement.
+struct CellScheduler::Pass {
+    CellOrders &orders;
+    CellTime time;
+    Reservations reservations;
+    int reserved = 0;
+    std::map<WorkerId, std::vector<Release>> releases; ///< Filled on demand.
+};
+
+const AdviceTerms *CellScheduler::adviceTerms(const StepRun &step) const
+{
+    const CellRoute *route = m_config->route(step.job->job.route);
+    return route != nullptr && route->advice ? &*route->advice : nullptr;
+}
+
+std::pair<int, TimePoint> CellScheduler::orderKey(const StepRun &step, TimePoint now) const
+{
+    const CellRoute *route = m_config->route(step.job->job.route);
+    const JobEntry &entry = *step.job;
+    const TimePoint onTimeBy = entry.onTimeBy + entry.job.interval * step.ref.occurrence;
+    Duration rest = step.spec->estimate;
+    for (std::size_t i = static_cast<std::size_t>(step.ref.step) + 1; i < entry.job.steps.size(); ++i) {
+        const std::vector<int> &after = entry.job.steps[i].after;
+        if (std::find(after.begin(), after.end(), step.ref.step) != after.end()) {
+            rest += entry.job.steps[i].estimate;
+        }
+    }
+    const TimePoint latestStart = onTimeBy - rest;
+    int tier = route != nullptr ? route->priority : 0;
+    tier += now > latestStart && !step.spec->longRunning ? lateTier : 0;
+    tier += entry.excess ? excessTier : 0;
+    return {tier, latestStart};
+}
+
+bool CellScheduler::isEligible(const StepRun &step, const Worker &worker) const
+{
+    const CellRoute *route = m_config->route(step.job->job.route);
+    if (route == nullptr || worker.info.upstream != route->upstream) {
+        return false;
+    }
+    const std::vector<std::string> &labels = worker.info.labels;
+    const std::string &required = step.spec->requiredLabel;
+    return (required.empty() || std::find(labels.begin(), labels.end(), required) != labels.end()) && step.spec->demand.fitsIn(worker.info.capacity);
+}
+
+bool CellScheduler::isWithinMaximum(const StepRun &step, int tasks) const
+{
+    const Workspace *workspace = m_config->workspace(step.job->job.workspace);
+    if (workspace == nullptr) {
+        return true;
+    }
+    const auto used = m_usage.find(step.job->job.workspace);
+    const Resources after = (used == m_usage.end() ? Resources{} : used->second) + step.spec->demand * tasks;
+    const Resources &most = workspace->maximum;
+    const bool cpu = most.cpu.value() <= 0 || after.cpu <= most.cpu;
+    const bool memory = most.memory.value() <= 0 || after.memory <= most.memory;
+    const bool accelerators = most.accelerators.value() <= 0 || after.accelerators <= most.accelerators;
+    return cpu && memory && accelerators;
+}
+
+std::vector<WorkerRoom> CellScheduler::roomsFor(StepRun &step, Pass &pass, bool needTicket)
+{
+    std::vector<WorkerRoom> rooms;
+    const bool advised = adviceTerms(step) != nullptr;
+    for (const auto &[id, worker] : m_workers.all()) {
+        if (!m_workers.isUsable(worker, pass.time.now) || !isEligible(step, worker)) {
+            continue;
+        }
+        if (advised) {
+            const auto ticket = step.advice.good.find(id);
+            if (ticket == step.advice.good.end() || (needTicket && ticket->second.validUntil < pass.time.now + ticketMargin)) {
+                continue;
+            }
+        }
+        WorkerRoom room{id, worker.free(), INT_MAX, worker.speed, {}};
+        if (step.spec->maxPerWorker > 0) {
+            const auto first = worker.runs.lower_bound({TaskRef{step.ref, 0}, RunNumber()});
+            int present = 0;
+            for (auto run = first; run != worker.runs.end() && run->first.first.step == step.ref; ++run) {
+                ++present;
+            }
+            room.maxTasks = std::max(step.spec->maxPerWorker - present, 0);
+        }
+        auto cached = pass.releases.find(id);
+        if (cached == pass.releases.end()) {
+            std::vector<Release> releases;
+            for (const auto &[key, run] : worker.runs) {
+                const TimePoint soonest =
+                    run.phase == RunPhase::Stopping ? pass.time.now + overrunStep : std::max(run.expectedEnd, pass.time.now + overrunStep);
+                releases.push_back(Release{soonest, run.demand});
+            }
+            std::sort(releases.begin(), releases.end(), [](const Release &a, const Release &b) { return a.at < b.at; });
+            cached = pass.releases.emplace(id, std::move(releases)).first;
+        }
+        room.releases = cached->second;
+        rooms.push_back(std::move(room));
+    }
+    return rooms;
+}
+
+void CellScheduler::place(CellOrders &orders, const CellTime &time)
+{
+    std::vector<StepRun *> steps = m_jobs.waitingSteps();
+    std::vector<std::pair<std::pair<int, TimePoint>, StepRun *>> ordered;
+    ordered.reserve(steps.size());
+    for (StepRun *step : steps) {
+        if (m_config->route(step->job->job.route) != nullptr && !step->job->unlocated) {
+            ordered.emplace_back(orderKey(*step, time.now), step);
+        }
+    }
+    std::sort(
+        ordered.begin(), ordered.end(), [](const auto &a, const auto &b) { return a.first != b.first ? a.first < b.first : a.second->ref < b.second->ref; });
+    Pass pass{orders, time, {}, 0, {}};
+    for (const auto &[key, step] : ordered) {
+        if (adviceTerms(*step) != nullptr && step->advice.asked.empty()) {
+            requestAdvice(*step, time.now);
+            continue;
+        }
+        if (step->spec->gang && step->active > 0) {
+            repairGang(*step, pass);
+        } else if (step->spec->gang) {
+            placeGang(*step, pass);
+        } else {
+            placeTasks(*step, pass);
+        }
+    }
+    prefetchAdvice(time.now);
+}
+
+RunNumber CellScheduler::nextRun(const CellTask &task) const
+{
+    const std::uint64_t base = (m_epoch.value() > 0 ? m_epoch.value() - 1 : 0) * runsPerEpoch + 1;
+    return RunNumber(std::max(task.lastRun.value() + 1, base));
+}
+
+void CellScheduler::startTask(StepRun &step, int index, Worker &worker, RunNumber run, Pass &pass)
+{
+    const CellTask &task = step.tasks[static_cast<std::size_t>(index)];
+    Run added;
+    added.task = TaskRef{step.ref, index};
+    added.number = run;
+    added.demand = step.spec->demand;
+    added.workspace = step.job->job.workspace;
+    added.expectedEnd = pass.time.now + step.spec->estimate;
+    StartOrder order;
+    order.payload = step.job->job.payload;
+    order.checkpoint = step.spec->gang ? step.gangCheckpoint : task.checkpoint;
+    const auto ticket = step.advice.good.find(worker.info.id);
+    if (ticket != step.advice.good.end()) {
+        order.ticket = ticket->second.text;
+    }
+    pass.orders.starts.push_back(m_workers.start(worker, added, order, pass.time.now));
+    pass.releases.erase(worker.info.id);
+    m_usage[added.workspace] += added.demand;
+    step.expectedEnd = std::max(step.expectedEnd, added.expectedEnd);
+    m_jobs.onStarted(step, index, run, pass.time.now);
+    ++m_counters.starts;
+}
+
+void CellScheduler::placeTasks(StepRun &step, Pass &pass)
+{
+    const TimePoint now = pass.time.now;
+    std::vector<WorkerRoom> rooms = roomsFor(step, pass, false);
+    const bool advised = adviceTerms(step) != nullptr;
+    std::vector<WorkerId> stale;
+    bool lacksRoom = false;
+    for (int index = 0; index < static_cast<int>(step.tasks.size()); ++index) {
+        const CellTask &task = step.tasks[static_cast<std::size_t>(index)];
+        const bool mayStart = task.phase == CellTaskPhase::Waiting && task.notBefore <= now && task.liveRuns == 0;
+        if (!mayStart || !isWithinMaximum(step, 1)) {
+            continue;
+        }
+        WorkerRoom *best = nullptr;
+        double bestScore = 0;
+        for (WorkerRoom &room : rooms) {
+            if (room.maxTasks < 1 || !step.spec->demand.fitsIn(room.free) || !pass.reservations.allows(room, step.spec->demand, now + step.spec->estimate)) {
+                continue;
+            }
+            if (advised && step.advice.good[room.id].validUntil < now + ticketMargin) {
+                if (std::find(stale.begin(), stale.end(), room.id) == stale.end()) {
+                    stale.push_back(room.id);
+                }
+                continue;
+            }
+            // The fullest worker that has room, so that other workers keep room for gangs.
+            double score = static_cast<double>((room.free.cpu - step.spec->demand.cpu).value());
+            score += task.failedOn.count(room.id) > 0 ? 1e6 : 0;
+            const Worker &worker = *m_workers.find(room.id);
+            const std::string &rack = step.spec->preferredRack;
+            if (!rack.empty() && std::find(worker.info.labels.begin(), worker.info.labels.end(), rack) == worker.info.labels.end()) {
+                score += 1e5;
+            }
+            if (best == nullptr || score < bestScore) {
+                best = &room;
+                bestScore = score;
+            }
+        }
+        if (best == nullptr) {
+            lacksRoom = true;
+            continue;
+        }
+        startTask(step, index, *m_workers.find(best->id), nextRun(task), pass);
+        best->free -= step.spec->demand;
+        --best->maxTasks;
+    }
+    if (!lacksRoom || !advised || step.advice.inFlight) {
+        return;
+    }
+    if (!stale.empty()) {
+        stale.resize(std::min(stale.size(), renewedAtOnce));
+        requestAdviceFor(step, stale, now);
+    } else {
+        requestAdvice(step, now);
+    }
+}
+
+void CellScheduler::placeGang(StepRun &step, Pass &pass)
+{
+    const TimePoint now = pass.time.now;
+    const int count = step.spec->count;
+    const bool mayStart = std::all_of(step.tasks.begin(), step.tasks.end(), [now](const CellTask &task) {
+        return task.phase == CellTaskPhase::Waiting && task.liveRuns == 0 && task.notBefore <= now;
+    });
+    if (!mayStart || !isWithinMaximum(step, count)) {
+        return;
+    }
+    std::vector<WorkerRoom> rooms = roomsFor(step, pass, true);
+    for (WorkerRoom &room : rooms) {
+        room = pass.reservations.without(room);
+    }
+    const auto fit = fitGang(rooms, step.spec->demand, count);
+    if (!fit) {
+        reserveForGang(step, roomsFor(step, pass, false), pass);
+        return;
+    }
+    RunNumber run;
+    for (const CellTask &task : step.tasks) {
+        run = std::max(run, nextRun(task), [](RunNumber a, RunNumber b) { return a < b; });
+    }
+    step.gangRun = run;
+    step.gangStarted = now;
+    step.gangBroken = false;
+    int index = 0;
+    for (const Share &share : *fit) {
+        for (int i = 0; i < share.tasks; ++i) {
+            startTask(step, index++, *m_workers.find(share.worker), run, pass);
+        }
+    }
+    log("gang " + TaskRef{step.ref, 0}.text() + " run " + std::to_string(run.value()) + " placed: " + std::to_string(count) + " tasks on "
+        + std::to_string(fit->size()) + " workers");
+}
+
+void CellScheduler::reserveForGang(StepRun &step, const std::vector<WorkerRoom> &rooms, Pass &pass)
+{
+    const TimePoint now = pass.time.now;
+    const AdviceTerms *terms = adviceTerms(step);
+    std::vector<WorkerRoom> left;
+    left.reserve(rooms.size());
+    for (const WorkerRoom &room : rooms) {
+        left.push_back(pass.reservations.without(room));
+    }
+    const auto forecast = forecastGang(left, step.spec->demand, step.spec->count, now);
+    if (!forecast) {
+        if (terms != nullptr) {
+            requestAdvice(step, now);
+        }
+        return;
+    }
+    if (pass.reserved >= mostReservations) {
+        return;
+    }
+    ++pass.reserved;
+    for (const Share &share : forecast->shares) {
+        pass.reservations.add(share.worker, forecast->start, step.spec->demand * share.tasks);
+    }
+    if (terms == nullptr || step.advice.inFlight) {
+        return;
+    }
+    std::vector<WorkerId> good;
+    TimePoint firstExpiry = TimePoint::max();
+    for (const WorkerRoom &room : left) {
+        good.push_back(room.id);
+        firstExpiry = std::min(firstExpiry, step.advice.good[room.id].validUntil);
+    }
+    const TimePoint needed = std::max(forecast->start, now);
+    const Duration duration = terms->callDuration(good.size());
+    if (firstExpiry < needed + ticketMargin && needed <= now + duration + renewAhead) {
+        requestAdviceFor(step, good, now);
+    }
+}
+
+void CellScheduler::repairGang(StepRun &step, Pass &pass)
+{
+    const TimePoint now = pass.time.now;
+    if (step.gangBroken) {
+        return;
+    }
+    if (now > step.gangStarted + repairTerm) {
+        breakGang(step, now);
+        return;
+    }
+    std::vector<WorkerRoom> rooms = roomsFor(step, pass, true);
+    for (int index = 0; index < static_cast<int>(step.tasks.size()); ++index) {
+        const CellTask &task = step.tasks[static_cast<std::size_t>(index)];
+        if (task.phase != CellTaskPhase::Waiting || task.liveRuns > 0) {
+            continue;
+        }
+        const auto room = std::find_if(
+            rooms.begin(), rooms.end(), [&step](const WorkerRoom &candidate) { return candidate.maxTasks > 0 && step.spec->demand.fitsIn(candidate.free); });
+        if (room == rooms.end()) {
+            return;
+        }
+        startTask(step, index, *m_workers.find(room->id), step.gangRun, pass);
+        room->free -= step.spec->demand;
+        --room->maxTasks;
+    }
+}
+
+std::vector<WorkerId> CellScheduler::workersToAsk(const StepRun &step, TimePoint now) const
+{
+    std::vector<std::pair<std::int64_t, WorkerId>> candidates;
+    for (const auto &[id, worker] : m_workers.all()) {
+        if (m_workers.isUsable(worker, now) && isEligible(step, worker) && step.advice.asked.count(id) == 0) {
+            candidates.emplace_back(-worker.free().cpu.value(), id);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end());
+    const std::size_t wanted = step.spec->gang ? mostNamed : static_cast<std::size_t>(step.spec->count * workersPerTask + spareChoice);
+    candidates.resize(std::min({candidates.size(), wanted, mostNamed}));
+    std::vector<WorkerId> workers;
+    for (const auto &[room, id] : candidates) {
+        workers.push_back(id);
+    }
+    return workers;
+}
+
+void CellScheduler::requestAdvice(StepRun &step, TimePoint now)
+{
+    if (!step.advice.inFlight && step.advice.nextCall <= now) {
+        requestAdviceFor(step, workersToAsk(step, now), now);
+    }
+}
+
+void CellScheduler::requestAdviceFor(StepRun &step, const std::vector<WorkerId> &workers, TimePoint now)
+{
+    const AdviceTerms *terms = adviceTerms(step);
+    if (terms == nullptr || workers.empty() || step.advice.nextCall > now) {
+        return;
+    }
+    AdviceCall call;
+    call.step = step.ref;
+    call.workers = workers;
+    call.duration = terms->callDuration(workers.size());
+    call.priority = orderKey(step, now).first;
+    step.advice.inFlight = true;
+    m_advice.add(std::move(call));
+}
+
+void CellScheduler::onAdvice(std::uint64_t id, const AdviceAnswer &answer, TimePoint sent, TimePoint now)
+{
+    const auto call = m_advice.finish(id);
+    StepRun *step = call ? m_jobs.findStep(call->step) : nullptr;
+    if (step == nullptr) {
+        return;
+    }
+    step->advice.inFlight = false;
+    if (!answer.answered) {
+        step->advice.nextCall = now + adviceRetry;
+        log("advice for step " + TaskRef{call->step, 0}.text() + " failed on " + call->lane.value() + (answer.busy ? ": too many calls wait" : ": no answer"));
+        return;
+    }
+    for (const WorkerId &worker : call->workers) {
+        step->advice.asked.insert(worker);
+    }
+    // The ticket's time began when the service answered, at the latest now and at the earliest when the call was sent.
+    const TimePoint validUntil = std::max(sent + answer.validity, now + answer.validity - adviceTransit);
+    for (const auto &[worker, ticket] : answer.good) {
+        step->advice.good[worker] = Ticket{ticket, validUntil};
+    }
+}
+
+void CellScheduler::prefetchAdvice(TimePoint now)
+{
+    for (const auto &[id, entry] : m_jobs.all()) {
+        if (entry->outcome != CellJobState::Unknown || !entry->stored || entry->steps.size() < 2) {
+            continue;
+        }
+        for (const auto &step : entry->steps) {
+            const AdviceTerms *terms = step->readySince == TimePoint() && step->waiting > 0 && step->advice.asked.empty() ? adviceTerms(*step) : nullptr;
+            if (terms == nullptr || step->advice.inFlight) {
+                continue;
+            }
+            const bool soon = std::all_of(step->spec->after.begin(), step->spec->after.end(), [&](int before) {
+                const StepRun *earlier = m_jobs.findStep(StepRef{id, step->ref.occurrence, before});
+                const Duration ahead = terms->callDuration(m_workers.all().size()) + prefetchSlack;
+                return earlier == nullptr || earlier->isDone() || (earlier->waiting == 0 && earlier->expectedEnd <= now + ahead);
+            });
+            if (soon) {
+                requestAdvice(*step, now);
+            }
+        }
+    }
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/cell/cellscheduler.h
@@ -0,0 +1,205 @@
+// The leader's scheduler of a cell: takes jobs, the registry and the workers' answers, and decides which task starts where.
+// It does no I/O, reads no clock and keeps nothing that the store and the workers can't give back after a change of leader.
+#pragma once
+
+#include "advicedesk.h"
+#include "cellconfig.h"
+#include "jobtable.h"
+#include "placementplan.h"
+#include "workertable.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace KingCupLadder {
+
+/// A moment on this process's clock together with the time of day.
+struct CellTime {
+    TimePoint now;
+    std::int64_t unixMs = 0;
+};
+
+struct CellSchedulerSettings {
+    WorkerLimits workers;
+    Duration holdWait{1000}; ///< How long a worker may keep a renewal open; leases are renewed at least that often.
+    Duration statusTerm{120000}; ///< How long the state of an ended job can be read.
+    Duration gangTerm{3000}; ///< How long members of a gang wait for each other on the workers.
+};
+
+/// What the scheduler wants sent. The receiver must not send it without a valid leadership.
+struct CellOrders {
+    std::vector<StartOrder> starts;
+    std::vector<StopOrder> stops;
+    std::vector<HoldOrder> holds;
+    std::vector<AdviceCall> advice;
+    std::vector<WorkerId> workersToStore; ///< The complete list, if it has to be stored before new workers are used.
+};
+
+/// One line for the log: a decision with its inputs and outcome.
+using DecisionLog = std::function<void(const std::string &line)>;
+
+enum class AdmissionVerdict {
+    Admitted,
+    Known, ///< The job is already known.
+    Busy, ///< It could not end in time.
+    OverRate, ///< Its workspace sends more than its share while the cell is busy.
+};
+
+struct AdmissionDecision {
+    AdmissionVerdict verdict = AdmissionVerdict::Admitted;
+    Duration retryAfter{0};
+    bool stored = false; ///< Known, and its row is stored.
+};
+
+/// What the policy service answered.
+struct AdviceAnswer {
+    bool answered = false; ///< False: lost or refused.
+    bool busy = false;
+    Duration validity{0};
+    std::vector<std::pair<WorkerId, std::string>> good; ///< Workers and their tickets.
+};
+
+/// Progress of one job to be stored.
+struct ProgressWrite {
+    JobId job;
+    std::uint64_t revision = 0;
+    JobProgress progress;
+};
+
+struct CellCounters {
+    std::uint64_t starts = 0;
+    std::uint64_t succeeded = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t lost = 0;
+    std::uint64_t neverRan = 0;
+    std::uint64_t otherEnds = 0;
+    std::uint64_t stops = 0;
+    std::uint64_t holds = 0;
+    std::uint64_t adviceCalls = 0;
+    std::uint64_t admitted = 0;
+    std::uint64_t refused = 0;
+};
+
+class CellScheduler
+{
+public:
+    explicit CellScheduler(const CellSchedulerSettings &settings, DecisionLog log = nullptr);
+
+    void setConfig(std::shared_ptr<const CellConfig> config, TimePoint now);
+    /// Starts a leadership with nothing known. Leases of earlier leaders have ended by @p lapsedBy.
+    void beginTerm(Epoch epoch, TimePoint lapsedBy);
+    /// Workers that earlier leaders used; to be added before finishLoading().
+    void addFormerWorkers(const std::vector<WorkerId> &ids);
+    /// Adds a stored job; @p progress is null if none is stored. Only between beginTerm() and finishLoading() are jobs "former".
+    void load(const CellJob &job, const JobProgress *progress, bool cancelled, const CellTime &time);
+    void loadFinal(const JobId &id, const JobProgress &progress, TimePoint now);
+    /// All rows were read: unknown runs on workers are obsolete from now on.
+    void finishLoading(TimePoint now);
+    [[nodiscard]] bool isLoaded() const;
+
+    [[nodiscard]] AdmissionDecision submit(const CellJob &job, const CellTime &time);
+    /// The job's row is stored. Adds the job if it is not known.
+    void onJobStored(const CellJob &job, const CellTime &time);
+    /// The job's row was certainly not written.
+    void onJobDropped(const JobId &id);
+    /// The cancellation is stored.
+    void onCancelStored(const JobId &id, TimePoint now);
+    /// CellJobState::Unknown if the job is not known.
+    [[nodiscard]] CellJobState state(const JobId &id) const;
+    [[nodiscard]] WorkspaceId workspaceOf(const JobId &id) const;
+
+    void onRegistry(const std::vector<WorkerInfo> &workers, const CellTime &time);
+    void onWorkersStored(const std::vector<WorkerId> &ids);
+    void onStartAnswer(const StartOrder &order, const OrderAnswer &answer, const CellTime &time);
+    void onStopAnswer(const StopOrder &order, const OrderAnswer &answer, const CellTime &time);
+    void onHoldAnswer(const HoldOrder &order, const HoldView *view, TimePoint sent, const CellTime &time);
+    void setAdviceLanes(const std::vector<DaemonId> &lanes);
+    void onAdvice(std::uint64_t call, const AdviceAnswer &answer, TimePoint sent, TimePoint now);
+
+    /// Decides. To be called after events and every few ten milliseconds.
+    [[nodiscard]] CellOrders tick(const CellTime &time);
+
+    /// Progress that has to be stored now, at most @p most jobs; final ones first.
+    [[nodiscard]] std::vector<ProgressWrite> takeProgress(std::size_t most);
+    void onProgressStored(const JobId &id, std::uint64_t revision);
+    /// The write failed: it is offered again.
+    void onProgressFailed(const JobId &id);
+    /// Another leader had stored a final state already.
+    void onFoundFinal(const JobId &id, CellJobState state, TimePoint now);
+    [[nodiscard]] bool hasFinalProgress() const;
+
+    [[nodiscard]] std::map<RouteName, int> queuedByRoute() const;
+    [[nodiscard]] const CellCounters &counters() const;
+    [[nodiscard]] const WorkerTable &workers() const;
+    [[nodiscard]] std::size_t unfinishedJobs() const;
+    /// A worker has seen a higher fencing token: this leadership is over.
+    [[nodiscard]] bool isFencedOff() const;
+
+private:
+    struct Pass;
+
+    void log(const std::string &line) const;
+    [[nodiscard]] RouteRules rulesOf(const RouteName &route) const;
+    void onRunEvents(const std::vector<RunEvent> &events, const CellTime &time);
+    void onRunEnded(const RunEvent &event, JobEntry &entry, StepRun *step, const CellTime &time);
+    void onFoundRun(const FoundRun &found, const CellTime &time);
+    void onStrayEnd(const WorkerId &worker, const EndedEntry &end, const CellTime &time);
+    void noteHealth(Worker &worker, const JobId &job, bool succeeded, TimePoint now);
+    void breakGang(StepRun &step, TimePoint now);
+    void stopTask(const StepRun &step, int index, TimePoint now);
+    void stopRuns(const JobId &job, TimePoint now);
+    void storeEndRevision(Worker &worker, EndNumber number, const JobEntry *entry);
+    void acknowledgeEnds();
+
+    void driveWorkers(CellOrders &orders, const CellTime &time);
+    void repeatStarts(Worker &worker, CellOrders &orders, TimePoint now);
+    void watchRuns(Worker &worker, TimePoint now);
+    void place(CellOrders &orders, const CellTime &time);
+    void placeTasks(StepRun &step, Pass &pass);
+    void placeGang(StepRun &step, Pass &pass);
+    void repairGang(StepRun &step, Pass &pass);
+    void reserveForGang(StepRun &step, const std::vector<WorkerRoom> &rooms, Pass &pass);
+    void startTask(StepRun &step, int index, Worker &worker, RunNumber run, Pass &pass);
+    [[nodiscard]] RunNumber nextRun(const CellTask &task) const;
+    [[nodiscard]] std::vector<WorkerRoom> roomsFor(StepRun &step, Pass &pass, bool needTicket);
+    [[nodiscard]] bool isEligible(const StepRun &step, const Worker &worker) const;
+    [[nodiscard]] bool isWithinMaximum(const StepRun &step, int tasks) const;
+    void requestAdvice(StepRun &step, TimePoint now);
+    void requestAdviceFor(StepRun &step, const std::vector<WorkerId> &workers, TimePoint now);
+    void prefetchAdvice(TimePoint now);
+    [[nodiscard]] std::vector<WorkerId> workersToAsk(const StepRun &step, TimePoint now) const;
+    [[nodiscard]] const AdviceTerms *adviceTerms(const StepRun &step) const;
+    void settleUnlocated(TimePoint now);
+    [[nodiscard]] std::pair<int, TimePoint> orderKey(const StepRun &step, TimePoint now) const;
+    [[nodiscard]] Duration predictedWait(int priority) const;
+
+    CellSchedulerSettings m_settings;
+    DecisionLog m_log;
+    std::shared_ptr<const CellConfig> m_config;
+    Epoch m_epoch;
+    bool m_loaded = false;
+    bool m_fencedOff = false;
+    TimePoint m_lapsedBy;
+    JobTable m_jobs;
+    WorkerTable m_workers;
+    AdviceDesk m_advice;
+    std::map<WorkspaceId, Resources> m_usage; ///< Sum of the demands of all runs, by workspace.
+    struct RateBucket {
+        double tokens = 0;
+        TimePoint filled;
+    };
+    std::map<WorkspaceId, RateBucket> m_rates;
+    std::set<JobId> m_writing; ///< Jobs whose progress is being stored.
+    std::vector<FoundRun> m_foundEarly; ///< Found before all rows were read.
+    std::vector<std::pair<WorkerId, EndedEntry>> m_strayEarly;
+    bool m_workersChanged = false; ///< The stored list of workers is out of date.
+    bool m_storingWorkers = false;
+    TimePoint m_nextHousekeeping;
+    CellCounters m_counters;
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/cell/cellscheduler_p.h
@@ -0,0 +1,13 @@
+// Shared by the parts of CellScheduler.
+#pragma once
+
+#include "cellscheduler.h"
+
+namespace KingCupLadder {
+
+/// Runs of a new leader are numbered above all runs that earlier leaders may have started.
+constexpr std::uint64_t runsPerEpoch = 100000;
+/// A worker that refuses a run as old has seen a higher one; the next run is numbered this much higher.
+constexpr std::uint64_t runsSkippedWhenOld = 1000;
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/cell/jobtable.cpp
@@ -0,0 +1,430 @@
+// Life cycle of jobs, steps and tasks.
+#include "jobtable.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+// A task that has just failed waits a little, so that a worker that fails everything is noticed before it gets it again.
+constexpr Duration failureDelay{50};
+constexpr Duration longestFailureDelay{2000};
+
+} // namespace
+
+JobEntry &JobTable::add(const CellJob &job, const RouteRules &rules, TimePoint now, std::int64_t unixNowMs)
+{
+    const auto known = m_jobs.find(job.id);
+    if (known != m_jobs.end()) {
+        return *known->second;
+    }
+    auto entry = std::make_unique<JobEntry>();
+    entry->job = job;
+    entry->admittedAt = now;
+    const std::int64_t age = std::clamp<std::int64_t>(unixNowMs - job.submittedUnixMs, 0, 3600000);
+    entry->submitted = now - Duration(age);
+    const auto chain = static_cast<double>(longestChain(job.steps).count());
+    const TimePoint due = job.occurrences > 0 ? now + Duration(job.firstRunUnixMs - unixNowMs) : entry->submitted;
+    entry->onTimeBy = due + Duration(static_cast<std::int64_t>(chain * rules.stretch)) + rules.targetLatency;
+    JobEntry &added = *entry;
+    m_jobs.emplace(job.id, std::move(entry));
+    m_open.insert(job.id);
+    release(added, now, unixNowMs);
+    return added;
+}
+
+void JobTable::addFinal(const JobId &id, const RouteName &route, const WorkspaceId &workspace, CellJobState state, TimePoint now)
+{
+    std::unique_ptr<JobEntry> &entry = m_jobs[id];
+    if (entry) {
+        return;
+    }
+    entry = std::make_unique<JobEntry>();
+    entry->job.id = id;
+    entry->job.route = route;
+    entry->job.workspace = workspace;
+    entry->state = state;
+    entry->outcome = state;
+    entry->stored = true;
+    entry->endedAt = now;
+}
+
+void JobTable::restore(JobEntry &entry, const JobProgress &progress)
+{
+    for (const auto &[key, stored] : progress.steps) {
+        while (entry.nextOccurrence <= key.first) {
+            createOccurrence(entry, entry.nextOccurrence);
+        }
+        StepRun *step = findStep(StepRef{entry.job.id, key.first, key.second});
+        if (step == nullptr) {
+            continue;
+        }
+        step->gangCheckpoint = stored.gangCheckpoint;
+        for (std::size_t i = 0; i < step->tasks.size() && i < stored.succeeded.size(); ++i) {
+            CellTask &task = step->tasks[i];
+            if (stored.succeeded[i] && task.phase == CellTaskPhase::Waiting) {
+                task.phase = CellTaskPhase::Succeeded;
+                --step->waiting;
+                ++step->succeeded;
+                entry.anyStarted = true;
+            }
+        }
+        for (const auto &[index, runs] : stored.failedRuns) {
+            if (index >= 0 && index < static_cast<int>(step->tasks.size())) {
+                step->tasks[static_cast<std::size_t>(index)].failedRuns = runs;
+                entry.anyStarted = true;
+            }
+        }
+    }
+    if (entry.anyStarted) {
+        entry.state = CellJobState::Active;
+    }
+    for (const auto &step : entry.steps) {
+        step->readySince = TimePoint();
+    }
+    for (int occurrence = 0; occurrence < entry.nextOccurrence; ++occurrence) {
+        markReady(entry, occurrence, entry.admittedAt);
+        const bool done = std::all_of(
+            entry.steps.begin(), entry.steps.end(), [occurrence](const auto &step) { return step->ref.occurrence != occurrence || step->isDone(); });
+        entry.doneOccurrences += done ? 1 : 0;
+    }
+    if (entry.doneOccurrences >= entry.job.occurrenceCount()) {
+        finish(entry, CellJobState::Succeeded, entry.admittedAt);
+    }
+}
+
+void JobTable::drop(const JobId &id)
+{
+    JobEntry *entry = find(id);
+    if (entry == nullptr) {
+        return;
+    }
+    for (const auto &step : entry->steps) {
+        m_steps.erase(step->ref);
+    }
+    m_open.erase(id);
+    m_dirty.erase(id);
+    m_jobs.erase(id);
+}
+
+JobEntry *JobTable::find(const JobId &id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+const JobEntry *JobTable::find(const JobId &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+StepRun *JobTable::findStep(const StepRef &ref)
+{
+    const auto found = m_steps.find(ref);
+    return found == m_steps.end() ? nullptr : found->second;
+}
+
+std::unordered_map<JobId, std::unique_ptr<JobEntry>> &JobTable::all()
+{
+    return m_jobs;
+}
+
+void JobTable::createOccurrence(JobEntry &entry, int occurrence)
+{
+    for (std::size_t i = 0; i < entry.job.steps.size(); ++i) {
+        auto step = std::make_unique<StepRun>();
+        step->ref = StepRef{entry.job.id, occurrence, static_cast<int>(i)};
+        step->job = &entry;
+        step->spec = &entry.job.steps[i];
+        step->tasks.resize(static_cast<std::size_t>(step->spec->count));
+        step->waiting = step->spec->count;
+        m_steps[step->ref] = step.get();
+        entry.steps.push_back(std::move(step));
+    }
+    entry.nextOccurrence = std::max(entry.nextOccurrence, occurrence + 1);
+}
+
+void JobTable::release(JobEntry &entry, TimePoint now, std::int64_t unixNowMs)
+{
+    while (entry.nextOccurrence < entry.job.occurrenceCount()) {
+        const std::int64_t due = entry.job.firstRunUnixMs + entry.nextOccurrence * entry.job.interval.count();
+        if (entry.job.occurrences > 0 && unixNowMs < due) {
+            return;
+        }
+        const int occurrence = entry.nextOccurrence;
+        createOccurrence(entry, occurrence);
+        markReady(entry, occurrence, now);
+    }
+}
+
+void JobTable::releaseDue(TimePoint now, std::int64_t unixNowMs)
+{
+    for (const JobId &id : m_open) {
+        JobEntry &entry = *m_jobs.at(id);
+        if (entry.job.occurrences > 0) {
+            release(entry, now, unixNowMs);
+        }
+    }
+}
+
+void JobTable::markReady(JobEntry &entry, int occurrence, TimePoint now)
+{
+    for (const auto &step : entry.steps) {
+        if (step->ref.occurrence != occurrence || step->readySince != TimePoint()) {
+            continue;
+        }
+        const bool ready = std::all_of(step->spec->after.begin(), step->spec->after.end(), [&](int before) {
+            const StepRun *earlier = findStep(StepRef{entry.job.id, occurrence, before});
+            return earlier == nullptr || earlier->isDone();
+        });
+        if (ready) {
+            step->readySince = now;
+        }
+    }
+}
+
+std::vector<StepRun *> JobTable::waitingSteps()
+{
+    std::vector<StepRun *> waiting;
+    for (const JobId &id : m_open) {
+        const JobEntry &entry = *m_jobs.at(id);
+        if (!entry.stored) {
+            continue;
+        }
+        for (const auto &step : entry.steps) {
+            if (step->waiting > 0 && step->readySince != TimePoint()) {
+                waiting.push_back(step.get());
+            }
+        }
+    }
+    return waiting;
+}
+
+void JobTable::onStarted(StepRun &step, int index, RunNumber run, TimePoint /*now*/)
+{
+    CellTask &task = step.tasks.at(static_cast<std::size_t>(index));
+    if (task.phase == CellTaskPhase::Waiting) {
+        task.phase = CellTaskPhase::Active;
+        --step.waiting;
+        ++step.active;
+    }
+    if (task.lastRun < run) {
+        task.lastRun = run;
+    }
+    ++task.liveRuns;
+    ++step.job->liveRuns;
+    step.job->anyStarted = true;
+    if (step.job->state == CellJobState::Pending) {
+        step.job->state = CellJobState::Active;
+    }
+}
+
+void JobTable::onFound(StepRun &step, int index, RunNumber run)
+{
+    onStarted(step, index, run, TimePoint());
+}
+
+void JobTable::changed(JobEntry &entry)
+{
+    ++entry.revision;
+    m_dirty.insert(entry.job.id);
+}
+
+void JobTable::onSucceeded(StepRun &step, int index, TimePoint now, std::int64_t unixNowMs)
+{
+    // One success of a gang stands for all of its tasks.
+    const int first = step.spec->gang ? 0 : index;
+    const int last = step.spec->gang ? static_cast<int>(step.tasks.size()) - 1 : index;
+    bool any = false;
+    for (int i = first; i <= last; ++i) {
+        CellTask &task = step.tasks.at(static_cast<std::size_t>(i));
+        if (task.phase == CellTaskPhase::Succeeded) {
+            continue;
+        }
+        task.phase == CellTaskPhase::Waiting ? --step.waiting : --step.active;
+        task.phase = CellTaskPhase::Succeeded;
+        ++step.succeeded;
+        any = true;
+    }
+    if (!any || step.job->outcome != CellJobState::Unknown) {
+        return;
+    }
+    changed(*step.job);
+    if (step.isDone()) {
+        markReady(*step.job, step.ref.occurrence, now);
+        closeOccurrence(*step.job, step.ref.occurrence, now, unixNowMs);
+    }
+}
+
+void JobTable::closeOccurrence(JobEntry &entry, int occurrence, TimePoint now, std::int64_t unixNowMs)
+{
+    const bool done =
+        std::all_of(entry.steps.begin(), entry.steps.end(), [occurrence](const auto &step) { return step->ref.occurrence != occurrence || step->isDone(); });
+    if (!done) {
+        return;
+    }
+    ++entry.doneOccurrences;
+    release(entry, now, unixNowMs);
+    if (entry.doneOccurrences >= entry.job.occurrenceCount()) {
+        finish(entry, CellJobState::Succeeded, now);
+    }
+}
+
+bool JobTable::onFailed(StepRun &step, const EndedEntry &end, const WorkerId &worker, int attempts, TimePoint now)
+{
+    CellTask &task = step.tasks.at(static_cast<std::size_t>(end.task.index));
+    task.failedOn.insert(worker);
+    std::set<RunNumber> &failedRuns = step.spec->gang ? step.tasks[0].failedRuns : task.failedRuns;
+    if (!failedRuns.insert(end.run).second) {
+        return false;
+    }
+    const auto failures = static_cast<int>(failedRuns.size());
+    const Duration delay = std::min(failureDelay * failures, longestFailureDelay);
+    for (CellTask &member : step.tasks) {
+        if (&member == &task || step.spec->gang) {
+            member.notBefore = now + delay;
+        }
+    }
+    changed(*step.job);
+    if (!step.spec->longRunning && failures >= attempts && step.job->outcome == CellJobState::Unknown && !step.isDone()) {
+        finish(*step.job, CellJobState::Failed, now);
+        return true;
+    }
+    return false;
+}
+
+void JobTable::onReturned(StepRun &step, int index, const std::string &checkpoint, TimePoint /*now*/)
+{
+    CellTask &task = step.tasks.at(static_cast<std::size_t>(index));
+    if (!checkpoint.empty()) {
+        task.checkpoint = checkpoint;
+        if (step.spec->gang) {
+            step.gangCheckpoint = checkpoint;
+        }
+    }
+}
+
+void JobTable::onRunGone(JobEntry &entry, StepRun *step, int index)
+{
+    entry.liveRuns = std::max(entry.liveRuns - 1, 0);
+    if (step == nullptr) {
+        return;
+    }
+    CellTask &task = step->tasks.at(static_cast<std::size_t>(index));
+    task.liveRuns = std::max(task.liveRuns - 1, 0);
+    if (task.phase == CellTaskPhase::Active && task.liveRuns == 0) {
+        task.phase = CellTaskPhase::Waiting;
+        --step->active;
+        ++step->waiting;
+    }
+    if (step->active == 0) {
+        step->gangBroken = false;
+    }
+    shrink(entry);
+}
+
+void JobTable::finish(JobEntry &entry, CellJobState outcome, TimePoint now)
+{
+    if (entry.outcome != CellJobState::Unknown) {
+        return;
+    }
+    entry.outcome = outcome;
+    entry.endedAt = now;
+    m_open.erase(entry.job.id);
+    changed(entry);
+}
+
+std::set<JobId> &JobTable::dirty()
+{
+    return m_dirty;
+}
+
+JobProgress JobTable::progressOf(const JobEntry &entry) const
+{
+    JobProgress progress;
+    progress.finalState = entry.outcome;
+    progress.route = entry.job.route;
+    progress.workspace = entry.job.workspace;
+    if (isFinal(entry.outcome)) {
+        return progress;
+    }
+    for (const auto &step : entry.steps) {
+        StepProgress stored;
+        bool any = !step->gangCheckpoint.empty();
+        for (std::size_t i = 0; i < step->tasks.size(); ++i) {
+            const CellTask &task = step->tasks[i];
+            stored.succeeded.push_back(task.phase == CellTaskPhase::Succeeded);
+            any = any || task.phase == CellTaskPhase::Succeeded || !task.failedRuns.empty();
+            if (!task.failedRuns.empty()) {
+                stored.failedRuns[static_cast<int>(i)] = task.failedRuns;
+            }
+        }
+        stored.gangCheckpoint = step->gangCheckpoint;
+        if (any) {
+            progress.steps[{step->ref.occurrence, step->ref.step}] = stored;
+        }
+    }
+    return progress;
+}
+
+void JobTable::onStored(const JobId &id, std::uint64_t revision)
+{
+    JobEntry *entry = find(id);
+    if (entry == nullptr) {
+        return;
+    }
+    entry->storedRevision = std::max(entry->storedRevision, revision);
+    if (isFinal(entry->outcome) && entry->storedRevision >= entry->revision) {
+        entry->state = entry->outcome;
+        shrink(*entry);
+    }
+}
+
+void JobTable::shrink(JobEntry &entry)
+{
+    // A final job is kept for its state only.
+    if (!isFinal(entry.state) || entry.liveRuns > 0) {
+        return;
+    }
+    for (const auto &step : entry.steps) {
+        m_steps.erase(step->ref);
+    }
+    entry.steps.clear();
+    entry.job.payload = std::string();
+    entry.job.steps.clear();
+}
+
+std::map<RouteName, int> JobTable::queuedByRoute() const
+{
+    std::map<RouteName, int> queued;
+    for (const JobId &id : m_open) {
+        const JobEntry &entry = *m_jobs.at(id);
+        if (!entry.anyStarted && entry.stored) {
+            ++queued[entry.job.route];
+        }
+    }
+    return queued;
+}
+
+std::vector<JobId> JobTable::forgetEnded(TimePoint before)
+{
+    std::vector<JobId> ended;
+    for (const auto &[id, entry] : m_jobs) {
+        if (isFinal(entry->state) && entry->endedAt < before && entry->liveRuns == 0) {
+            ended.push_back(id);
+        }
+    }
+    for (const JobId &id : ended) {
+        drop(id);
+    }
+    return ended;
+}
+
+std::size_t JobTable::unfinished() const
+{
+    return m_open.size();
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/cell/leadership.cpp
@@ -0,0 +1,318 @@
+// Claims, renewals and promises.
+#include "leadership.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr Duration memberSilence{3000}; // A member that is silent for so long leaves the list at the next renewal.
+
+} // namespace
+
+Leadership::Leadership(const CellMember &self, const LeadershipSettings &settings) : m_self(self), m_settings(settings) { }
+
+bool Leadership::isMine(const LeaderRecord &record) const
+{
+    return record.holder == m_self.id && record.incarnation == m_self.incarnation;
+}
+
+LeaderAction Leadership::nextAction(TimePoint now)
+{
+    if (m_pending) {
+        return LeaderAction::None;
+    }
+    if (m_isLeader) {
+        if (now < m_nextWrite) {
+            return LeaderAction::None;
+        }
+        prepareRenewal(now);
+        return LeaderAction::WriteRow;
+    }
+    if (m_rowKnown && mayClaim(now) && m_nextWrite <= now) {
+        prepareClaim(now);
+        return LeaderAction::WriteRow;
+    }
+    const bool quiet = m_lastBeat == TimePoint() || now - m_lastBeat > m_settings.beatTimeout;
+    if (quiet && m_nextRead <= now) {
+        m_pending = true;
+        m_nextRead = now + m_settings.readInterval;
+        return LeaderAction::ReadRow;
+    }
+    return LeaderAction::None;
+}
+
+bool Leadership::mayClaim(TimePoint now) const
+{
+    if (m_retired || now < m_promisedUntil) {
+        return false;
+    }
+    if (!m_row || m_row->holder == m_self.id) {
+        return true; // The earlier process of this daemon is gone.
+    }
+    if (m_row->holder.isEmpty()) {
+        return m_row->successor == m_self.id || m_row->successor.isEmpty() || now - m_versionSeen > m_settings.successorHead;
+    }
+    const bool isMember = std::any_of(m_row->members.begin(), m_row->members.end(), [this](const CellMember &member) { return member.id == m_self.id; });
+    return now - m_versionSeen > (isMember ? m_settings.term : m_settings.strangerTerm);
+}
+
+void Leadership::prepareClaim(TimePoint now)
+{
+    m_next = LeaderRecord{};
+    m_next.holder = m_self.id;
+    m_next.incarnation = m_self.incarnation;
+    m_next.peerAddress = m_self.peerAddress;
+    m_next.epoch = m_row ? m_row->epoch.next() : Epoch(1);
+    if (m_row) {
+        m_next.members = m_row->members;
+    }
+    const bool listed = std::any_of(m_next.members.begin(), m_next.members.end(), [this](const CellMember &member) { return member.id == m_self.id; });
+    if (!listed) {
+        m_next.members.push_back(m_self);
+    }
+    m_pending = true;
+    m_writeSent = now;
+}
+
+void Leadership::prepareRenewal(TimePoint now)
+{
+    m_next = LeaderRecord{};
+    m_next.incarnation = m_self.incarnation;
+    m_next.peerAddress = m_self.peerAddress;
+    m_next.epoch = m_epoch;
+    m_next.members = liveMembers(now);
+    if (m_resigning) {
+        if (!m_next.members.empty()) {
+            m_next.successor = m_next.members.front().id;
+        }
+    } else {
+        m_next.holder = m_self.id;
+    }
+    m_next.members.push_back(m_self);
+    m_pending = true;
+    m_writeSent = now;
+}
+
+const LeaderRecord &Leadership::next() const
+{
+    return m_next;
+}
+
+RowVersion Leadership::expected() const
+{
+    return m_version;
+}
+
+void Leadership::adopt(const std::optional<LeaderRecord> &record, RowVersion version, TimePoint now)
+{
+    if (!m_rowKnown || version != m_version) {
+        m_versionSeen = now;
+    }
+    m_rowKnown = true;
+    m_version = version;
+    m_row = record;
+    if (record) {
+        for (const CellMember &member : record->members) {
+            learnMember(member);
+        }
+    }
+}
+
+void Leadership::onRow(const std::optional<LeaderRecord> &record, RowVersion version, TimePoint now)
+{
+    m_pending = false;
+    adopt(record, version, now);
+    if (record && isMine(*record) && !m_isLeader && !m_retired) {
+        // A claim without an answer took effect. Its time is unknown, so the lease begins with the next renewal.
+        m_isLeader = true;
+        m_epoch = record->epoch;
+        m_leaseFrom = TimePoint();
+        m_nextWrite = now;
+    }
+}
+
+void Leadership::onReadFailed(TimePoint /*now*/)
+{
+    m_pending = false;
+}
+
+void Leadership::onWritten(RowVersion version, TimePoint now)
+{
+    m_pending = false;
+    adopt(m_next, version, now);
+    if (m_next.holder.isEmpty()) {
+        m_isLeader = false;
+        m_resigning = false;
+        m_lastBeat = now;
+        return;
+    }
+    m_isLeader = true;
+    m_epoch = m_next.epoch;
+    m_leaseFrom = std::max(m_leaseFrom, m_writeSent);
+    m_nextWrite = m_writeSent + m_settings.renewInterval;
+}
+
+void Leadership::onConflict(const std::optional<LeaderRecord> &record, RowVersion version, TimePoint now)
+{
+    m_pending = false;
+    adopt(record, version, now);
+    if (record && isMine(*record) && !m_retired) {
+        m_isLeader = true; // An earlier write without an answer took effect.
+        m_epoch = record->epoch;
+        m_nextWrite = now;
+        return;
+    }
+    m_isLeader = false;
+    m_resigning = false;
+    m_leaseFrom = TimePoint();
+}
+
+void Leadership::onWriteFailed(TimePoint now)
+{
+    m_pending = false;
+    m_nextWrite = now + m_settings.retryInterval;
+    m_nextRead = now;
+}
+
+bool Leadership::onBeat(const CellMember &leader, Epoch epoch, TimePoint now)
+{
+    if (m_isLeader || (m_row && epoch < m_row->epoch)) {
+        return false;
+    }
+    learnMember(leader);
+    if (!m_row || m_row->epoch < epoch) {
+        LeaderRecord record;
+        record.holder = leader.id;
+        record.incarnation = leader.incarnation;
+        record.peerAddress = leader.peerAddress;
+        record.epoch = epoch;
+        m_row = record;
+        m_rowKnown = false; // The version is unknown until the row is read.
+    }
+    if (m_row->holder != leader.id) {
+        return false; // It has resigned.
+    }
+    m_lastBeat = now;
+    m_promisedUntil = std::max(m_promisedUntil, now + m_settings.promise);
+    return true;
+}
+
+void Leadership::onResigned(const DaemonId &leader, Epoch epoch)
+{
+    if (!m_isLeader && m_row && m_row->holder == leader && !(epoch < m_row->epoch)) {
+        m_lastBeat = TimePoint();
+        m_promisedUntil = TimePoint();
+        m_nextRead = TimePoint();
+    }
+}
+
+void Leadership::onPromise(const CellMember &member, bool leaving, TimePoint beatSent, TimePoint now)
+{
+    learnMember(member);
+    if (leaving) {
+        m_states.erase(member.id);
+        return;
+    }
+    MemberState &state = m_states[member.id];
+    state.lastAnswer = now;
+    state.promiseFrom = std::max(state.promiseFrom, beatSent);
+}
+
+void Leadership::resign(TimePoint now)
+{
+    m_retired = true;
+    if (m_isLeader) {
+        m_resigning = true;
+        m_nextWrite = now;
+    }
+}
+
+void Leadership::retire()
+{
+    m_retired = true;
+}
+
+bool Leadership::isLeader() const
+{
+    return m_isLeader;
+}
+
+TimePoint Leadership::promisedByAll() const
+{
+    if (!m_row) {
+        return TimePoint();
+    }
+    TimePoint until = TimePoint::max();
+    for (const CellMember &member : m_row->members) {
+        if (member.id == m_self.id) {
+            continue;
+        }
+        const auto state = m_states.find(member.id);
+        until = std::min(until, state == m_states.end() ? TimePoint() : state->second.promiseFrom + m_settings.promise);
+    }
+    return until;
+}
+
+bool Leadership::mayAct(TimePoint now) const
+{
+    if (!m_isLeader || m_resigning || m_leaseFrom == TimePoint()) {
+        return false;
+    }
+    const TimePoint leaseEnd = m_leaseFrom + m_settings.term - m_settings.margin;
+    if (now < leaseEnd) {
+        return true;
+    }
+    return now < m_leaseFrom + m_settings.longestOnPromises && now < promisedByAll() - m_settings.margin;
+}
+
+Epoch Leadership::epoch() const
+{
+    return m_epoch;
+}
+
+std::optional<CellMember> Leadership::leader() const
+{
+    if (m_isLeader) {
+        return m_self;
+    }
+    if (!m_row || m_row->holder.isEmpty()) {
+        return std::nullopt;
+    }
+    return CellMember{m_row->holder, m_row->incarnation, m_row->peerAddress, {}};
+}
+
+std::vector<CellMember> Leadership::liveMembers(TimePoint now) const
+{
+    std::vector<std::pair<TimePoint, DaemonId>> order;
+    for (const auto &[id, state] : m_states) {
+        if (now - state.lastAnswer < memberSilence) {
+            order.emplace_back(state.lastAnswer, id);
+        }
+    }
+    std::sort(order.rbegin(), order.rend());
+    std::vector<CellMember> live;
+    for (const auto &[at, id] : order) {
+        live.push_back(m_members.at(id));
+    }
+    return live;
+}
+
+const std::map<DaemonId, CellMember> &Leadership::knownMembers() const
+{
+    return m_members;
+}
+
+void Leadership::learnMember(const CellMember &member)
+{
+    if (member.id == m_self.id || member.id.isEmpty()) {
+        return;
+    }
+    CellMember &known = m_members[member.id];
+    if (known.incarnation <= member.incarnation) {
+        known = member;
+    }
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/cell/leadership.h
@@ -0,0 +1,129 @@
+// Who leads the cell. One row of the store names the leader and its epoch; a lease on that row, renewed by compare-and-set,
+// tells when another daemon may take over. While the store is away from everybody, the leader goes on for a limited time if
+// every member promises not to take over.
+#pragma once
+
+#include "cellids.h"
+#include "core/units.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace KingCupLadder {
+
+struct CellMember {
+    DaemonId id;
+    Incarnation incarnation;
+    std::string peerAddress;
+    FailureDomain domain;
+};
+
+/// The leader's row.
+struct LeaderRecord {
+    DaemonId holder; ///< Empty once the holder has resigned.
+    Incarnation incarnation;
+    std::string peerAddress;
+    Epoch epoch;
+    std::vector<CellMember> members; ///< May take over after one lease term; others wait longer.
+    DaemonId successor; ///< Preferred after a resignation.
+};
+
+struct LeadershipSettings {
+    Duration term{2000}; ///< A leader whose row has not changed for so long has lost its lease.
+    Duration margin{300}; ///< The holder stops so much earlier: timers fire late and clocks drift.
+    Duration renewInterval{400};
+    Duration retryInterval{150}; ///< After a renewal that failed.
+    Duration beatTimeout{700}; ///< Without a beat of the leader for so long, a member looks at the row.
+    Duration readInterval{250};
+    Duration promise{1500}; ///< A member that answers a beat does not take over for so long.
+    Duration longestOnPromises{7000}; ///< After the store's last confirmation; below strangerTerm.
+    Duration strangerTerm{9000}; ///< A daemon that is not in the row's list of members takes over only after this.
+    Duration successorHead{400}; ///< After a resignation the others wait so long for the successor.
+};
+
+enum class LeaderAction {
+    None,
+    ReadRow,
+    WriteRow, ///< Claim or renew: write next() if the row has version expected().
+};
+
+class Leadership
+{
+public:
+    Leadership(const CellMember &self, const LeadershipSettings &settings);
+
+    /// What to do now. A returned action is under way until its result is reported.
+    [[nodiscard]] LeaderAction nextAction(TimePoint now);
+    [[nodiscard]] const LeaderRecord &next() const;
+    [[nodiscard]] RowVersion expected() const;
+
+    /// The row as read; no record if it does not exist.
+    void onRow(const std::optional<LeaderRecord> &record, RowVersion version, TimePoint now);
+    void onReadFailed(TimePoint now);
+    void onWritten(RowVersion version, TimePoint now);
+    /// The row has another version.
+    void onConflict(const std::optional<LeaderRecord> &record, RowVersion version, TimePoint now);
+    /// Refused or lost; a lost write may still take effect.
+    void onWriteFailed(TimePoint now);
+
+    /// A beat of the leader arrived. True if it is the present leader's, and may be answered with a promise.
+    bool onBeat(const CellMember &leader, Epoch epoch, TimePoint now);
+    /// The leader has given up the leadership: looks at the row at once.
+    void onResigned(const DaemonId &leader, Epoch epoch);
+    /// A member answered the beat that was sent at @p beatSent.
+    void onPromise(const CellMember &member, bool leaving, TimePoint beatSent, TimePoint now);
+
+    /// Gives up the leadership in favour of the freshest member.
+    void resign(TimePoint now);
+    /// This daemon shuts down: it does not claim any more.
+    void retire();
+
+    [[nodiscard]] bool isLeader() const;
+    /// May orders be sent now? To be asked before each send.
+    [[nodiscard]] bool mayAct(TimePoint now) const;
+    [[nodiscard]] Epoch epoch() const;
+    /// The present leader as far as known; no value while there is none.
+    [[nodiscard]] std::optional<CellMember> leader() const;
+    /// Members that answered lately, without this daemon.
+    [[nodiscard]] std::vector<CellMember> liveMembers(TimePoint now) const;
+    [[nodiscard]] const std::map<DaemonId, CellMember> &knownMembers() const;
+    void learnMember(const CellMember &member);
+
+private:
+    struct MemberState {
+        TimePoint lastAnswer;
+        TimePoint promiseFrom; ///< When the beat that was last answered was sent.
+    };
+
+    void adopt(const std::optional<LeaderRecord> &record, RowVersion version, TimePoint now);
+    [[nodiscard]] bool mayClaim(TimePoint now) const;
+    void prepareClaim(TimePoint now);
+    void prepareRenewal(TimePoint now);
+    [[nodiscard]] bool isMine(const LeaderRecord &record) const;
+    [[nodiscard]] TimePoint promisedByAll() const;
+
+    CellMember m_self;
+    LeadershipSettings m_settings;
+    std::optional<LeaderRecord> m_row; ///< As last seen.
+    RowVersion m_version;
+    bool m_rowKnown = false;
+    TimePoint m_versionSeen; ///< When m_version was first seen.
+    TimePoint m_lastBeat;
+    TimePoint m_promisedUntil; ///< No claim before this.
+    TimePoint m_nextRead;
+    TimePoint m_nextWrite;
+    bool m_pending = false; ///< An action is under way.
+    TimePoint m_writeSent;
+    LeaderRecord m_next;
+    bool m_isLeader = false;
+    bool m_retired = false;
+    bool m_resigning = false;
+    Epoch m_epoch;
+    TimePoint m_leaseFrom; ///< When the last confirmed write was sent.
+    std::map<DaemonId, CellMember> m_members; ///< Known daemons, without this one.
+    std::map<DaemonId, MemberState> m_states;
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/cell/workertable.cpp
@@ -0,0 +1,483 @@
+// Settlement of runs: when a run counts as started, ended or gone.
+#include "workertable.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr Duration stopRepeat{400}; // Between two stops of one run; a stop takes effect within 200 ms.
+constexpr Duration lapseMargin{150}; // Timer and scheduling delays on top of the lease.
+
+} // namespace
+
+const char *toString(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Succeeded:
+        return "succeeded";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::LeaseExpired:
+        return "lease expired";
+    case RunEnd::GangBroken:
+        return "gang broken";
+    case RunEnd::GangIncomplete:
+        return "gang incomplete";
+    }
+    return "unknown";
+}
+
+const char *toString(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Done:
+        return "done";
+    case OrderOutcome::StaleFence:
+        return "stale fencing token";
+    case OrderOutcome::OldRun:
+        return "old run number";
+    case OrderOutcome::TooLate:
+        return "deadline passed";
+    case OrderOutcome::NoRoom:
+        return "no room";
+    case OrderOutcome::BadTicket:
+        return "bad ticket";
+    case OrderOutcome::Refused:
+        return "refused";
+    case OrderOutcome::Unhealthy:
+        return "worker unhealthy";
+    case OrderOutcome::OtherLife:
+        return "other worker process";
+    case OrderOutcome::NoAnswer:
+        return "no answer";
+    }
+    return "unknown";
+}
+
+WorkerClock::WorkerClock(double drift) : m_drift(drift) { }
+
+void WorkerClock::observe(WorkerClockMs clock, TimePoint received)
+{
+    if (m_known && atLeast(received) >= clock) {
+        return;
+    }
+    m_clock = clock;
+    m_received = received;
+    m_known = true;
+}
+
+bool WorkerClock::isKnown() const
+{
+    return m_known;
+}
+
+WorkerClockMs WorkerClock::atLeast(TimePoint now) const
+{
+    const double passed = static_cast<double>((now - m_received).count());
+    return m_clock + static_cast<WorkerClockMs>(passed * (1 - m_drift));
+}
+
+WorkerTable::WorkerTable(const WorkerLimits &limits) : m_limits(limits) { }
+
+Worker *WorkerTable::find(const WorkerId &id)
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+const Worker *WorkerTable::find(const WorkerId &id) const
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+std::map<WorkerId, Worker> &WorkerTable::all()
+{
+    return m_workers;
+}
+
+const std::map<WorkerId, Worker> &WorkerTable::all() const
+{
+    return m_workers;
+}
+
+std::vector<RunEvent> WorkerTable::onRegistry(const std::vector<WorkerInfo> &workers, TimePoint now)
+{
+    std::vector<RunEvent> events;
+    std::set<WorkerId> listed;
+    for (const WorkerInfo &info : workers) {
+        listed.insert(info.id);
+        Worker &worker = m_workers[info.id];
+        const bool isNew = worker.info.id.isEmpty();
+        if (isNew || worker.info.life < info.life) {
+            beginLife(worker, info.life, events);
+        }
+        if (isNew || worker.info.sequence != info.sequence || !worker.registered) {
+            worker.sequenceSeen = now;
+        }
+        if (info.life < worker.info.life) {
+            continue; // The registry lags behind the worker's own answers.
+        }
+        worker.info = info;
+        worker.registered = true;
+    }
+    for (auto entry = m_workers.begin(); entry != m_workers.end();) {
+        Worker &worker = entry->second;
+        if (listed.count(entry->first) > 0) {
+            ++entry;
+            continue;
+        }
+        // An entry that expires has been silent for three heartbeats; one that goes earlier was removed by a worker that left.
+        const bool left = worker.registered && worker.info.draining && now - worker.sequenceSeen < 2 * m_limits.heartbeat;
+        worker.registered = false;
+        if (left) {
+            loseRuns(worker, events);
+        }
+        const bool forget = worker.runs.empty() && !worker.holdOpen && (left || hasLapsed(worker, now));
+        entry = forget ? m_workers.erase(entry) : std::next(entry);
+    }
+    return events;
+}
+
+void WorkerTable::addFormer(const std::vector<WorkerId> &ids, TimePoint lapsedBy)
+{
+    for (const WorkerId &id : ids) {
+        Worker &worker = m_workers[id];
+        if (worker.info.id.isEmpty()) {
+            worker.info.id = id;
+            worker.clock = WorkerClock(m_limits.clockDrift);
+        }
+        worker.durable = true;
+        if (!worker.inventoried) {
+            worker.presumedDead = lapsedBy;
+        }
+    }
+}
+
+void WorkerTable::markDurable(const std::vector<WorkerId> &ids)
+{
+    for (const WorkerId &id : ids) {
+        if (Worker *worker = find(id)) {
+            worker->durable = true;
+        }
+    }
+}
+
+bool WorkerTable::isUsable(const Worker &worker, TimePoint now) const
+{
+    const bool answers = worker.inventoried && now - worker.lastAnswer < m_limits.silentAfter && worker.firstSilent == TimePoint();
+    return worker.registered && !worker.info.draining && worker.durable && answers && worker.blockedUntil <= now;
+}
+
+void WorkerTable::beginLife(Worker &worker, WorkerLife life, std::vector<RunEvent> &events)
+{
+    if (worker.info.life != WorkerLife()) {
+        worker.presumedDead = TimePoint(); // What an earlier leader started there has ended with the earlier life.
+    }
+    loseRuns(worker, events);
+    worker.info.life = life;
+    worker.clock = WorkerClock(m_limits.clockDrift);
+    worker.longestDeadline = 0;
+    worker.inventoried = false;
+    worker.seen = EndNumber();
+    worker.acknowledged = EndNumber();
+    worker.ends.clear();
+    worker.nextHold = TimePoint();
+    worker.blockedUntil = TimePoint();
+    worker.failureStreak = 0;
+}
+
+RunEvent WorkerTable::settle(Worker &worker, std::map<RunKey, Run>::iterator run, RunEvent::Kind kind)
+{
+    RunEvent event;
+    event.kind = kind;
+    event.run = std::move(run->second);
+    event.worker = worker.info.id;
+    worker.committed -= event.run.demand;
+    worker.runs.erase(run);
+    return event;
+}
+
+void WorkerTable::loseRuns(Worker &worker, std::vector<RunEvent> &events)
+{
+    while (!worker.runs.empty()) {
+        events.push_back(settle(worker, worker.runs.begin(), RunEvent::Kind::Lost));
+    }
+}
+
+StartOrder WorkerTable::start(Worker &worker, const Run &run, StartOrder order, TimePoint now)
+{
+    Run added = run;
+    order.worker = worker.info.id;
+    order.address = worker.info.address;
+    order.life = worker.info.life;
+    order.task = run.task;
+    order.run = run.number;
+    order.deadline = worker.clock.atLeast(now) + m_limits.startTerm.count();
+    worker.longestDeadline = std::max(worker.longestDeadline, order.deadline);
+    added.phase = RunPhase::Starting;
+    added.sentAt = now;
+    added.startsSent = 1;
+    added.startsOpen = 1;
+    added.order = order;
+    worker.committed += added.demand;
+    worker.runs[{run.task, run.number}] = added;
+    return order;
+}
+
+std::optional<StartOrder> WorkerTable::repeatStart(Worker &worker, Run &run, TimePoint now)
+{
+    if (worker.clock.atLeast(now) >= run.order.deadline) {
+        return std::nullopt;
+    }
+    ++run.startsSent;
+    ++run.startsOpen;
+    return run.order;
+}
+
+std::vector<RunEvent> WorkerTable::onStartAnswer(const StartOrder &order, const OrderAnswer &answer, TimePoint now)
+{
+    std::vector<RunEvent> events;
+    Worker *worker = find(order.worker);
+    if (worker == nullptr || worker->info.life != order.life) {
+        return events;
+    }
+    if (answer.clock > 0) {
+        worker->clock.observe(answer.clock, now);
+    }
+    const auto found = worker->runs.find({order.task, order.run});
+    if (found == worker->runs.end()) {
+        return events;
+    }
+    Run &run = found->second;
+    run.startsOpen = std::max(run.startsOpen - 1, 0);
+    if (answer.outcome == OrderOutcome::NoAnswer) {
+        run.startUnanswered = true;
+        return events;
+    }
+    if (answer.outcome == OrderOutcome::Done) {
+        if (run.phase == RunPhase::Starting) {
+            run.phase = RunPhase::Running;
+            run.confirmedAt = now;
+        }
+        return events;
+    }
+    // A refusal settles the run only if no other start of it may still take effect.
+    if (run.phase == RunPhase::Starting && !run.startUnanswered && run.startsOpen == 0) {
+        events.push_back(settle(*worker, found, RunEvent::Kind::NeverRan));
+        events.back().refusal = answer.outcome;
+    } else if (run.phase == RunPhase::Starting) {
+        requestStop(*worker, run, now);
+    }
+    return events;
+}
+
+void WorkerTable::requestStop(Worker & /*worker*/, Run &run, TimePoint now)
+{
+    if (run.phase != RunPhase::Stopping) {
+        run.phase = RunPhase::Stopping;
+        run.stopConfirmed = false;
+        run.nextStop = now;
+    }
+}
+
+std::vector<StopOrder> WorkerTable::dueStops(TimePoint now)
+{
+    std::vector<StopOrder> orders;
+    for (auto &[id, worker] : m_workers) {
+        if (worker.info.address.empty()) {
+            continue;
+        }
+        for (auto &[key, run] : worker.runs) {
+            if (run.phase == RunPhase::Stopping && !run.stopConfirmed && !run.stopOpen && run.nextStop <= now) {
+                run.stopOpen = true;
+                run.nextStop = now + stopRepeat;
+                orders.push_back(StopOrder{id, worker.info.address, worker.info.life, run.task, run.number});
+            }
+        }
+    }
+    return orders;
+}
+
+std::vector<RunEvent> WorkerTable::onStopAnswer(const StopOrder &order, const OrderAnswer &answer, TimePoint now)
+{
+    std::vector<RunEvent> events;
+    Worker *worker = find(order.worker);
+    if (worker == nullptr || worker->info.life != order.life) {
+        return events;
+    }
+    if (answer.clock > 0) {
+        worker->clock.observe(answer.clock, now);
+    }
+    const auto found = worker->runs.find({order.task, order.run});
+    if (found == worker->runs.end()) {
+        return events;
+    }
+    found->second.stopOpen = false;
+    if (answer.outcome == OrderOutcome::Done) {
+        found->second.stopConfirmed = true;
+        found->second.confirmedAt = now;
+        worker->nextHold = std::min(worker->nextHold, now);
+    }
+    return events;
+}
+
+HoldOrder WorkerTable::hold(Worker &worker, Duration wait, TimePoint now)
+{
+    HoldOrder order;
+    order.worker = worker.info.id;
+    order.address = worker.info.address;
+    order.life = worker.info.life;
+    order.acknowledged = worker.acknowledged;
+    order.wait = wait;
+    if (worker.clock.isKnown()) {
+        order.deadline = worker.clock.atLeast(now) + m_limits.maxLease.count();
+        worker.longestDeadline = std::max(worker.longestDeadline, order.deadline);
+    }
+    worker.holdOpen = true;
+    return order;
+}
+
+std::vector<RunEvent> WorkerTable::onHoldAnswer(
+    const HoldOrder &order, const HoldView *view, TimePoint sent, TimePoint now, std::vector<FoundRun> &found, std::vector<EndedEntry> &strayEnds)
+{
+    std::vector<RunEvent> events;
+    Worker *worker = find(order.worker);
+    if (worker == nullptr) {
+        return events;
+    }
+    worker->holdOpen = false;
+    if (view == nullptr) {
+        if (worker->firstSilent == TimePoint()) {
+            worker->firstSilent = now;
+        }
+        return events;
+    }
+    if (view->life < worker->info.life) {
+        return events; // An answer of a process that has been replaced.
+    }
+    if (worker->info.life < view->life) {
+        beginLife(*worker, view->life, events);
+    }
+    worker->clock.observe(view->clock, now);
+    worker->lastAnswer = now;
+    worker->firstSilent = TimePoint();
+    worker->presumedDead = TimePoint();
+    if (!worker->inventoried) {
+        // Bounds the leases that an earlier leader renewed; its later renewals are fenced off by this one.
+        worker->longestDeadline = std::max(worker->longestDeadline, view->clock + m_limits.maxLease.count());
+    }
+    readEnds(*worker, *view, events, strayEnds);
+    readRunning(*worker, *view, sent, now, events, found);
+    worker->inventoried = true;
+    return events;
+}
+
+void WorkerTable::readEnds(Worker &worker, const HoldView &view, std::vector<RunEvent> &events, std::vector<EndedEntry> &strayEnds)
+{
+    for (const EndedEntry &entry : view.ended) {
+        if (entry.number <= worker.seen) {
+            continue;
+        }
+        worker.seen = entry.number;
+        worker.ends.push_back(UnacknowledgedEnd{entry.number, entry.task.step.job, 0});
+        const auto run = worker.runs.find({entry.task, entry.run});
+        if (run == worker.runs.end()) {
+            strayEnds.push_back(entry);
+            continue;
+        }
+        events.push_back(settle(worker, run, RunEvent::Kind::Ended));
+        events.back().entry = entry;
+    }
+}
+
+void WorkerTable::readRunning(Worker &worker, const HoldView &view, TimePoint sent, TimePoint now, std::vector<RunEvent> &events, std::vector<FoundRun> &found)
+{
+    std::set<RunKey> listed;
+    for (const RunningEntry &entry : view.running) {
+        const RunKey key{entry.task, entry.run};
+        listed.insert(key);
+        const auto known = worker.runs.find(key);
+        if (known == worker.runs.end()) {
+            found.push_back(FoundRun{worker.info.id, entry});
+            continue;
+        }
+        Run &run = known->second;
+        if (run.phase == RunPhase::Starting) {
+            run.phase = RunPhase::Running;
+            run.confirmedAt = now;
+        }
+        if (run.percent != entry.percent || run.percentSince == TimePoint()) {
+            run.percentSince = now;
+        }
+        run.percent = entry.percent;
+        run.load = entry.load;
+        run.checkpoint = entry.checkpoint;
+    }
+    for (auto run = worker.runs.begin(); run != worker.runs.end();) {
+        const Run &known = run->second;
+        const bool confirmed = known.phase == RunPhase::Running || (known.phase == RunPhase::Stopping && known.stopConfirmed);
+        const auto next = std::next(run);
+        // The lists show the state after the hold was sent, so a run that was confirmed before and is missing does not exist.
+        if (confirmed && known.confirmedAt < sent && listed.count(run->first) == 0) {
+            const bool barred = known.phase == RunPhase::Stopping;
+            events.push_back(settle(worker, run, barred ? RunEvent::Kind::NeverRan : RunEvent::Kind::Lost));
+        }
+        run = next;
+    }
+}
+
+bool WorkerTable::hasLapsed(const Worker &worker, TimePoint now) const
+{
+    if (worker.clock.isKnown()) {
+        return worker.clock.atLeast(now) > worker.longestDeadline + lapseMargin.count();
+    }
+    return worker.presumedDead <= now;
+}
+
+std::vector<RunEvent> WorkerTable::expireLeases(TimePoint now)
+{
+    std::vector<RunEvent> events;
+    for (auto &[id, worker] : m_workers) {
+        if (!worker.runs.empty() && now - worker.lastAnswer > m_limits.silentAfter && hasLapsed(worker, now)) {
+            loseRuns(worker, events);
+        }
+    }
+    return events;
+}
+
+Run &WorkerTable::adopt(Worker &worker, const RunningEntry &entry, const Resources &demand, const WorkspaceId &workspace, TimePoint now)
+{
+    Run run;
+    run.task = entry.task;
+    run.number = entry.run;
+    run.demand = demand;
+    run.workspace = workspace;
+    run.phase = RunPhase::Running;
+    run.sentAt = now;
+    run.confirmedAt = now;
+    run.checkpoint = entry.checkpoint;
+    run.percent = entry.percent;
+    run.percentSince = now;
+    worker.committed += demand;
+    return worker.runs[{entry.task, entry.run}] = run;
+}
+
+void WorkerTable::advanceAcknowledged(Worker &worker, const std::function<bool(const UnacknowledgedEnd &)> &isStored)
+{
+    while (!worker.ends.empty() && isStored(worker.ends.front())) {
+        worker.acknowledged = worker.ends.front().number;
+        worker.ends.pop_front();
+    }
+}
+
+bool WorkerTable::mayHideRuns(TimePoint now) const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [now](const auto &entry) { return !entry.second.inventoried && entry.second.presumedDead > now; });
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/cell/workertable.h
@@ -0,0 +1,186 @@
+// The workers of the cell as the leader sees them: clocks, leases, and every run that may exist on them. A run occupies its
+// worker from the moment its start is sent until it is proven that it does not and will not run.
+#pragma once
+
+#include "celljob.h"
+#include "workerview.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace KingCupLadder {
+
+struct WorkerLimits {
+    Duration maxLease{6000}; ///< Longest lease that a worker grants; from the platform's bounds.
+    double clockDrift = 0.02; ///< A worker's clock may be this much slower than real time.
+    Duration startTerm{2000}; ///< An order to start is void so long after it was sent.
+    Duration silentAfter{1500}; ///< Without an answer for so long, a worker gets no new work.
+    Duration heartbeat{1500}; ///< Interval of the registry's entries.
+};
+
+/// Bounds on the clock of one life of a worker, from its answers.
+class WorkerClock
+{
+public:
+    explicit WorkerClock(double drift);
+
+    void observe(WorkerClockMs clock, TimePoint received);
+    [[nodiscard]] bool isKnown() const;
+    /// The clock shows at least this at @p now.
+    [[nodiscard]] WorkerClockMs atLeast(TimePoint now) const;
+
+private:
+    double m_drift;
+    WorkerClockMs m_clock = 0;
+    TimePoint m_received;
+    bool m_known = false;
+};
+
+enum class RunPhase {
+    Starting, ///< The start was sent; its answer is open.
+    Running,
+    Stopping, ///< A stop has to be acknowledged, or its end awaited.
+};
+
+/// One run of one task on one worker.
+struct Run {
+    TaskRef task;
+    RunNumber number;
+    Resources demand;
+    WorkspaceId workspace;
+    RunPhase phase = RunPhase::Starting;
+    StartOrder order; ///< For repeats; empty for a run that was found on the worker.
+    int startsSent = 0;
+    int startsOpen = 0; ///< Starts without an answer so far; at most startsSent.
+    bool startUnanswered = false; ///< A start got no answer and may take effect late.
+    TimePoint sentAt;
+    TimePoint confirmedAt; ///< When the worker confirmed the start, or the stop while stopping.
+    bool stopOpen = false; ///< A stop is on its way.
+    bool stopConfirmed = false;
+    TimePoint nextStop; ///< Earliest time of the next stop order.
+    TimePoint expectedEnd;
+    int percent = 0;
+    int load = 0;
+    std::string checkpoint;
+    TimePoint percentSince; ///< Since when percent has this value.
+};
+
+using RunKey = std::pair<TaskRef, RunNumber>;
+
+/// An end that was read and waits for its consequences to be stored before it is acknowledged.
+struct UnacknowledgedEnd {
+    EndNumber number;
+    JobId job;
+    std::uint64_t revision = 0; ///< Of the job; 0: nothing has to be stored.
+};
+
+struct Worker {
+    WorkerInfo info;
+    bool registered = false; ///< Listed by the registry now.
+    bool durable = false; ///< Its id is stored, so that a later leader knows about it.
+    bool inventoried = false; ///< Its lists were read in this life under this leadership.
+    WorkerClock clock{0};
+    WorkerClockMs longestDeadline = 0; ///< The latest deadline sent to this life.
+    TimePoint lastAnswer;
+    TimePoint firstSilent; ///< First failed hold since the last answer; zero: none.
+    TimePoint presumedDead; ///< Without any answer in this leadership, everything there has lapsed by then.
+    bool holdOpen = false;
+    TimePoint nextHold;
+    EndNumber seen; ///< Highest end that was processed.
+    EndNumber acknowledged; ///< Highest end whose consequences are stored.
+    std::deque<UnacknowledgedEnd> ends; ///< In order; numbers above acknowledged.
+    std::map<RunKey, Run> runs;
+    Resources committed; ///< Sum of the demands of runs.
+    TimePoint sequenceSeen; ///< When the registry's sequence last changed.
+    TimePoint blockedUntil; ///< Gets no new work until then.
+    int failureStreak = 0; ///< Failed runs of different jobs since the last success.
+    JobId lastFailedJob;
+    double speed = 1; ///< Estimated work per time relative to a usual worker.
+
+    [[nodiscard]] Resources free() const
+    {
+        return info.capacity - committed;
+    }
+};
+
+/// What became of a run.
+struct RunEvent {
+    enum class Kind {
+        Ended, ///< Listed by the worker.
+        NeverRan, ///< The start was refused, or barred by a stop.
+        Lost, ///< The worker restarted, left or its lease ran out.
+    };
+    Kind kind = Kind::Lost;
+    Run run;
+    WorkerId worker;
+    EndedEntry entry; ///< Only if ended.
+    OrderOutcome refusal = OrderOutcome::Done; ///< Only if it never ran because of a refusal.
+};
+
+/// A run on a worker that the table does not know.
+struct FoundRun {
+    WorkerId worker;
+    RunningEntry entry;
+};
+
+class WorkerTable
+{
+public:
+    explicit WorkerTable(const WorkerLimits &limits);
+
+    /// The complete registry, read by a request sent at @p now or later. Workers that are not listed stay while runs may exist there.
+    [[nodiscard]] std::vector<RunEvent> onRegistry(const std::vector<WorkerInfo> &workers, TimePoint now);
+    /// Workers that an earlier leader used. Everything there has lapsed at @p lapsedBy unless they answer before.
+    void addFormer(const std::vector<WorkerId> &ids, TimePoint lapsedBy);
+    void markDurable(const std::vector<WorkerId> &ids);
+
+    [[nodiscard]] Worker *find(const WorkerId &id);
+    [[nodiscard]] const Worker *find(const WorkerId &id) const;
+    [[nodiscard]] std::map<WorkerId, Worker> &all();
+    [[nodiscard]] const std::map<WorkerId, Worker> &all() const;
+
+    /// May new work be sent there?
+    [[nodiscard]] bool isUsable(const Worker &worker, TimePoint now) const;
+
+    /// Records a new run and returns the order to send.
+    [[nodiscard]] StartOrder start(Worker &worker, const Run &run, StartOrder order, TimePoint now);
+    /// Repeats the order of a run whose start got no answer; empty if its term is over.
+    [[nodiscard]] std::optional<StartOrder> repeatStart(Worker &worker, Run &run, TimePoint now);
+    [[nodiscard]] std::vector<RunEvent> onStartAnswer(const StartOrder &order, const OrderAnswer &answer, TimePoint now);
+    void requestStop(Worker &worker, Run &run, TimePoint now);
+    /// Stops that are due.
+    [[nodiscard]] std::vector<StopOrder> dueStops(TimePoint now);
+    [[nodiscard]] std::vector<RunEvent> onStopAnswer(const StopOrder &order, const OrderAnswer &answer, TimePoint now);
+    [[nodiscard]] HoldOrder hold(Worker &worker, Duration wait, TimePoint now);
+    /// @p sent: when the order was sent. Unknown runs are added to @p found. A lost answer has no view.
+    [[nodiscard]] std::vector<RunEvent>
+    onHoldAnswer(const HoldOrder &order, const HoldView *view, TimePoint sent, TimePoint now, std::vector<FoundRun> &found, std::vector<EndedEntry> &strayEnds);
+    /// Runs on silent workers whose leases have certainly run out.
+    [[nodiscard]] std::vector<RunEvent> expireLeases(TimePoint now);
+    /// Takes over a run that was found on a worker.
+    Run &adopt(Worker &worker, const RunningEntry &entry, const Resources &demand, const WorkspaceId &workspace, TimePoint now);
+    /// Removes a run that was proven not to run.
+    [[nodiscard]] RunEvent settle(Worker &worker, std::map<RunKey, Run>::iterator run, RunEvent::Kind kind);
+    /// Moves the acknowledged mark over ends whose consequences are stored.
+    void advanceAcknowledged(Worker &worker, const std::function<bool(const UnacknowledgedEnd &)> &isStored);
+    /// True while a worker of an earlier leadership might still run tasks that nobody listed.
+    [[nodiscard]] bool mayHideRuns(TimePoint now) const;
+
+private:
+    void beginLife(Worker &worker, WorkerLife life, std::vector<RunEvent> &events);
+    void loseRuns(Worker &worker, std::vector<RunEvent> &events);
+    void readEnds(Worker &worker, const HoldView &view, std::vector<RunEvent> &events, std::vector<EndedEntry> &strayEnds);
+    void readRunning(Worker &worker, const HoldView &view, TimePoint sent, TimePoint now, std::vector<RunEvent> &events, std::vector<FoundRun> &found);
+    [[nodiscard]] bool hasLapsed(const Worker &worker, TimePoint now) const;
+
+    WorkerLimits m_limits;
+    std::map<WorkerId, Worker> m_workers;
+};
+
+} // namespace KingCupLadder
--- a/src/daemon/connectionpool.cpp
+++ b/src/daemon/connectionpool.cpp
@@ -104,6 +104,10 @@
         if (slot == m_slots.end() || slot->second.connection->isBusy()) {
             continue;
         }
+        if (!m_settings.probeSuspects) {
+            remove(slot);
+            continue;
+        }
         m_health.probeStarted(id);
         ClientRequest probe;
         probe.target = "/"; // Any answer, an error too, proves that the connection carries data.
--- a/src/daemon/connectionpool.h
+++ b/src/daemon/connectionpool.h
@@ -17,6 +17,7 @@
     std::size_t maxWaiting = 1000; ///< Requests that wait for a connection; more fail at once.
     std::size_t maxBody = 8UL * 1024 * 1024; ///< Of an answer, in bytes.
     Duration probeTimeout{300};
+    bool probeSuspects = true; ///< False: idle connections that may be silent are closed instead of probed.
 };
 
 class ConnectionPool
--- a/src/daemon/eventloop.cpp
+++ b/src/daemon/eventloop.cpp
@@ -3,6 +3,8 @@
 
 #include <event2/event.h>
 
+#include <ctime>
+
 namespace KingCupLadder {
 
 namespace {
@@ -60,7 +62,11 @@
 
 TimePoint EventLoop::now() const
 {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    // Unlike the steady clock, this one counts the time for which the VM was suspended, and leases run out meanwhile.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    const auto since = std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    return TimePoint(std::chrono::duration_cast<Duration>(since));
 }
 
 void EventLoop::run()
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -18,7 +18,8 @@
 constexpr Duration repeatInterval{10000};
 constexpr std::size_t repeatSlots = 1024; // Fixed, so that subjects from outside can't use up memory.
 
-constexpr std::array<const char *, 9> partNames{"daemon", "settings", "http", "requests", "api", "peers", "platform", "workers", "shutdown"};
+constexpr std::array<const char *, 12> partNames{
+    "daemon", "settings", "http", "requests", "api", "peers", "platform", "workers", "shutdown", "leader", "scheduler", "caller"};
 constexpr std::array<const char *, 4> levelNames{"debug", "info", "warning", "error"};
 
 /// The last line about one subject.
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -24,6 +24,9 @@
     Platform,
     Workers,
     Shutdown,
+    Leader,
+    Scheduler,
+    Caller,
 };
 
 [[nodiscard]] const char *toString(LogPart part);
--- a/src/daemon/peersocket.h
+++ b/src/daemon/peersocket.h
@@ -1,10 +1,10 @@
-// The ZeroMQ side of one daemon: one bound ROUTER that receives, and one DEALER per peer address that sends. Both are driven
-// from the event loop through their descriptors.
+// Messages of DaemonCore between daemons, over a PeerTransport.
 #pragma once
 
 #include "core/error.h"
 #include "core/messages.h"
 #include "eventloop.h"
+#include "peertransport.h"
 #include "settings.h"
 
 #include <functional>
@@ -20,22 +20,13 @@
     std::optional<CurveKeys> curve;
 };
 
-struct PeerCounters {
-    std::uint64_t sent = 0;
-    std::uint64_t dropped = 0; ///< Not sent: the peer is not connected or its queue is full.
-    std::uint64_t received = 0;
-    std::uint64_t malformed = 0;
-    std::uint64_t bytesSent = 0;
-    std::uint64_t bytesReceived = 0;
-};
-
 class PeerSocket
 {
 public:
     using Handler = std::function<void(const DaemonId &from, const PeerMessage &message)>;
 
     [[nodiscard]] static Result<std::unique_ptr<PeerSocket>> create(EventLoop &loop, const PeerSocketSettings &settings, Handler handler);
-    ~PeerSocket();
+    ~PeerSocket() = default;
     PeerSocket(const PeerSocket &) = delete;
     PeerSocket &operator=(const PeerSocket &) = delete;
 
@@ -44,9 +35,12 @@
     [[nodiscard]] const PeerCounters &counters() const;
 
 private:
-    PeerSocket();
-    class Private;
-    std::unique_ptr<Private> d;
+    PeerSocket(const DaemonId &self, Handler handler);
+    [[nodiscard]] bool receive(std::string_view bytes);
+
+    DaemonId m_self;
+    Handler m_handler;
+    std::unique_ptr<PeerTransport> m_transport;
 };
 
 } // namespace KingCupLadder
--- /dev/null
+++ b/src/daemon/peertransport.h
@@ -0,0 +1,57 @@
+// The ZeroMQ side of one daemon: one bound ROUTER that receives, and one DEALER per peer address that sends. Both are driven
+// from the event loop through their descriptors. Carries bytes; what they mean is up to the user.
+#pragma once
+
+#include "core/error.h"
+#include "eventloop.h"
+#include "settings.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace KingCupLadder {
+
+struct PeerTransportSettings {
+    std::string address; ///< "ip:port" to bind.
+    std::optional<CurveKeys> curve;
+    std::size_t maxMessageBytes = 8UL * 1024 * 1024;
+    Duration pingInterval{1000};
+    Duration pingTimeout{3000}; ///< A connection that is silent for so long is replaced by a new one.
+    Duration connectTimeout{2000}; ///< A peer without power does not answer at all.
+    Duration longestReconnect{2000}; ///< Between attempts to connect.
+};
+
+struct PeerCounters {
+    std::uint64_t sent = 0;
+    std::uint64_t dropped = 0; ///< Not sent: the peer is not connected or its queue is full.
+    std::uint64_t received = 0;
+    std::uint64_t malformed = 0;
+    std::uint64_t bytesSent = 0;
+    std::uint64_t bytesReceived = 0;
+};
+
+class PeerTransport
+{
+public:
+    /// Returns false if the message can't be read.
+    using Handler = std::function<bool(std::string_view bytes)>;
+
+    [[nodiscard]] static Result<std::unique_ptr<PeerTransport>> create(EventLoop &loop, const PeerTransportSettings &settings, Handler handler);
+    ~PeerTransport();
+    PeerTransport(const PeerTransport &) = delete;
+    PeerTransport &operator=(const PeerTransport &) = delete;
+
+    /// Never blocks; a message that can't be queued is dropped and counted.
+    void send(const std::string &address, const std::string &bytes);
+    [[nodiscard]] const PeerCounters &counters() const;
+
+private:
+    PeerTransport();
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/node/cellpeers.cpp
@@ -0,0 +1,100 @@
+// Pairs answers with questions.
+#include "cellpeers.h"
+
+namespace KingCupLadder {
+
+namespace {
+
+// A leader is replaced within about two seconds, so silent connections have to be found sooner than that.
+constexpr Duration pingInterval{400};
+constexpr Duration pingTimeout{1200};
+constexpr Duration connectTimeout{500};
+constexpr Duration longestReconnect{400};
+
+} // namespace
+
+CellPeers::CellPeers(EventLoop &loop, const CellMember &self, Handler handler) : m_loop(loop), m_self(self), m_handler(std::move(handler)) { }
+
+Result<std::unique_ptr<CellPeers>> CellPeers::create(EventLoop &loop, const CellMember &self, Handler handler)
+{
+    std::unique_ptr<CellPeers> peers(new CellPeers(loop, self, std::move(handler)));
+    PeerTransportSettings settings;
+    settings.address = self.peerAddress;
+    settings.pingInterval = pingInterval;
+    settings.pingTimeout = pingTimeout;
+    settings.connectTimeout = connectTimeout;
+    settings.longestReconnect = longestReconnect;
+    auto transport = PeerTransport::create(loop, settings, [receiver = peers.get()](std::string_view bytes) { return receiver->receive(bytes); });
+    if (!transport) {
+        return transport.reason();
+    }
+    peers->m_transport = std::move(transport).value();
+    return peers;
+}
+
+void CellPeers::send(const std::string &address, Envelope message)
+{
+    message.set_from(m_self.id.value());
+    message.set_incarnation(m_self.incarnation.value());
+    message.set_reply_address(m_self.peerAddress);
+    m_transport->send(address, message.SerializeAsString());
+}
+
+void CellPeers::ask(const std::string &address, Envelope question, Duration timeout, AnswerCallback callback)
+{
+    question.set_call(++m_lastCall);
+    m_open.emplace(m_lastCall, Open{m_loop.now() + timeout, std::move(callback)});
+    send(address, std::move(question));
+}
+
+void CellPeers::answer(const Envelope &question, Envelope answer)
+{
+    if (question.call() == 0) {
+        return;
+    }
+    answer.set_call(question.call());
+    answer.set_is_answer(true);
+    send(question.reply_address(), std::move(answer));
+}
+
+bool CellPeers::receive(std::string_view bytes)
+{
+    Envelope message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || message.from().empty()) {
+        return false;
+    }
+    if (!message.is_answer()) {
+        m_handler(message);
+        return true;
+    }
+    const auto open = m_open.find(message.call());
+    if (open != m_open.end()) {
+        const AnswerCallback callback = std::move(open->second.callback);
+        m_open.erase(open);
+        callback(&message);
+    }
+    return true;
+}
+
+void CellPeers::expire(TimePoint now)
+{
+    std::vector<AnswerCallback> overdue;
+    for (auto open = m_open.begin(); open != m_open.end();) {
+        if (open->second.deadline <= now) {
+            overdue.push_back(std::move(open->second.callback));
+            open = m_open.erase(open);
+        } else {
+            ++open;
+        }
+    }
+    for (const AnswerCallback &callback : overdue) {
+        callback(nullptr);
+    }
+}
+
+const PeerCounters &CellPeers::counters() const
+{
+    return m_transport->counters();
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/node/cellpeers.h
@@ -0,0 +1,49 @@
+// Messages between the daemons of a cell: plain messages, and questions that get one answer or time out.
+#pragma once
+
+#include "cell.pb.h"
+#include "cell/leadership.h"
+#include "daemon/peertransport.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace KingCupLadder {
+
+class CellPeers
+{
+public:
+    using Envelope = CellWire::CellEnvelope;
+    using Handler = std::function<void(const Envelope &)>;
+    using AnswerCallback = std::function<void(const Envelope *answer)>; ///< Null: no answer in time.
+
+    [[nodiscard]] static Result<std::unique_ptr<CellPeers>> create(EventLoop &loop, const CellMember &self, Handler handler);
+
+    void send(const std::string &address, Envelope message);
+    /// The callback comes exactly once, after the call has returned.
+    void ask(const std::string &address, Envelope question, Duration timeout, AnswerCallback callback);
+    void answer(const Envelope &question, Envelope answer);
+    /// Ends questions that are overdue; to be called regularly.
+    void expire(TimePoint now);
+    [[nodiscard]] const PeerCounters &counters() const;
+
+private:
+    struct Open {
+        TimePoint deadline;
+        AnswerCallback callback;
+    };
+
+    CellPeers(EventLoop &loop, const CellMember &self, Handler handler);
+    [[nodiscard]] bool receive(std::string_view bytes);
+
+    EventLoop &m_loop;
+    CellMember m_self;
+    Handler m_handler;
+    std::unique_ptr<PeerTransport> m_transport;
+    std::map<std::uint64_t, Open> m_open;
+    std::uint64_t m_lastCall = 0;
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/node/cellrows.cpp
@@ -0,0 +1,402 @@
+// Reads and writes of the cell's rows.
+#include "cellrows.h"
+
+#include "daemon/log.h"
+#include "rowcodec.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+const char jobTable[] = "jobs";
+const char progressTable[] = "progress";
+const char cellTable[] = "cell";
+const char leaderKey[] = "leader";
+const char workersKey[] = "workers";
+const char cancelSuffix[] = ".cancel"; // Of the key of a cancellation, beside the job's row.
+const char afterSuffixes[] = "/"; // The first character after the suffix's dot: ends the range of one job's rows.
+
+// One part takes 200 transactions a second, one after another; jobs are admitted at a tenth of the sum of all parts.
+constexpr std::uint64_t partCount = 8;
+constexpr Duration transactTimeout{900};
+constexpr Duration readTimeout{1000};
+constexpr Duration retryPause{60};
+constexpr std::size_t mostEntries = 100; // Of one transaction.
+constexpr std::size_t entriesPerJob = 4; // A condition, a write and two removals.
+constexpr std::size_t mostBytes = 700000; // A transaction may have 1 MB; values grow by a third in transit.
+
+RowKey jobKey(const JobId &id)
+{
+    return RowKey{jobTable, CellRows::partOf(id), id.value()};
+}
+
+RowKey cancelKey(const JobId &id)
+{
+    return RowKey{jobTable, CellRows::partOf(id), id.value() + cancelSuffix};
+}
+
+RowKey progressKey(const JobId &id)
+{
+    return RowKey{progressTable, CellRows::partOf(id), id.value()};
+}
+
+/// The job of a cancellation's key; empty for other keys.
+std::optional<JobId> cancelledJob(const std::string &key)
+{
+    const std::size_t dot = key.rfind(cancelSuffix);
+    return dot == std::string::npos ? std::nullopt : std::optional<JobId>(JobId(key.substr(0, dot)));
+}
+
+std::optional<CellJob> decodeJobRow(const TableRow &row)
+{
+    const auto wire = decodeRow<CellWire::JobRow>(row.value);
+    auto job = wire ? fromWire(*wire) : std::nullopt;
+    if (!job) {
+        logLimited(LogPart::Platform, LogLevel::Error, "job row", "job row " + row.key.key + " can't be read; the job is left out");
+    }
+    return job;
+}
+
+std::optional<JobProgress> decodeProgressRow(const TableRow &row)
+{
+    const auto wire = decodeRow<CellWire::ProgressRow>(row.value);
+    if (!wire) {
+        logLimited(LogPart::Platform, LogLevel::Error, "progress row", "progress row " + row.key.key + " can't be read; its tasks run again");
+        return std::nullopt;
+    }
+    return fromWire(*wire);
+}
+
+std::optional<LeaderRecord> decodeLeaderRow(const TableRow &row)
+{
+    const auto wire = decodeRow<CellWire::LeaderRow>(row.value);
+    return wire && row.version.value() > 0 ? std::optional<LeaderRecord>(fromWire(*wire)) : std::nullopt;
+}
+
+} // namespace
+
+CellRows::CellRows(EventLoop &loop, TableStore &store) : m_loop(loop), m_store(store) { }
+
+std::string CellRows::partOf(const JobId &id)
+{
+    std::uint64_t hash = 1469598103934665603ULL; // FNV-1a: equal in all processes and versions, unlike std::hash.
+    for (const char c : id.value()) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    }
+    return "j" + std::to_string(hash % partCount);
+}
+
+void CellRows::after(Duration pause, std::function<void()> function)
+{
+    const std::uint64_t id = ++m_lastTimer;
+    auto timer = EventWatch::timer(m_loop, [this, id, function = std::move(function)] {
+        const auto keep = std::move(m_timers.at(id));
+        m_timers.erase(id);
+        function();
+    });
+    timer->start(pause);
+    m_timers.emplace(id, std::move(timer));
+}
+
+void CellRows::admit(const CellJob &job, TimePoint deadline, std::function<void(AdmitOutcome)> callback)
+{
+    admitOnce(job, deadline, false, callback);
+}
+
+void CellRows::admitOnce(const CellJob &job, TimePoint deadline, bool mayBeStored, const std::function<void(AdmitOutcome)> &callback)
+{
+    Transaction transaction;
+    transaction.conditions.push_back(RowCondition{jobKey(job.id), RowVersion()});
+    transaction.conditions.push_back(RowCondition{progressKey(job.id), RowVersion()});
+    transaction.writes.push_back(TableWrite{jobKey(job.id), encodeRow(toWire(job))});
+    const Duration left = std::min(transactTimeout, deadline - m_loop.now());
+    m_store.transact(transaction, left, [this, job, deadline, mayBeStored, callback](const StoreAnswer &answer) {
+        if (answer.outcome == StoreOutcome::Done) {
+            callback(AdmitOutcome::Stored);
+            return;
+        }
+        if (answer.outcome == StoreOutcome::Conflict) {
+            callback(AdmitOutcome::AlreadyThere);
+            return;
+        }
+        const bool unknown = mayBeStored || answer.outcome == StoreOutcome::Unknown;
+        if (m_loop.now() + retryPause >= deadline) {
+            callback(unknown ? AdmitOutcome::Unknown : AdmitOutcome::NotStored);
+            return;
+        }
+        after(retryPause, [this, job, deadline, unknown, callback] { admitOnce(job, deadline, unknown, callback); });
+    });
+}
+
+void CellRows::cancel(const JobId &id, TimePoint deadline, std::function<void(bool)> callback)
+{
+    cancelOnce(id, deadline, callback);
+}
+
+void CellRows::cancelOnce(const JobId &id, TimePoint deadline, const std::function<void(bool)> &callback)
+{
+    Transaction transaction;
+    transaction.writes.push_back(TableWrite{cancelKey(id), "1"});
+    const Duration left = std::min(transactTimeout, deadline - m_loop.now());
+    m_store.transact(transaction, left, [this, id, deadline, callback](const StoreAnswer &answer) {
+        if (answer.outcome == StoreOutcome::Done) {
+            callback(true);
+            return;
+        }
+        if (m_loop.now() + retryPause >= deadline) {
+            callback(false);
+            return;
+        }
+        after(retryPause, [this, id, deadline, callback] { cancelOnce(id, deadline, callback); });
+    });
+}
+
+void CellRows::readState(const JobId &id, Duration timeout, std::function<void(const StoredState &)> callback)
+{
+    const std::string part = partOf(id);
+    const TimePoint deadline = m_loop.now() + timeout;
+    // A job that ends between two reads moves from the jobs to the progress rows, so the jobs are read first.
+    m_store.read(RangeRead{jobTable, part, id.value(), id.value() + afterSuffixes, 2}, timeout, [this, id, part, deadline, callback](const StoreAnswer &jobs) {
+        if (jobs.outcome != StoreOutcome::Done) {
+            callback(StoredState{});
+            return;
+        }
+        const Duration left = std::max(deadline - m_loop.now(), Duration(1));
+        m_store.read(RangeRead{progressTable, part, id.value(), id.value() + afterSuffixes, 1}, left, [jobs, callback](const StoreAnswer &progress) {
+            StoredState state;
+            state.known = progress.outcome == StoreOutcome::Done;
+            for (const TableRow &row : jobs.rows) {
+                if (cancelledJob(row.key.key)) {
+                    state.state = state.state == CellJobState::Unknown ? state.state : CellJobState::Cancelled;
+                } else if (const auto job = decodeJobRow(row)) {
+                    state.state = CellJobState::Pending;
+                    state.workspace = job->workspace;
+                }
+            }
+            for (const TableRow &row : progress.rows) {
+                const auto stored = decodeProgressRow(row);
+                if (stored && (isFinal(stored->finalState) || state.state == CellJobState::Pending)) {
+                    state.state = isFinal(stored->finalState) ? stored->finalState : CellJobState::Active;
+                    state.workspace = stored->workspace;
+                }
+            }
+            callback(state);
+        });
+    });
+}
+
+struct CellRows::Load {
+    StoredJobs jobs;
+    std::uint64_t part = 0;
+    bool progress = false; ///< Reading progress rows, after the jobs of all parts.
+    std::string from;
+    std::function<void(std::optional<StoredJobs>)> callback;
+};
+
+void CellRows::loadAll(std::function<void(std::optional<StoredJobs>)> callback)
+{
+    auto load = std::make_shared<Load>();
+    load->callback = std::move(callback);
+    loadNext(load);
+}
+
+void CellRows::loadNext(const std::shared_ptr<Load> &load)
+{
+    if (load->part == partCount && load->progress) {
+        load->callback(std::move(load->jobs));
+        return;
+    }
+    if (load->part == partCount) {
+        load->progress = true;
+        load->part = 0;
+    }
+    const RangeRead range{load->progress ? progressTable : jobTable, "j" + std::to_string(load->part), load->from, {}, 500};
+    m_store.read(range, readTimeout, [this, load](const StoreAnswer &answer) {
+        if (answer.outcome != StoreOutcome::Done) {
+            load->callback(std::nullopt);
+            return;
+        }
+        if (load->jobs.version == RowVersion()) {
+            load->jobs.version = answer.version;
+        }
+        for (const TableRow &row : answer.rows) {
+            if (const auto cancelled = cancelledJob(row.key.key)) {
+                load->jobs.jobs[*cancelled].cancelled = true;
+            } else if (load->progress) {
+                load->jobs.jobs[JobId(row.key.key)].progress = decodeProgressRow(row);
+                m_versions[JobId(row.key.key)] = row.version;
+            } else {
+                load->jobs.jobs[JobId(row.key.key)].job = decodeJobRow(row);
+            }
+        }
+        if (answer.truncated && !answer.rows.empty()) {
+            load->from = answer.rows.back().key.key + '\0';
+        } else {
+            ++load->part;
+            load->from.clear();
+        }
+        loadNext(load);
+    });
+}
+
+void CellRows::readChanges(RowVersion after, std::function<void(bool, const std::vector<JobChange> &, RowVersion)> callback)
+{
+    m_store.feed(FeedRead{jobTable, after, Duration(0)}, readTimeout, [callback, after](const StoreAnswer &answer) {
+        std::vector<JobChange> changes;
+        if (answer.outcome != StoreOutcome::Done) {
+            callback(answer.outcome == StoreOutcome::HistoryGone, changes, after);
+            return;
+        }
+        for (const TableRow &row : answer.rows) {
+            if (row.removed) {
+                continue;
+            }
+            JobChange change;
+            change.cancelled = cancelledJob(row.key.key);
+            if (!change.cancelled) {
+                change.admitted = decodeJobRow(row);
+            }
+            changes.push_back(std::move(change));
+        }
+        callback(false, changes, answer.version);
+    });
+}
+
+void CellRows::resetVersions()
+{
+    m_versions.clear();
+}
+
+void CellRows::writeProgress(const std::vector<ProgressWrite> &writes, std::int64_t unixNowMs, const ProgressCallback &callback)
+{
+    std::map<std::string, std::vector<ProgressWrite>> parts;
+    for (const ProgressWrite &write : writes) {
+        parts[partOf(write.job)].push_back(write);
+    }
+    for (const auto &[part, all] : parts) {
+        for (std::size_t first = 0; first < all.size(); first += mostEntries / entriesPerJob) {
+            const std::size_t end = std::min(all.size(), first + mostEntries / entriesPerJob);
+            writePart(part, {all.begin() + static_cast<std::ptrdiff_t>(first), all.begin() + static_cast<std::ptrdiff_t>(end)}, unixNowMs, callback);
+        }
+    }
+}
+
+void CellRows::writePart(const std::string & /*part*/, const std::vector<ProgressWrite> &writes, std::int64_t unixNowMs, const ProgressCallback &callback)
+{
+    Transaction transaction;
+    std::vector<ProgressWrite> taken;
+    std::size_t bytes = 0;
+    for (const ProgressWrite &write : writes) {
+        const auto version = m_versions.find(write.job);
+        std::string value = encodeRow(toWire(write.progress, unixNowMs));
+        bytes += value.size();
+        if (bytes > mostBytes) {
+            m_loop.defer([write, callback] { callback(write, false, CellJobState::Unknown); });
+            continue;
+        }
+        transaction.conditions.push_back(RowCondition{progressKey(write.job), version == m_versions.end() ? RowVersion() : version->second});
+        transaction.writes.push_back(TableWrite{progressKey(write.job), std::move(value)});
+        if (isFinal(write.progress.finalState)) {
+            transaction.removals.push_back(jobKey(write.job));
+            if (write.progress.finalState == CellJobState::Cancelled) {
+                transaction.removals.push_back(cancelKey(write.job));
+            }
+        }
+        taken.push_back(write);
+    }
+    m_store.transact(transaction, transactTimeout, [this, taken, callback](const StoreAnswer &answer) { onPartWritten(taken, answer, callback); });
+}
+
+void CellRows::onPartWritten(const std::vector<ProgressWrite> &writes, const StoreAnswer &answer, const ProgressCallback &callback)
+{
+    std::map<JobId, const TableRow *> current;
+    for (const TableRow &row : answer.rows) {
+        current[JobId(row.key.key)] = &row;
+    }
+    for (const ProgressWrite &write : writes) {
+        if (answer.outcome == StoreOutcome::Done) {
+            m_versions[write.job] = answer.version;
+            callback(write, true, CellJobState::Unknown);
+            continue;
+        }
+        CellJobState found = CellJobState::Unknown;
+        const auto row = current.find(write.job);
+        if (answer.outcome == StoreOutcome::Conflict && row != current.end()) {
+            m_versions[write.job] = row->second->version;
+            const auto stored = row->second->version.value() > 0 ? decodeProgressRow(*row->second) : std::nullopt;
+            found = stored ? stored->finalState : CellJobState::Unknown;
+        }
+        callback(write, isFinal(found), found);
+    }
+}
+
+void CellRows::readWorkers(std::function<void(bool, const std::vector<WorkerId> &)> callback)
+{
+    m_store.read(RangeRead{cellTable, {}, workersKey, std::string(workersKey) + afterSuffixes, 100}, readTimeout, [this, callback](const StoreAnswer &answer) {
+        std::vector<WorkerId> ids;
+        m_formerWorkerKeys.clear();
+        for (const TableRow &stored : answer.rows) {
+            m_formerWorkerKeys.push_back(stored.key.key);
+            const auto row = decodeRow<CellWire::WorkersRow>(stored.value);
+            for (int i = 0; row && i < row->ids_size(); ++i) {
+                ids.emplace_back(row->ids(i));
+            }
+        }
+        callback(answer.outcome == StoreOutcome::Done, ids);
+    });
+}
+
+void CellRows::writeWorkers(Epoch epoch, const std::vector<WorkerId> &ids, std::function<void(bool)> callback)
+{
+    CellWire::WorkersRow row;
+    for (const WorkerId &id : ids) {
+        row.add_ids(id.value());
+    }
+    const RowKey key{cellTable, {}, workersKey + ("-" + std::to_string(epoch.value()))};
+    Transaction transaction;
+    transaction.writes.push_back(TableWrite{key, encodeRow(row)});
+    for (const std::string &former : m_formerWorkerKeys) {
+        if (former != key.key) {
+            transaction.removals.push_back(RowKey{cellTable, {}, former});
+        }
+    }
+    m_store.transact(transaction, transactTimeout, [this, callback](const StoreAnswer &answer) {
+        if (answer.outcome == StoreOutcome::Done) {
+            m_formerWorkerKeys.clear();
+        }
+        callback(answer.outcome == StoreOutcome::Done);
+    });
+}
+
+void CellRows::readLeader(std::function<void(bool, const std::optional<LeaderRecord> &, RowVersion)> callback)
+{
+    const std::string key = leaderKey;
+    m_store.read(RangeRead{cellTable, {}, key, key + afterSuffixes, 1}, readTimeout, [callback](const StoreAnswer &answer) {
+        if (answer.outcome != StoreOutcome::Done || answer.rows.empty()) {
+            callback(answer.outcome == StoreOutcome::Done, std::nullopt, RowVersion());
+            return;
+        }
+        callback(true, decodeLeaderRow(answer.rows.front()), answer.rows.front().version);
+    });
+}
+
+void CellRows::writeLeader(const LeaderRecord &record,
+                           RowVersion expected,
+                           std::function<void(StoreOutcome, const std::optional<LeaderRecord> &, RowVersion)> callback)
+{
+    const RowKey key{cellTable, {}, leaderKey};
+    Transaction transaction;
+    transaction.conditions.push_back(RowCondition{key, expected});
+    transaction.writes.push_back(TableWrite{key, encodeRow(toWire(record))});
+    m_store.transact(transaction, transactTimeout, [callback](const StoreAnswer &answer) {
+        if (answer.outcome == StoreOutcome::Conflict && !answer.rows.empty()) {
+            callback(answer.outcome, decodeLeaderRow(answer.rows.front()), answer.rows.front().version);
+            return;
+        }
+        callback(answer.outcome, std::nullopt, answer.version);
+    });
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/node/frontdesk.h
@@ -0,0 +1,99 @@
+// Serves callers: submits, shows and cancels jobs, and counts what waits in a queue. A request passes a chain of filters
+// (route, key, configuration still confirmed) before its operation.
+#pragma once
+
+#include "cellpeers.h"
+#include "cellrows.h"
+#include "configfollower.h"
+#include "ports.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace KingCupLadder {
+
+struct FrontDeskSettings {
+    Duration leaderTimeout{350}; ///< For one question to the leader; then the store is asked.
+    Duration longestAdmission{2500}; ///< Of the attempts to store a job.
+    Duration answerMargin{150}; ///< An answer is sent so long before the caller gives up.
+    Duration defaultPatience{3000}; ///< Of a caller that does not say how long it waits.
+    Duration noticeRetry{300}; ///< Between notices to a leader that has not acknowledged one.
+    Duration noticeTerm{6000}; ///< By then the leader has found the rows itself.
+    Duration countsFreshFor{1800}; ///< Counts of queues may be 2 s old.
+};
+
+/// The leader as the desk reaches it.
+struct LeaderAccess {
+    /// Asks the leader, which may be this daemon; the callback gets null if there is none or no answer in time.
+    std::function<void(CellPeers::Envelope question, Duration timeout, CellPeers::AnswerCallback callback)> ask;
+    /// Jobs that wait, by route, as last told by the leader; null if that is too old.
+    std::function<const std::map<RouteName, int> *(Duration freshFor)> queued;
+};
+
+struct FrontDeskCounters {
+    std::map<std::string, std::uint64_t> answers; ///< By operation and status, such as "submit 200".
+};
+
+class FrontDesk
+{
+public:
+    FrontDesk(EventLoop &loop, const FrontDeskSettings &settings, const Translation &translation, ConfigFollower &config, CellRows &rows, LeaderAccess leader);
+
+    void handle(const HttpCallPtr &call);
+    /// Repeats notices that the leader has not acknowledged.
+    void tick();
+    [[nodiscard]] const FrontDeskCounters &counters() const;
+    /// Notices that the leader has not acknowledged.
+    [[nodiscard]] std::size_t openNotices() const;
+
+private:
+    /// One caller's request.
+    struct Request {
+        HttpCallPtr call;
+        CallerHead head;
+        TimePoint deadline; ///< The answer has to be sent by then.
+        const CellRoute *route = nullptr; ///< Valid only while the request is being filtered.
+        RouteName routeName;
+        WorkspaceId workspace; ///< Empty on a public route without a key.
+        JobId job; ///< Empty: the queue is meant.
+        const char *operation = "";
+    };
+    using RequestPtr = std::shared_ptr<Request>;
+    struct Notice {
+        CellPeers::Envelope message;
+        TimePoint next;
+        TimePoint giveUp;
+        bool open = false;
+    };
+
+    [[nodiscard]] bool passesFilters(const RequestPtr &request);
+    void submit(const RequestPtr &request);
+    void store(const RequestPtr &request, const CellJob &job);
+    void show(const RequestPtr &request);
+    void showStored(const RequestPtr &request);
+    void cancel(const RequestPtr &request);
+    void cancelKnown(const RequestPtr &request, CellJobState state, const WorkspaceId &workspace);
+    void count(const RequestPtr &request);
+    void answerState(const RequestPtr &request, CellJobState state, const WorkspaceId &workspace);
+    void respond(const RequestPtr &request, int status, const std::string &body, const std::string &reason, Duration retryAfter = Duration(0));
+    void refuse(const RequestPtr &request, int status, const Error &error, Duration retryAfter = Duration(0));
+    void notify(const JobId &job, CellPeers::Envelope message);
+    [[nodiscard]] Duration left(const RequestPtr &request) const;
+    [[nodiscard]] bool mayRead(const RequestPtr &request, const WorkspaceId &owner) const;
+
+    EventLoop &m_loop;
+    FrontDeskSettings m_settings;
+    const Translation &m_translation;
+    ConfigFollower &m_config;
+    CellRows &m_rows;
+    LeaderAccess m_leader;
+    std::map<std::uint64_t, Notice> m_notices;
+    std::uint64_t m_lastNotice = 0;
+    FrontDeskCounters m_counters;
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/node/leaderduty.cpp
@@ -0,0 +1,414 @@
+// The leader's I/O around CellScheduler.
+#include "leaderduty.h"
+
+#include "daemon/log.h"
+#include "rowcodec.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr Duration wakeDelay{2}; // Events that come together are decided on together.
+constexpr std::size_t mostProgress = 60; // Jobs in one round of writes.
+constexpr int mostProgressOpen = 120; // Jobs whose progress is being written.
+constexpr Duration storeTimeout{1000};
+constexpr Duration lapseMargin{300}; // Beyond the longest lease of an earlier leader, for timers and drift.
+constexpr Duration adviceSlack{1200}; // A lane may handle another call first.
+
+void logDecision(const std::string &line)
+{
+    logLine(LogPart::Scheduler, LogLevel::Info, line);
+}
+
+} // namespace
+
+LeaderDuty::LeaderDuty(EventLoop &loop,
+                       const CellMember &self,
+                       const LeaderDutySettings &settings,
+                       Leadership &leadership,
+                       CellRows &rows,
+                       TableStore &store,
+                       const Translation &translation,
+                       WorkerPort &workers,
+                       AdvicePort &advice,
+                       CellPeers &peers)
+    : m_loop(loop)
+    , m_self(self)
+    , m_settings(settings)
+    , m_leadership(leadership)
+    , m_rows(rows)
+    , m_store(store)
+    , m_translation(translation)
+    , m_workers(workers)
+    , m_advice(advice)
+    , m_peers(peers)
+    , m_scheduler(settings.scheduler, logDecision)
+{
+    m_wake = EventWatch::timer(loop, [this] {
+        m_wakeSet = false;
+        decide();
+    });
+}
+
+CellTime LeaderDuty::time() const
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return CellTime{m_loop.now(), std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()};
+}
+
+void LeaderDuty::setConfig(const std::shared_ptr<const CellConfig> &config)
+{
+    m_scheduler.setConfig(config, m_loop.now());
+    wake();
+}
+
+bool LeaderDuty::isActive() const
+{
+    return m_active;
+}
+
+bool LeaderDuty::isLoaded() const
+{
+    return m_active && m_scheduler.isLoaded();
+}
+
+const CellScheduler &LeaderDuty::scheduler() const
+{
+    return m_scheduler;
+}
+
+void LeaderDuty::wake()
+{
+    if (m_active && !m_wakeSet) {
+        m_wakeSet = true;
+        m_wake->start(wakeDelay);
+    }
+}
+
+void LeaderDuty::tick()
+{
+    if (m_active && (!m_leadership.isLeader() || m_leadership.epoch() != m_epoch)) {
+        end();
+    }
+    if (!m_active && m_leadership.isLeader() && m_leadership.mayAct(m_loop.now())) {
+        begin();
+    }
+    if (!m_active) {
+        return;
+    }
+    const TimePoint now = m_loop.now();
+    if (!m_scheduler.isLoaded() && !m_loading && m_nextLoad <= now) {
+        load();
+    }
+    if (!m_registryOpen && m_nextRegistry <= now) {
+        pollRegistry();
+    }
+    if (m_scheduler.isLoaded() && !m_changesOpen && m_nextChanges <= now) {
+        pollChanges();
+    }
+    decide();
+}
+
+void LeaderDuty::begin()
+{
+    ++m_term;
+    m_active = true;
+    m_epoch = m_leadership.epoch();
+    m_registryOpen = false;
+    m_changesOpen = false;
+    m_loading = false;
+    m_progressOpen = 0;
+    m_nextRegistry = TimePoint();
+    m_nextChanges = TimePoint();
+    m_nextProgress = TimePoint();
+    m_nextLoad = TimePoint();
+    const WorkerLimits &limits = m_settings.scheduler.workers;
+    const auto longestLease = Duration(static_cast<std::int64_t>(static_cast<double>(limits.maxLease.count()) / (1 - limits.clockDrift)));
+    m_scheduler.beginTerm(m_epoch, m_loop.now() + longestLease + lapseMargin);
+    m_rows.resetVersions();
+    logLine(LogPart::Leader, LogLevel::Info, "leads the cell in epoch " + std::to_string(m_epoch.value()));
+}
+
+void LeaderDuty::end()
+{
+    ++m_term;
+    m_active = false;
+    logLine(LogPart::Leader, LogLevel::Info, "no longer leads the cell; its epoch was " + std::to_string(m_epoch.value()));
+}
+
+void LeaderDuty::load()
+{
+    m_loading = true;
+    m_rows.readWorkers(whileLeading([this](bool known, const std::vector<WorkerId> &ids) {
+        if (!known) {
+            m_loading = false;
+            m_nextLoad = m_loop.now() + m_settings.loadRetry;
+            return;
+        }
+        m_scheduler.addFormerWorkers(ids);
+        m_rows.loadAll(whileLeading([this](const std::optional<StoredJobs> &stored) {
+            m_loading = false;
+            if (!stored) {
+                m_nextLoad = m_loop.now() + m_settings.loadRetry;
+                return;
+            }
+            const CellTime now = time();
+            std::size_t open = 0;
+            for (const auto &[id, entry] : stored->jobs) {
+                if (entry.progress && isFinal(entry.progress->finalState)) {
+                    m_scheduler.loadFinal(id, *entry.progress, now.now);
+                } else if (entry.job) {
+                    ++open;
+                    m_scheduler.load(*entry.job, entry.progress ? &*entry.progress : nullptr, entry.cancelled, now);
+                }
+            }
+            m_changesSeen = stored->version;
+            m_scheduler.finishLoading(now.now);
+            logLine(LogPart::Leader, LogLevel::Info, "loaded " + std::to_string(open) + " open jobs of " + std::to_string(stored->jobs.size()));
+            wake();
+        }));
+    }));
+}
+
+void LeaderDuty::pollRegistry()
+{
+    m_registryOpen = true;
+    m_nextRegistry = m_loop.now() + m_settings.registryInterval;
+    auto listed = std::make_shared<std::vector<WorkerInfo>>();
+    auto readPage = std::make_shared<std::function<void(const std::string &)>>();
+    *readPage = [this, listed, weak = std::weak_ptr<std::function<void(const std::string &)>>(readPage)](const std::string &from) {
+        const auto self = weak.lock();
+        m_store.read(RangeRead{m_translation.workerTable, {}, from, {}, 500}, storeTimeout, whileLeading([this, listed, self](const StoreAnswer &answer) {
+                         if (answer.outcome != StoreOutcome::Done) {
+                             m_registryOpen = false;
+                             return;
+                         }
+                         for (const TableRow &row : answer.rows) {
+                             if (auto info = m_translation.decodeWorker(row.key.key, row.value)) {
+                                 listed->push_back(std::move(*info));
+                             }
+                         }
+                         if (answer.truncated && !answer.rows.empty()) {
+                             (*self)(answer.rows.back().key.key + '\0');
+                             return;
+                         }
+                         m_registryOpen = false;
+                         m_scheduler.onRegistry(*listed, time());
+                         wake();
+                     }));
+    };
+    (*readPage)(std::string());
+}
+
+void LeaderDuty::pollChanges()
+{
+    m_changesOpen = true;
+    m_nextChanges = m_loop.now() + m_settings.changesInterval;
+    m_rows.readChanges(m_changesSeen, whileLeading([this](bool historyGone, const std::vector<JobChange> &changes, RowVersion version) {
+                           m_changesOpen = false;
+                           if (historyGone) {
+                               // The rows themselves are complete; whatever is known already is left as it is.
+                               m_changesOpen = true;
+                               m_rows.loadAll(whileLeading([this](const std::optional<StoredJobs> &stored) {
+                                   m_changesOpen = false;
+                                   if (!stored) {
+                                       return;
+                                   }
+                                   m_changesSeen = stored->version;
+                                   for (const auto &[id, entry] : stored->jobs) {
+                                       const bool ended = entry.progress && isFinal(entry.progress->finalState);
+                                       if (entry.job && !ended) {
+                                           m_scheduler.onJobStored(*entry.job, time());
+                                       }
+                                       if (entry.cancelled && !ended) {
+                                           m_scheduler.onCancelStored(id, m_loop.now());
+                                       }
+                                   }
+                                   wake();
+                               }));
+                               return;
+                           }
+                           m_changesSeen = version;
+                           for (const JobChange &change : changes) {
+                               if (change.admitted) {
+                                   m_scheduler.onJobStored(*change.admitted, time());
+                               }
+                               if (change.cancelled) {
+                                   m_scheduler.onCancelStored(*change.cancelled, m_loop.now());
+                               }
+                           }
+                           if (!changes.empty()) {
+                               wake();
+                           }
+                       }));
+}
+
+void LeaderDuty::decide()
+{
+    if (!m_active || !m_leadership.mayAct(m_loop.now())) {
+        return;
+    }
+    std::vector<DaemonId> lanes{m_self.id};
+    for (const CellMember &member : m_leadership.liveMembers(m_loop.now())) {
+        lanes.push_back(member.id);
+    }
+    m_scheduler.setAdviceLanes(lanes);
+    carryOut(m_scheduler.tick(time()));
+    storeProgress();
+}
+
+void LeaderDuty::carryOut(const CellOrders &orders)
+{
+    for (const StartOrder &order : orders.starts) {
+        m_workers.start(order, m_epoch, whileLeading([this, order](const OrderAnswer &answer) {
+                            m_scheduler.onStartAnswer(order, answer, time());
+                            wake();
+                        }));
+    }
+    for (const StopOrder &order : orders.stops) {
+        m_workers.stop(order, m_epoch, whileLeading([this, order](const OrderAnswer &answer) {
+                           m_scheduler.onStopAnswer(order, answer, time());
+                           wake();
+                       }));
+    }
+    for (const HoldOrder &order : orders.holds) {
+        const TimePoint sent = m_loop.now();
+        m_workers.hold(order, m_epoch, whileLeading([this, order, sent](const std::optional<HoldView> &view) {
+                           m_scheduler.onHoldAnswer(order, view ? &*view : nullptr, sent, time());
+                           wake();
+                       }));
+    }
+    for (const AdviceCall &call : orders.advice) {
+        sendAdvice(call);
+    }
+    if (!orders.workersToStore.empty()) {
+        m_rows.writeWorkers(m_epoch, orders.workersToStore, whileLeading([this, ids = orders.workersToStore](bool stored) {
+                                m_scheduler.onWorkersStored(stored ? ids : std::vector<WorkerId>{});
+                                wake();
+                            }));
+    }
+}
+
+void LeaderDuty::sendAdvice(const AdviceCall &call)
+{
+    const TimePoint sent = m_loop.now();
+    const auto done = whileLeading([this, id = call.id, sent](const AdviceAnswer &answer) {
+        m_scheduler.onAdvice(id, answer, sent, m_loop.now());
+        wake();
+    });
+    const Duration timeout = call.duration + adviceSlack;
+    if (call.lane == m_self.id) {
+        m_advice.ask(call.step, call.workers, timeout, done);
+        return;
+    }
+    const auto &members = m_leadership.knownMembers();
+    const auto lane = members.find(call.lane);
+    if (lane == members.end()) {
+        m_loop.defer([done] { done(AdviceAnswer{}); });
+        return;
+    }
+    CellPeers::Envelope question;
+    CellWire::AdviceOrder *order = question.mutable_advice_order();
+    order->set_epoch(m_epoch.value());
+    order->set_job(call.step.job.value());
+    order->set_occurrence(static_cast<std::uint32_t>(call.step.occurrence));
+    order->set_step(static_cast<std::uint32_t>(call.step.step));
+    order->set_timeout_ms(timeout.count());
+    for (const WorkerId &worker : call.workers) {
+        order->add_workers(worker.value());
+    }
+    m_peers.ask(lane->second.peerAddress, std::move(question), timeout, [done](const CellPeers::Envelope *reply) {
+        AdviceAnswer answer;
+        if (reply != nullptr && reply->has_advice_result()) {
+            const CellWire::AdviceResult &result = reply->advice_result();
+            answer.answered = result.answered();
+            answer.busy = result.busy();
+            answer.validity = Duration(result.validity_ms());
+            for (const CellWire::AdvisedWorker &worker : result.good()) {
+                answer.good.emplace_back(WorkerId(worker.id()), worker.ticket());
+            }
+        }
+        done(answer);
+    });
+}
+
+void LeaderDuty::storeProgress()
+{
+    const TimePoint now = m_loop.now();
+    const bool due =
+        now >= m_nextProgress || (m_scheduler.hasFinalProgress() && now >= m_nextProgress - m_settings.progressInterval + m_settings.finalInterval);
+    if (!due || m_progressOpen >= mostProgressOpen || !m_scheduler.isLoaded()) {
+        return;
+    }
+    const std::vector<ProgressWrite> writes = m_scheduler.takeProgress(mostProgress);
+    if (writes.empty()) {
+        return;
+    }
+    m_nextProgress = now + m_settings.progressInterval;
+    m_progressOpen += static_cast<int>(writes.size());
+    m_rows.writeProgress(writes, time().unixMs, whileLeading([this](const ProgressWrite &write, bool stored, CellJobState foundFinal) {
+                             --m_progressOpen;
+                             if (isFinal(foundFinal)) {
+                                 m_scheduler.onFoundFinal(write.job, foundFinal, m_loop.now());
+                             } else if (stored) {
+                                 m_scheduler.onProgressStored(write.job, write.revision);
+                             } else {
+                                 m_scheduler.onProgressFailed(write.job);
+                             }
+                             wake();
+                         }));
+}
+
+CellPeers::Envelope LeaderDuty::answer(const CellPeers::Envelope &question)
+{
+    CellPeers::Envelope reply;
+    const bool loaded = isLoaded();
+    if (question.has_submit_job()) {
+        const auto job = fromWire(question.submit_job().job());
+        CellWire::SubmitReply *submit = reply.mutable_submit_reply();
+        if (loaded && job) {
+            const AdmissionDecision decision = m_scheduler.submit(*job, time());
+            submit->set_retry_after_ms(decision.retryAfter.count());
+            switch (decision.verdict) {
+            case AdmissionVerdict::Admitted:
+                submit->set_admission(CellWire::ADMITTED);
+                break;
+            case AdmissionVerdict::Known:
+                submit->set_admission(decision.stored ? CellWire::ALREADY_STORED : CellWire::ADMITTED);
+                break;
+            case AdmissionVerdict::Busy:
+                submit->set_admission(CellWire::REFUSED_BUSY);
+                break;
+            case AdmissionVerdict::OverRate:
+                submit->set_admission(CellWire::REFUSED_LIMIT);
+                break;
+            }
+        }
+    } else if (question.has_state_query()) {
+        const JobId id(question.state_query().job());
+        const CellJobState state = loaded ? m_scheduler.state(id) : CellJobState::Unknown;
+        reply.mutable_state_reply()->set_state(toWire(state));
+        reply.mutable_state_reply()->set_workspace(state == CellJobState::Unknown ? std::string() : m_scheduler.workspaceOf(id).value());
+    } else if (question.has_job_stored()) {
+        const auto job = fromWire(question.job_stored().job());
+        if (loaded && job) {
+            m_scheduler.onJobStored(*job, time());
+            reply.mutable_acknowledgement();
+        }
+    } else if (question.has_cancel_notice()) {
+        if (loaded) {
+            m_scheduler.onCancelStored(JobId(question.cancel_notice().job()), m_loop.now());
+            reply.mutable_acknowledgement();
+        }
+    } else if (question.has_job_dropped()) {
+        m_scheduler.onJobDropped(JobId(question.job_dropped().id()));
+        reply.mutable_acknowledgement();
+    }
+    wake();
+    return reply;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/node/leaderduty.h
@@ -0,0 +1,101 @@
+// What a daemon does while it leads the cell: loads the jobs, follows the registry and the jobs' rows, carries out the
+// scheduler's orders, and stores progress.
+#pragma once
+
+#include "cell/cellscheduler.h"
+#include "cell/leadership.h"
+#include "cellpeers.h"
+#include "cellrows.h"
+#include "ports.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace KingCupLadder {
+
+struct LeaderDutySettings {
+    CellSchedulerSettings scheduler;
+    Duration registryInterval{600}; ///< A draining worker has to be noticed within 2 s.
+    Duration changesInterval{1000}; ///< Finds jobs whose notices were lost.
+    Duration progressInterval{200}; ///< Between writes of progress that is not final.
+    Duration finalInterval{5}; ///< Final states are stored in batches of about this time.
+    Duration loadRetry{150};
+};
+
+class LeaderDuty
+{
+public:
+    LeaderDuty(EventLoop &loop,
+               const CellMember &self,
+               const LeaderDutySettings &settings,
+               Leadership &leadership,
+               CellRows &rows,
+               TableStore &store,
+               const Translation &translation,
+               WorkerPort &workers,
+               AdvicePort &advice,
+               CellPeers &peers);
+
+    /// Starts or ends the duty when the leadership has changed; runs what is due.
+    void tick();
+    void setConfig(const std::shared_ptr<const CellConfig> &config);
+    /// Answers a question of a peer, or of this daemon itself.
+    [[nodiscard]] CellPeers::Envelope answer(const CellPeers::Envelope &question);
+    /// Does a decision as soon as the events at hand are handled.
+    void wake();
+    [[nodiscard]] bool isActive() const;
+    [[nodiscard]] bool isLoaded() const;
+    [[nodiscard]] const CellScheduler &scheduler() const;
+
+private:
+    void begin();
+    void end();
+    void load();
+    void pollRegistry();
+    void pollChanges();
+    void decide();
+    void storeProgress();
+    void carryOut(const CellOrders &orders);
+    void sendAdvice(const AdviceCall &call);
+    [[nodiscard]] CellTime time() const;
+    /// A callback that does nothing once this leadership has ended.
+    template<typename Function>
+    [[nodiscard]] auto whileLeading(Function function) const
+    {
+        return [this, term = m_term, function](const auto &...arguments) {
+            if (term == m_term) {
+                function(arguments...);
+            }
+        };
+    }
+
+    EventLoop &m_loop;
+    CellMember m_self;
+    LeaderDutySettings m_settings;
+    Leadership &m_leadership;
+    CellRows &m_rows;
+    TableStore &m_store;
+    const Translation &m_translation;
+    WorkerPort &m_workers;
+    AdvicePort &m_advice;
+    CellPeers &m_peers;
+    CellScheduler m_scheduler;
+    bool m_active = false;
+    std::uint64_t m_term = 0; ///< Grows at the begin and end of each leadership; tells late answers apart.
+    Epoch m_epoch;
+    RowVersion m_changesSeen;
+    bool m_registryOpen = false;
+    bool m_changesOpen = false;
+    bool m_loading = false;
+    int m_progressOpen = 0;
+    TimePoint m_nextRegistry;
+    TimePoint m_nextChanges;
+    TimePoint m_nextProgress;
+    TimePoint m_nextLoad;
+    std::unique_ptr<EventWatch> m_wake;
+    bool m_wakeSet = false;
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,413 @@
+// Joins the parts of a daemon.
+#include "node.h"
+
+#include "daemon/log.h"
+#include "rowcodec.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr Duration tickInterval{25};
+constexpr Duration beatInterval{200};
+constexpr Duration memberListInterval{1000}; // New daemons learn their peers with such beats.
+constexpr Duration registrationRetry{500};
+constexpr Duration memberSearchInterval{2000};
+constexpr Duration storeTimeout{1000};
+constexpr Duration readyAge{4000}; // Of the configuration: an older one can't be used to check keys.
+const char memberTable[] = "daemons";
+
+} // namespace
+
+Node::Node(EventLoop &loop, const NodeSettings &settings, Translation translation, TableStore &store, WorkerPort &workers, AdvicePort &advice)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_translation(std::move(translation))
+    , m_directStore(store)
+    , m_workers(workers)
+    , m_advice(advice)
+    , m_leadership(settings.self, settings.leadership)
+{
+}
+
+Node::~Node() = default;
+
+Result<std::unique_ptr<Node>>
+Node::create(EventLoop &loop, const NodeSettings &settings, Translation translation, TableStore &store, WorkerPort &workers, AdvicePort &advice)
+{
+    std::unique_ptr<Node> node(new Node(loop, settings, std::move(translation), store, workers, advice));
+    const auto opened = node->open();
+    if (!opened) {
+        return opened.reason();
+    }
+    return node;
+}
+
+Result<bool> Node::open()
+{
+    auto peers = CellPeers::create(m_loop, m_settings.self, [this](const CellPeers::Envelope &message) { onPeer(message); });
+    if (!peers) {
+        return peers.reason();
+    }
+    m_peers = std::move(peers).value();
+    m_store = std::make_unique<RelayStore>(m_loop, m_directStore, *m_peers, [this] { return storeHelpers(); });
+    m_rows = std::make_unique<CellRows>(m_loop, *m_store);
+    m_duty =
+        std::make_unique<LeaderDuty>(m_loop, m_settings.self, m_settings.duty, m_leadership, *m_rows, *m_store, m_translation, m_workers, m_advice, *m_peers);
+    m_config = std::make_unique<ConfigFollower>(
+        m_loop, *m_store, m_translation, m_settings.config, [this](const std::shared_ptr<const CellConfig> &config) { m_duty->setConfig(config); });
+    LeaderAccess access;
+    access.ask = [this](CellPeers::Envelope question, Duration timeout, const CellPeers::AnswerCallback &callback) {
+        askLeader(std::move(question), timeout, callback);
+    };
+    access.queued = [this](Duration freshFor) -> const std::map<RouteName, int> * {
+        if (m_duty->isLoaded()) {
+            m_queued = m_duty->scheduler().queuedByRoute();
+            return &m_queued;
+        }
+        return m_loop.now() - m_queuedAt <= freshFor && m_queuedAt != TimePoint() ? &m_queued : nullptr;
+    };
+    m_desk = std::make_unique<FrontDesk>(m_loop, m_settings.desk, m_translation, *m_config, *m_rows, std::move(access));
+
+    HttpFrontendSettings callers;
+    callers.address = m_settings.callerAddress;
+    callers.maxBody = m_settings.maxBody;
+    auto frontend = HttpFrontend::create(m_loop, callers, [this](const HttpCallPtr &call) { m_desk->handle(call); });
+    if (!frontend) {
+        return frontend.reason();
+    }
+    m_callers = std::move(frontend).value();
+    HttpFrontendSettings readiness;
+    readiness.address = m_settings.readyAddress;
+    auto probe = HttpFrontend::create(m_loop, readiness, [this](const HttpCallPtr &call) {
+        HttpResponse response;
+        response.status = call->request().path == m_settings.readyPath ? (isReady() ? httpOk : httpUnavailable) : httpNotFound;
+        call->respond(response);
+    });
+    if (!probe) {
+        return probe.reason();
+    }
+    m_readiness = std::move(probe).value();
+    if (!m_settings.metricsAddress.empty()) {
+        HttpFrontendSettings metricsFrontend;
+        metricsFrontend.address = m_settings.metricsAddress;
+        auto server = HttpFrontend::create(m_loop, metricsFrontend, [this](const HttpCallPtr &call) {
+            HttpResponse response;
+            response.body = metrics();
+            response.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+            call->respond(response);
+        });
+        if (!server) {
+            return server.reason();
+        }
+        m_metrics = std::move(server).value();
+    }
+    m_config->start();
+    m_tick = EventWatch::repeating(m_loop, tickInterval, [this] { tick(); });
+    logLine(LogPart::Daemon,
+            LogLevel::Info,
+            "started as " + m_settings.self.id.value() + " in " + m_settings.self.domain.value() + ", incarnation "
+                + std::to_string(m_settings.self.incarnation.value()));
+    tick();
+    return true;
+}
+
+bool Node::isReady() const
+{
+    return !m_stopping && m_config->config() != nullptr && m_config->age(m_loop.now()) < readyAge;
+}
+
+void Node::tick()
+{
+    const TimePoint now = m_loop.now();
+    m_peers->expire(now);
+    driveLeadership();
+    m_duty->tick();
+    m_desk->tick();
+    if (!m_registered && !m_registering && m_nextRegistration <= now) {
+        registerSelf();
+    }
+    if (m_leadership.isLeader() && m_nextBeat <= now) {
+        beat();
+    }
+    if (m_stopping && m_stopped) {
+        const Duration passed = now - m_stopBegun;
+        const bool idle = m_callers->activeCalls() == 0 && m_desk->openNotices() == 0 && !m_leadership.isLeader();
+        if ((idle && passed >= m_settings.drainAtLeast) || passed >= m_settings.drainAtMost) {
+            logLine(LogPart::Shutdown, LogLevel::Info, "stopped after " + std::to_string(passed.count()) + " ms");
+            std::exchange(m_stopped, nullptr)();
+        }
+    }
+}
+
+void Node::registerSelf()
+{
+    m_registering = true;
+    Transaction transaction;
+    transaction.writes.push_back(TableWrite{RowKey{memberTable, {}, m_settings.self.id.value()}, encodeRow(toWire(m_settings.self))});
+    m_store->transact(transaction, storeTimeout, [this](const StoreAnswer &answer) {
+        m_registering = false;
+        m_registered = answer.outcome == StoreOutcome::Done;
+        m_nextRegistration = m_loop.now() + registrationRetry;
+        if (m_registered) {
+            findMembers();
+        }
+    });
+}
+
+void Node::findMembers()
+{
+    if (m_findingMembers) {
+        return;
+    }
+    m_findingMembers = true;
+    m_store->read(RangeRead{memberTable, {}, {}, {}, 500}, storeTimeout, [this](const StoreAnswer &answer) {
+        m_findingMembers = false;
+        for (const TableRow &row : answer.rows) {
+            if (const auto member = decodeRow<CellWire::Member>(row.value)) {
+                m_leadership.learnMember(fromWire(*member));
+            }
+        }
+    });
+}
+
+void Node::driveLeadership()
+{
+    const LeaderAction action = m_leadership.nextAction(m_loop.now());
+    if (action == LeaderAction::ReadRow) {
+        m_rows->readLeader([this](bool known, const std::optional<LeaderRecord> &record, RowVersion version) {
+            known ? m_leadership.onRow(record, version, m_loop.now()) : m_leadership.onReadFailed(m_loop.now());
+            driveLeadership();
+        });
+    } else if (action == LeaderAction::WriteRow) {
+        const LeaderRecord record = m_leadership.next();
+        m_rows->writeLeader(
+            record, m_leadership.expected(), [this, record](StoreOutcome outcome, const std::optional<LeaderRecord> &current, RowVersion version) {
+                const TimePoint now = m_loop.now();
+                if (outcome == StoreOutcome::Done) {
+                    m_leadership.onWritten(version, now);
+                } else if (outcome == StoreOutcome::Conflict) {
+                    m_leadership.onConflict(current, version, now);
+                } else {
+                    m_leadership.onWriteFailed(now);
+                }
+                if (m_wasLeader && record.holder.isEmpty() && outcome == StoreOutcome::Done) {
+                    logLine(LogPart::Leader, LogLevel::Info, "resigned in favour of " + record.successor.value());
+                    CellPeers::Envelope message;
+                    message.mutable_resigned()->set_epoch(record.epoch.value());
+                    for (const auto &[id, member] : m_leadership.knownMembers()) {
+                        m_peers->send(member.peerAddress, message);
+                    }
+                }
+                m_duty->tick();
+            });
+    }
+    if (m_leadership.isLeader() && !m_wasLeader) {
+        m_nextBeat = TimePoint();
+        m_nextMemberList = TimePoint();
+        findMembers();
+    }
+    m_wasLeader = m_leadership.isLeader();
+}
+
+void Node::beat()
+{
+    const TimePoint now = m_loop.now();
+    m_nextBeat = now + beatInterval;
+    CellPeers::Envelope message;
+    CellWire::LeaderBeat *beat = message.mutable_leader_beat();
+    beat->set_epoch(m_leadership.epoch().value());
+    beat->set_incarnation(m_settings.self.incarnation.value());
+    beat->set_stamp(static_cast<std::uint64_t>(now.time_since_epoch().count()));
+    beat->set_peer_address(m_settings.self.peerAddress);
+    beat->set_acting(m_leadership.mayAct(now));
+    beat->set_ready(m_duty->isLoaded());
+    if (m_duty->isLoaded()) {
+        for (const auto &[route, queued] : m_duty->scheduler().queuedByRoute()) {
+            CellWire::QueueCount *count = beat->add_queued();
+            count->set_route(route.value());
+            count->set_queued(static_cast<std::uint32_t>(queued));
+        }
+    }
+    if (m_nextMemberList <= now) {
+        m_nextMemberList = now + memberListInterval;
+        *beat->add_members() = toWire(m_settings.self);
+        for (const CellMember &member : m_leadership.liveMembers(now)) {
+            *beat->add_members() = toWire(member);
+        }
+    }
+    for (const auto &[id, member] : m_leadership.knownMembers()) {
+        m_peers->send(member.peerAddress, message);
+    }
+}
+
+void Node::onPeer(const CellPeers::Envelope &message)
+{
+    const TimePoint now = m_loop.now();
+    if (message.has_leader_beat()) {
+        onLeaderBeat(message);
+    } else if (message.has_member_beat()) {
+        const CellWire::MemberBeat &beat = message.member_beat();
+        const CellMember member = fromWire(beat.self());
+        if (beat.epoch() == m_leadership.epoch().value() && m_leadership.isLeader()) {
+            m_leadership.onPromise(member, beat.leaving(), TimePoint(Duration(static_cast<std::int64_t>(beat.stamp()))), now);
+        }
+        m_storeReachable[member.id] = beat.store_reachable() ? now : TimePoint();
+    } else if (message.has_resigned()) {
+        m_leadership.onResigned(DaemonId(message.from()), Epoch(message.resigned().epoch()));
+        driveLeadership();
+    } else if (message.has_store_call()) {
+        m_store->serve(message);
+    } else if (message.has_advice_order()) {
+        onAdviceOrder(message);
+    } else if (message.call() != 0) {
+        if (m_duty->isActive()) {
+            m_peers->answer(message, m_duty->answer(message));
+        }
+    }
+}
+
+void Node::onLeaderBeat(const CellPeers::Envelope &message)
+{
+    const CellWire::LeaderBeat &beat = message.leader_beat();
+    const TimePoint now = m_loop.now();
+    const CellMember leader{DaemonId(message.from()), Incarnation(beat.incarnation()), beat.peer_address(), {}};
+    if (!m_leadership.onBeat(leader, Epoch(beat.epoch()), now)) {
+        return;
+    }
+    for (const CellWire::Member &member : beat.members()) {
+        m_leadership.learnMember(fromWire(member));
+    }
+    if (beat.ready()) {
+        m_queued.clear();
+        for (const CellWire::QueueCount &count : beat.queued()) {
+            m_queued[RouteName(count.route())] = static_cast<int>(count.queued());
+        }
+        m_queuedAt = now;
+    }
+    CellPeers::Envelope reply;
+    CellWire::MemberBeat *answer = reply.mutable_member_beat();
+    answer->set_epoch(beat.epoch());
+    answer->set_stamp(beat.stamp());
+    answer->set_store_reachable(m_store->isReachable());
+    answer->set_leaving(m_stopping);
+    *answer->mutable_self() = toWire(m_settings.self);
+    m_peers->send(beat.peer_address(), reply);
+}
+
+void Node::onAdviceOrder(const CellPeers::Envelope &message)
+{
+    const CellWire::AdviceOrder &order = message.advice_order();
+    std::vector<WorkerId> workers;
+    for (const std::string &id : order.workers()) {
+        workers.emplace_back(id);
+    }
+    CellPeers::Envelope header;
+    header.set_call(message.call());
+    header.set_reply_address(message.reply_address());
+    const StepRef step{JobId(order.job()), static_cast<int>(order.occurrence()), static_cast<int>(order.step())};
+    m_advice.ask(step, workers, Duration(order.timeout_ms()), [this, header](const AdviceAnswer &answer) {
+        CellPeers::Envelope reply;
+        CellWire::AdviceResult *result = reply.mutable_advice_result();
+        result->set_answered(answer.answered);
+        result->set_busy(answer.busy);
+        result->set_validity_ms(answer.validity.count());
+        for (const auto &[worker, ticket] : answer.good) {
+            CellWire::AdvisedWorker *advised = result->add_good();
+            advised->set_id(worker.value());
+            advised->set_ticket(ticket);
+        }
+        m_peers->answer(header, std::move(reply));
+    });
+}
+
+void Node::askLeader(CellPeers::Envelope question, Duration timeout, const CellPeers::AnswerCallback &callback)
+{
+    if (m_duty->isActive()) {
+        // Deferred, so that the callback comes after this call like that of a peer's answer.
+        m_loop.defer([this, question = std::move(question), callback] {
+            const CellPeers::Envelope reply = m_duty->answer(question);
+            callback(&reply);
+        });
+        return;
+    }
+    const auto leader = m_leadership.leader();
+    if (!leader || leader->id == m_settings.self.id) {
+        m_loop.defer([callback] { callback(nullptr); });
+        return;
+    }
+    m_peers->ask(leader->peerAddress, std::move(question), timeout, callback);
+}
+
+std::vector<std::string> Node::storeHelpers() const
+{
+    std::vector<std::string> helpers;
+    const auto leader = m_leadership.leader();
+    if (leader && leader->id != m_settings.self.id) {
+        helpers.push_back(leader->peerAddress);
+    }
+    std::vector<std::pair<TimePoint, std::string>> others;
+    for (const auto &[id, member] : m_leadership.knownMembers()) {
+        const auto reachable = m_storeReachable.find(id);
+        others.emplace_back(reachable == m_storeReachable.end() ? TimePoint() : reachable->second, member.peerAddress);
+    }
+    std::sort(others.rbegin(), others.rend());
+    for (const auto &[at, address] : others) {
+        if (helpers.empty() || address != helpers.front()) {
+            helpers.push_back(address);
+        }
+    }
+    return helpers;
+}
+
+void Node::beginStop(std::function<void()> done)
+{
+    if (m_stopping) {
+        return;
+    }
+    logLine(LogPart::Shutdown, LogLevel::Info, "stop requested: " + std::to_string(m_callers->activeCalls()) + " requests in progress");
+    m_stopping = true;
+    m_stopBegun = m_loop.now();
+    m_stopped = std::move(done);
+    m_callers->setClosing(true);
+    m_leadership.resign(m_loop.now());
+    tick();
+}
+
+std::string Node::metrics() const
+{
+    std::string text;
+    const auto add = [&text](const std::string &name, const std::string &labels, std::uint64_t value) {
+        text += "kingcupladder_" + name + (labels.empty() ? "" : "{" + labels + "}") + " " + std::to_string(value) + "\n";
+    };
+    for (const auto &[answer, number] : m_desk->counters().answers) {
+        const std::size_t blank = answer.find(' ');
+        add("answers_total", "operation=\"" + answer.substr(0, blank) + "\",status=\"" + answer.substr(blank + 1) + "\"", number);
+    }
+    const CellCounters &cell = m_duty->scheduler().counters();
+    add("task_starts_total", "", cell.starts);
+    add("task_ends_total", "end=\"succeeded\"", cell.succeeded);
+    add("task_ends_total", "end=\"failed\"", cell.failed);
+    add("task_ends_total", "end=\"lost\"", cell.lost);
+    add("task_ends_total", "end=\"never ran\"", cell.neverRan);
+    add("task_ends_total", "end=\"other\"", cell.otherEnds);
+    add("worker_stops_total", "", cell.stops);
+    add("worker_holds_total", "", cell.holds);
+    add("advice_calls_total", "", cell.adviceCalls);
+    add("jobs_admitted_total", "", cell.admitted);
+    add("jobs_refused_total", "", cell.refused);
+    add("jobs_unfinished", "", m_duty->isActive() ? m_duty->scheduler().unfinishedJobs() : 0);
+    add("leader", "", m_duty->isActive() ? 1 : 0);
+    add("store_calls_total", "", m_store->counters().calls);
+    add("store_calls_relayed_total", "", m_store->counters().relayed);
+    add("store_calls_for_peers_total", "", m_store->counters().forPeers);
+    add("store_calls_failed_total", "", m_store->counters().failed);
+    add("peer_messages_dropped_total", "", m_peers->counters().dropped);
+    add("config_age_ms", "", static_cast<std::uint64_t>(std::max<std::int64_t>(m_config->age(m_loop.now()).count(), 0)));
+    return text;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/node/relaystore.cpp
@@ -0,0 +1,215 @@
+// Relaying of store calls.
+#include "relaystore.h"
+
+#include "daemon/log.h"
+#include "rowcodec.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr Duration directPause{400}; // After a failure of the direct way.
+constexpr Duration helperPause{400}; // After a failure of a peer.
+constexpr Duration shortestTry{250}; // Of one way, so that time is left for the other.
+constexpr Duration directTry{700}; // A healthy store answers within 20 ms, a slow one within 400.
+
+StoreAnswer decodeReply(const CellWire::StoreReply &reply)
+{
+    StoreAnswer answer;
+    answer.outcome = static_cast<StoreOutcome>(std::min(reply.outcome(), static_cast<std::uint32_t>(StoreOutcome::HistoryGone)));
+    answer.version = RowVersion(reply.version());
+    answer.truncated = reply.truncated();
+    for (const CellWire::Row &row : reply.rows()) {
+        answer.rows.push_back(fromWire(row));
+    }
+    return answer;
+}
+
+CellWire::StoreReply encodeReply(const StoreAnswer &answer)
+{
+    CellWire::StoreReply reply;
+    reply.set_outcome(static_cast<std::uint32_t>(answer.outcome));
+    reply.set_version(answer.version.value());
+    reply.set_truncated(answer.truncated);
+    for (const TableRow &row : answer.rows) {
+        *reply.add_rows() = toWire(row);
+    }
+    return reply;
+}
+
+bool isAnswer(StoreOutcome outcome)
+{
+    return outcome == StoreOutcome::Done || outcome == StoreOutcome::Conflict || outcome == StoreOutcome::HistoryGone;
+}
+
+} // namespace
+
+RelayStore::RelayStore(EventLoop &loop, TableStore &direct, CellPeers &peers, std::function<std::vector<std::string>()> helpers)
+    : m_loop(loop), m_direct(direct), m_peers(peers), m_helpers(std::move(helpers))
+{
+}
+
+void RelayStore::transact(const Transaction &transaction, Duration timeout, Callback callback)
+{
+    CellWire::StoreCall wire;
+    wire.set_kind(CellWire::StoreCall::TRANSACT);
+    for (const RowCondition &condition : transaction.conditions) {
+        CellWire::RowCondition *added = wire.add_conditions();
+        *added->mutable_key() = toWire(condition.key);
+        added->set_version(condition.version.value());
+    }
+    for (const TableWrite &write : transaction.writes) {
+        *wire.add_writes() = toWire(TableRow{write.key, write.value, {}, false});
+    }
+    for (const RowKey &removal : transaction.removals) {
+        *wire.add_removals() = toWire(removal);
+    }
+    run([this, transaction](Duration limit, Callback done) { m_direct.transact(transaction, limit, std::move(done)); }, wire, timeout, callback);
+}
+
+void RelayStore::read(const RangeRead &range, Duration timeout, Callback callback)
+{
+    CellWire::StoreCall wire;
+    wire.set_kind(CellWire::StoreCall::READ);
+    *wire.mutable_range_start() = toWire(RowKey{range.table, range.part, range.from});
+    wire.set_range_end(range.end);
+    wire.set_limit(static_cast<std::uint32_t>(range.limit));
+    run([this, range](Duration limit, Callback done) { m_direct.read(range, limit, std::move(done)); }, wire, timeout, callback);
+}
+
+void RelayStore::feed(const FeedRead &feed, Duration timeout, Callback callback)
+{
+    CellWire::StoreCall wire;
+    wire.set_kind(CellWire::StoreCall::FEED);
+    *wire.mutable_range_start() = toWire(RowKey{feed.table, {}, {}});
+    wire.set_after_version(feed.after.value());
+    wire.set_wait_ms(feed.wait.count());
+    run([this, feed](Duration limit, Callback done) { m_direct.feed(feed, limit, std::move(done)); }, wire, timeout, callback);
+}
+
+void RelayStore::noteDirect(const StoreAnswer &answer)
+{
+    const bool reachable = isAnswer(answer.outcome);
+    if (reachable != m_reachable) {
+        logLine(
+            LogPart::Platform, reachable ? LogLevel::Info : LogLevel::Warning, reachable ? "the store answers again" : "the store does not answer this daemon");
+    }
+    m_reachable = reachable;
+    m_directAgain = reachable ? TimePoint() : m_loop.now() + directPause;
+}
+
+void RelayStore::run(const DirectCall &direct, const CellWire::StoreCall &wire, Duration timeout, const Callback &callback)
+{
+    ++m_counters.calls;
+    const TimePoint now = m_loop.now();
+    const TimePoint deadline = now + timeout;
+    const Duration wait(wire.wait_ms());
+    if (now < m_directAgain) {
+        relay(wire, std::max(timeout, shortestTry), false, [this, direct, deadline, callback](const StoreAnswer &answer) {
+            const Duration left = deadline - m_loop.now();
+            if (isAnswer(answer.outcome) || left < shortestTry) {
+                callback(answer);
+                return;
+            }
+            const bool mayBeDone = answer.outcome == StoreOutcome::Unknown;
+            direct(left, [this, callback, mayBeDone](const StoreAnswer &second) {
+                noteDirect(second);
+                StoreAnswer result = second;
+                result.outcome = second.outcome == StoreOutcome::NotDone && mayBeDone ? StoreOutcome::Unknown : second.outcome;
+                callback(result);
+            });
+        });
+        return;
+    }
+    direct(std::min(timeout, directTry + wait), [this, wire, deadline, callback](const StoreAnswer &answer) {
+        noteDirect(answer);
+        if (isAnswer(answer.outcome)) {
+            callback(answer);
+            return;
+        }
+        relay(wire, std::max(deadline - m_loop.now(), shortestTry), answer.outcome == StoreOutcome::Unknown, callback);
+    });
+}
+
+void RelayStore::relay(const CellWire::StoreCall &wire, Duration timeout, bool mayBeDone, const Callback &callback)
+{
+    const TimePoint now = m_loop.now();
+    std::string helper;
+    for (const std::string &address : m_helpers()) {
+        if (m_helperAgain[address] <= now) {
+            helper = address;
+            break;
+        }
+    }
+    if (helper.empty()) {
+        ++m_counters.failed;
+        StoreAnswer none;
+        none.outcome = mayBeDone ? StoreOutcome::Unknown : StoreOutcome::NotDone;
+        m_loop.defer([callback, none] { callback(none); });
+        return;
+    }
+    ++m_counters.relayed;
+    CellPeers::Envelope question;
+    *question.mutable_store_call() = wire;
+    question.mutable_store_call()->set_timeout_ms(std::min(timeout, directTry + Duration(wire.wait_ms())).count());
+    m_peers.ask(helper, std::move(question), timeout, [this, helper, mayBeDone, callback](const CellPeers::Envelope *reply) {
+        StoreAnswer answer;
+        if (reply != nullptr && reply->has_store_reply()) {
+            answer = decodeReply(reply->store_reply());
+        }
+        if (!isAnswer(answer.outcome)) {
+            ++m_counters.failed;
+            m_helperAgain[helper] = m_loop.now() + helperPause;
+            answer.outcome = mayBeDone ? StoreOutcome::Unknown : answer.outcome;
+        }
+        callback(answer);
+    });
+}
+
+void RelayStore::serve(const CellPeers::Envelope &question)
+{
+    ++m_counters.forPeers;
+    const CellWire::StoreCall &wire = question.store_call();
+    const Duration timeout(wire.timeout_ms());
+    CellPeers::Envelope header;
+    header.set_call(question.call());
+    header.set_reply_address(question.reply_address());
+    const auto done = [this, header](const StoreAnswer &answer) {
+        noteDirect(answer);
+        CellPeers::Envelope reply;
+        *reply.mutable_store_reply() = encodeReply(answer);
+        m_peers.answer(header, std::move(reply));
+    };
+    const RowKey start = fromWire(wire.range_start());
+    if (wire.kind() == CellWire::StoreCall::READ) {
+        m_direct.read(RangeRead{start.table, start.part, start.key, wire.range_end(), static_cast<int>(wire.limit())}, timeout, done);
+    } else if (wire.kind() == CellWire::StoreCall::FEED) {
+        m_direct.feed(FeedRead{start.table, RowVersion(wire.after_version()), Duration(wire.wait_ms())}, timeout, done);
+    } else {
+        Transaction transaction;
+        for (const CellWire::RowCondition &condition : wire.conditions()) {
+            transaction.conditions.push_back(RowCondition{fromWire(condition.key()), RowVersion(condition.version())});
+        }
+        for (const CellWire::Row &row : wire.writes()) {
+            transaction.writes.push_back(TableWrite{fromWire(row.key()), row.value()});
+        }
+        for (const CellWire::RowKey &key : wire.removals()) {
+            transaction.removals.push_back(fromWire(key));
+        }
+        m_direct.transact(transaction, timeout, done);
+    }
+}
+
+bool RelayStore::isReachable() const
+{
+    return m_reachable;
+}
+
+const RelayCounters &RelayStore::counters() const
+{
+    return m_counters;
+}
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/node/relaystore.h
@@ -0,0 +1,54 @@
+// The store as this daemon reaches it: directly, or through a peer while the store turns this daemon away.
+#pragma once
+
+#include "cellpeers.h"
+#include "tablestore.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace KingCupLadder {
+
+struct RelayCounters {
+    std::uint64_t calls = 0; ///< By this daemon, for itself.
+    std::uint64_t relayed = 0; ///< Of these, carried out by a peer.
+    std::uint64_t forPeers = 0; ///< Carried out for peers.
+    std::uint64_t failed = 0; ///< Neither way had an answer.
+};
+
+class RelayStore : public TableStore
+{
+public:
+    /// @p helpers gives the addresses of peers to try, best first.
+    RelayStore(EventLoop &loop, TableStore &direct, CellPeers &peers, std::function<std::vector<std::string>()> helpers);
+
+    void transact(const Transaction &transaction, Duration timeout, Callback callback) override;
+    void read(const RangeRead &range, Duration timeout, Callback callback) override;
+    void feed(const FeedRead &feed, Duration timeout, Callback callback) override;
+
+    /// Carries out a peer's call, without relaying it further.
+    void serve(const CellPeers::Envelope &question);
+    /// Did the last direct call succeed?
+    [[nodiscard]] bool isReachable() const;
+    [[nodiscard]] const RelayCounters &counters() const;
+
+private:
+    using DirectCall = std::function<void(Duration timeout, Callback callback)>;
+
+    void run(const DirectCall &direct, const CellWire::StoreCall &wire, Duration timeout, const Callback &callback);
+    void relay(const CellWire::StoreCall &wire, Duration timeout, bool mayBeDone, const Callback &callback);
+    void noteDirect(const StoreAnswer &answer);
+
+    EventLoop &m_loop;
+    TableStore &m_direct;
+    CellPeers &m_peers;
+    std::function<std::vector<std::string>()> m_helpers;
+    bool m_reachable = true;
+    TimePoint m_directAgain; ///< Until then calls go to peers first.
+    std::map<std::string, TimePoint> m_helperAgain; ///< Peers that could not help lately.
+    RelayCounters m_counters;
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/src/node/rowcodec.h
@@ -0,0 +1,47 @@
+// Translates the cell's types to and from the protobuf messages of rows and peers. Decoding is total: malformed bytes give no
+// value.
+#pragma once
+
+#include "cell.pb.h"
+#include "cell/celljob.h"
+#include "cell/leadership.h"
+#include "tablestore.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace KingCupLadder {
+
+[[nodiscard]] CellWire::JobRow toWire(const CellJob &job);
+/// Empty if the job breaks a bound of checkJob().
+[[nodiscard]] std::optional<CellJob> fromWire(const CellWire::JobRow &row);
+[[nodiscard]] CellWire::ProgressRow toWire(const JobProgress &progress, std::int64_t unixNowMs);
+[[nodiscard]] JobProgress fromWire(const CellWire::ProgressRow &row);
+[[nodiscard]] CellWire::LeaderRow toWire(const LeaderRecord &record);
+[[nodiscard]] LeaderRecord fromWire(const CellWire::LeaderRow &row);
+[[nodiscard]] CellWire::Member toWire(const CellMember &member);
+[[nodiscard]] CellMember fromWire(const CellWire::Member &member);
+[[nodiscard]] CellWire::KnownState toWire(CellJobState state);
+[[nodiscard]] CellJobState fromWire(CellWire::KnownState state);
+
+[[nodiscard]] CellWire::RowKey toWire(const RowKey &key);
+[[nodiscard]] RowKey fromWire(const CellWire::RowKey &key);
+[[nodiscard]] CellWire::Row toWire(const TableRow &row);
+[[nodiscard]] TableRow fromWire(const CellWire::Row &row);
+
+/// The bytes of a row's value.
+template<typename Message>
+[[nodiscard]] std::string encodeRow(const Message &message)
+{
+    return message.SerializeAsString();
+}
+/// Empty if the bytes are not a @p Message.
+template<typename Message>
+[[nodiscard]] std::optional<Message> decodeRow(const std::string &bytes)
+{
+    Message message;
+    return message.ParseFromString(bytes) ? std::optional<Message>(std::move(message)) : std::nullopt;
+}
+
+} // namespace KingCupLadder
