Read silent workers without renewing; back off from workers that lose starts

Cause: a unit test showed that tasks of a crashed worker never ran elsewhere: each unanswered renewal moved the latest lease that might be in force. Another showed a task sent again and again to the one worker that loses its starts.

Change: a silent worker is read without a deadline; a start without an answer keeps the worker from new work for 0.3 s, doubled with each further one.

Ruled out: presuming a crash from a refused connection (cuts can refuse too).

--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -15,6 +15,7 @@
 constexpr int mostStarts = 3; // Orders for one run; then it is stopped, which settles it.
 constexpr Duration unhealthyPause{700}; // A worker that refuses as unhealthy gets no new work for this time.
 constexpr Duration roomPause{400}; // After a refusal for want of room: the worker's own list shows what it runs.
+constexpr Duration unansweredPause{300}; // After a start without an answer; doubled with each further one in a row.
 constexpr int failuresToBlock = 2; // Failed runs of different jobs in a row; a sound worker rarely shows them.
 constexpr Duration firstBlock{1500};
 constexpr int longestBlockDoublings = 3;
@@ -244,6 +245,12 @@
     if (answer.outcome == OrderOutcome::Unhealthy) {
         worker->blockedUntil = std::max(worker->blockedUntil, time.now + unhealthyPause);
     }
+    if (answer.outcome == OrderOutcome::NoAnswer) {
+        const int doublings = std::min(worker->unansweredStarts++, longestBlockDoublings);
+        worker->blockedUntil = std::max(worker->blockedUntil, time.now + unansweredPause * (1 << doublings));
+    } else {
+        worker->unansweredStarts = 0;
+    }
     if (answer.outcome == OrderOutcome::NoRoom) {
         worker->blockedUntil = std::max(worker->blockedUntil, time.now + roomPause);
     }
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -334,7 +334,9 @@
     order.life = worker.info.life;
     order.acknowledged = worker.acknowledged;
     order.wait = wait;
-    if (worker.clock.isKnown()) {
+    // A renewal without an answer may still take effect, so a silent worker is only read: otherwise its leases would never be
+    // known to have run out.
+    if (worker.clock.isKnown() && worker.firstSilent == TimePoint()) {
         order.deadline = worker.clock.atLeast(now) + m_limits.maxLease.count();
         worker.longestDeadline = std::max(worker.longestDeadline, order.deadline);
     }
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -101,6 +101,7 @@
     TimePoint blockedUntil; ///< Gets no new work until then.
     int failureStreak = 0; ///< Failed runs of different jobs since the last success.
     JobId lastFailedJob;
+    int unansweredStarts = 0; ///< In a row.
     double speed = 1; ///< Estimated work per time relative to a usual worker.
 
     [[nodiscard]] Resources free() const
--- /dev/null
+++ b/test/cell/fakecell.h
@@ -0,0 +1,436 @@
+// A CellScheduler with handwritten workers and a handwritten policy service on a simulated clock. The workers obey the worker
+// protocol: fencing tokens, leases, run numbers that only rise, and ends that stay listed until acknowledged. The fake records
+// what must never happen: a task that runs twice, a start after a noted success, a worker over its capacity.
+#pragma once
+
+#include "cell/cellscheduler.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace KingCupLadder {
+
+inline Resources cellCores(std::int64_t milliCores, std::int64_t memory = 100)
+{
+    return Resources{MilliCores(milliCores), MebiBytes(memory), Accelerators(0), Slots(0)};
+}
+
+inline CellJob cellJob(const std::string &id, int tasks, std::int64_t milliCores, Duration estimate = Duration(1000), const std::string &route = "batch")
+{
+    CellJob job;
+    job.id = JobId(id);
+    job.route = RouteName(route);
+    job.workspace = WorkspaceId("museum");
+    job.payload = "payload of " + id;
+    StepSpec step;
+    step.count = tasks;
+    step.demand = cellCores(milliCores);
+    step.estimate = estimate;
+    job.steps.push_back(step);
+    return job;
+}
+
+struct FakeCellRun {
+    RunNumber number;
+    TimePoint ends;
+    StartOrder order;
+    bool gang = false;
+};
+
+/// One worker process.
+class FakeCellWorker
+{
+public:
+    WorkerInfo info;
+    Epoch fence;
+    TimePoint leaseEnd;
+    bool reachable = true; ///< False: orders get no answer and have no effect.
+    bool crashed = false;
+    bool failsAll = false;
+    std::map<TaskRef, FakeCellRun> running;
+    std::map<TaskRef, RunNumber> highest; ///< Highest run that was stopped or ended.
+    std::vector<EndedEntry> ended;
+    EndNumber lastEnd;
+    EndNumber acknowledged;
+
+    [[nodiscard]] WorkerClockMs clock(TimePoint now) const
+    {
+        return now.time_since_epoch().count() + 5000000;
+    }
+
+    void end(const TaskRef &task, RunEnd how, const std::string &checkpoint = std::string())
+    {
+        const auto run = running.find(task);
+        if (run == running.end()) {
+            return;
+        }
+        lastEnd = lastEnd.next();
+        ended.push_back(EndedEntry{lastEnd, task, run->second.number, how, checkpoint});
+        highest[task] = run->second.number;
+        running.erase(run);
+    }
+
+    void restart()
+    {
+        running.clear();
+        highest.clear();
+        ended.clear();
+        lastEnd = EndNumber();
+        acknowledged = EndNumber();
+        fence = Epoch();
+        info.life = info.life.next();
+        info.sequence = 1;
+    }
+};
+
+class FakeCell
+{
+public:
+    explicit FakeCell(int workerCount, std::int64_t milliCores = 4000)
+    {
+        config = std::make_shared<CellConfig>();
+        config->version = ConfigVersion(1);
+        addRoute("batch", 1);
+        addRoute("urgent", 0);
+        config->upstreams.push_back(CellUpstream{UpstreamName("desk"), false, false});
+        config->workspaces.push_back(Workspace{WorkspaceId("museum"), {"key"}, 1000, Resources{}});
+        for (int i = 0; i < workerCount; ++i) {
+            FakeCellWorker worker;
+            worker.info.id = WorkerId("w" + std::to_string(i));
+            worker.info.address = "127.0.0.1:" + std::to_string(9000 + i);
+            worker.info.upstream = UpstreamName("desk");
+            worker.info.labels = {"a", "r" + std::to_string(i / 2)};
+            worker.info.capacity = cellCores(milliCores, 64000);
+            worker.info.life = WorkerLife(1);
+            worker.info.sequence = 1;
+            workers[worker.info.id] = worker;
+        }
+    }
+
+    void addRoute(const std::string &name, int priority, std::optional<AdviceTerms> advice = std::nullopt)
+    {
+        CellRoute route;
+        route.name = RouteName(name);
+        route.host = "desk.example";
+        route.pathPrefix = "/" + name + "/";
+        route.upstream = UpstreamName("desk");
+        route.priority = priority;
+        route.attempts = 2;
+        route.stretch = 3;
+        route.targetLatency = Duration(1000);
+        route.advice = advice;
+        config->routes.push_back(route);
+    }
+
+    /// Begins a leadership; jobs that @p stored knows are loaded.
+    void lead(std::uint64_t epochValue = 1)
+    {
+        epoch = Epoch(epochValue);
+        config->index();
+        scheduler = std::make_unique<CellScheduler>(settings);
+        scheduler->setConfig(config, now);
+        scheduler->setAdviceLanes({DaemonId("d1"), DaemonId("d2")});
+        scheduler->beginTerm(epoch, now + lapse);
+        scheduler->addFormerWorkers(formerWorkers);
+        for (const auto &[id, job] : storedJobs) {
+            const auto progress = storedProgress.find(id);
+            if (progress != storedProgress.end() && isFinal(progress->second.finalState)) {
+                scheduler->loadFinal(id, progress->second, now);
+            } else {
+                scheduler->load(job, progress == storedProgress.end() ? nullptr : &progress->second, cancelled.count(id) > 0, time());
+            }
+        }
+        scheduler->finishLoading(now);
+        events.clear();
+        nextRegistry = now;
+    }
+
+    [[nodiscard]] CellTime time() const
+    {
+        return CellTime{now, now.time_since_epoch().count()};
+    }
+
+    AdmissionVerdict submit(CellJob job)
+    {
+        job.submittedUnixMs = time().unixMs;
+        const AdmissionVerdict verdict = scheduler->submit(job, time()).verdict;
+        if (verdict == AdmissionVerdict::Admitted) {
+            storedJobs[job.id] = job;
+            scheduler->onJobStored(job, time());
+        }
+        return verdict;
+    }
+
+    void cancel(const std::string &id)
+    {
+        cancelled.insert(JobId(id));
+        scheduler->onCancelStored(JobId(id), now);
+    }
+
+    [[nodiscard]] CellJobState state(const std::string &id) const
+    {
+        return scheduler->state(JobId(id));
+    }
+
+    void run(Duration span)
+    {
+        const TimePoint until = now + span;
+        while (now < until) {
+            step();
+        }
+    }
+
+    FakeCellWorker &worker(int index)
+    {
+        return workers.at(WorkerId("w" + std::to_string(index)));
+    }
+
+    [[nodiscard]] int runningTasks() const
+    {
+        int sum = 0;
+        for (const auto &[id, worker] : workers) {
+            sum += static_cast<int>(worker.running.size());
+        }
+        return sum;
+    }
+
+    CellSchedulerSettings settings;
+    std::shared_ptr<CellConfig> config;
+    std::unique_ptr<CellScheduler> scheduler;
+    std::map<WorkerId, FakeCellWorker> workers;
+    std::vector<WorkerId> formerWorkers;
+    std::map<JobId, CellJob> storedJobs;
+    std::map<JobId, JobProgress> storedProgress;
+    std::set<JobId> cancelled;
+    std::set<TaskRef> succeededAndNoted;
+    std::vector<std::string> violations;
+    Epoch epoch;
+    TimePoint now{Duration(1000000)};
+    Duration lapse{6500};
+    TimePoint nextRegistry;
+    bool storeAnswers = true;
+    /// Duration of a run on a worker, by its order. The estimate by default.
+    std::function<Duration(const StartOrder &)> duration;
+    /// What becomes of a start: true lets it through. May schedule a late delivery by deliverLate().
+    std::function<bool(const StartOrder &)> onStart = [](const StartOrder &) { return true; };
+    std::set<WorkerId> goodWorkers; ///< Of the policy service; empty: all.
+    int adviceCalls = 0;
+    int starts = 0;
+
+    /// The start takes effect at @p at, although it got no answer.
+    void deliverLate(const StartOrder &order, TimePoint at)
+    {
+        events.emplace(at, [this, order] { (void)apply(order); });
+    }
+
+    OrderAnswer apply(const StartOrder &order)
+    {
+        FakeCellWorker &worker = workers.at(order.worker);
+        const WorkerClockMs clock = worker.clock(now);
+        if (worker.crashed || order.life != worker.info.life) {
+            return {worker.crashed ? OrderOutcome::NoAnswer : OrderOutcome::OtherLife, 0};
+        }
+        if (epochOf(order) < worker.fence) {
+            return {OrderOutcome::StaleFence, clock};
+        }
+        worker.fence = epochOf(order);
+        if (order.deadline <= clock) {
+            return {OrderOutcome::TooLate, clock};
+        }
+        const auto present = worker.running.find(order.task);
+        if (present != worker.running.end() && present->second.number == order.run) {
+            return {OrderOutcome::Done, clock};
+        }
+        const auto old = worker.highest.find(order.task);
+        if (old != worker.highest.end() && !(old->second < order.run)) {
+            return {OrderOutcome::OldRun, clock};
+        }
+        noteStart(worker, order);
+        return {OrderOutcome::Done, clock};
+    }
+
+    std::map<std::pair<TaskRef, RunNumber>, Epoch> orderEpochs;
+
+private:
+    [[nodiscard]] Epoch epochOf(const StartOrder &order) const
+    {
+        const auto found = orderEpochs.find({order.task, order.run});
+        return found == orderEpochs.end() ? epoch : found->second;
+    }
+
+    void noteStart(FakeCellWorker &worker, const StartOrder &order)
+    {
+        for (const auto &[id, other] : workers) {
+            if (!other.crashed && other.running.count(order.task) > 0) {
+                violations.push_back(order.task.text() + " runs twice");
+            }
+        }
+        if (succeededAndNoted.count(order.task) > 0) {
+            violations.push_back(order.task.text() + " started after its success was acknowledged");
+        }
+        const StepSpec &spec = storedJobs.at(order.task.step.job).steps.at(static_cast<std::size_t>(order.task.step.step));
+        const Duration span = duration ? duration(order) : spec.estimate;
+        worker.running[order.task] = FakeCellRun{order.run, now + span, order, spec.gang};
+        worker.leaseEnd = std::max(worker.leaseEnd, now + Duration(order.deadline - worker.clock(now)));
+        ++starts;
+        Resources used;
+        for (const auto &[task, run] : worker.running) {
+            used += storedJobs.at(task.step.job).steps.at(static_cast<std::size_t>(task.step.step)).demand;
+        }
+        if (!used.fitsIn(worker.info.capacity)) {
+            violations.push_back(worker.info.id.value() + " is over its capacity");
+        }
+    }
+
+    void stepWorkers()
+    {
+        for (auto &[id, worker] : workers) {
+            if (worker.crashed) {
+                worker.running.clear();
+                continue;
+            }
+            if (worker.leaseEnd < now) {
+                while (!worker.running.empty()) {
+                    worker.end(worker.running.begin()->first, RunEnd::LeaseExpired);
+                }
+            }
+            std::vector<TaskRef> due;
+            for (const auto &[task, run] : worker.running) {
+                if (run.ends <= now || worker.failsAll) {
+                    due.push_back(task);
+                }
+            }
+            for (const TaskRef &task : due) {
+                worker.end(task, worker.failsAll ? RunEnd::Failed : RunEnd::Succeeded);
+            }
+        }
+    }
+
+    void answerHold(const HoldOrder &order, TimePoint sent)
+    {
+        FakeCellWorker &worker = workers.at(order.worker);
+        if (worker.crashed || !worker.reachable || epoch < worker.fence) {
+            scheduler->onHoldAnswer(order, nullptr, sent, time());
+            return;
+        }
+        worker.fence = epoch;
+        if (order.life == worker.info.life) {
+            for (const EndedEntry &end : worker.ended) {
+                if (end.number <= order.acknowledged && end.end == RunEnd::Succeeded) {
+                    succeededAndNoted.insert(end.task);
+                }
+            }
+            if (worker.acknowledged < order.acknowledged) {
+                worker.acknowledged = order.acknowledged;
+            }
+            if (order.deadline > 0) {
+                const Duration lease = std::min(Duration(order.deadline - worker.clock(now)), settings.workers.maxLease);
+                worker.leaseEnd = std::max(worker.leaseEnd, now + lease);
+            }
+        }
+        HoldView view;
+        view.life = worker.info.life;
+        view.clock = worker.clock(now);
+        for (const auto &[task, run] : worker.running) {
+            view.running.push_back(RunningEntry{task, run.number, {}, 50, 0});
+        }
+        for (const EndedEntry &end : worker.ended) {
+            if (worker.acknowledged < end.number) {
+                view.ended.push_back(end);
+            }
+        }
+        scheduler->onHoldAnswer(order, &view, sent, time());
+    }
+
+    void carryOut(const CellOrders &orders)
+    {
+        for (const StartOrder &order : orders.starts) {
+            orderEpochs[{order.task, order.run}] = epoch;
+            const bool through = workers.at(order.worker).reachable && onStart(order);
+            events.emplace(now + (through ? latency : lost),
+                           [this, order, through] { scheduler->onStartAnswer(order, through ? apply(order) : OrderAnswer{}, time()); });
+        }
+        for (const StopOrder &order : orders.stops) {
+            events.emplace(now + latency, [this, order] { answerStop(order); });
+        }
+        for (const HoldOrder &order : orders.holds) {
+            events.emplace(now + latency + std::min(order.wait, Duration(20)), [this, order, sent = now] { answerHold(order, sent); });
+        }
+        for (const AdviceCall &call : orders.advice) {
+            ++adviceCalls;
+            events.emplace(now + call.duration, [this, call, sent = now] {
+                AdviceAnswer answer;
+                answer.answered = true;
+                answer.validity = Duration(2500);
+                for (const WorkerId &id : call.workers) {
+                    if (goodWorkers.empty() || goodWorkers.count(id) > 0) {
+                        answer.good.emplace_back(id, "ticket");
+                    }
+                }
+                scheduler->onAdvice(call.id, answer, sent, now);
+            });
+        }
+        if (!orders.workersToStore.empty() && storeAnswers) {
+            formerWorkers = orders.workersToStore;
+            scheduler->onWorkersStored(orders.workersToStore);
+        }
+    }
+
+    void answerStop(const StopOrder &order)
+    {
+        FakeCellWorker &worker = workers.at(order.worker);
+        if (worker.crashed || !worker.reachable) {
+            scheduler->onStopAnswer(order, OrderAnswer{}, time());
+            return;
+        }
+        const auto run = worker.running.find(order.task);
+        if (run != worker.running.end() && run->second.number == order.run) {
+            worker.end(order.task, RunEnd::Stopped, "checkpoint");
+        }
+        RunNumber &highest = worker.highest[order.task];
+        highest = highest < order.run ? order.run : highest;
+        scheduler->onStopAnswer(order, {OrderOutcome::Done, worker.clock(now)}, time());
+    }
+
+    void step()
+    {
+        now += Duration(5);
+        stepWorkers();
+        while (!events.empty() && events.begin()->first <= now) {
+            const auto event = events.begin()->second;
+            events.erase(events.begin());
+            event();
+        }
+        if (nextRegistry <= now) {
+            nextRegistry = now + Duration(500);
+            std::vector<WorkerInfo> listed;
+            for (auto &[id, worker] : workers) {
+                if (!worker.crashed && !hidden.count(id)) {
+                    ++worker.info.sequence;
+                    listed.push_back(worker.info);
+                }
+            }
+            scheduler->onRegistry(listed, time());
+        }
+        carryOut(scheduler->tick(time()));
+        if (storeAnswers) {
+            for (const ProgressWrite &write : scheduler->takeProgress(100)) {
+                storedProgress[write.job] = write.progress;
+                scheduler->onProgressStored(write.job, write.revision);
+            }
+        }
+    }
+
+    static constexpr Duration latency{2};
+    static constexpr Duration lost{400};
+    std::multimap<TimePoint, std::function<void()>> events;
+
+public:
+    std::set<WorkerId> hidden; ///< Workers that the registry does not list.
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/test/cell/testcellscheduler.cpp
@@ -0,0 +1,428 @@
+#include "fakecell.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+#define NO_VIOLATION(cell) STRCMP_EQUAL("", ((cell).violations.empty() ? std::string() : (cell).violations.front()).c_str())
+
+TEST_GROUP(CellSchedulerCalm){};
+
+// Guards against jobs that are admitted and never end.
+TEST(CellSchedulerCalm, RunsEveryTaskOnceAndEndsTheJob)
+{
+    FakeCell cell(4);
+    cell.lead();
+    for (int i = 0; i < 10; ++i) {
+        cell.submit(cellJob("job" + std::to_string(i), 4, 1000));
+    }
+    cell.run(Duration(8000));
+    for (int i = 0; i < 10; ++i) {
+        CHECK_TRUE(cell.state("job" + std::to_string(i)) == CellJobState::Succeeded);
+    }
+    CHECK_EQUAL(40, cell.starts);
+    NO_VIOLATION(cell);
+}
+
+// Guards against a step that starts while an earlier one still runs.
+TEST(CellSchedulerCalm, StartsAStepOnlyAfterTheStepsBeforeIt)
+{
+    FakeCell cell(4);
+    cell.lead();
+    CellJob job = cellJob("chain", 2, 1000);
+    StepSpec second = job.steps[0];
+    second.after = {0};
+    job.steps.push_back(second);
+    cell.submit(job);
+    bool tooEarly = false;
+    cell.onStart = [&](const StartOrder &order) {
+        tooEarly = tooEarly || (order.task.step.step == 1 && cell.runningTasks() > 1);
+        return true;
+    };
+    cell.run(Duration(4000));
+    CHECK_FALSE(tooEarly);
+    CHECK_TRUE(cell.state("chain") == CellJobState::Succeeded);
+}
+
+// Guards against a state that a failure right afterwards could take back.
+TEST(CellSchedulerCalm, ShowsAJobAsEndedOnlyOnceThatIsStored)
+{
+    FakeCell cell(2);
+    cell.lead();
+    cell.submit(cellJob("job", 1, 1000, Duration(200)));
+    cell.run(Duration(150));
+    cell.storeAnswers = false;
+    cell.run(Duration(1500));
+    CHECK_TRUE(cell.state("job") == CellJobState::Active);
+    CHECK_EQUAL(0U, cell.worker(0).acknowledged.value() + cell.worker(1).acknowledged.value());
+}
+
+// Guards against tasks on a worker that a later leader would not look at.
+TEST(CellSchedulerCalm, UsesAWorkerOnlyOnceItsIdIsStored)
+{
+    FakeCell cell(2);
+    cell.storeAnswers = false;
+    cell.lead();
+    cell.submit(cellJob("job", 1, 1000));
+    cell.run(Duration(2000));
+    CHECK_EQUAL(0, cell.starts);
+}
+
+TEST_GROUP(CellSchedulerLimits){};
+
+// Guards against a workspace above its upper limit.
+TEST(CellSchedulerLimits, KeepsAWorkspaceWithinItsMaximum)
+{
+    FakeCell cell(4);
+    cell.config->workspaces[0].maximum.cpu = MilliCores(3000);
+    cell.lead();
+    cell.submit(cellJob("job", 8, 1000));
+    int most = 0;
+    for (int i = 0; i < 400; ++i) {
+        cell.run(Duration(5));
+        most = std::max(most, cell.runningTasks());
+    }
+    CHECK_EQUAL(3, most);
+}
+
+// Guards against two tasks of a step on one worker although the step forbids it.
+TEST(CellSchedulerLimits, SpreadsAStepOverWorkersWhenItAsksForThat)
+{
+    FakeCell cell(4, 8000);
+    cell.lead();
+    CellJob job = cellJob("job", 4, 1000);
+    job.steps[0].maxPerWorker = 1;
+    cell.submit(job);
+    cell.run(Duration(500));
+    for (int i = 0; i < 4; ++i) {
+        CHECK_EQUAL(1U, cell.worker(i).running.size());
+    }
+}
+
+// Guards against a task on a worker without the label that it needs.
+TEST(CellSchedulerLimits, PlacesOnlyOnWorkersWithTheRequiredLabel)
+{
+    FakeCell cell(4);
+    cell.worker(2).info.labels = {"b", "r1"};
+    cell.lead();
+    CellJob job = cellJob("job", 2, 1000);
+    job.steps[0].requiredLabel = "b";
+    cell.submit(job);
+    cell.run(Duration(300));
+    CHECK_EQUAL(2U, cell.worker(2).running.size());
+}
+
+// Guards against one workspace that crowds out the others by sending more than its share.
+TEST(CellSchedulerLimits, RefusesAWorkspaceAboveItsRateWhileTheCellIsBusy)
+{
+    FakeCell cell(1);
+    cell.config->workspaces[0].weight = 2;
+    cell.lead();
+    cell.run(Duration(500));
+    CHECK_TRUE(cell.submit(cellJob("a", 8, 1000, Duration(4000))) == AdmissionVerdict::Admitted);
+    CHECK_TRUE(cell.submit(cellJob("b", 8, 1000, Duration(4000))) == AdmissionVerdict::Admitted);
+    CHECK_TRUE(cell.submit(cellJob("c", 8, 1000, Duration(4000))) == AdmissionVerdict::OverRate);
+}
+
+// Guards against a caller that waits for a job that can't end in time.
+TEST(CellSchedulerLimits, RefusesAJobThatWouldWaitPastItsLateLimit)
+{
+    FakeCell cell(1);
+    cell.lead();
+    cell.run(Duration(500));
+    CHECK_TRUE(cell.submit(cellJob("large", 200, 4000, Duration(1000))) == AdmissionVerdict::Admitted);
+    CHECK_TRUE(cell.submit(cellJob("next", 1, 1000, Duration(1000))) == AdmissionVerdict::Busy);
+}
+
+TEST_GROUP(CellSchedulerGangs){};
+
+// Guards against members that wait on the workers for others that have no room.
+TEST(CellSchedulerGangs, StartsAllMembersWithOneRunNumberOrNone)
+{
+    FakeCell cell(3);
+    cell.lead();
+    CellJob job = cellJob("gang", 6, 2000);
+    job.steps[0].gang = true;
+    cell.submit(job);
+    std::set<RunNumber> runs;
+    cell.onStart = [&](const StartOrder &order) {
+        runs.insert(order.run);
+        return true;
+    };
+    cell.run(Duration(300));
+    CHECK_EQUAL(6, cell.runningTasks());
+    CHECK_EQUAL(1U, runs.size());
+}
+
+// Guards against a gang that never starts because smaller work takes each gap.
+TEST(CellSchedulerGangs, ReservesRoomForAGangWhileSmallTasksKeepComing)
+{
+    FakeCell cell(4);
+    cell.lead();
+    for (int i = 0; i < 16; ++i) {
+        cell.submit(cellJob("first" + std::to_string(i), 1, 1000, Duration(400 + 50 * i)));
+    }
+    cell.run(Duration(100));
+    CellJob gang = cellJob("gang", 4, 4000, Duration(500));
+    gang.steps[0].gang = true;
+    gang.route = RouteName("urgent");
+    cell.submit(gang);
+    for (int i = 0; i < 400; ++i) {
+        cell.submit(cellJob("small" + std::to_string(i), 1, 1000, Duration(900)));
+        cell.run(Duration(10));
+    }
+    CHECK_TRUE(cell.state("gang") == CellJobState::Succeeded);
+    NO_VIOLATION(cell);
+}
+
+// Guards against a gang that is started again while a member of its last run still runs.
+TEST(CellSchedulerGangs, StopsTheOtherMembersBeforeItStartsAgain)
+{
+    FakeCell cell(3);
+    cell.lead();
+    CellJob job = cellJob("gang", 3, 3000, Duration(1500));
+    job.steps[0].gang = true;
+    cell.submit(job);
+    cell.run(Duration(400));
+    cell.worker(1).end(TaskRef{StepRef{JobId("gang"), 0, 0}, cell.worker(1).running.begin()->first.index}, RunEnd::Failed);
+    cell.run(Duration(6000));
+    CHECK_TRUE(cell.state("gang") == CellJobState::Succeeded);
+    CHECK_EQUAL(6, cell.starts);
+    NO_VIOLATION(cell);
+}
+
+TEST_GROUP(CellSchedulerLateOrders){};
+
+// Guards against a second run of a task whose first start was only late.
+TEST(CellSchedulerLateOrders, NeverRunsATaskTwiceWhenAStartTakesEffectLate)
+{
+    for (int delay = 100; delay <= 4000; delay += 300) {
+        FakeCell cell(3);
+        cell.lead();
+        bool first = true;
+        cell.onStart = [&](const StartOrder &order) {
+            if (first) {
+                first = false;
+                cell.deliverLate(order, cell.now + Duration(delay));
+                return false;
+            }
+            return true;
+        };
+        cell.submit(cellJob("job", 2, 1000, Duration(1500)));
+        cell.run(Duration(12000));
+        CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
+        NO_VIOLATION(cell);
+    }
+}
+
+// Guards against a task that stays unstarted because the answer of its worker is lost again and again.
+TEST(CellSchedulerLateOrders, MovesATaskAwayFromAWorkerThatAnswersNoStart)
+{
+    FakeCell cell(2);
+    cell.lead();
+    cell.onStart = [](const StartOrder &order) { return order.worker != WorkerId("w0"); };
+    cell.submit(cellJob("job", 6, 1000, Duration(300)));
+    cell.run(Duration(15000));
+    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
+    NO_VIOLATION(cell);
+}
+
+TEST_GROUP(CellSchedulerWorkerFaults){};
+
+// Guards against tasks that wait for a worker that is gone for good.
+TEST(CellSchedulerWorkerFaults, RunsTasksOfACrashedWorkerElsewhereAfterItsLease)
+{
+    FakeCell cell(2);
+    cell.lead();
+    cell.submit(cellJob("job", 8, 1000, Duration(3000)));
+    cell.run(Duration(500));
+    cell.worker(0).crashed = true;
+    cell.run(Duration(4000));
+    CHECK_TRUE(cell.state("job") == CellJobState::Active);
+    cell.run(Duration(9000));
+    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
+    NO_VIOLATION(cell);
+}
+
+// Guards against the loss of work that a short partition could not stop.
+TEST(CellSchedulerWorkerFaults, KeepsTasksOfAWorkerThatIsCutOffForAShortTime)
+{
+    FakeCell cell(2);
+    cell.lead();
+    cell.submit(cellJob("job", 8, 1000, Duration(3000)));
+    cell.run(Duration(1500));
+    cell.worker(0).reachable = false;
+    cell.hidden.insert(WorkerId("w0"));
+    cell.run(Duration(5000));
+    cell.worker(0).reachable = true;
+    cell.hidden.clear();
+    cell.run(Duration(2000));
+    CHECK_EQUAL(8, cell.starts);
+    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
+}
+
+// Guards against work that waits for a lease although its worker has already restarted.
+TEST(CellSchedulerWorkerFaults, RestartsTasksAsSoonAsTheWorkerIsAnotherProcess)
+{
+    FakeCell cell(1);
+    cell.lead();
+    cell.submit(cellJob("job", 2, 1000, Duration(1000)));
+    cell.run(Duration(500));
+    cell.worker(0).restart();
+    cell.run(Duration(2500));
+    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
+    NO_VIOLATION(cell);
+}
+
+// Guards against jobs that lose all their attempts on one bad worker.
+TEST(CellSchedulerWorkerFaults, FinishesJobsWhileOneWorkerFailsEverything)
+{
+    FakeCell cell(4);
+    cell.worker(0).failsAll = true;
+    cell.lead();
+    for (int i = 0; i < 12; ++i) {
+        cell.submit(cellJob("job" + std::to_string(i), 1, 1000, Duration(300)));
+        cell.run(Duration(100));
+    }
+    cell.run(Duration(4000));
+    for (int i = 0; i < 12; ++i) {
+        CHECK_TRUE(cell.state("job" + std::to_string(i)) == CellJobState::Succeeded);
+    }
+}
+
+// Guards against endless attempts of a job that can't succeed.
+TEST(CellSchedulerWorkerFaults, EndsAJobWhoseTaskFailsAsOftenAsItsRouteAllows)
+{
+    FakeCell cell(3);
+    for (int i = 0; i < 3; ++i) {
+        cell.worker(i).failsAll = true;
+    }
+    cell.lead();
+    cell.submit(cellJob("poison", 1, 1000));
+    cell.run(Duration(5000));
+    CHECK_TRUE(cell.state("poison") == CellJobState::Failed);
+    CHECK_EQUAL(2, cell.starts);
+}
+
+// Guards against starts on a worker that is about to leave.
+TEST(CellSchedulerWorkerFaults, SendsNoNewWorkToADrainingWorker)
+{
+    FakeCell cell(2);
+    cell.lead();
+    cell.run(Duration(300));
+    cell.worker(0).info.draining = true;
+    cell.run(Duration(600));
+    cell.submit(cellJob("job", 4, 1000, Duration(2000)));
+    cell.run(Duration(500));
+    CHECK_TRUE(cell.worker(0).running.empty());
+}
+
+TEST_GROUP(CellSchedulerCancels){};
+
+// Guards against tasks that run on after their job was cancelled.
+TEST(CellSchedulerCancels, StopsRunningTasksAndStartsNoMore)
+{
+    FakeCell cell(1);
+    cell.lead();
+    cell.submit(cellJob("job", 8, 1000, Duration(5000)));
+    cell.run(Duration(500));
+    cell.cancel("job");
+    cell.run(Duration(300));
+    CHECK_EQUAL(0, cell.runningTasks());
+    CHECK_EQUAL(4, cell.starts);
+    CHECK_TRUE(cell.state("job") == CellJobState::Cancelled);
+}
+
+TEST_GROUP(CellSchedulerTakeover){};
+
+// Guards against a new leader that starts what still runs.
+TEST(CellSchedulerTakeover, AdoptsWhatRunsAndLosesNothing)
+{
+    FakeCell cell(3);
+    cell.lead();
+    for (int i = 0; i < 5; ++i) {
+        cell.submit(cellJob("job" + std::to_string(i), 3, 1000, Duration(1500)));
+    }
+    cell.run(Duration(900));
+    cell.lead(2);
+    cell.run(Duration(6000));
+    for (int i = 0; i < 5; ++i) {
+        CHECK_TRUE(cell.state("job" + std::to_string(i)) == CellJobState::Succeeded);
+    }
+    NO_VIOLATION(cell);
+}
+
+// Guards against a second run of a task on a worker that the new leader can't reach yet.
+TEST(CellSchedulerTakeover, WaitsForLeasesOfWorkersThatItCannotReach)
+{
+    FakeCell cell(2);
+    cell.lead();
+    cell.submit(cellJob("job", 6, 1000, Duration(20000)));
+    cell.run(Duration(1000));
+    cell.worker(0).reachable = false;
+    cell.hidden.insert(WorkerId("w0"));
+    cell.lead(2);
+    cell.run(Duration(30000));
+    NO_VIOLATION(cell);
+    CHECK_TRUE(cell.state("job") == CellJobState::Active || cell.state("job") == CellJobState::Succeeded);
+}
+
+// Guards against failures that are counted twice and end a job too early.
+TEST(CellSchedulerTakeover, CountsAFailureOnceThoughTwoLeadersSeeIt)
+{
+    FakeCell cell(2);
+    cell.lead();
+    cell.submit(cellJob("job", 1, 1000, Duration(1000)));
+    cell.run(Duration(400));
+    FakeCellWorker &holder = cell.worker(0).running.empty() ? cell.worker(1) : cell.worker(0);
+    holder.end(holder.running.begin()->first, RunEnd::Failed);
+    cell.run(Duration(20));
+    holder.acknowledged = EndNumber();
+    cell.lead(2);
+    cell.run(Duration(4000));
+    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
+}
+
+TEST_GROUP(CellSchedulerAdvice){};
+
+// Guards against starts on workers that the policy does not allow.
+TEST(CellSchedulerAdvice, StartsOnlyOnWorkersThatThePolicyAllows)
+{
+    FakeCell cell(6);
+    cell.addRoute("advised", 1, AdviceTerms{40, 1, Duration(2500)});
+    cell.goodWorkers = {WorkerId("w4"), WorkerId("w5")};
+    cell.lead();
+    cell.submit(cellJob("job", 4, 1000, Duration(800), "advised"));
+    cell.run(Duration(600));
+    CHECK_EQUAL(4U, cell.worker(4).running.size() + cell.worker(5).running.size());
+}
+
+// Guards against a job that waits for room longer than its tickets last and then never starts.
+TEST(CellSchedulerAdvice, RenewsTicketsThatRanOutWhileTheStepWaited)
+{
+    FakeCell cell(1);
+    cell.addRoute("advised", 1, AdviceTerms{40, 1, Duration(2500)});
+    cell.lead();
+    cell.submit(cellJob("long", 4, 1000, Duration(5000)));
+    cell.run(Duration(200));
+    cell.submit(cellJob("job", 1, 1000, Duration(300), "advised"));
+    cell.run(Duration(7000));
+    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
+    CHECK_TRUE(cell.adviceCalls >= 2);
+}
+
+TEST_GROUP(CellSchedulerLoad){};
+
+// Guards against urgent callers that wait behind batch work that came first (pattern: urgent burst on a busy cell).
+TEST(CellSchedulerLoad, StartsUrgentWorkBeforeBatchThatWaitsLonger)
+{
+    FakeCell cell(2);
+    cell.lead();
+    for (int i = 0; i < 8; ++i) {
+        cell.submit(cellJob("batch" + std::to_string(i), 4, 1000, Duration(700)));
+    }
+    cell.run(Duration(200));
+    cell.submit(cellJob("urgent", 4, 1000, Duration(300), "urgent"));
+    cell.run(Duration(1500));
+    CHECK_TRUE(cell.state("urgent") == CellJobState::Succeeded);
+}
--- /dev/null
+++ b/test/cell/testleadership.cpp
@@ -0,0 +1,182 @@
+#include "cell/leadership.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+namespace {
+
+const TimePoint start{Duration(1000000)};
+
+CellMember daemon(const std::string &id)
+{
+    return CellMember{DaemonId(id), Incarnation(7), id + ":7000", FailureDomain("a")};
+}
+
+LeaderRecord heldBy(const std::string &holder, std::uint64_t epoch)
+{
+    LeaderRecord record;
+    record.holder = DaemonId(holder);
+    record.incarnation = Incarnation(7);
+    record.epoch = Epoch(epoch);
+    record.members = {daemon("d1"), daemon("d2")};
+    return record;
+}
+
+} // namespace
+
+TEST_GROUP(Leadership)
+{
+    LeadershipSettings settings;
+
+    Leadership elected(TimePoint now)
+    {
+        Leadership leadership(daemon("d1"), settings);
+        CHECK_TRUE(leadership.nextAction(now) == LeaderAction::ReadRow);
+        leadership.onRow(std::nullopt, RowVersion(), now);
+        CHECK_TRUE(leadership.nextAction(now) == LeaderAction::WriteRow);
+        leadership.onWritten(RowVersion(5), now);
+        return leadership;
+    }
+};
+
+// Guards against a cell that has no leader after its first start.
+TEST(Leadership, ClaimsARowThatDoesNotExist)
+{
+    const Leadership leadership = elected(start);
+    CHECK_TRUE(leadership.mayAct(start));
+    CHECK_EQUAL(1U, leadership.epoch().value());
+}
+
+// Guards against two leaders that act at the same time.
+TEST(Leadership, StopsActingBeforeAnotherDaemonMayTakeOver)
+{
+    Leadership leadership = elected(start - settings.renewInterval);
+    leadership.onPromise(daemon("d2"), false, start - settings.renewInterval, start - settings.renewInterval);
+    CHECK_TRUE(leadership.nextAction(start) == LeaderAction::WriteRow);
+    leadership.onWritten(RowVersion(6), start);
+    CHECK_FALSE(leadership.mayAct(start + settings.term - settings.margin));
+    Leadership other(daemon("d2"), settings);
+    (void)other.nextAction(start);
+    other.onRow(heldBy("d1", 1), RowVersion(5), start);
+    (void)other.nextAction(start + settings.term);
+    CHECK_FALSE(other.isLeader());
+}
+
+// Guards against a cell without a leader after its leader has died.
+TEST(Leadership, TakesOverARowThatHasNotChangedForATerm)
+{
+    Leadership other(daemon("d2"), settings);
+    (void)other.nextAction(start);
+    other.onRow(heldBy("d1", 4), RowVersion(5), start);
+    const TimePoint later = start + settings.term + Duration(1);
+    CHECK_TRUE(other.nextAction(later) == LeaderAction::WriteRow);
+    CHECK_EQUAL(5U, other.next().epoch.value());
+    CHECK_EQUAL(5U, other.expected().value());
+}
+
+// Guards against a take-over while the holder still renews.
+TEST(Leadership, WaitsAgainWheneverTheRowHasChanged)
+{
+    Leadership other(daemon("d2"), settings);
+    TimePoint now = start;
+    for (std::uint64_t version = 5; version < 15; ++version) {
+        CHECK_TRUE(other.nextAction(now) == LeaderAction::ReadRow);
+        other.onRow(heldBy("d1", 4), RowVersion(version), now);
+        now += settings.term / 2;
+    }
+}
+
+// Guards against a process that waits for the lease of its own earlier life.
+TEST(Leadership, TakesOverAtOnceFromItsOwnEarlierProcess)
+{
+    Leadership again(CellMember{DaemonId("d1"), Incarnation(8), "d1:7000", {}}, settings);
+    (void)again.nextAction(start);
+    again.onRow(heldBy("d1", 4), RowVersion(5), start);
+    CHECK_TRUE(again.nextAction(start) == LeaderAction::WriteRow);
+}
+
+// Guards against a daemon that the leader does not know of and that breaks its members' promises.
+TEST(Leadership, LetsADaemonThatIsNoMemberWaitLonger)
+{
+    Leadership stranger(daemon("d9"), settings);
+    (void)stranger.nextAction(start);
+    stranger.onRow(heldBy("d1", 4), RowVersion(5), start);
+    CHECK_FALSE(stranger.nextAction(start + settings.term * 2) == LeaderAction::WriteRow);
+    stranger.onRow(heldBy("d1", 4), RowVersion(5), start + settings.term * 2);
+    CHECK_TRUE(stranger.nextAction(start + settings.strangerTerm + Duration(1)) == LeaderAction::WriteRow);
+}
+
+// Guards against a cell that stands still while the store is away from everybody.
+TEST(Leadership, GoesOnWithoutTheStoreWhileEveryMemberPromises)
+{
+    Leadership leadership = elected(start);
+    leadership.onPromise(daemon("d2"), false, start, start);
+    TimePoint now = start + settings.renewInterval;
+    CHECK_TRUE(leadership.nextAction(now) == LeaderAction::WriteRow);
+    leadership.onWritten(RowVersion(6), now);
+    const TimePoint away = now + settings.term;
+    CHECK_FALSE(leadership.mayAct(away));
+    leadership.onPromise(daemon("d2"), false, away - Duration(50), away);
+    CHECK_TRUE(leadership.mayAct(away));
+}
+
+// Guards against promises that outlast the time after which a stranger takes over.
+TEST(Leadership, DoesNotActOnPromisesForEver)
+{
+    Leadership leadership = elected(start);
+    const TimePoint late = start + settings.longestOnPromises;
+    leadership.onPromise(daemon("d2"), false, late, late);
+    CHECK_FALSE(leadership.mayAct(late));
+}
+
+// Guards against a member that promises and claims anyway.
+TEST(Leadership, DoesNotClaimWhileItsPromiseLasts)
+{
+    Leadership other(daemon("d2"), settings);
+    (void)other.nextAction(start);
+    other.onRow(heldBy("d1", 4), RowVersion(5), start);
+    const TimePoint beat = start + settings.term;
+    CHECK_TRUE(other.onBeat(daemon("d1"), Epoch(4), beat));
+    CHECK_FALSE(other.nextAction(beat + settings.promise - Duration(1)) == LeaderAction::WriteRow);
+}
+
+// Guards against a gap of a whole lease term at each planned stop.
+TEST(Leadership, HandsOverAtOnceWhenItResigns)
+{
+    Leadership leadership = elected(start);
+    leadership.onPromise(daemon("d2"), false, start, start);
+    leadership.resign(start + Duration(10));
+    CHECK_FALSE(leadership.mayAct(start + Duration(10)));
+    CHECK_TRUE(leadership.nextAction(start + Duration(10)) == LeaderAction::WriteRow);
+    const LeaderRecord resigned = leadership.next();
+    CHECK_TRUE(resigned.holder.isEmpty());
+    Leadership successor(daemon("d2"), settings);
+    (void)successor.nextAction(start);
+    successor.onRow(resigned, RowVersion(6), start + Duration(20));
+    CHECK_TRUE(successor.nextAction(start + Duration(20)) == LeaderAction::WriteRow);
+}
+
+// Guards against a leader that does not notice that it was replaced.
+TEST(Leadership, StepsDownWhenTheRowNamesAnother)
+{
+    Leadership leadership = elected(start);
+    (void)leadership.nextAction(start + settings.renewInterval);
+    leadership.onConflict(heldBy("d2", 2), RowVersion(9), start + settings.renewInterval);
+    CHECK_FALSE(leadership.isLeader());
+}
+
+// Guards against a claim without an answer that took effect and that nobody acts on.
+TEST(Leadership, RecognisesItsOwnClaimWhoseAnswerWasLost)
+{
+    Leadership leadership(daemon("d1"), settings);
+    (void)leadership.nextAction(start);
+    leadership.onRow(std::nullopt, RowVersion(), start);
+    (void)leadership.nextAction(start);
+    leadership.onWriteFailed(start + Duration(900));
+    CHECK_TRUE(leadership.nextAction(start + Duration(900)) == LeaderAction::ReadRow);
+    leadership.onRow(heldBy("d1", 1), RowVersion(5), start + Duration(920));
+    CHECK_TRUE(leadership.isLeader());
+    CHECK_FALSE(leadership.mayAct(start + Duration(920)));
+    CHECK_TRUE(leadership.nextAction(start + Duration(920)) == LeaderAction::WriteRow);
+}
