Make rounds of placement cheap and let the strongest VM lead

Change: a step is considered again only when one of its workers got room, or after 50 ms; rooms are listed from the step's tickets; the waiting work is summed up every 50 ms; leases and repeats are looked at every 20 ms. Members tell their processor, and a weak leader hands over to a much stronger member. ZeroMQ's receive queue no longer fills up: libzmq 4.3.4 aborted there.

Ruled out: the store (1,200 writes a second are far off) and the links.

--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -10,6 +10,7 @@
 
 constexpr int lateTier = 50; // Work that can still be on time goes before work that is late.
 constexpr int excessTier = 100; // Work beyond a workspace's rate goes last.
+constexpr Duration fullPassInterval{50}; // Steps without news about their workers are considered again after this time.
 constexpr Duration ticketMargin{60}; // A start has to reach the worker before its ticket runs out.
 constexpr Duration renewAhead{250}; // Tickets of a gang that could start soon are renewed this much earlier than needed.
 constexpr int mostReservations = 4; // Gangs that hold room back from later work.
@@ -31,9 +32,36 @@
     CellTime time;
     Reservations reservations;
     int reserved = 0;
-    std::map<WorkerId, std::vector<Release>> releases; ///< Filled on demand.
+    std::map<WorkerId, std::vector<Release>> releases; ///< Filled on demand; entries keep their addresses.
+
+    const std::vector<Release> &releasesOf(const Worker &worker)
+    {
+        const auto [entry, isNew] = releases.try_emplace(worker.info.id);
+        if (isNew) {
+            for (const auto &[key, run] : worker.runs) {
+                const TimePoint overrun = time.now + overrunStep;
+                entry->second.push_back(Release{run.phase == RunPhase::Stopping ? overrun : std::max(run.expectedEnd, overrun), run.demand});
+            }
+            std::sort(entry->second.begin(), entry->second.end(), [](const Release &a, const Release &b) { return a.at < b.at; });
+        }
+        return entry->second;
+    }
 };
 
+bool CellScheduler::needsAttention(const StepRun &step) const
+{
+    if (step.triedAt == 0 || (step.spec->gang && step.active > 0)) {
+        return true;
+    }
+    if (adviceTerms(step) == nullptr) {
+        return step.triedAt < m_workers.changes();
+    }
+    return std::any_of(step.advice.good.begin(), step.advice.good.end(), [&](const auto &good) {
+        const Worker *worker = m_workers.find(good.first);
+        return worker != nullptr && worker->changedAt > step.triedAt && worker->wasUsable && step.spec->demand.fitsIn(worker->free());
+    });
+}
+
 const AdviceTerms *CellScheduler::adviceTerms(const StepRun &step) const
 {
     const CellRoute *route = m_config->route(step.job->job.route);
@@ -88,50 +116,53 @@
 std::vector<WorkerRoom> CellScheduler::roomsFor(StepRun &step, Pass &pass, bool needTicket)
 {
     std::vector<WorkerRoom> rooms;
-    const bool advised = adviceTerms(step) != nullptr;
-    for (const auto &[id, worker] : m_workers.all()) {
-        if (!m_workers.isUsable(worker, pass.time.now) || !isEligible(step, worker)) {
-            continue;
-        }
-        if (advised) {
-            const auto ticket = step.advice.good.find(id);
-            if (ticket == step.advice.good.end() || (needTicket && ticket->second.validUntil < pass.time.now + ticketMargin)) {
-                continue;
+    if (adviceTerms(step) != nullptr) {
+        for (const auto &[id, ticket] : step.advice.good) {
+            const Worker *worker = !needTicket || ticket.validUntil >= pass.time.now + ticketMargin ? m_workers.find(id) : nullptr;
+            if (worker != nullptr) {
+                addRoom(step, *worker, pass, rooms);
             }
         }
-        WorkerRoom room{id, worker.free(), INT_MAX, worker.speed, {}};
-        if (step.spec->maxPerWorker > 0) {
-            const auto first = worker.runs.lower_bound({TaskRef{step.ref, 0}, RunNumber()});
-            int present = 0;
-            for (auto run = first; run != worker.runs.end() && run->first.first.step == step.ref; ++run) {
-                ++present;
-            }
-            room.maxTasks = std::max(step.spec->maxPerWorker - present, 0);
-        }
-        auto cached = pass.releases.find(id);
-        if (cached == pass.releases.end()) {
-            std::vector<Release> releases;
-            for (const auto &[key, run] : worker.runs) {
-                const TimePoint soonest =
-                    run.phase == RunPhase::Stopping ? pass.time.now + overrunStep : std::max(run.expectedEnd, pass.time.now + overrunStep);
-                releases.push_back(Release{soonest, run.demand});
-            }
-            std::sort(releases.begin(), releases.end(), [](const Release &a, const Release &b) { return a.at < b.at; });
-            cached = pass.releases.emplace(id, std::move(releases)).first;
-        }
-        room.releases = cached->second;
-        rooms.push_back(std::move(room));
+        return rooms;
+    }
+    for (const auto &[id, worker] : m_workers.all()) {
+        addRoom(step, worker, pass, rooms);
     }
     return rooms;
 }
 
+void CellScheduler::addRoom(const StepRun &step, const Worker &worker, Pass &pass, std::vector<WorkerRoom> &rooms) const
+{
+    if (!worker.wasUsable || !isEligible(step, worker)) {
+        return;
+    }
+    WorkerRoom room{worker.info.id, worker.free(), INT_MAX, worker.speed, nullptr};
+    if (step.spec->maxPerWorker > 0) {
+        const auto first = worker.runs.lower_bound({TaskRef{step.ref, 0}, RunNumber()});
+        int present = 0;
+        for (auto run = first; run != worker.runs.end() && run->first.first.step == step.ref; ++run) {
+            ++present;
+        }
+        room.maxTasks = std::max(step.spec->maxPerWorker - present, 0);
+    }
+    room.releases = &pass.releasesOf(worker);
+    rooms.push_back(room);
+}
+
 void CellScheduler::place(CellOrders &orders, const CellTime &time)
 {
+    m_workers.noteUsable(time.now);
+    const bool isFullPass = m_nextFullPass <= time.now;
+    if (isFullPass) {
+        m_nextFullPass = time.now + fullPassInterval;
+    }
     std::vector<StepRun *> steps = m_jobs.waitingSteps();
     std::vector<std::pair<std::pair<int, TimePoint>, StepRun *>> ordered;
     ordered.reserve(steps.size());
     for (StepRun *step : steps) {
-        if (m_config->route(step->job->job.route) != nullptr && !step->job->unlocated) {
+        const bool isKept = m_config->route(step->job->job.route) != nullptr && !step->job->unlocated;
+        // What waiting gangs reserve limits the others, so that they take part in every round.
+        if (isKept && (isFullPass || step->spec->gang || needsAttention(*step))) {
             ordered.emplace_back(orderKey(*step, time.now), step);
         }
     }
@@ -139,19 +170,25 @@
         ordered.begin(), ordered.end(), [](const auto &a, const auto &b) { return a.first != b.first ? a.first < b.first : a.second->ref < b.second->ref; });
     Pass pass{orders, time, {}, 0, {}};
     for (const auto &[key, step] : ordered) {
+        const bool news = needsAttention(*step);
+        step->triedAt = m_workers.changes();
         if (adviceTerms(*step) != nullptr && step->advice.asked.empty()) {
             requestAdvice(*step, time.now);
             continue;
         }
         if (step->spec->gang && step->active > 0) {
             repairGang(*step, pass);
+        } else if (step->spec->gang && pass.reserved >= mostReservations && !isFullPass && !news) {
+            continue;
         } else if (step->spec->gang) {
             placeGang(*step, pass);
         } else {
             placeTasks(*step, pass);
         }
     }
-    prefetchAdvice(time.now);
+    if (isFullPass) {
+        prefetchAdvice(time.now);
+    }
 }
 
 RunNumber CellScheduler::nextRun(const CellTask &task) const
@@ -177,7 +214,6 @@
         order.ticket = ticket->second.text;
     }
     pass.orders.starts.push_back(m_workers.start(worker, added, order, pass.time.now));
-    pass.releases.erase(worker.info.id);
     m_usage[added.workspace] += added.demand;
     step.expectedEnd = std::max(step.expectedEnd, added.expectedEnd);
     m_jobs.onStarted(step, index, run, pass.time.now);
@@ -391,6 +427,7 @@
         return;
     }
     step->advice.inFlight = false;
+    step->triedAt = 0;
     if (!answer.answered) {
         step->advice.nextCall = now + adviceRetry;
         log("advice for step " + TaskRef{call->step, 0}.text() + " failed on " + call->lane.value() + (answer.busy ? ": too many calls wait" : ": no answer"));
@@ -408,8 +445,8 @@
 
 void CellScheduler::prefetchAdvice(TimePoint now)
 {
-    for (const auto &[id, entry] : m_jobs.all()) {
-        if (entry->outcome != CellJobState::Unknown || !entry->stored || entry->steps.size() < 2) {
+    for (const auto &[id, entry] : m_jobs.open()) {
+        if (!entry->stored || entry->steps.size() < 2) {
             continue;
         }
         for (const auto &step : entry->steps) {
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -22,6 +22,9 @@
 constexpr double busyFactor = 1.15; // Gangs and labels leave part of the room unused.
 constexpr Duration shortestRetryAfter{1000};
 constexpr Duration longestRetryAfter{15000};
+constexpr std::int64_t workUnit = 1000; // workOf() counts core milliseconds, the sum thousandths of these.
+constexpr Duration loadInterval{50}; // The waiting work is summed up at most so often.
+constexpr Duration runCheckInterval{20}; // Repeats of starts, stops and leases are looked at so often.
 constexpr Duration busyWait{400}; // Predicted wait from which on a workspace is held to its rate.
 constexpr int objectiveToLateLimit = 3; // A job that ends later than three times its objective helps nobody.
 
@@ -59,6 +62,7 @@
     m_strayEarly.clear();
     m_workersChanged = false;
     m_storingWorkers = false;
+    m_waitingWorkAt = TimePoint();
 }
 
 void CellScheduler::addFormerWorkers(const std::vector<WorkerId> &ids)
@@ -135,7 +139,7 @@
         }
     }
     const int priority = route != nullptr ? route->priority : 0;
-    const Duration wait = predictedWait(excess ? INT_MAX : priority);
+    const Duration wait = predictedWait(excess ? INT_MAX : priority, time.now);
     const RouteRules rules = rulesOf(job.route);
     const auto chain = static_cast<double>(longestChain(job.steps).count());
     const auto objective = Duration(static_cast<std::int64_t>(chain * rules.stretch)) + rules.targetLatency;
@@ -155,27 +159,32 @@
     ++m_counters.admitted;
     JobEntry &entry = m_jobs.add(job, rules, time.now, time.unixMs);
     entry.excess = excess;
+    m_waitingWork[priority] += workOf(job.steps) * workUnit;
     log("job " + job.id.value() + " admitted: route " + job.route.value() + ", predicted wait " + std::to_string(wait.count()) + " ms");
     return decision;
 }
 
-Duration CellScheduler::predictedWait(int priority) const
+Duration CellScheduler::predictedWait(int priority, TimePoint now)
 {
-    std::int64_t capacity = 0;
-    for (const auto &[id, worker] : m_workers.all()) {
-        capacity += worker.registered && !worker.info.draining ? worker.info.capacity.cpu.value() : 0;
-    }
-    std::int64_t work = 0;
-    for (const auto &[id, entry] : const_cast<JobTable &>(m_jobs).all()) {
-        const CellRoute *route = m_config && entry->outcome == CellJobState::Unknown ? m_config->route(entry->job.route) : nullptr;
-        if (route == nullptr || route->priority > priority) {
-            continue;
+    if (m_waitingWorkAt == TimePoint() || now - m_waitingWorkAt >= loadInterval) {
+        m_waitingWorkAt = now;
+        m_waitingWork.clear();
+        m_capacity = 0;
+        for (const auto &[id, worker] : m_workers.all()) {
+            m_capacity += worker.registered && !worker.info.draining ? worker.info.capacity.cpu.value() : 0;
         }
-        for (const auto &step : entry->steps) {
-            work += step->waiting * step->spec->demand.cpu.value() * step->spec->estimate.count();
+        for (const auto &[id, entry] : m_jobs.open()) {
+            const CellRoute *route = m_config ? m_config->route(entry->job.route) : nullptr;
+            for (const auto &step : entry->steps) {
+                m_waitingWork[route != nullptr ? route->priority : 0] += step->waiting * step->spec->demand.cpu.value() * step->spec->estimate.count();
+            }
         }
     }
-    return capacity > 0 ? Duration(static_cast<std::int64_t>(static_cast<double>(work / capacity) * busyFactor)) : Duration(0);
+    std::int64_t work = 0;
+    for (const auto &[level, waiting] : m_waitingWork) {
+        work += level <= priority ? waiting : 0;
+    }
+    return m_capacity > 0 ? Duration(static_cast<std::int64_t>(static_cast<double>(work / m_capacity) * busyFactor)) : Duration(0);
 }
 
 void CellScheduler::onJobStored(const CellJob &job, const CellTime &time)
@@ -510,15 +519,21 @@
 CellOrders CellScheduler::tick(const CellTime &time)
 {
     CellOrders orders;
-    onRunEvents(m_workers.expireLeases(time.now), time);
-    m_jobs.releaseDue(time.now, time.unixMs);
-    acknowledgeEnds();
-    driveWorkers(orders, time);
+    const bool checkRuns = m_nextRunCheck <= time.now;
+    if (checkRuns) {
+        m_nextRunCheck = time.now + runCheckInterval;
+        onRunEvents(m_workers.expireLeases(time.now), time);
+        m_jobs.releaseDue(time.now, time.unixMs);
+        acknowledgeEnds();
+    }
+    driveWorkers(orders, time, checkRuns);
     if (m_loaded && m_config) {
         settleUnlocated(time.now);
         place(orders, time);
     }
-    orders.stops = m_workers.dueStops(time.now);
+    if (checkRuns) {
+        orders.stops = m_workers.dueStops(time.now);
+    }
     m_counters.stops += orders.stops.size();
     for (const AdviceCall &overdue : m_advice.expire(time.now)) {
         if (StepRun *step = m_jobs.findStep(overdue.step)) {
@@ -541,7 +556,7 @@
     return orders;
 }
 
-void CellScheduler::driveWorkers(CellOrders &orders, const CellTime &time)
+void CellScheduler::driveWorkers(CellOrders &orders, const CellTime &time, bool checkRuns)
 {
     for (auto &[id, worker] : m_workers.all()) {
         const bool needed = worker.registered || !worker.runs.empty();
@@ -553,8 +568,10 @@
             orders.holds.push_back(m_workers.hold(worker, busy ? m_settings.holdWait : Duration(0), time.now));
             ++m_counters.holds;
         }
-        repeatStarts(worker, orders, time.now);
-        watchRuns(worker, time.now);
+        if (checkRuns) {
+            repeatStarts(worker, orders, time.now);
+            watchRuns(worker, time.now);
+        }
     }
 }
 
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -155,7 +155,7 @@
     void storeEndRevision(Worker &worker, EndNumber number, const JobEntry *entry);
     void acknowledgeEnds();
 
-    void driveWorkers(CellOrders &orders, const CellTime &time);
+    void driveWorkers(CellOrders &orders, const CellTime &time, bool checkRuns);
     void repeatStarts(Worker &worker, CellOrders &orders, TimePoint now);
     void watchRuns(Worker &worker, TimePoint now);
     void place(CellOrders &orders, const CellTime &time);
@@ -166,6 +166,7 @@
     void startTask(StepRun &step, int index, Worker &worker, RunNumber run, Pass &pass);
     [[nodiscard]] RunNumber nextRun(const CellTask &task) const;
     [[nodiscard]] std::vector<WorkerRoom> roomsFor(StepRun &step, Pass &pass, bool needTicket);
+    void addRoom(const StepRun &step, const Worker &worker, Pass &pass, std::vector<WorkerRoom> &rooms) const;
     [[nodiscard]] bool isEligible(const StepRun &step, const Worker &worker) const;
     [[nodiscard]] bool isWithinMaximum(const StepRun &step, int tasks) const;
     void requestAdvice(StepRun &step, TimePoint now);
@@ -175,7 +176,8 @@
     [[nodiscard]] const AdviceTerms *adviceTerms(const StepRun &step) const;
     void settleUnlocated(TimePoint now);
     [[nodiscard]] std::pair<int, TimePoint> orderKey(const StepRun &step, TimePoint now) const;
-    [[nodiscard]] Duration predictedWait(int priority) const;
+    [[nodiscard]] Duration predictedWait(int priority, TimePoint now);
+    [[nodiscard]] bool needsAttention(const StepRun &step) const;
 
     CellSchedulerSettings m_settings;
     DecisionLog m_log;
@@ -198,6 +200,11 @@
     std::vector<std::pair<WorkerId, EndedEntry>> m_strayEarly;
     bool m_workersChanged = false; ///< The stored list of workers is out of date.
     bool m_storingWorkers = false;
+    std::map<int, std::int64_t> m_waitingWork; ///< Core milliseconds that wait, by priority, as of m_waitingWorkAt.
+    std::int64_t m_capacity = 0; ///< Thousandths of a core of all workers, as of m_waitingWorkAt.
+    TimePoint m_waitingWorkAt;
+    TimePoint m_nextRunCheck;
+    TimePoint m_nextFullPass;
     TimePoint m_nextHousekeeping;
     CellCounters m_counters;
 };
--- a/src/cell/jobtable.cpp
+++ b/src/cell/jobtable.cpp
@@ -29,7 +29,7 @@
     entry->onTimeBy = due + Duration(static_cast<std::int64_t>(chain * rules.stretch)) + rules.targetLatency;
     JobEntry &added = *entry;
     m_jobs.emplace(job.id, std::move(entry));
-    m_open.insert(job.id);
+    m_open.emplace(job.id, &added);
     release(added, now, unixNowMs);
     return added;
 }
@@ -161,8 +161,8 @@
 
 void JobTable::releaseDue(TimePoint now, std::int64_t unixNowMs)
 {
-    for (const JobId &id : m_open) {
-        JobEntry &entry = *m_jobs.at(id);
+    for (const auto &[id, open] : m_open) {
+        JobEntry &entry = *open;
         if (entry.job.occurrences > 0) {
             release(entry, now, unixNowMs);
         }
@@ -188,8 +188,8 @@
 std::vector<StepRun *> JobTable::waitingSteps()
 {
     std::vector<StepRun *> waiting;
-    for (const JobId &id : m_open) {
-        const JobEntry &entry = *m_jobs.at(id);
+    for (const auto &[id, open] : m_open) {
+        const JobEntry &entry = *open;
         if (!entry.stored) {
             continue;
         }
@@ -399,8 +399,8 @@
 std::map<RouteName, int> JobTable::queuedByRoute() const
 {
     std::map<RouteName, int> queued;
-    for (const JobId &id : m_open) {
-        const JobEntry &entry = *m_jobs.at(id);
+    for (const auto &[id, open] : m_open) {
+        const JobEntry &entry = *open;
         if (!entry.anyStarted && entry.stored) {
             ++queued[entry.job.route];
         }
@@ -422,6 +422,11 @@
     return ended;
 }
 
+const std::map<JobId, JobEntry *> &JobTable::open() const
+{
+    return m_open;
+}
+
 std::size_t JobTable::unfinished() const
 {
     return m_open.size();
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -62,6 +62,7 @@
     TimePoint gangStarted; ///< When the first member of gangRun was started.
     bool gangBroken = false; ///< A member ended; the others are stopped before the gang starts again.
     StepAdvice advice;
+    std::uint64_t triedAt = 0; ///< WorkerTable's count of changes when the step was last considered; 0: consider it again.
     TimePoint readySince; ///< Zero while steps before it are unfinished or it is not due.
     TimePoint expectedEnd; ///< Of the active tasks.
 
@@ -114,6 +115,8 @@
     [[nodiscard]] const JobEntry *find(const JobId &id) const;
     [[nodiscard]] StepRun *findStep(const StepRef &ref);
     [[nodiscard]] std::unordered_map<JobId, std::unique_ptr<JobEntry>> &all();
+    /// Jobs without an outcome.
+    [[nodiscard]] const std::map<JobId, JobEntry *> &open() const;
 
     /// Creates the steps of occurrences that are due, and marks steps whose predecessors are done as ready.
     void release(JobEntry &entry, TimePoint now, std::int64_t unixNowMs);
@@ -154,7 +157,7 @@
 
     std::unordered_map<JobId, std::unique_ptr<JobEntry>> m_jobs;
     std::set<JobId> m_dirty;
-    std::set<JobId> m_open; ///< Jobs without an outcome.
+    std::map<JobId, JobEntry *> m_open; ///< Jobs without an outcome.
     std::map<StepRef, StepRun *> m_steps; ///< Steps of open jobs.
 };
 
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -27,6 +27,10 @@
         if (now < m_nextWrite) {
             return LeaderAction::None;
         }
+        const auto strongest = strongestMember(now);
+        const bool isWeak = strongest && static_cast<double>(strongest->power.value()) > static_cast<double>(m_self.power.value()) * m_settings.strongerFactor;
+        const bool isConfirmed = now - m_leaseFrom < m_settings.term / 2;
+        m_resigning = m_resigning || (isWeak && isConfirmed && now - m_leaderSince > m_settings.yieldAfter);
         prepareRenewal(now);
         return LeaderAction::WriteRow;
     }
@@ -84,8 +88,8 @@
     m_next.epoch = m_epoch;
     m_next.members = liveMembers(now);
     if (m_resigning) {
-        if (!m_next.members.empty()) {
-            m_next.successor = m_next.members.front().id;
+        if (const auto strongest = strongestMember(now)) {
+            m_next.successor = strongest->id;
         }
     } else {
         m_next.holder = m_self.id;
@@ -148,6 +152,7 @@
         m_lastBeat = now;
         return;
     }
+    m_leaderSince = m_isLeader ? m_leaderSince : now;
     m_isLeader = true;
     m_epoch = m_next.epoch;
     m_leaseFrom = std::max(m_leaseFrom, m_writeSent);
@@ -174,6 +179,11 @@
     m_pending = false;
     m_nextWrite = now + m_settings.retryInterval;
     m_nextRead = now;
+    if (m_isLeader && m_resigning && !m_retired) {
+        // The resignation may take effect, so nothing is sent before a renewal is confirmed.
+        m_resigning = false;
+        m_leaseFrom = TimePoint();
+    }
 }
 
 bool Leadership::onBeat(const CellMember &leader, Epoch epoch, TimePoint now)
@@ -229,9 +239,15 @@
     }
 }
 
-void Leadership::retire()
+std::optional<CellMember> Leadership::strongestMember(TimePoint now) const
 {
-    m_retired = true;
+    std::optional<CellMember> strongest;
+    for (const CellMember &member : liveMembers(now)) {
+        if (!strongest || strongest->power < member.power) {
+            strongest = member;
+        }
+    }
+    return strongest;
 }
 
 bool Leadership::isLeader() const
@@ -280,7 +296,7 @@
     if (!m_row || m_row->holder.isEmpty()) {
         return std::nullopt;
     }
-    return CellMember{m_row->holder, m_row->incarnation, m_row->peerAddress, {}};
+    return CellMember{m_row->holder, m_row->incarnation, m_row->peerAddress, {}, {}};
 }
 
 std::vector<CellMember> Leadership::liveMembers(TimePoint now) const
@@ -311,7 +327,10 @@
     }
     CellMember &known = m_members[member.id];
     if (known.incarnation <= member.incarnation) {
+        const CellMember before = known;
         known = member;
+        known.domain = member.domain.isEmpty() ? before.domain : member.domain;
+        known.power = member.power.value() == 0 ? before.power : member.power;
     }
 }
 
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -18,6 +18,7 @@
     Incarnation incarnation;
     std::string peerAddress;
     FailureDomain domain;
+    MilliCores power; ///< Processor of its VM.
 };
 
 /// The leader's row.
@@ -40,6 +41,8 @@
     Duration promise{1500}; ///< A member that answers a beat does not take over for so long.
     Duration longestOnPromises{7000}; ///< After the store's last confirmation; below strangerTerm.
     Duration strangerTerm{9000}; ///< A daemon that is not in the row's list of members takes over only after this.
+    double strongerFactor = 1.5; ///< A leader yields to a member with so much more processor.
+    Duration yieldAfter{800}; ///< A leader leads at least so long before it yields.
     Duration successorHead{400}; ///< After a resignation the others wait so long for the successor.
 };
 
@@ -77,9 +80,6 @@
 
     /// Gives up the leadership in favour of the freshest member.
     void resign(TimePoint now);
-    /// This daemon shuts down: it does not claim any more.
-    void retire();
-
     [[nodiscard]] bool isLeader() const;
     /// May orders be sent now? To be asked before each send.
     [[nodiscard]] bool mayAct(TimePoint now) const;
@@ -103,6 +103,7 @@
     void prepareRenewal(TimePoint now);
     [[nodiscard]] bool isMine(const LeaderRecord &record) const;
     [[nodiscard]] TimePoint promisedByAll() const;
+    [[nodiscard]] std::optional<CellMember> strongestMember(TimePoint now) const;
 
     CellMember m_self;
     LeadershipSettings m_settings;
@@ -120,6 +121,7 @@
     bool m_isLeader = false;
     bool m_retired = false;
     bool m_resigning = false;
+    TimePoint m_leaderSince;
     Epoch m_epoch;
     TimePoint m_leaseFrom; ///< When the last confirmed write was sent.
     std::map<DaemonId, CellMember> m_members; ///< Known daemons, without this one.
--- a/src/cell/placementplan.cpp
+++ b/src/cell/placementplan.cpp
@@ -50,18 +50,20 @@
 std::optional<GangForecast> forecastGang(const std::vector<WorkerRoom> &rooms, const Resources &demand, int count, TimePoint now)
 {
     std::vector<TimePoint> moments{now};
+    static const std::vector<Release> none;
+    const auto releasesOf = [](const WorkerRoom &room) -> const std::vector<Release> & { return room.releases != nullptr ? *room.releases : none; };
     for (const WorkerRoom &room : rooms) {
-        for (const Release &release : room.releases) {
+        for (const Release &release : releasesOf(room)) {
             moments.push_back(std::max(release.at, now));
         }
     }
     std::sort(moments.begin(), moments.end());
     moments.erase(std::unique(moments.begin(), moments.end()), moments.end());
-    const auto roomsAt = [&rooms](TimePoint at) {
+    const auto roomsAt = [&rooms, &releasesOf](TimePoint at) {
         std::vector<WorkerRoom> later;
         for (const WorkerRoom &room : rooms) {
-            WorkerRoom copy{room.id, room.free, room.maxTasks, room.speed, {}};
-            for (const Release &release : room.releases) {
+            WorkerRoom copy{room.id, room.free, room.maxTasks, room.speed, nullptr};
+            for (const Release &release : releasesOf(room)) {
                 if (release.at <= at) {
                     copy.free += release.amount;
                 }
@@ -98,7 +100,8 @@
             continue;
         }
         Resources then = room.free;
-        for (const Release &release : room.releases) {
+        for (std::size_t i = 0; room.releases != nullptr && i < room.releases->size(); ++i) {
+            const Release &release = (*room.releases)[i];
             if (release.at <= reservation.at) {
                 then += release.amount;
             }
--- a/src/cell/placementplan.h
+++ b/src/cell/placementplan.h
@@ -25,7 +25,7 @@
     Resources free;
     int maxTasks = 0; ///< How many more tasks of the step may run there, apart from room.
     double speed = 1;
-    std::vector<Release> releases; ///< In order of time.
+    const std::vector<Release> *releases = nullptr; ///< In order of time; null: none.
 };
 
 struct Share {
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -173,6 +173,22 @@
     return worker.registered && !worker.info.draining && worker.durable && answers && worker.blockedUntil <= now;
 }
 
+void WorkerTable::noteUsable(TimePoint now)
+{
+    for (auto &[id, worker] : m_workers) {
+        const bool usable = isUsable(worker, now);
+        if (usable && !worker.wasUsable) {
+            worker.changedAt = ++m_changes;
+        }
+        worker.wasUsable = usable;
+    }
+}
+
+std::uint64_t WorkerTable::changes() const
+{
+    return m_changes;
+}
+
 void WorkerTable::beginLife(Worker &worker, WorkerLife life, std::vector<RunEvent> &events)
 {
     if (worker.info.life != WorkerLife()) {
@@ -198,6 +214,7 @@
     event.run = std::move(run->second);
     event.worker = worker.info.id;
     worker.committed -= event.run.demand;
+    worker.changedAt = ++m_changes;
     worker.runs.erase(run);
     return event;
 }
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -102,6 +102,8 @@
     int failureStreak = 0; ///< Failed runs of different jobs since the last success.
     JobId lastFailedJob;
     int unansweredStarts = 0; ///< In a row.
+    std::uint64_t changedAt = 1; ///< Count of changes when room here last grew or the worker last became usable.
+    bool wasUsable = false; ///< At the last call of noteUsable().
     double speed = 1; ///< Estimated work per time relative to a usual worker.
 
     [[nodiscard]] Resources free() const
@@ -146,6 +148,10 @@
     [[nodiscard]] std::map<WorkerId, Worker> &all();
     [[nodiscard]] const std::map<WorkerId, Worker> &all() const;
 
+    /// Counts workers that have become usable as changed; to be called before a round of placement.
+    void noteUsable(TimePoint now);
+    /// Grows whenever a worker gets more room or becomes usable.
+    [[nodiscard]] std::uint64_t changes() const;
     /// May new work be sent there?
     [[nodiscard]] bool isUsable(const Worker &worker, TimePoint now) const;
 
@@ -182,6 +188,7 @@
 
     WorkerLimits m_limits;
     std::map<WorkerId, Worker> m_workers;
+    std::uint64_t m_changes = 1;
 };
 
 } // namespace KingCupLadder
--- a/src/daemon/peertransport.cpp
+++ b/src/daemon/peertransport.cpp
@@ -42,7 +42,7 @@
 {
     socket.set(zmq::sockopt::linger, linger);
     socket.set(zmq::sockopt::sndhwm, queueMessages);
-    socket.set(zmq::sockopt::rcvhwm, queueMessages);
+    socket.set(zmq::sockopt::rcvhwm, settings.receiveQueue);
     socket.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(settings.maxMessageBytes));
     socket.set(zmq::sockopt::heartbeat_ivl, static_cast<int>(settings.pingInterval.count()));
     socket.set(zmq::sockopt::heartbeat_timeout, static_cast<int>(settings.pingTimeout.count()));
--- a/src/daemon/peertransport.h
+++ b/src/daemon/peertransport.h
@@ -18,6 +18,7 @@
     std::string address; ///< "ip:port" to bind.
     std::optional<CurveKeys> curve;
     std::size_t maxMessageBytes = 8UL * 1024 * 1024;
+    int receiveQueue = 1000; ///< Messages that wait to be handled; further ones stay with the sender.
     Duration pingInterval{1000};
     Duration pingTimeout{3000}; ///< A connection that is silent for so long is replaced by a new one.
     Duration connectTimeout{2000}; ///< A peer without power does not answer at all.
--- a/src/node/cellpeers.cpp
+++ b/src/node/cellpeers.cpp
@@ -10,6 +10,8 @@
 constexpr Duration pingTimeout{1200};
 constexpr Duration connectTimeout{500};
 constexpr Duration longestReconnect{400};
+// libzmq 4.3.4 aborts (stream_engine_base.cpp, "!_io_error") if a connection breaks while a full queue holds back its input.
+constexpr int receiveQueue = 200000;
 
 } // namespace
 
@@ -20,6 +22,7 @@
     std::unique_ptr<CellPeers> peers(new CellPeers(loop, self, std::move(handler)));
     PeerTransportSettings settings;
     settings.address = self.peerAddress;
+    settings.receiveQueue = receiveQueue;
     settings.pingInterval = pingInterval;
     settings.pingTimeout = pingTimeout;
     settings.connectTimeout = connectTimeout;
--- a/src/node/leaderduty.cpp
+++ b/src/node/leaderduty.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr Duration wakeDelay{2}; // Events that come together are decided on together.
+constexpr Duration wakeDelay{4}; // Events that come together are decided on together.
 constexpr std::size_t mostProgress = 60; // Jobs in one round of writes.
 constexpr int mostProgressOpen = 120; // Jobs whose progress is being written.
 constexpr Duration storeTimeout{1000};
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -274,7 +274,7 @@
 {
     const CellWire::LeaderBeat &beat = message.leader_beat();
     const TimePoint now = m_loop.now();
-    const CellMember leader{DaemonId(message.from()), Incarnation(beat.incarnation()), beat.peer_address(), {}};
+    const CellMember leader{DaemonId(message.from()), Incarnation(beat.incarnation()), beat.peer_address(), {}, {}};
     if (!m_leadership.onBeat(leader, Epoch(beat.epoch()), now)) {
         return;
     }
--- a/src/node/rowcodec.cpp
+++ b/src/node/rowcodec.cpp
@@ -211,12 +211,13 @@
     wire.set_incarnation(member.incarnation.value());
     wire.set_peer_address(member.peerAddress);
     wire.set_domain(member.domain.value());
+    wire.set_power(static_cast<std::uint32_t>(member.power.value()));
     return wire;
 }
 
 CellMember fromWire(const CellWire::Member &wire)
 {
-    return CellMember{DaemonId(wire.id()), Incarnation(wire.incarnation()), wire.peer_address(), FailureDomain(wire.domain())};
+    return CellMember{DaemonId(wire.id()), Incarnation(wire.incarnation()), wire.peer_address(), FailureDomain(wire.domain()), MilliCores(wire.power())};
 }
 
 CellWire::LeaderRow toWire(const LeaderRecord &record)
--- a/test/cell/testleadership.cpp
+++ b/test/cell/testleadership.cpp
@@ -10,7 +10,7 @@
 
 CellMember daemon(const std::string &id)
 {
-    return CellMember{DaemonId(id), Incarnation(7), id + ":7000", FailureDomain("a")};
+    return CellMember{DaemonId(id), Incarnation(7), id + ":7000", FailureDomain("a"), MilliCores(250)};
 }
 
 LeaderRecord heldBy(const std::string &holder, std::uint64_t epoch)
@@ -90,7 +90,7 @@
 // Guards against a process that waits for the lease of its own earlier life.
 TEST(Leadership, TakesOverAtOnceFromItsOwnEarlierProcess)
 {
-    Leadership again(CellMember{DaemonId("d1"), Incarnation(8), "d1:7000", {}}, settings);
+    Leadership again(CellMember{DaemonId("d1"), Incarnation(8), "d1:7000", {}, {}}, settings);
     (void)again.nextAction(start);
     again.onRow(heldBy("d1", 4), RowVersion(5), start);
     CHECK_TRUE(again.nextAction(start) == LeaderAction::WriteRow);
@@ -180,3 +180,16 @@
     CHECK_FALSE(leadership.mayAct(start + Duration(920)));
     CHECK_TRUE(leadership.nextAction(start + Duration(920)) == LeaderAction::WriteRow);
 }
+
+// Guards against a cell that is led by its weakest VM.
+TEST(Leadership, YieldsToAMemberWithMuchMoreProcessor)
+{
+    Leadership leadership = elected(start);
+    CellMember strong = daemon("d2");
+    strong.power = MilliCores(500);
+    const TimePoint later = start + settings.yieldAfter + Duration(1);
+    leadership.onPromise(strong, false, later, later);
+    CHECK_TRUE(leadership.nextAction(later) == LeaderAction::WriteRow);
+    CHECK_TRUE(leadership.next().holder.isEmpty());
+    CHECK_TRUE(leadership.next().successor == DaemonId("d2"));
+}
