--- /dev/null
+++ b/test/node/memorytablestore.h
@@ -0,0 +1,140 @@
+// A table service in memory that obeys conditions, keeps a history for feeds and can fail calls.
+#pragma once
+
+#include "daemon/eventloop.h"
+#include "node/tablestore.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace KingCupLadder {
+
+class MemoryTableStore : public TableStore
+{
+public:
+    explicit MemoryTableStore(EventLoop &loop) : m_loop(loop) { }
+
+    /// What becomes of the next reads and feeds; Done works as usual.
+    std::vector<StoreOutcome> script;
+    /// The same for transactions. Unknown applies the transaction and loses its answer.
+    std::vector<StoreOutcome> writeScript;
+    int calls = 0;
+    std::map<std::tuple<std::string, std::string, std::string>, TableRow> rows;
+
+    void put(const RowKey &key, const std::string &value)
+    {
+        const std::tuple<std::string, std::string, std::string> id{key.table, key.part, key.key};
+        rows[id] = TableRow{key, value, RowVersion(++m_version), false};
+        m_history.push_back(rows[id]);
+    }
+
+    [[nodiscard]] bool has(const std::string &table, const std::string &key) const
+    {
+        for (const auto &[id, row] : rows) {
+            if (std::get<0>(id) == table && std::get<2>(id) == key) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void transact(const Transaction &transaction, Duration, Callback callback) override
+    {
+        const StoreOutcome planned = next(writeScript);
+        StoreAnswer answer;
+        answer.outcome = planned;
+        if (planned == StoreOutcome::Done || planned == StoreOutcome::Unknown) {
+            const StoreAnswer result = apply(transaction);
+            answer = planned == StoreOutcome::Done ? result : answer;
+        }
+        reply(std::move(answer), std::move(callback));
+    }
+
+    void read(const RangeRead &range, Duration, Callback callback) override
+    {
+        StoreAnswer answer;
+        answer.outcome = next(script);
+        answer.version = RowVersion(m_version);
+        for (const auto &[id, row] : rows) {
+            const auto &[table, part, key] = id;
+            const bool inRange = table == range.table && part == range.part && key >= range.from && (range.end.empty() || key < range.end);
+            if (answer.outcome != StoreOutcome::Done || !inRange) {
+                continue;
+            }
+            if (static_cast<int>(answer.rows.size()) == range.limit) {
+                answer.truncated = true;
+                break;
+            }
+            answer.rows.push_back(row);
+        }
+        reply(std::move(answer), std::move(callback));
+    }
+
+    void feed(const FeedRead &feed, Duration, Callback callback) override
+    {
+        StoreAnswer answer;
+        answer.outcome = next(script);
+        answer.version = RowVersion(m_version);
+        for (const TableRow &row : m_history) {
+            if (answer.outcome == StoreOutcome::Done && row.key.table == feed.table && feed.after < row.version) {
+                answer.rows.push_back(row);
+            }
+        }
+        reply(std::move(answer), std::move(callback));
+    }
+
+private:
+    StoreOutcome next(std::vector<StoreOutcome> &planned)
+    {
+        ++calls;
+        if (planned.empty()) {
+            return StoreOutcome::Done;
+        }
+        const StoreOutcome outcome = planned.front();
+        planned.erase(planned.begin());
+        return outcome;
+    }
+
+    StoreAnswer apply(const Transaction &transaction)
+    {
+        StoreAnswer answer;
+        answer.outcome = StoreOutcome::Done;
+        for (const RowCondition &condition : transaction.conditions) {
+            const auto found = rows.find({condition.key.table, condition.key.part, condition.key.key});
+            const TableRow current = found == rows.end() ? TableRow{condition.key, {}, {}, false} : found->second;
+            if (current.version != condition.version) {
+                answer.outcome = StoreOutcome::Conflict;
+            }
+            answer.rows.push_back(current);
+        }
+        if (answer.outcome == StoreOutcome::Conflict) {
+            return answer;
+        }
+        answer.rows.clear();
+        ++m_version;
+        for (const TableWrite &write : transaction.writes) {
+            const TableRow row{write.key, write.value, RowVersion(m_version), false};
+            rows[{write.key.table, write.key.part, write.key.key}] = row;
+            m_history.push_back(row);
+        }
+        for (const RowKey &key : transaction.removals) {
+            rows.erase({key.table, key.part, key.key});
+        }
+        answer.version = RowVersion(m_version);
+        return answer;
+    }
+
+    void reply(StoreAnswer answer, Callback callback)
+    {
+        m_loop.defer([answer = std::move(answer), callback = std::move(callback)] { callback(answer); });
+    }
+
+    EventLoop &m_loop;
+    std::uint64_t m_version = 0;
+    std::vector<TableRow> m_history;
+};
+
+} // namespace KingCupLadder
--- /dev/null
+++ b/test/node/testcellrows.cpp
@@ -0,0 +1,192 @@
+#include "memorytablestore.h"
+#include "node/cellrows.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+namespace {
+
+CellJob smallJob(const std::string &id)
+{
+    CellJob job;
+    job.id = JobId(id);
+    job.route = RouteName("batch");
+    job.workspace = WorkspaceId("museum");
+    job.payload = std::string("bytes \0 and more", 16);
+    job.steps.resize(2);
+    job.steps[1].after = {0};
+    job.steps[1].gang = true;
+    job.steps[1].count = 3;
+    return job;
+}
+
+} // namespace
+
+TEST_GROUP(CellRows)
+{
+    std::unique_ptr<EventLoop> loop = std::move(EventLoop::create()).value();
+    MemoryTableStore store{*loop};
+    CellRows rows{*loop, store};
+
+    void runUntil(const bool &done)
+    {
+        const TimePoint giveUp = loop->now() + Duration(3000);
+        while (!done && loop->now() < giveUp) {
+            loop->runOnce();
+        }
+    }
+
+    AdmitOutcome admit(const CellJob &job, Duration patience = Duration(500))
+    {
+        AdmitOutcome result = AdmitOutcome::Unknown;
+        bool done = false;
+        rows.admit(job, loop->now() + patience, [&](AdmitOutcome outcome) {
+            result = outcome;
+            done = true;
+        });
+        runUntil(done);
+        CHECK_TRUE(done);
+        return result;
+    }
+
+    StoredState readState(const std::string &id)
+    {
+        StoredState result;
+        bool done = false;
+        rows.readState(JobId(id), Duration(500), [&](const StoredState &state) {
+            result = state;
+            done = true;
+        });
+        runUntil(done);
+        return result;
+    }
+
+    void write(const std::string &id, CellJobState state, bool &stored, CellJobState &found)
+    {
+        ProgressWrite progress;
+        progress.job = JobId(id);
+        progress.revision = 1;
+        progress.progress.finalState = state;
+        progress.progress.workspace = WorkspaceId("museum");
+        bool done = false;
+        rows.writeProgress({progress}, 1, [&](const ProgressWrite &, bool ok, CellJobState final) {
+            stored = ok;
+            found = final;
+            done = true;
+        });
+        runUntil(done);
+    }
+};
+
+// Guards against a job that changes on its way through the store.
+TEST(CellRows, LoadsAJobAsItWasAdmitted)
+{
+    CHECK_TRUE(admit(smallJob("j1")) == AdmitOutcome::Stored);
+    std::optional<StoredJobs> loaded;
+    bool done = false;
+    rows.loadAll([&](std::optional<StoredJobs> jobs) {
+        loaded = std::move(jobs);
+        done = true;
+    });
+    runUntil(done);
+    CHECK_TRUE(loaded.has_value());
+    const CellJob &job = *loaded->jobs.at(JobId("j1")).job;
+    CHECK_EQUAL(16U, job.payload.size());
+    CHECK_TRUE(job.steps[1].gang);
+    CHECK_EQUAL(3, job.steps[1].count);
+}
+
+// Guards against two jobs where a caller sent one twice.
+TEST(CellRows, AdmitsAnIdOnce)
+{
+    CHECK_TRUE(admit(smallJob("j1")) == AdmitOutcome::Stored);
+    CHECK_TRUE(admit(smallJob("j1")) == AdmitOutcome::AlreadyThere);
+}
+
+// Guards against a refusal that says "not run" although the lost write took effect.
+TEST(CellRows, FindsAJobWhoseWriteLostItsAnswer)
+{
+    store.writeScript = {StoreOutcome::Unknown};
+    CHECK_TRUE(admit(smallJob("j1")) == AdmitOutcome::AlreadyThere);
+}
+
+// Guards against a refusal that says "not run" while a write may still take effect.
+TEST(CellRows, SaysUnknownWhenOneAttemptHadNoAnswer)
+{
+    store.writeScript = {StoreOutcome::Unknown};
+    for (int i = 0; i < 20; ++i) {
+        store.writeScript.push_back(StoreOutcome::NotDone);
+    }
+    CHECK_TRUE(admit(smallJob("j1")) == AdmitOutcome::Unknown);
+}
+
+// Guards against callers that are kept in doubt though nothing was written.
+TEST(CellRows, SaysNotStoredWhenEveryAttemptWasRefused)
+{
+    store.writeScript = std::vector<StoreOutcome>(20, StoreOutcome::NotDone);
+    CHECK_TRUE(admit(smallJob("j1")) == AdmitOutcome::NotStored);
+}
+
+// Guards against a second run of a job that has ended and whose caller asks again.
+TEST(CellRows, DoesNotAdmitAJobThatHasEnded)
+{
+    (void)admit(smallJob("j1"));
+    bool stored = false;
+    CellJobState found = CellJobState::Unknown;
+    write("j1", CellJobState::Succeeded, stored, found);
+    CHECK_TRUE(stored);
+    CHECK_FALSE(store.has("jobs", "j1"));
+    CHECK_TRUE(admit(smallJob("j1")) == AdmitOutcome::AlreadyThere);
+    CHECK_TRUE(readState("j1").state == CellJobState::Succeeded);
+}
+
+// Guards against a late write of a former leader that is overwritten by an unfinished state.
+TEST(CellRows, ReportsAFinalStateThatAnotherLeaderStored)
+{
+    (void)admit(smallJob("j1"));
+    bool stored = false;
+    CellJobState found = CellJobState::Unknown;
+    write("j1", CellJobState::Succeeded, stored, found);
+    rows.resetVersions();
+    write("j1", CellJobState::Unknown, stored, found);
+    CHECK_TRUE(found == CellJobState::Succeeded);
+    CHECK_TRUE(readState("j1").state == CellJobState::Succeeded);
+}
+
+// Guards against a cancellation that a leader change loses.
+TEST(CellRows, ShowsACancelledJobAsCancelled)
+{
+    (void)admit(smallJob("j1"));
+    bool done = false;
+    rows.cancel(JobId("j1"), loop->now() + Duration(300), [&](bool) { done = true; });
+    runUntil(done);
+    CHECK_TRUE(readState("j1").state == CellJobState::Cancelled);
+}
+
+// Guards against "no such job" while the store can't be read.
+TEST(CellRows, DoesNotCallAJobUnknownWhenTheStoreFails)
+{
+    (void)admit(smallJob("j1"));
+    store.script = {StoreOutcome::NotDone};
+    CHECK_FALSE(readState("j1").known);
+}
+
+// Guards against workers of an earlier leadership that a late write hides.
+TEST(CellRows, KeepsWorkersOfEveryLeadershipUntilTheNextListHasThem)
+{
+    bool done = false;
+    rows.writeWorkers(Epoch(1), {WorkerId("w1")}, [&](bool) { done = true; });
+    runUntil(done);
+    done = false;
+    rows.writeWorkers(Epoch(2), {WorkerId("w2")}, [&](bool) { done = true; });
+    runUntil(done);
+    std::vector<WorkerId> ids;
+    done = false;
+    rows.readWorkers([&](bool, const std::vector<WorkerId> &all) {
+        ids = all;
+        done = true;
+    });
+    runUntil(done);
+    CHECK_EQUAL(2U, ids.size());
+}
--- /dev/null
+++ b/test/platform/testdecoders.cpp
@@ -0,0 +1,196 @@
+#include "bootfile.h"
+#include "storeclient.h"
+#include "translation.h"
+#include "workercalls.h"
+
+#include "core/backoff.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace KingCupLadder;
+
+namespace {
+
+ClientResult answered(int status, const std::string &body)
+{
+    ClientResult result;
+    result.kind = ClientResult::Kind::Answered;
+    result.byteSent = true;
+    result.response.status = status;
+    result.response.body = body;
+    return result;
+}
+
+const char workerEntry[] = R"({"backend":"desk","address":"10.128.0.9:8080","zone":"a","state":"ready","sequence":4,"born":1700000000001,)"
+                           R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"]})";
+const char bootText[] = R"({"node":"edge-a-1","ip":"10.1.0.17","zone":"a","limits":{"cpu_share":0.25,"cores":1},)"
+                        R"("listen_addrs":{"frontend_addr":"10.1.0.17:8183","readiness_addr":"10.1.0.17:8184"},"internal_ports":[7420,7435],)"
+                        R"("bounds":{"revoke_ms":5000,"max_hold_ms":6000,"grace_s":6},"platform":{"address":"10.200.1.7:8182"},"advice":"10.200.1.9:8182"})";
+
+} // namespace
+
+TEST_GROUP(PlatformDecoders){};
+
+// Guards against steps that lose a constraint on the way in.
+TEST(PlatformDecoders, ReadsEveryFieldOfAStep)
+{
+    const auto job = decodeJobBody(R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"data_rack":"r1-3"},)"
+                                   R"({"count":20,"cpu":2000,"after":[0],"checkpointing":true,"gang":true,"anti_affinity":2,"speculative":true}]})");
+    CHECK_TRUE(job.hasValue());
+    STRCMP_EQUAL("r1-3", job.value().steps[0].preferredRack.c_str());
+    CHECK_EQUAL(2000, job.value().steps[1].demand.cpu.value());
+    CHECK_EQUAL(2, job.value().steps[1].maxPerWorker);
+    CHECK_TRUE(job.value().steps[1].gang && job.value().steps[1].checkpointing && job.value().steps[1].speculative);
+    CHECK_TRUE(checkJob([&] {
+        CellJob named = job.value();
+        named.id = JobId("x");
+        return named;
+    }()));
+}
+
+// Guards against a count that wraps around to a small number.
+TEST(PlatformDecoders, RefusesAnEnormousCount)
+{
+    auto job = decodeJobBody(R"({"steps":[{"count":4294967297}]})").value();
+    job.id = JobId("x");
+    CHECK_FALSE(checkJob(job).hasValue());
+}
+
+// Guards against work for a worker whose entry another writer has damaged.
+TEST(PlatformDecoders, IgnoresRegistryEntriesThatNameNoUsableWorker)
+{
+    CHECK_TRUE(decodeWorkerRow("w", workerEntry).has_value());
+    for (const char *damaged : {"", "[]", "{}", "\xff\xfe", R"({"backend":7,"address":"10.128.0.9:8080"})"}) {
+        CHECK_FALSE(decodeWorkerRow("w", damaged).has_value());
+    }
+    std::string unknownState = workerEntry;
+    unknownState.replace(unknownState.find("\"ready\""), 7, "\"asleep\"");
+    CHECK_FALSE(decodeWorkerRow("w", unknownState).has_value());
+}
+
+// Guards against tasks that are booked under another name.
+TEST(PlatformDecoders, ReadsTaskNames)
+{
+    const auto task = decodeTaskName("5c0e7a21d94b36f8.0.1.17");
+    CHECK_TRUE(task.has_value());
+    STRCMP_EQUAL("5c0e7a21d94b36f8.0.1.17", task->text().c_str());
+    for (const char *malformed : {"", "a", "a.1.2", "a.1.2.x", "a.-1.2.3", ".1.2.3", "a.1.2.3.4"}) {
+        CHECK_FALSE(decodeTaskName(malformed).has_value());
+    }
+}
+
+// Guards against an unanswered start that counts as refused.
+TEST(PlatformDecoders, TellsRefusedOrdersFromUnansweredOnes)
+{
+    ClientResult lost;
+    lost.kind = ClientResult::Kind::TimedOut;
+    lost.byteSent = true;
+    CHECK_TRUE(decodeOrderAnswer(lost).outcome == OrderOutcome::NoAnswer);
+    CHECK_TRUE(decodeOrderAnswer(answered(409, R"({"clock_ms":5,"reason":"fence"})")).outcome == OrderOutcome::StaleFence);
+    CHECK_TRUE(decodeOrderAnswer(answered(409, R"({"reason":"ticket"})")).outcome == OrderOutcome::BadTicket);
+    CHECK_TRUE(decodeOrderAnswer(answered(503, "")).outcome == OrderOutcome::Unhealthy);
+    CHECK_TRUE(decodeOrderAnswer(answered(421, "")).outcome == OrderOutcome::OtherLife);
+}
+
+// Guards against "not done" for a write whose answer was lost.
+TEST(PlatformDecoders, TellsRefusedWritesFromUnansweredOnes)
+{
+    ClientResult lost;
+    lost.byteSent = true;
+    CHECK_TRUE(decodeStoreAnswer(lost, true).outcome == StoreOutcome::Unknown);
+    lost.byteSent = false;
+    CHECK_TRUE(decodeStoreAnswer(lost, true).outcome == StoreOutcome::NotDone);
+    CHECK_TRUE(decodeStoreAnswer(answered(503, ""), true).outcome == StoreOutcome::NotDone);
+    CHECK_TRUE(decodeStoreAnswer(answered(200, "{"), true).outcome == StoreOutcome::Unknown);
+    CHECK_TRUE(decodeStoreAnswer(answered(410, ""), false).outcome == StoreOutcome::HistoryGone);
+    CHECK_TRUE(decodeStoreAnswer(answered(412, R"({"rows":[],"ver":4})"), true).outcome == StoreOutcome::Conflict);
+}
+
+// Guards against values that are cut at a zero byte or at the padding.
+TEST(PlatformDecoders, CarriesBytesThroughBase64)
+{
+    for (std::size_t length = 0; length < 20; ++length) {
+        std::string bytes(length, '\0');
+        for (std::size_t i = 0; i < length; ++i) {
+            bytes[i] = static_cast<char>(i * 37);
+        }
+        const auto back = decodeBase64(encodeBase64(bytes));
+        CHECK_TRUE(back.has_value());
+        CHECK_TRUE(*back == bytes);
+    }
+}
+
+// Guards against ends that are processed out of order.
+TEST(PlatformDecoders, SortsEndsByTheirNumbers)
+{
+    const auto view = decodeHoldAnswer(
+        answered(200, R"({"clock_ms":9,"born":77,"running":[["a.0.0.1",2,"c",41,900]],"finished":[[5,"a.0.0.2",1,"done",""],[4,"a.0.0.3",1,"failed",""]]})"),
+        WorkerLife(1));
+    CHECK_TRUE(view.has_value());
+    CHECK_EQUAL(4U, view->ended[0].number.value());
+    CHECK_EQUAL(77U, view->life.value());
+    CHECK_TRUE(view->ended[1].end == RunEnd::Succeeded);
+}
+
+// Guards against settings that are taken although an address is missing.
+TEST(PlatformDecoders, ChecksTheBootFile)
+{
+    const auto boot = decodeBootFile(bootText, Incarnation(3));
+    CHECK_TRUE(boot.hasValue());
+    STRCMP_EQUAL("10.1.0.17:7420", boot.value().node.self.peerAddress.c_str());
+    CHECK_EQUAL(250, boot.value().node.self.power.value());
+    CHECK_FALSE(decodeBootFile("{}", Incarnation(3)).hasValue());
+    CHECK_FALSE(decodeBootFile("not json", Incarnation(3)).hasValue());
+}
+
+TEST_GROUP(PlatformFuzz){
+    /// Cuts, doubles and flips bytes of @p text.
+    static std::string mutate(std::string text, RandomSource &random){
+        for (std::uint64_t change = random.below(4) + 1; change > 0 && !text.empty(); --change){const std::size_t at = random.below(text.size());
+switch (random.below(4)) {
+case 0:
+    text.erase(at, random.below(8) + 1);
+    break;
+case 1:
+    text[at] = static_cast<char>(random.below(256));
+    break;
+case 2:
+    text.insert(at, text.substr(at, random.below(16)));
+    break;
+default:
+    text.insert(at, "-99999999999999999999");
+    break;
+}
+}
+return text;
+}
+}
+;
+
+// Guards against a crash on bytes that another writer left in the store or that a caller sends.
+TEST(PlatformFuzz, EveryDecoderSurvivesDamagedInput)
+{
+    RandomSource random(20261204);
+    const std::string job = R"({"spec":"t","steps":[{"count":4,"cpu":500,"after":[0],"estimate_ms":900}],"repeat_count":3})";
+    const std::string config = R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","priority":1,"attempts":3,"advice":{"decision_ms":1.5}}],)"
+                               R"("services":[{"name":"s"}],"tenants":[{"name":"t","api_keys":["k"],"maximum":{"cpu":4}}]})";
+    const std::string hold = R"({"clock_ms":9,"running":[["a.0.0.1",2,"c",41]],"finished":[[5,"a.0.0.2",1,"done",""]]})";
+    const std::string rows = R"({"rows":[{"table":"t","part":"","key":"k","value":"aGFsbG8=","ver":3}],"ver":4,"truncated":false})";
+    for (int i = 0; i < 3000; ++i) {
+        if (auto decoded = decodeJobBody(mutate(job, random))) {
+            CellJob named = decoded.value();
+            named.id = JobId("x");
+            CHECK_TRUE(!checkJob(named) || (named.steps[0].count > 0 && named.steps[0].count <= maxTasksPerStep));
+        }
+        if (auto decoded = decodeConfigRow(mutate(config, random))) {
+            decoded.value().index();
+            CHECK_TRUE(decoded.value().findRoute("nowhere", "/") == nullptr);
+        }
+        (void)decodeWorkerRow("w", mutate(workerEntry, random));
+        (void)decodeHoldAnswer(answered(200, mutate(hold, random)), WorkerLife(1));
+        (void)decodeOrderAnswer(answered(409, mutate(R"({"clock_ms":5,"reason":"fence"})", random)));
+        (void)decodeAdviceAnswer(answered(200, mutate(R"({"good":[["w","t"]],"validity_ms":3000})", random)));
+        (void)decodeStoreAnswer(answered(200, mutate(rows, random)), true);
+        (void)decodeBootFile(mutate(bootText, random), Incarnation(1));
+    }
+}
