Mend what the linter found in the cell

Cause: first lint of src/cell. Change: reserve, a captured structured binding, an integer division. Ruled out: nothing.

--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -340,6 +340,7 @@
         return;
     }
     std::vector<WorkerId> good;
+    good.reserve(left.size());
     TimePoint firstExpiry = TimePoint::max();
     for (const WorkerRoom &room : left) {
         good.push_back(room.id);
@@ -391,6 +392,7 @@
     const std::size_t wanted = step.spec->gang ? mostNamed : static_cast<std::size_t>(step.spec->count * workersPerTask + spareChoice);
     candidates.resize(std::min({candidates.size(), wanted, mostNamed}));
     std::vector<WorkerId> workers;
+    workers.reserve(candidates.size());
     for (const auto &[room, id] : candidates) {
         workers.push_back(id);
     }
@@ -455,7 +457,7 @@
                 continue;
             }
             const bool soon = std::all_of(step->spec->after.begin(), step->spec->after.end(), [&](int before) {
-                const StepRun *earlier = m_jobs.findStep(StepRef{id, step->ref.occurrence, before});
+                const StepRun *earlier = m_jobs.findStep(StepRef{step->ref.job, step->ref.occurrence, before});
                 const Duration ahead = terms->callDuration(m_workers.all().size()) + prefetchSlack;
                 return earlier == nullptr || earlier->isDone() || (earlier->waiting == 0 && earlier->expectedEnd <= now + ahead);
             });
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -184,7 +184,7 @@
     for (const auto &[level, waiting] : m_waitingWork) {
         work += level <= priority ? waiting : 0;
     }
-    return m_capacity > 0 ? Duration(static_cast<std::int64_t>(static_cast<double>(work / m_capacity) * busyFactor)) : Duration(0);
+    return m_capacity > 0 ? Duration(static_cast<std::int64_t>(static_cast<double>(work) / static_cast<double>(m_capacity) * busyFactor)) : Duration(0);
 }
 
 void CellScheduler::onJobStored(const CellJob &job, const CellTime &time)
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -309,6 +309,7 @@
     }
     std::sort(order.rbegin(), order.rend());
     std::vector<CellMember> live;
+    live.reserve(order.size());
     for (const auto &[at, id] : order) {
         live.push_back(m_members.at(id));
     }
