Read a worker again only when its ends are stored; number workers in tickets

Ruled out: rounds of placement alone (a third of a core in a synthetic run of the same load, mostly text comparison).

Measured: tests only so far; the sites follow.

--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <climits>
+#include <tuple>
 
 namespace KingCupLadder {
 
@@ -18,6 +19,8 @@
 constexpr std::size_t renewedAtOnce = 8; // Workers for which single tasks renew their tickets.
 constexpr int spareChoice = 8; // Workers that are asked about beyond what the tasks need.
 constexpr int workersPerTask = 4; // A policy may allow a third of the workers, and some of these are full.
+constexpr std::int64_t roomClass = 2000; // Workers whose room differs by less count as equally free.
+constexpr std::uint64_t shuffleRange = 1000003;
 constexpr Duration adviceRetry{150};
 constexpr Duration overrunStep{200}; // A run past its expected end is expected to go on for about this time.
 constexpr Duration repairTerm{1200}; // A member of a gang that was refused may go to another worker for so long.
@@ -32,11 +35,11 @@
     CellTime time;
     Reservations reservations;
     int reserved = 0;
-    std::map<WorkerId, std::vector<Release>> releases; ///< Filled on demand; entries keep their addresses.
+    std::map<WorkerIndex, std::vector<Release>> releases; ///< Filled on demand; entries keep their addresses.
 
     const std::vector<Release> &releasesOf(const Worker &worker)
     {
-        const auto [entry, isNew] = releases.try_emplace(worker.info.id);
+        const auto [entry, isNew] = releases.try_emplace(worker.index);
         if (isNew) {
             for (const auto &[key, run] : worker.runs) {
                 const TimePoint overrun = time.now + overrunStep;
@@ -56,8 +59,8 @@
     if (adviceTerms(step) == nullptr) {
         return step.triedAt < m_workers.changes();
     }
-    return std::any_of(step.advice.good.begin(), step.advice.good.end(), [&](const auto &good) {
-        const Worker *worker = m_workers.find(good.first);
+    return std::any_of(step.advice.good.begin(), step.advice.good.end(), [&](const Ticket &ticket) {
+        const Worker *worker = m_workers.at(ticket.worker);
         return worker != nullptr && worker->changedAt > step.triedAt && worker->wasUsable && step.spec->demand.fitsIn(worker->free());
     });
 }
@@ -117,8 +120,9 @@
 {
     std::vector<WorkerRoom> rooms;
     if (adviceTerms(step) != nullptr) {
-        for (const auto &[id, ticket] : step.advice.good) {
-            const Worker *worker = !needTicket || ticket.validUntil >= pass.time.now + ticketMargin ? m_workers.find(id) : nullptr;
+        rooms.reserve(step.advice.good.size());
+        for (const Ticket &ticket : step.advice.good) {
+            const Worker *worker = !needTicket || ticket.validUntil >= pass.time.now + ticketMargin ? m_workers.at(ticket.worker) : nullptr;
             if (worker != nullptr) {
                 addRoom(step, *worker, pass, rooms);
             }
@@ -136,7 +140,7 @@
     if (!worker.wasUsable || !isEligible(step, worker)) {
         return;
     }
-    WorkerRoom room{worker.info.id, worker.free(), INT_MAX, worker.speed, nullptr};
+    WorkerRoom room{worker.index, worker.free(), INT_MAX, worker.speed, nullptr};
     if (step.spec->maxPerWorker > 0) {
         const auto first = worker.runs.lower_bound({TaskRef{step.ref, 0}, RunNumber()});
         int present = 0;
@@ -209,9 +213,8 @@
     StartOrder order;
     order.payload = step.job->job.payload;
     order.checkpoint = step.spec->gang ? step.gangCheckpoint : task.checkpoint;
-    const auto ticket = step.advice.good.find(worker.info.id);
-    if (ticket != step.advice.good.end()) {
-        order.ticket = ticket->second.text;
+    if (const Ticket *ticket = step.advice.find(worker.index)) {
+        order.ticket = ticket->text;
     }
     pass.orders.starts.push_back(m_workers.start(worker, added, order, pass.time.now));
     m_usage[added.workspace] += added.demand;
@@ -239,16 +242,16 @@
             if (room.maxTasks < 1 || !step.spec->demand.fitsIn(room.free) || !pass.reservations.allows(room, step.spec->demand, now + step.spec->estimate)) {
                 continue;
             }
-            if (advised && step.advice.good[room.id].validUntil < now + ticketMargin) {
-                if (std::find(stale.begin(), stale.end(), room.id) == stale.end()) {
-                    stale.push_back(room.id);
+            const Worker &worker = *m_workers.at(room.worker);
+            if (advised && step.advice.find(room.worker)->validUntil < now + ticketMargin) {
+                if (std::find(stale.begin(), stale.end(), worker.info.id) == stale.end()) {
+                    stale.push_back(worker.info.id);
                 }
                 continue;
             }
             // The fullest worker that has room, so that other workers keep room for gangs.
             double score = static_cast<double>((room.free.cpu - step.spec->demand.cpu).value());
-            score += task.failedOn.count(room.id) > 0 ? 1e6 : 0;
-            const Worker &worker = *m_workers.find(room.id);
+            score += !task.failedOn.empty() && task.failedOn.count(worker.info.id) > 0 ? 1e6 : 0;
             const std::string &rack = step.spec->preferredRack;
             if (!rack.empty() && std::find(worker.info.labels.begin(), worker.info.labels.end(), rack) == worker.info.labels.end()) {
                 score += 1e5;
@@ -262,7 +265,7 @@
             lacksRoom = true;
             continue;
         }
-        startTask(step, index, *m_workers.find(best->id), nextRun(task), pass);
+        startTask(step, index, *m_workers.at(best->worker), nextRun(task), pass);
         best->free -= step.spec->demand;
         --best->maxTasks;
     }
@@ -306,7 +309,7 @@
     int index = 0;
     for (const Share &share : *fit) {
         for (int i = 0; i < share.tasks; ++i) {
-            startTask(step, index++, *m_workers.find(share.worker), run, pass);
+            startTask(step, index++, *m_workers.at(share.worker), run, pass);
         }
     }
     log("gang " + TaskRef{step.ref, 0}.text() + " run " + std::to_string(run.value()) + " placed: " + std::to_string(count) + " tasks on "
@@ -343,8 +346,8 @@
     good.reserve(left.size());
     TimePoint firstExpiry = TimePoint::max();
     for (const WorkerRoom &room : left) {
-        good.push_back(room.id);
-        firstExpiry = std::min(firstExpiry, step.advice.good[room.id].validUntil);
+        good.push_back(m_workers.at(room.worker)->info.id);
+        firstExpiry = std::min(firstExpiry, step.advice.find(room.worker)->validUntil);
     }
     const TimePoint needed = std::max(forecast->start, now);
     const Duration duration = terms->callDuration(good.size());
@@ -374,27 +377,32 @@
         if (room == rooms.end()) {
             return;
         }
-        startTask(step, index, *m_workers.find(room->id), step.gangRun, pass);
+        startTask(step, index, *m_workers.at(room->worker), step.gangRun, pass);
         room->free -= step.spec->demand;
         --room->maxTasks;
     }
 }
 
-std::vector<WorkerId> CellScheduler::workersToAsk(const StepRun &step, TimePoint now) const
+std::vector<WorkerId> CellScheduler::workersToAsk(const StepRun &step)
 {
-    std::vector<std::pair<std::int64_t, WorkerId>> candidates;
+    using Candidate = std::tuple<std::int64_t, std::uint64_t, const Worker *>;
+    std::vector<Candidate> candidates;
+    candidates.reserve(m_workers.all().size());
+    ++m_askOrder;
     for (const auto &[id, worker] : m_workers.all()) {
-        if (m_workers.isUsable(worker, now) && isEligible(step, worker) && step.advice.asked.count(id) == 0) {
-            candidates.emplace_back(-worker.free().cpu.value(), id);
+        if (worker.wasUsable && isEligible(step, worker) && (step.advice.asked.empty() || step.advice.asked.count(worker.index) == 0)) {
+            // Steps that ask at the same time would otherwise all hope for the same few workers.
+            const std::uint64_t shuffled = (worker.index + 1) * (m_askOrder * 2654435761U + 40503U) % shuffleRange;
+            candidates.emplace_back(-worker.free().cpu.value() / roomClass, shuffled, &worker);
         }
     }
-    std::sort(candidates.begin(), candidates.end());
     const std::size_t wanted = step.spec->gang ? mostNamed : static_cast<std::size_t>(step.spec->count * workersPerTask + spareChoice);
-    candidates.resize(std::min({candidates.size(), wanted, mostNamed}));
+    const std::size_t taken = std::min({candidates.size(), wanted, mostNamed});
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(taken), candidates.end());
     std::vector<WorkerId> workers;
-    workers.reserve(candidates.size());
-    for (const auto &[room, id] : candidates) {
-        workers.push_back(id);
+    workers.reserve(taken);
+    for (std::size_t i = 0; i < taken; ++i) {
+        workers.push_back(std::get<const Worker *>(candidates[i])->info.id);
     }
     return workers;
 }
@@ -402,7 +410,7 @@
 void CellScheduler::requestAdvice(StepRun &step, TimePoint now)
 {
     if (!step.advice.inFlight && step.advice.nextCall <= now) {
-        requestAdviceFor(step, workersToAsk(step, now), now);
+        requestAdviceFor(step, workersToAsk(step), now);
     }
 }
 
@@ -421,9 +429,9 @@
     m_advice.add(std::move(call));
 }
 
-void CellScheduler::onAdvice(std::uint64_t id, const AdviceAnswer &answer, TimePoint sent, TimePoint now)
+void CellScheduler::onAdvice(std::uint64_t callId, const AdviceAnswer &answer, TimePoint sent, TimePoint now)
 {
-    const auto call = m_advice.finish(id);
+    const auto call = m_advice.finish(callId);
     StepRun *step = call ? m_jobs.findStep(call->step) : nullptr;
     if (step == nullptr) {
         return;
@@ -435,13 +443,17 @@
         log("advice for step " + TaskRef{call->step, 0}.text() + " failed on " + call->lane.value() + (answer.busy ? ": too many calls wait" : ": no answer"));
         return;
     }
-    for (const WorkerId &worker : call->workers) {
-        step->advice.asked.insert(worker);
+    for (const WorkerId &id : call->workers) {
+        if (const Worker *worker = m_workers.find(id)) {
+            step->advice.asked.insert(worker->index);
+        }
     }
     // The ticket's time began when the service answered, at the latest now and at the earliest when the call was sent.
     const TimePoint validUntil = std::max(sent + answer.validity, now + answer.validity - adviceTransit);
-    for (const auto &[worker, ticket] : answer.good) {
-        step->advice.good[worker] = Ticket{ticket, validUntil};
+    for (const auto &[id, ticket] : answer.good) {
+        if (const Worker *worker = m_workers.find(id)) {
+            step->advice.put(Ticket{worker->index, ticket, validUntil});
+        }
     }
 }
 
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration holdPause{6}; // Between two renewals of a worker: ends that come together are read together.
+constexpr Duration unacknowledgedPause{100}; // The longest wait for the store before a worker is asked again.
 constexpr Duration silentHoldPause{250}; // Before a worker that did not answer is asked again.
 constexpr Duration housekeepingInterval{1000};
 constexpr Duration startRepeat{350}; // A start without an answer is repeated on a new connection after this time.
@@ -193,6 +194,16 @@
     entry.stored = true;
 }
 
+bool CellScheduler::onKnownJobStored(const JobId &id)
+{
+    JobEntry *entry = m_jobs.find(id);
+    if (entry == nullptr) {
+        return false;
+    }
+    entry->stored = true;
+    return true;
+}
+
 void CellScheduler::onJobDropped(const JobId &id)
 {
     const JobEntry *entry = m_jobs.find(id);
@@ -264,8 +275,9 @@
         worker->blockedUntil = std::max(worker->blockedUntil, time.now + roomPause);
     }
     StepRun *step = m_jobs.findStep(order.task.step);
-    if (answer.outcome == OrderOutcome::BadTicket && step != nullptr) {
-        step->advice.good[order.worker].validUntil = time.now;
+    Ticket *ticket = step != nullptr ? step->advice.find(worker->index) : nullptr;
+    if (answer.outcome == OrderOutcome::BadTicket && ticket != nullptr) {
+        ticket->validUntil = time.now;
     }
     onRunEvents(m_workers.onStartAnswer(order, answer, time.now), time);
 }
@@ -292,7 +304,14 @@
     for (const FoundRun &run : found) {
         onFoundRun(run, time);
     }
-    worker->nextHold = view == nullptr ? time.now + silentHoldPause : (wasInventoried ? time.now + holdPause : time.now);
+    if (view == nullptr) {
+        worker->nextHold = time.now + silentHoldPause;
+    } else if (!wasInventoried) {
+        worker->nextHold = time.now;
+    } else {
+        // With ends that are not acknowledged a worker answers at once, so the next renewal waits until they are stored.
+        worker->nextHold = time.now + (worker->ends.empty() ? holdPause : unacknowledgedPause);
+    }
 }
 
 void CellScheduler::onRunEvents(const std::vector<RunEvent> &events, const CellTime &time)
@@ -524,6 +543,9 @@
         m_nextRunCheck = time.now + runCheckInterval;
         onRunEvents(m_workers.expireLeases(time.now), time);
         m_jobs.releaseDue(time.now, time.unixMs);
+    }
+    if (checkRuns || m_endsStored) {
+        m_endsStored = false;
         acknowledgeEnds();
     }
     driveWorkers(orders, time, checkRuns);
@@ -616,7 +638,7 @@
     }
 }
 
-std::vector<ProgressWrite> CellScheduler::takeProgress(std::size_t most)
+std::vector<ProgressWrite> CellScheduler::takeProgress(std::size_t most, const std::function<bool(const JobId &)> &isWanted)
 {
     std::vector<ProgressWrite> writes;
     for (const bool finals : {true, false}) {
@@ -626,7 +648,7 @@
                 id = m_jobs.dirty().erase(id);
                 continue;
             }
-            if (isFinal(entry->outcome) != finals || m_writing.count(*id) > 0) {
+            if (isFinal(entry->outcome) != finals || m_writing.count(*id) > 0 || (isWanted && !isWanted(*id))) {
                 ++id;
                 continue;
             }
@@ -642,6 +664,7 @@
 {
     m_writing.erase(id);
     m_jobs.onStored(id, revision);
+    m_endsStored = true;
     const JobEntry *entry = m_jobs.find(id);
     if (entry != nullptr && isFinal(entry->state)) {
         log("job " + id.value() + " " + toString(entry->state) + ": stored");
@@ -669,13 +692,16 @@
     stopRuns(id, now);
 }
 
-bool CellScheduler::hasFinalProgress() const
+std::vector<JobId> CellScheduler::finalProgress() const
 {
-    auto &jobs = const_cast<JobTable &>(m_jobs);
-    return std::any_of(jobs.dirty().begin(), jobs.dirty().end(), [&](const JobId &id) {
+    std::vector<JobId> finals;
+    for (const JobId &id : m_jobs.dirty()) {
         const JobEntry *entry = m_jobs.find(id);
-        return entry != nullptr && isFinal(entry->outcome) && m_writing.count(id) == 0;
-    });
+        if (entry != nullptr && isFinal(entry->outcome) && m_writing.count(id) == 0) {
+            finals.push_back(id);
+        }
+    }
+    return finals;
 }
 
 std::map<RouteName, int> CellScheduler::queuedByRoute() const
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -104,6 +104,8 @@
     [[nodiscard]] AdmissionDecision submit(const CellJob &job, const CellTime &time);
     /// The job's row is stored. Adds the job if it is not known.
     void onJobStored(const CellJob &job, const CellTime &time);
+    /// The same for a job that was submitted here. False if it is not known.
+    [[nodiscard]] bool onKnownJobStored(const JobId &id);
     /// The job's row was certainly not written.
     void onJobDropped(const JobId &id);
     /// The cancellation is stored.
@@ -123,14 +125,15 @@
     /// Decides. To be called after events and every few ten milliseconds.
     [[nodiscard]] CellOrders tick(const CellTime &time);
 
-    /// Progress that has to be stored now, at most @p most jobs; final ones first.
-    [[nodiscard]] std::vector<ProgressWrite> takeProgress(std::size_t most);
+    /// Progress that has to be stored now, at most @p most jobs; final ones first. @p isWanted selects jobs; null: all.
+    [[nodiscard]] std::vector<ProgressWrite> takeProgress(std::size_t most, const std::function<bool(const JobId &)> &isWanted = nullptr);
     void onProgressStored(const JobId &id, std::uint64_t revision);
     /// The write failed: it is offered again.
     void onProgressFailed(const JobId &id);
     /// Another leader had stored a final state already.
     void onFoundFinal(const JobId &id, CellJobState state, TimePoint now);
-    [[nodiscard]] bool hasFinalProgress() const;
+    /// Jobs whose final state has to be stored.
+    [[nodiscard]] std::vector<JobId> finalProgress() const;
 
     [[nodiscard]] std::map<RouteName, int> queuedByRoute() const;
     [[nodiscard]] const CellCounters &counters() const;
@@ -172,7 +175,7 @@
     void requestAdvice(StepRun &step, TimePoint now);
     void requestAdviceFor(StepRun &step, const std::vector<WorkerId> &workers, TimePoint now);
     void prefetchAdvice(TimePoint now);
-    [[nodiscard]] std::vector<WorkerId> workersToAsk(const StepRun &step, TimePoint now) const;
+    [[nodiscard]] std::vector<WorkerId> workersToAsk(const StepRun &step);
     [[nodiscard]] const AdviceTerms *adviceTerms(const StepRun &step) const;
     void settleUnlocated(TimePoint now);
     [[nodiscard]] std::pair<int, TimePoint> orderKey(const StepRun &step, TimePoint now) const;
@@ -200,6 +203,8 @@
     std::vector<std::pair<WorkerId, EndedEntry>> m_strayEarly;
     bool m_workersChanged = false; ///< The stored list of workers is out of date.
     bool m_storingWorkers = false;
+    bool m_endsStored = false; ///< Progress was stored since ends were last acknowledged.
+    std::uint64_t m_askOrder = 0; ///< Varies which of equally free workers a step asks about.
     std::map<int, std::int64_t> m_waitingWork; ///< Core milliseconds that wait, by priority, as of m_waitingWorkAt.
     std::int64_t m_capacity = 0; ///< Thousandths of a core of all workers, as of m_waitingWorkAt.
     TimePoint m_waitingWorkAt;
--- a/src/cell/jobtable.cpp
+++ b/src/cell/jobtable.cpp
@@ -13,6 +13,22 @@
 
 } // namespace
 
+Ticket *StepAdvice::find(WorkerIndex worker)
+{
+    const auto found = std::lower_bound(good.begin(), good.end(), worker, [](const Ticket &ticket, WorkerIndex index) { return ticket.worker < index; });
+    return found != good.end() && found->worker == worker ? &*found : nullptr;
+}
+
+void StepAdvice::put(Ticket ticket)
+{
+    const auto place = std::lower_bound(good.begin(), good.end(), ticket.worker, [](const Ticket &other, WorkerIndex index) { return other.worker < index; });
+    if (place != good.end() && place->worker == ticket.worker) {
+        *place = std::move(ticket);
+    } else {
+        good.insert(place, std::move(ticket));
+    }
+}
+
 JobEntry &JobTable::add(const CellJob &job, const RouteRules &rules, TimePoint now, std::int64_t unixNowMs)
 {
     const auto known = m_jobs.find(job.id);
@@ -341,6 +357,11 @@
     return m_dirty;
 }
 
+const std::set<JobId> &JobTable::dirty() const
+{
+    return m_dirty;
+}
+
 JobProgress JobTable::progressOf(const JobEntry &entry) const
 {
     JobProgress progress;
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -3,7 +3,7 @@
 
 #include "cellconfig.h"
 #include "celljob.h"
-#include "workerview.h"
+#include "workertable.h"
 
 #include <map>
 #include <memory>
@@ -17,16 +17,20 @@
 
 /// A worker that may run a step, and until when its ticket admits starts.
 struct Ticket {
+    WorkerIndex worker = 0;
     std::string text;
     TimePoint validUntil; ///< On this process's clock.
 };
 
 /// What the policy service said about a step.
 struct StepAdvice {
-    std::map<WorkerId, Ticket> good; ///< Workers that may run the step; the set does not change, tickets expire.
-    std::set<WorkerId> asked; ///< Workers that were named in an answered call.
+    std::vector<Ticket> good; ///< Workers that may run the step, in order; the set does not change, tickets expire.
+    std::set<WorkerIndex> asked; ///< Workers that were named in an answered call.
     bool inFlight = false;
     TimePoint nextCall; ///< No call before this.
+
+    [[nodiscard]] Ticket *find(WorkerIndex worker);
+    void put(Ticket ticket);
 };
 
 enum class CellTaskPhase {
@@ -139,6 +143,7 @@
 
     /// Jobs whose progress has to be stored.
     [[nodiscard]] std::set<JobId> &dirty();
+    [[nodiscard]] const std::set<JobId> &dirty() const;
     [[nodiscard]] JobProgress progressOf(const JobEntry &entry) const;
     /// The progress up to @p revision is stored. A final outcome becomes visible.
     void onStored(const JobId &id, std::uint64_t revision);
--- a/src/cell/placementplan.cpp
+++ b/src/cell/placementplan.cpp
@@ -30,7 +30,7 @@
     for (const WorkerRoom &room : rooms) {
         const int fits = tasksThatFit(demand, room.free, room.maxTasks);
         if (fits > 0) {
-            shares.push_back(Share{room.id, fits});
+            shares.push_back(Share{room.worker, fits});
         }
     }
     std::stable_sort(shares.begin(), shares.end(), [](const Share &a, const Share &b) { return a.tasks > b.tasks; });
@@ -62,7 +62,7 @@
     const auto roomsAt = [&rooms, &releasesOf](TimePoint at) {
         std::vector<WorkerRoom> later;
         for (const WorkerRoom &room : rooms) {
-            WorkerRoom copy{room.id, room.free, room.maxTasks, room.speed, nullptr};
+            WorkerRoom copy{room.worker, room.free, room.maxTasks, room.speed, nullptr};
             for (const Release &release : releasesOf(room)) {
                 if (release.at <= at) {
                     copy.free += release.amount;
@@ -80,7 +80,7 @@
     return GangForecast{*first, *fitGang(roomsAt(*first), demand, count)};
 }
 
-void Reservations::add(const WorkerId &worker, TimePoint at, const Resources &amount)
+void Reservations::add(std::size_t worker, TimePoint at, const Resources &amount)
 {
     std::vector<Release> &reserved = m_reserved[worker];
     reserved.push_back(Release{at, amount});
@@ -89,7 +89,7 @@
 
 bool Reservations::allows(const WorkerRoom &room, const Resources &demand, TimePoint end) const
 {
-    const auto found = m_reserved.find(room.id);
+    const auto found = m_reserved.find(room.worker);
     if (found == m_reserved.end()) {
         return true;
     }
@@ -115,7 +115,7 @@
 
 WorkerRoom Reservations::without(WorkerRoom room) const
 {
-    const auto found = m_reserved.find(room.id);
+    const auto found = m_reserved.find(room.worker);
     if (found != m_reserved.end()) {
         for (const Release &reservation : found->second) {
             room.free -= reservation.amount;
--- a/src/cell/placementplan.h
+++ b/src/cell/placementplan.h
@@ -21,7 +21,7 @@
 
 /// A worker as one step sees it.
 struct WorkerRoom {
-    WorkerId id;
+    std::size_t worker = 0; ///< Index of the worker.
     Resources free;
     int maxTasks = 0; ///< How many more tasks of the step may run there, apart from room.
     double speed = 1;
@@ -29,7 +29,7 @@
 };
 
 struct Share {
-    WorkerId worker;
+    std::size_t worker = 0;
     int tasks = 0;
 };
 
@@ -51,14 +51,14 @@
 class Reservations
 {
 public:
-    void add(const WorkerId &worker, TimePoint at, const Resources &amount);
+    void add(std::size_t worker, TimePoint at, const Resources &amount);
     /// May a task of @p demand that ends at @p end start on the worker now without delaying a reservation?
     [[nodiscard]] bool allows(const WorkerRoom &room, const Resources &demand, TimePoint end) const;
     /// The room without what is reserved from some moment on.
     [[nodiscard]] WorkerRoom without(WorkerRoom room) const;
 
 private:
-    std::map<WorkerId, std::vector<Release>> m_reserved; ///< By worker, in order of time.
+    std::map<std::size_t, std::vector<Release>> m_reserved; ///< By worker, in order of time.
 };
 
 } // namespace KingCupLadder
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -95,6 +95,26 @@
     return found == m_workers.end() ? nullptr : &found->second;
 }
 
+Worker *WorkerTable::at(WorkerIndex index)
+{
+    return index < m_byIndex.size() ? m_byIndex[index] : nullptr;
+}
+
+const Worker *WorkerTable::at(WorkerIndex index) const
+{
+    return index < m_byIndex.size() ? m_byIndex[index] : nullptr;
+}
+
+Worker &WorkerTable::obtain(const WorkerId &id)
+{
+    const auto [entry, isNew] = m_workers.try_emplace(id);
+    if (isNew) {
+        entry->second.index = m_byIndex.size();
+        m_byIndex.push_back(&entry->second);
+    }
+    return entry->second;
+}
+
 std::map<WorkerId, Worker> &WorkerTable::all()
 {
     return m_workers;
@@ -111,7 +131,7 @@
     std::set<WorkerId> listed;
     for (const WorkerInfo &info : workers) {
         listed.insert(info.id);
-        Worker &worker = m_workers[info.id];
+        Worker &worker = obtain(info.id);
         const bool isNew = worker.info.id.isEmpty();
         if (isNew || worker.info.life < info.life) {
             beginLife(worker, info.life, events);
@@ -138,6 +158,9 @@
             loseRuns(worker, events);
         }
         const bool forget = worker.runs.empty() && !worker.holdOpen && (left || hasLapsed(worker, now));
+        if (forget) {
+            m_byIndex[worker.index] = nullptr;
+        }
         entry = forget ? m_workers.erase(entry) : std::next(entry);
     }
     return events;
@@ -146,7 +169,7 @@
 void WorkerTable::addFormer(const std::vector<WorkerId> &ids, TimePoint lapsedBy)
 {
     for (const WorkerId &id : ids) {
-        Worker &worker = m_workers[id];
+        Worker &worker = obtain(id);
         if (worker.info.id.isEmpty()) {
             worker.info.id = id;
             worker.clock = WorkerClock(m_limits.clockDrift);
@@ -491,6 +514,9 @@
     while (!worker.ends.empty() && isStored(worker.ends.front())) {
         worker.acknowledged = worker.ends.front().number;
         worker.ends.pop_front();
+        if (worker.ends.empty()) {
+            worker.nextHold = TimePoint(); // The next renewal can wait for a new end again.
+        }
     }
 }
 
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -80,7 +80,11 @@
     std::uint64_t revision = 0; ///< Of the job; 0: nothing has to be stored.
 };
 
+/// Names a worker within one WorkerTable; never used again for another one.
+using WorkerIndex = std::size_t;
+
 struct Worker {
+    WorkerIndex index = 0;
     WorkerInfo info;
     bool registered = false; ///< Listed by the registry now.
     bool durable = false; ///< Its id is stored, so that a later leader knows about it.
@@ -145,6 +149,9 @@
 
     [[nodiscard]] Worker *find(const WorkerId &id);
     [[nodiscard]] const Worker *find(const WorkerId &id) const;
+    /// Null if the worker was forgotten.
+    [[nodiscard]] Worker *at(WorkerIndex index);
+    [[nodiscard]] const Worker *at(WorkerIndex index) const;
     [[nodiscard]] std::map<WorkerId, Worker> &all();
     [[nodiscard]] const std::map<WorkerId, Worker> &all() const;
 
@@ -187,7 +194,10 @@
     [[nodiscard]] bool hasLapsed(const Worker &worker, TimePoint now) const;
 
     WorkerLimits m_limits;
+    [[nodiscard]] Worker &obtain(const WorkerId &id);
+
     std::map<WorkerId, Worker> m_workers;
+    std::vector<Worker *> m_byIndex; ///< Into m_workers; null for forgotten workers.
     std::uint64_t m_changes = 1;
 };
 
--- a/src/node/cellrows.cpp
+++ b/src/node/cellrows.cpp
@@ -18,8 +18,6 @@
 const char cancelSuffix[] = ".cancel"; // Of the key of a cancellation, beside the job's row.
 const char afterSuffixes[] = "/"; // The first character after the suffix's dot: ends the range of one job's rows.
 
-// One part takes 200 transactions a second, one after another; jobs are admitted at a tenth of the sum of all parts.
-constexpr std::uint64_t partCount = 8;
 constexpr Duration transactTimeout{900};
 constexpr Duration readTimeout{1000};
 constexpr Duration retryPause{60};
@@ -27,21 +25,6 @@
 constexpr std::size_t entriesPerJob = 4; // A condition, a write and two removals.
 constexpr std::size_t mostBytes = 700000; // A transaction may have 1 MB; values grow by a third in transit.
 
-RowKey jobKey(const JobId &id)
-{
-    return RowKey{jobTable, CellRows::partOf(id), id.value()};
-}
-
-RowKey cancelKey(const JobId &id)
-{
-    return RowKey{jobTable, CellRows::partOf(id), id.value() + cancelSuffix};
-}
-
-RowKey progressKey(const JobId &id)
-{
-    return RowKey{progressTable, CellRows::partOf(id), id.value()};
-}
-
 /// The job of a cancellation's key; empty for other keys.
 std::optional<JobId> cancelledJob(const std::string &key)
 {
@@ -77,15 +60,30 @@
 
 } // namespace
 
-CellRows::CellRows(EventLoop &loop, TableStore &store) : m_loop(loop), m_store(store) { }
+CellRows::CellRows(EventLoop &loop, TableStore &store, int parts) : m_loop(loop), m_store(store), m_parts(std::max(parts, 1)) { }
 
-std::string CellRows::partOf(const JobId &id)
+std::string CellRows::partOf(const JobId &id) const
 {
     std::uint64_t hash = 1469598103934665603ULL; // FNV-1a: equal in all processes and versions, unlike std::hash.
     for (const char c : id.value()) {
         hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
     }
-    return "j" + std::to_string(hash % partCount);
+    return "j" + std::to_string(hash % static_cast<std::uint64_t>(m_parts));
+}
+
+RowKey CellRows::jobKey(const JobId &id) const
+{
+    return RowKey{jobTable, partOf(id), id.value()};
+}
+
+RowKey CellRows::cancelKey(const JobId &id) const
+{
+    return RowKey{jobTable, partOf(id), id.value() + cancelSuffix};
+}
+
+RowKey CellRows::progressKey(const JobId &id) const
+{
+    return RowKey{progressTable, partOf(id), id.value()};
 }
 
 void CellRows::after(Duration pause, std::function<void()> function)
@@ -189,7 +187,7 @@
 
 struct CellRows::Load {
     StoredJobs jobs;
-    std::uint64_t part = 0;
+    int part = 0;
     bool progress = false; ///< Reading progress rows, after the jobs of all parts.
     std::string from;
     std::function<void(std::optional<StoredJobs>)> callback;
@@ -204,11 +202,11 @@
 
 void CellRows::loadNext(const std::shared_ptr<Load> &load)
 {
-    if (load->part == partCount && load->progress) {
+    if (load->part == m_parts && load->progress) {
         load->callback(std::move(load->jobs));
         return;
     }
-    if (load->part == partCount) {
+    if (load->part == m_parts) {
         load->progress = true;
         load->part = 0;
     }
--- a/src/node/cellrows.h
+++ b/src/node/cellrows.h
@@ -49,7 +49,8 @@
 class CellRows
 {
 public:
-    CellRows(EventLoop &loop, TableStore &store);
+    /// @p parts: over how many parts the jobs are spread; the same for all daemons of a cell.
+    CellRows(EventLoop &loop, TableStore &store, int parts = 4);
 
     /// Retries until @p deadline.
     void admit(const CellJob &job, TimePoint deadline, std::function<void(AdmitOutcome)> callback);
@@ -77,11 +78,14 @@
                      std::function<void(StoreOutcome, const std::optional<LeaderRecord> &current, RowVersion version)> callback);
 
     /// The part that holds all rows of a job.
-    [[nodiscard]] static std::string partOf(const JobId &id);
+    [[nodiscard]] std::string partOf(const JobId &id) const;
 
 private:
     struct Load;
 
+    [[nodiscard]] RowKey jobKey(const JobId &id) const;
+    [[nodiscard]] RowKey cancelKey(const JobId &id) const;
+    [[nodiscard]] RowKey progressKey(const JobId &id) const;
     void admitOnce(const CellJob &job, TimePoint deadline, bool mayBeStored, const std::function<void(AdmitOutcome)> &callback);
     void cancelOnce(const JobId &id, TimePoint deadline, const std::function<void(bool)> &callback);
     void loadNext(const std::shared_ptr<Load> &load);
@@ -91,6 +95,7 @@
 
     EventLoop &m_loop;
     TableStore &m_store;
+    int m_parts;
     std::map<JobId, RowVersion> m_versions; ///< Of progress rows; absent: no such row.
     std::vector<std::string> m_formerWorkerKeys; ///< Rows of earlier leaderships; their workers are in the next list.
     std::map<std::uint64_t, std::unique_ptr<EventWatch>> m_timers;
--- a/src/node/frontdesk.cpp
+++ b/src/node/frontdesk.cpp
@@ -181,8 +181,8 @@
         CellPeers::Envelope notice;
         switch (outcome) {
         case AdmitOutcome::Stored:
-            *notice.mutable_job_stored()->mutable_job() = toWire(job);
-            notify(job.id, std::move(notice));
+            notice.mutable_job_stored()->mutable_job()->set_id(job.id.value());
+            notify(job, std::move(notice));
             respond(request, httpOk, "{}", "stored");
             return;
         case AdmitOutcome::AlreadyThere:
@@ -191,7 +191,7 @@
             return;
         case AdmitOutcome::NotStored:
             notice.mutable_job_dropped()->set_id(job.id.value());
-            notify(job.id, std::move(notice));
+            notify(job, std::move(notice));
             refuse(request, httpUnavailable, {ErrorKind::Unavailable, "the store refuses the job, not run", "try again later"}, storeRetryAfter);
             return;
         case AdmitOutcome::Unknown:
@@ -201,9 +201,10 @@
     });
 }
 
-void FrontDesk::notify(const JobId & /*job*/, CellPeers::Envelope message)
+void FrontDesk::notify(const CellJob &job, CellPeers::Envelope message)
 {
     Notice notice;
+    notice.job = job;
     notice.message = std::move(message);
     notice.next = m_loop.now();
     notice.giveUp = m_loop.now() + m_settings.noticeTerm;
@@ -239,6 +240,10 @@
                 m_notices.erase(open);
                 return;
             }
+            if (open->second.message.has_job_stored()) {
+                // This leader may not have seen the submission.
+                *open->second.message.mutable_job_stored()->mutable_job() = toWire(open->second.job);
+            }
             open->second.open = false;
             open->second.next = m_loop.now() + m_settings.noticeRetry;
         });
@@ -324,7 +329,9 @@
         }
         CellPeers::Envelope notice;
         notice.mutable_cancel_notice()->set_job(request->job.value());
-        notify(request->job, std::move(notice));
+        CellJob job;
+        job.id = request->job;
+        notify(job, std::move(notice));
         respond(request, httpOk, m_translation.encodeState(CellJobState::Cancelled), "cancellation stored");
     });
 }
--- a/src/node/frontdesk.h
+++ b/src/node/frontdesk.h
@@ -64,7 +64,8 @@
     };
     using RequestPtr = std::shared_ptr<Request>;
     struct Notice {
-        CellPeers::Envelope message;
+        CellPeers::Envelope message; ///< Names the job by its id at first.
+        CellJob job;
         TimePoint next;
         TimePoint giveUp;
         bool open = false;
@@ -81,7 +82,7 @@
     void answerState(const RequestPtr &request, CellJobState state, const WorkspaceId &workspace);
     void respond(const RequestPtr &request, int status, const std::string &body, const std::string &reason, Duration retryAfter = Duration(0));
     void refuse(const RequestPtr &request, int status, const Error &error, Duration retryAfter = Duration(0));
-    void notify(const JobId &job, CellPeers::Envelope message);
+    void notify(const CellJob &job, CellPeers::Envelope message);
     [[nodiscard]] Duration left(const RequestPtr &request) const;
     [[nodiscard]] bool mayRead(const RequestPtr &request, const WorkspaceId &owner) const;
 
--- a/src/node/leaderduty.cpp
+++ b/src/node/leaderduty.cpp
@@ -124,6 +124,7 @@
     m_nextRegistry = TimePoint();
     m_nextChanges = TimePoint();
     m_nextProgress = TimePoint();
+    m_nextFinals = TimePoint();
     m_nextLoad = TimePoint();
     const WorkerLimits &limits = m_settings.scheduler.workers;
     const auto longestLease = Duration(static_cast<std::int64_t>(static_cast<double>(limits.maxLease.count()) / (1 - limits.clockDrift)));
@@ -338,16 +339,27 @@
 void LeaderDuty::storeProgress()
 {
     const TimePoint now = m_loop.now();
-    const bool due =
-        now >= m_nextProgress || (m_scheduler.hasFinalProgress() && now >= m_nextProgress - m_settings.progressInterval + m_settings.finalInterval);
-    if (!due || m_progressOpen >= mostProgressOpen || !m_scheduler.isLoaded()) {
+    if (m_progressOpen >= mostProgressOpen || !m_scheduler.isLoaded() || now < m_nextFinals) {
         return;
     }
-    const std::vector<ProgressWrite> writes = m_scheduler.takeProgress(mostProgress);
+    const bool all = now >= m_nextProgress;
+    std::set<std::string> parts;
+    if (!all) {
+        for (const JobId &id : m_scheduler.finalProgress()) {
+            parts.insert(m_rows.partOf(id));
+        }
+        if (parts.empty()) {
+            return;
+        }
+    }
+    // A transaction for final states takes along the other progress of its part.
+    const std::vector<ProgressWrite> writes =
+        m_scheduler.takeProgress(mostProgress, [&](const JobId &id) { return all || parts.count(m_rows.partOf(id)) > 0; });
+    m_nextFinals = now + m_settings.finalInterval;
+    m_nextProgress = all ? now + m_settings.progressInterval : m_nextProgress;
     if (writes.empty()) {
         return;
     }
-    m_nextProgress = now + m_settings.progressInterval;
     m_progressOpen += static_cast<int>(writes.size());
     m_rows.writeProgress(writes, time().unixMs, whileLeading([this](const ProgressWrite &write, bool stored, CellJobState foundFinal) {
                              --m_progressOpen;
@@ -393,10 +405,13 @@
         reply.mutable_state_reply()->set_state(toWire(state));
         reply.mutable_state_reply()->set_workspace(state == CellJobState::Unknown ? std::string() : m_scheduler.workspaceOf(id).value());
     } else if (question.has_job_stored()) {
-        const auto job = fromWire(question.job_stored().job());
+        const CellWire::JobRow &row = question.job_stored().job();
+        const auto job = row.steps_size() > 0 ? fromWire(row) : std::nullopt;
         if (loaded && job) {
             m_scheduler.onJobStored(*job, time());
             reply.mutable_acknowledgement();
+        } else if (loaded && m_scheduler.onKnownJobStored(JobId(row.id()))) {
+            reply.mutable_acknowledgement();
         }
     } else if (question.has_cancel_notice()) {
         if (loaded) {
--- a/src/node/leaderduty.h
+++ b/src/node/leaderduty.h
@@ -19,8 +19,8 @@
     CellSchedulerSettings scheduler;
     Duration registryInterval{600}; ///< A draining worker has to be noticed within 2 s.
     Duration changesInterval{1000}; ///< Finds jobs whose notices were lost.
-    Duration progressInterval{200}; ///< Between writes of progress that is not final.
-    Duration finalInterval{5}; ///< Final states are stored in batches of about this time.
+    Duration progressInterval{100}; ///< Between writes of progress that is not final; ends wait for them on the workers.
+    Duration finalInterval{8}; ///< Final states are stored in batches of about this time.
     Duration loadRetry{150};
 };
 
@@ -93,6 +93,7 @@
     TimePoint m_nextRegistry;
     TimePoint m_nextChanges;
     TimePoint m_nextProgress;
+    TimePoint m_nextFinals;
     TimePoint m_nextLoad;
     std::unique_ptr<EventWatch> m_wake;
     bool m_wakeSet = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -54,7 +54,7 @@
     }
     m_peers = std::move(peers).value();
     m_store = std::make_unique<RelayStore>(m_loop, m_directStore, *m_peers, [this] { return storeHelpers(); });
-    m_rows = std::make_unique<CellRows>(m_loop, *m_store);
+    m_rows = std::make_unique<CellRows>(m_loop, *m_store, m_settings.jobParts);
     m_duty =
         std::make_unique<LeaderDuty>(m_loop, m_settings.self, m_settings.duty, m_leadership, *m_rows, *m_store, m_translation, m_workers, m_advice, *m_peers);
     m_config = std::make_unique<ConfigFollower>(
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -21,6 +21,7 @@
     std::string readyPath = "/ready";
     std::string metricsAddress; ///< "ip:port"; empty: no metrics.
     std::size_t maxBody = 1024UL * 1024;
+    int jobParts = 4; ///< Parts of the store over which the jobs are spread; the same for all daemons of a cell.
     LeadershipSettings leadership;
     LeaderDutySettings duty;
     FrontDeskSettings desk;
