Log why the oldest steps wait

Change: each second the five steps that wait longest are described. Ruled out: nothing yet. Measured: test-cell passes.

--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -24,6 +24,8 @@
 constexpr Duration adviceRetry{150};
 constexpr Duration overrunStep{200}; // A run past its expected end is expected to go on for about this time.
 constexpr Duration repairTerm{1200}; // A member of a gang that was refused may go to another worker for so long.
+constexpr Duration longWait{3000}; // A ready step that waits longer is mentioned in the log.
+constexpr int mostLongWaits = 5; // In one second, the oldest first.
 constexpr Duration prefetchSlack{150};
 constexpr Duration adviceTransit{200}; // An answer rarely takes longer from the service to here.
 
@@ -480,4 +482,45 @@
     }
 }
 
+void CellScheduler::logLongWaits(TimePoint now)
+{
+    std::vector<std::pair<TimePoint, const StepRun *>> waits;
+    for (const StepRun *step : m_jobs.waitingSteps()) {
+        if (now - step->readySince > longWait) {
+            waits.emplace_back(step->readySince, step);
+        }
+    }
+    std::sort(waits.begin(), waits.end());
+    for (std::size_t i = 0; i < waits.size() && i < static_cast<std::size_t>(mostLongWaits); ++i) {
+        log(describeWait(*waits[i].second, now) + ", one of " + std::to_string(waits.size()) + " long waits");
+    }
+}
+
+std::string CellScheduler::describeWait(const StepRun &step, TimePoint now) const
+{
+    int valid = 0;
+    int usable = 0;
+    int fitting = 0;
+    for (const Ticket &ticket : step.advice.good) {
+        const Worker *worker = m_workers.at(ticket.worker);
+        if (worker != nullptr && worker->wasUsable && isEligible(step, *worker)) {
+            ++usable;
+            valid += ticket.validUntil >= now ? 1 : 0;
+            fitting += tasksThatFit(step.spec->demand, worker->free(), step.spec->count);
+        }
+    }
+    int live = 0;
+    for (const CellTask &task : step.tasks) {
+        live += task.liveRuns;
+    }
+    return "step " + TaskRef{step.ref, 0}.text() + " waits for " + std::to_string((now - step.readySince).count()) + " ms: " + std::to_string(step.waiting)
+        + " of " + std::to_string(step.spec->count) + " tasks of " + std::to_string(step.spec->demand.cpu.value()) + " thousandths, "
+        + (step.spec->gang ? "gang, " : "") + std::to_string(step.active) + " active, " + std::to_string(live) + " runs not settled, " + std::to_string(usable)
+        + " allowed workers usable of " + std::to_string(step.advice.good.size()) + " (" + std::to_string(step.advice.asked.size()) + " asked), "
+        + std::to_string(valid) + " tickets valid, room for " + std::to_string(fitting) + " tasks"
+        + (isWithinMaximum(step, step.spec->gang ? step.spec->count : 1) ? "" : ", workspace at its maximum")
+        + (step.job->unlocated ? ", runs of an earlier leader not ruled out" : "") + (step.advice.inFlight ? ", advice asked" : "")
+        + (step.gangBroken ? ", gang broken" : "");
+}
+
 } // namespace KingCupLadder
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -320,6 +320,9 @@
         m_usage[event.run.workspace] -= event.run.demand;
         JobEntry *entry = m_jobs.find(event.run.task.step.job);
         StepRun *step = m_jobs.findStep(event.run.task.step);
+        if (step != nullptr && event.run.task.index >= static_cast<int>(step->tasks.size())) {
+            step = nullptr; // A run that was found on a worker and that the job does not have.
+        }
         Worker *worker = m_workers.find(event.worker);
         if (event.kind == RunEvent::Kind::Ended) {
             if (entry != nullptr && step != nullptr) {
@@ -427,6 +430,7 @@
     JobEntry *entry = m_jobs.find(found.entry.task.step.job);
     StepRun *step = m_jobs.findStep(found.entry.task.step);
     const bool known = entry != nullptr && step != nullptr && found.entry.task.index < static_cast<int>(step->tasks.size());
+    step = known ? step : nullptr;
     const Resources demand = known ? step->spec->demand : Resources{};
     const WorkspaceId workspace = entry != nullptr ? entry->job.workspace : WorkspaceId();
     Run &run = m_workers.adopt(*worker, found.entry, demand, workspace, time.now);
@@ -574,6 +578,9 @@
     if (m_nextHousekeeping <= time.now) {
         m_nextHousekeeping = time.now + housekeepingInterval;
         (void)m_jobs.forgetEnded(time.now - m_settings.statusTerm);
+        if (m_loaded && m_config) {
+            logLongWaits(time.now);
+        }
     }
     return orders;
 }
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -175,6 +175,8 @@
     void requestAdvice(StepRun &step, TimePoint now);
     void requestAdviceFor(StepRun &step, const std::vector<WorkerId> &workers, TimePoint now);
     void prefetchAdvice(TimePoint now);
+    void logLongWaits(TimePoint now);
+    [[nodiscard]] std::string describeWait(const StepRun &step, TimePoint now) const;
     [[nodiscard]] std::vector<WorkerId> workersToAsk(const StepRun &step);
     [[nodiscard]] const AdviceTerms *adviceTerms(const StepRun &step) const;
     void settleUnlocated(TimePoint now);
