Let gangs that fit pass gangs that do not; count what may run out of sight

Change: a gang that only lacks tickets renews them and keeps its room; a gang may use reserved room if it ends before the reservation begins; tasks of older jobs that may run out of sight count against the maximum; weak daemons let stronger ones claim first.

Ruled out: runs that never settle, lost callbacks (the log shows none unsettled).

--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -110,7 +110,11 @@
         return true;
     }
     const auto used = m_usage.find(step.job->job.workspace);
-    const Resources after = (used == m_usage.end() ? Resources{} : used->second) + step.spec->demand * tasks;
+    Resources after = (used == m_usage.end() ? Resources{} : used->second) + step.spec->demand * tasks;
+    const auto hidden = m_hiddenUsage.find(step.job->job.workspace);
+    if (hidden != m_hiddenUsage.end()) {
+        after += hidden->second;
+    }
     const Resources &most = workspace->maximum;
     const bool cpu = most.cpu.value() <= 0 || after.cpu <= most.cpu;
     const bool memory = most.memory.value() <= 0 || after.memory <= most.memory;
@@ -158,6 +162,7 @@
 void CellScheduler::place(CellOrders &orders, const CellTime &time)
 {
     m_workers.noteUsable(time.now);
+    countHiddenUsage();
     const bool isFullPass = m_nextFullPass <= time.now;
     if (isFullPass) {
         m_nextFullPass = time.now + fullPassInterval;
@@ -197,6 +202,22 @@
     }
 }
 
+void CellScheduler::countHiddenUsage()
+{
+    m_hiddenUsage.clear();
+    if (m_lapsedBy == TimePoint()) {
+        return;
+    }
+    // Every task of an older job may run on a worker that has not answered yet, and counts against its workspace's maximum.
+    for (const auto &[id, entry] : m_jobs.open()) {
+        for (const auto &step : entry->steps) {
+            if (entry->unlocated && step->readySince != TimePoint()) {
+                m_hiddenUsage[entry->job.workspace] += step->spec->demand * step->waiting;
+            }
+        }
+    }
+}
+
 RunNumber CellScheduler::nextRun(const CellTask &task) const
 {
     const std::uint64_t base = (m_epoch.value() > 0 ? m_epoch.value() - 1 : 0) * runsPerEpoch + 1;
@@ -282,6 +303,13 @@
     }
 }
 
+void CellScheduler::limitToAllowed(const StepRun &step, std::vector<WorkerRoom> &rooms, const Pass &pass) const
+{
+    for (WorkerRoom &room : rooms) {
+        room.maxTasks = pass.reservations.tasksAllowed(room, step.spec->demand, pass.time.now + step.spec->estimate);
+    }
+}
+
 void CellScheduler::placeGang(StepRun &step, Pass &pass)
 {
     const TimePoint now = pass.time.now;
@@ -293,9 +321,7 @@
         return;
     }
     std::vector<WorkerRoom> rooms = roomsFor(step, pass, true);
-    for (WorkerRoom &room : rooms) {
-        room = pass.reservations.without(room);
-    }
+    limitToAllowed(step, rooms, pass);
     const auto fit = fitGang(rooms, step.spec->demand, count);
     if (!fit) {
         reserveForGang(step, roomsFor(step, pass, false), pass);
@@ -327,17 +353,23 @@
     for (const WorkerRoom &room : rooms) {
         left.push_back(pass.reservations.without(room));
     }
-    const auto forecast = forecastGang(left, step.spec->demand, step.spec->count, now);
-    if (!forecast) {
-        if (terms != nullptr) {
+    // A gang that only lacks tickets keeps its room while they are renewed. Others hold room back for later, but only a few.
+    std::vector<WorkerRoom> allowed = rooms;
+    limitToAllowed(step, allowed, pass);
+    const auto fit = fitGang(allowed, step.spec->demand, step.spec->count);
+    std::optional<GangForecast> forecast;
+    if (fit) {
+        forecast = GangForecast{now, *fit};
+    } else if (pass.reserved < mostReservations) {
+        forecast = forecastGang(left, step.spec->demand, step.spec->count, now);
+        pass.reserved += forecast ? 1 : 0;
+        if (!forecast && terms != nullptr) {
             requestAdvice(step, now);
         }
-        return;
     }
-    if (pass.reserved >= mostReservations) {
+    if (!forecast) {
         return;
     }
-    ++pass.reserved;
     for (const Share &share : forecast->shares) {
         pass.reservations.add(share.worker, forecast->start, step.spec->demand * share.tasks);
     }
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -164,9 +164,11 @@
     void place(CellOrders &orders, const CellTime &time);
     void placeTasks(StepRun &step, Pass &pass);
     void placeGang(StepRun &step, Pass &pass);
+    void limitToAllowed(const StepRun &step, std::vector<WorkerRoom> &rooms, const Pass &pass) const;
     void repairGang(StepRun &step, Pass &pass);
     void reserveForGang(StepRun &step, const std::vector<WorkerRoom> &rooms, Pass &pass);
     void startTask(StepRun &step, int index, Worker &worker, RunNumber run, Pass &pass);
+    void countHiddenUsage();
     [[nodiscard]] RunNumber nextRun(const CellTask &task) const;
     [[nodiscard]] std::vector<WorkerRoom> roomsFor(StepRun &step, Pass &pass, bool needTicket);
     void addRoom(const StepRun &step, const Worker &worker, Pass &pass, std::vector<WorkerRoom> &rooms) const;
@@ -194,6 +196,7 @@
     JobTable m_jobs;
     WorkerTable m_workers;
     AdviceDesk m_advice;
+    std::map<WorkspaceId, Resources> m_hiddenUsage; ///< What may run on workers that have not answered this leader yet.
     std::map<WorkspaceId, Resources> m_usage; ///< Sum of the demands of all runs, by workspace.
     struct RateBucket {
         double tokens = 0;
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -28,7 +28,7 @@
             return LeaderAction::None;
         }
         const auto strongest = strongestMember(now);
-        const bool isWeak = strongest && static_cast<double>(strongest->power.value()) > static_cast<double>(m_self.power.value()) * m_settings.strongerFactor;
+        const bool isWeak = strongest && isMuchWeakerThan(*strongest);
         const bool isConfirmed = now - m_leaseFrom < m_settings.term / 2;
         m_resigning = m_resigning || (isWeak && isConfirmed && now - m_leaderSince > m_settings.yieldAfter);
         prepareRenewal(now);
@@ -59,7 +59,14 @@
         return m_row->successor == m_self.id || m_row->successor.isEmpty() || now - m_versionSeen > m_settings.successorHead;
     }
     const bool isMember = std::any_of(m_row->members.begin(), m_row->members.end(), [this](const CellMember &member) { return member.id == m_self.id; });
-    return now - m_versionSeen > (isMember ? m_settings.term : m_settings.strangerTerm);
+    const bool hasStronger =
+        std::any_of(m_members.begin(), m_members.end(), [this](const auto &known) { return known.first != m_row->holder && isMuchWeakerThan(known.second); });
+    return now - m_versionSeen > (isMember ? m_settings.term : m_settings.strangerTerm) + (hasStronger ? m_settings.strongerHead : Duration(0));
+}
+
+bool Leadership::isMuchWeakerThan(const CellMember &member) const
+{
+    return static_cast<double>(member.power.value()) > static_cast<double>(m_self.power.value()) * m_settings.strongerFactor;
 }
 
 void Leadership::prepareClaim(TimePoint now)
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -43,6 +43,7 @@
     Duration strangerTerm{9000}; ///< A daemon that is not in the row's list of members takes over only after this.
     double strongerFactor = 1.5; ///< A leader yields to a member with so much more processor.
     Duration yieldAfter{800}; ///< A leader leads at least so long before it yields.
+    Duration strongerHead{300}; ///< A weak member lets much stronger ones claim first.
     Duration successorHead{400}; ///< After a resignation the others wait so long for the successor.
 };
 
@@ -99,6 +100,7 @@
 
     void adopt(const std::optional<LeaderRecord> &record, RowVersion version, TimePoint now);
     [[nodiscard]] bool mayClaim(TimePoint now) const;
+    [[nodiscard]] bool isMuchWeakerThan(const CellMember &member) const;
     void prepareClaim(TimePoint now);
     void prepareRenewal(TimePoint now);
     [[nodiscard]] bool isMine(const LeaderRecord &record) const;
--- a/src/cell/placementplan.cpp
+++ b/src/cell/placementplan.cpp
@@ -113,6 +113,15 @@
     return true;
 }
 
+int Reservations::tasksAllowed(const WorkerRoom &room, const Resources &demand, TimePoint end) const
+{
+    int tasks = tasksThatFit(demand, room.free, room.maxTasks);
+    while (tasks > 0 && !allows(room, demand * tasks, end)) {
+        --tasks;
+    }
+    return tasks;
+}
+
 WorkerRoom Reservations::without(WorkerRoom room) const
 {
     const auto found = m_reserved.find(room.worker);
--- a/src/cell/placementplan.h
+++ b/src/cell/placementplan.h
@@ -54,6 +54,8 @@
     void add(std::size_t worker, TimePoint at, const Resources &amount);
     /// May a task of @p demand that ends at @p end start on the worker now without delaying a reservation?
     [[nodiscard]] bool allows(const WorkerRoom &room, const Resources &demand, TimePoint end) const;
+    /// How many tasks of @p demand that end at @p end may start on the worker now without delaying a reservation.
+    [[nodiscard]] int tasksAllowed(const WorkerRoom &room, const Resources &demand, TimePoint end) const;
     /// The room without what is reserved from some moment on.
     [[nodiscard]] WorkerRoom without(WorkerRoom room) const;
 
--- a/test/cell/testcellscheduler.cpp
+++ b/test/cell/testcellscheduler.cpp
@@ -383,6 +383,23 @@
     CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
 }
 
+// Guards against a workspace above its maximum while a new leader does not know what runs on workers it can't reach.
+TEST(CellSchedulerTakeover, CountsWhatMayRunOnWorkersThatDoNotAnswer)
+{
+    FakeCell cell(2);
+    cell.config->workspaces[0].maximum.cpu = MilliCores(4000);
+    cell.lead();
+    cell.submit(cellJob("job", 4, 1000, Duration(20000)));
+    cell.run(Duration(1000));
+    const int full = cell.worker(0).running.empty() ? 1 : 0;
+    cell.worker(full).reachable = false;
+    cell.hidden.insert(cell.worker(full).info.id);
+    cell.lead(2);
+    cell.submit(cellJob("next", 4, 1000, Duration(20000)));
+    cell.run(Duration(3000));
+    CHECK_EQUAL(4, cell.runningTasks());
+}
+
 TEST_GROUP(CellSchedulerAdvice){};
 
 // Guards against starts on workers that the policy does not allow.
@@ -411,6 +428,30 @@
     CHECK_TRUE(cell.adviceCalls >= 2);
 }
 
+// Guards against gangs that wait without tickets behind others that wait for room (pattern: many gangs on a full cell).
+TEST(CellSchedulerAdvice, RenewsTicketsOfGangsThatFitBehindGangsThatDoNot)
+{
+    FakeCell cell(12);
+    cell.addRoute("advised", 1, AdviceTerms{100, 1, Duration(2500)});
+    cell.duration = [](const StartOrder &order) {
+        const bool isShort = order.task.step.job == JobId("filler") && order.task.index < 4;
+        return order.task.step.job == JobId("filler") ? Duration(isShort ? 4000 : 12000) : Duration(500);
+    };
+    cell.lead();
+    cell.submit(cellJob("filler", 24, 2000, Duration(12000)));
+    cell.run(Duration(300));
+    for (int i = 0; i < 6; ++i) {
+        CellJob wide = cellJob("a" + std::to_string(i), 12, 4000, Duration(500), "advised");
+        wide.steps[0].gang = true;
+        cell.submit(wide);
+    }
+    CellJob small = cellJob("b", 2, 2000, Duration(500), "advised");
+    small.steps[0].gang = true;
+    cell.submit(small);
+    cell.run(Duration(6000));
+    CHECK_TRUE(cell.state("b") == CellJobState::Succeeded);
+}
+
 TEST_GROUP(CellSchedulerLoad){};
 
 // Guards against urgent callers that wait behind batch work that came first (pattern: urgent burst on a busy cell).
