Pause between attempts of the relay test

Cause: its loop of refused writes ran for 150 s under CppUTest's leak bookkeeping. Change: a pause of 150 ms between attempts.

--- a/test/node/testrelaystore.cpp
+++ b/test/node/testrelaystore.cpp
@@ -73,6 +73,16 @@
     MemoryTableStore healthy{*loop};
     SilentStore silent{*loop};
 
+    void pause(Duration span)
+    {
+        bool over = false;
+        const auto timer = EventWatch::timer(*loop, [&over] { over = true; });
+        timer->start(span);
+        while (!over) {
+            loop->runOnce();
+        }
+    }
+
     StoreAnswer write(Daemon & from, const std::string &key, std::vector<Daemon *> daemons)
     {
         Transaction transaction;
@@ -109,6 +119,7 @@
     const TimePoint giveUp = loop->now() + Duration(5000);
     while (answer.outcome != StoreOutcome::Done && answer.outcome != StoreOutcome::Conflict && loop->now() < giveUp) {
         answer = write(daemon, "a", {&daemon, &helper});
+        pause(Duration(150));
     }
     CHECK_TRUE(answer.outcome == StoreOutcome::Done || answer.outcome == StoreOutcome::Conflict);
     CHECK_TRUE(healthy.has("t", "a"));
