Ask about further workers for gangs whose allowed ones are full

Change: a gang that does not fit now asks about further workers that have room for it; tickets are renewed for the workers that are needed and half as many more. Ruled out: tickets (27 of 27 were valid), the workspace's maximum.

--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -358,14 +358,19 @@
     limitToAllowed(step, allowed, pass);
     const auto fit = fitGang(allowed, step.spec->demand, step.spec->count);
     std::optional<GangForecast> forecast;
+    if (!fit && terms != nullptr) {
+        // Other workers may have the room that the allowed ones lack now.
+        int fitting = 0;
+        for (const WorkerRoom &room : allowed) {
+            fitting += room.maxTasks;
+        }
+        (void)askFurther(step, std::max(step.spec->count - fitting, 1), now);
+    }
     if (fit) {
         forecast = GangForecast{now, *fit};
     } else if (pass.reserved < mostReservations) {
         forecast = forecastGang(left, step.spec->demand, step.spec->count, now);
         pass.reserved += forecast ? 1 : 0;
-        if (!forecast && terms != nullptr) {
-            requestAdvice(step, now);
-        }
     }
     if (!forecast) {
         return;
@@ -376,18 +381,64 @@
     if (terms == nullptr || step.advice.inFlight) {
         return;
     }
-    std::vector<WorkerId> good;
-    good.reserve(left.size());
-    TimePoint firstExpiry = TimePoint::max();
-    for (const WorkerRoom &room : left) {
-        good.push_back(m_workers.at(room.worker)->info.id);
-        firstExpiry = std::min(firstExpiry, step.advice.find(room.worker)->validUntil);
+    renewForGang(step, *forecast, rooms, now);
+}
+
+void CellScheduler::renewForGang(StepRun &step, const GangForecast &forecast, const std::vector<WorkerRoom> &rooms, TimePoint now)
+{
+    const TimePoint needed = std::max(forecast.start, now);
+    const auto isStale = [&](WorkerIndex worker) { return step.advice.find(worker)->validUntil < needed + ticketMargin; };
+    std::set<WorkerIndex> named;
+    bool stale = false;
+    for (const Share &share : forecast.shares) {
+        named.insert(share.worker);
+        stale = stale || isStale(share.worker);
+    }
+    // Some more than needed, since others may take room meanwhile.
+    const std::size_t wanted = named.size() + named.size() / 2 + 1;
+    for (const WorkerRoom &room : rooms) {
+        if (named.size() < wanted && tasksThatFit(step.spec->demand, room.free, room.maxTasks) > 0) {
+            named.insert(room.worker);
+        }
+    }
+    std::vector<WorkerId> workers;
+    workers.reserve(named.size());
+    for (const WorkerIndex worker : named) {
+        workers.push_back(m_workers.at(worker)->info.id);
+    }
+    if (stale && needed <= now + adviceTerms(step)->callDuration(workers.size()) + renewAhead) {
+        requestAdviceFor(step, workers, now);
+    }
+}
+
+bool CellScheduler::askFurther(StepRun &step, int missing, TimePoint now)
+{
+    if (step.advice.inFlight || step.advice.nextCall > now) {
+        return false;
+    }
+    std::vector<std::pair<int, WorkerIndex>> candidates;
+    for (const auto &[id, worker] : m_workers.all()) {
+        if (worker.wasUsable && step.advice.asked.count(worker.index) == 0 && isEligible(step, worker)) {
+            const int fits = tasksThatFit(step.spec->demand, worker.free(), step.spec->maxPerWorker > 0 ? step.spec->maxPerWorker : missing);
+            if (fits > 0) {
+                candidates.emplace_back(-fits, worker.index);
+            }
+        }
+    }
+    std::sort(candidates.begin(), candidates.end());
+    std::vector<WorkerId> workers;
+    int hoped = 0;
+    for (const auto &[fits, worker] : candidates) {
+        if (hoped >= missing * workersPerTask || workers.size() >= mostNamed) {
+            break;
+        }
+        hoped -= fits;
+        workers.push_back(m_workers.at(worker)->info.id);
     }
-    const TimePoint needed = std::max(forecast->start, now);
-    const Duration duration = terms->callDuration(good.size());
-    if (firstExpiry < needed + ticketMargin && needed <= now + duration + renewAhead) {
-        requestAdviceFor(step, good, now);
+    if (!workers.empty()) {
+        requestAdviceFor(step, workers, now);
     }
+    return !workers.empty();
 }
 
 void CellScheduler::repairGang(StepRun &step, Pass &pass)
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -164,6 +164,8 @@
     void place(CellOrders &orders, const CellTime &time);
     void placeTasks(StepRun &step, Pass &pass);
     void placeGang(StepRun &step, Pass &pass);
+    void renewForGang(StepRun &step, const GangForecast &forecast, const std::vector<WorkerRoom> &rooms, TimePoint now);
+    bool askFurther(StepRun &step, int missing, TimePoint now);
     void limitToAllowed(const StepRun &step, std::vector<WorkerRoom> &rooms, const Pass &pass) const;
     void repairGang(StepRun &step, Pass &pass);
     void reserveForGang(StepRun &step, const std::vector<WorkerRoom> &rooms, Pass &pass);
--- a/test/cell/testcellscheduler.cpp
+++ b/test/cell/testcellscheduler.cpp
@@ -452,6 +452,25 @@
     CHECK_TRUE(cell.state("b") == CellJobState::Succeeded);
 }
 
+// Guards against a gang that waits for its allowed workers while others stand idle (pattern: wide gang on a large cell).
+TEST(CellSchedulerAdvice, AsksAboutFurtherWorkersWhenTheAllowedOnesAreFull)
+{
+    FakeCell cell(130);
+    cell.addRoute("advised", 1, AdviceTerms{100, 1, Duration(2500)});
+    for (int i = 0; i < 130; ++i) {
+        if (i % 3 == 0 || i > 110) {
+            cell.goodWorkers.insert(cell.worker(i).info.id);
+        }
+    }
+    cell.lead();
+    cell.run(Duration(300));
+    CellJob wide = cellJob("wide", 45, 4000, Duration(500), "advised");
+    wide.steps[0].gang = true;
+    cell.submit(wide);
+    cell.run(Duration(4000));
+    CHECK_TRUE(cell.state("wide") == CellJobState::Succeeded);
+}
+
 TEST_GROUP(CellSchedulerLoad){};
 
 // Guards against urgent callers that wait behind batch work that came first (pattern: urgent burst on a busy cell).
