Refuse what can't be started in time; put useless work last

Change: the predicted wait also follows from waiting tasks and starts a second; jobs are refused from 0.8 of their late limit on; work past its late limit goes after late work; a round considers the first 160 steps and 80 others by turns.

Ruled out: the store and the policy service's lanes (most were idle).

Measured: RefusesWhatCanNotBeStartedInTime fails before, passes after.

--- a/src/cell/celljob.h
+++ b/src/cell/celljob.h
@@ -17,6 +17,7 @@
 
 constexpr int maxTasksPerStep = 2000; ///< Bounds the memory that one job can take.
 constexpr int maxStepsPerJob = 64;
+constexpr int objectiveToLateLimit = 3; ///< A job that ends later than three times its objective helps nobody.
 
 /// What every task of a step needs.
 struct StepSpec {
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr int lateTier = 50; // Work that can still be on time goes before work that is late.
+constexpr int uselessTier = 70; // Work that ends too late to help anybody goes after work that is late.
+constexpr std::size_t firstSteps = 160; // Considered in every round, in their order.
+constexpr std::size_t turnSteps = 80; // Of the others, considered by turns, so that a backlog does not cost more than its head.
 constexpr int excessTier = 100; // Work beyond a workspace's rate goes last.
 constexpr Duration fullPassInterval{50}; // Steps without news about their workers are considered again after this time.
 constexpr Duration ticketMargin{60}; // A start has to reach the worker before its ticket runs out.
@@ -87,7 +90,9 @@
     }
     const TimePoint latestStart = onTimeBy - rest;
     int tier = route != nullptr ? route->priority : 0;
-    tier += now > latestStart && !step.spec->longRunning ? lateTier : 0;
+    if (now > latestStart && !step.spec->longRunning) {
+        tier += now + rest > entry.lateBy + entry.job.interval * step.ref.occurrence ? uselessTier : lateTier;
+    }
     tier += entry.excess ? excessTier : 0;
     return {tier, latestStart};
 }
@@ -179,6 +184,14 @@
     }
     std::sort(
         ordered.begin(), ordered.end(), [](const auto &a, const auto &b) { return a.first != b.first ? a.first < b.first : a.second->ref < b.second->ref; });
+    if (ordered.size() > firstSteps + turnSteps) {
+        const std::size_t others = ordered.size() - firstSteps;
+        m_nextTurn %= others;
+        const auto tail = ordered.begin() + static_cast<std::ptrdiff_t>(firstSteps);
+        std::rotate(tail, tail + static_cast<std::ptrdiff_t>(m_nextTurn), ordered.end());
+        ordered.resize(firstSteps + turnSteps);
+        m_nextTurn += turnSteps;
+    }
     Pass pass{orders, time, {}, 0, {}};
     for (const auto &[key, step] : ordered) {
         const bool news = needsAttention(*step);
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -26,8 +26,12 @@
 constexpr std::int64_t workUnit = 1000; // workOf() counts core milliseconds, the sum thousandths of these.
 constexpr Duration loadInterval{50}; // The waiting work is summed up at most so often.
 constexpr Duration runCheckInterval{20}; // Repeats of starts, stops and leases are looked at so often.
+constexpr Duration rateInterval{250}; // Starts are counted over spans of this length.
+constexpr double rateMemory = 0.7; // Of the earlier rate, when a new span is added.
+constexpr double slowestRate = 100; // Starts a second that are assumed at least.
+constexpr int backlogTasks = 150; // With fewer waiting tasks their number does not predict a wait.
+constexpr double admissionMargin = 0.8; // Of the time that is left before a job helps nobody: predictions are rough.
 constexpr Duration busyWait{400}; // Predicted wait from which on a workspace is held to its rate.
-constexpr int objectiveToLateLimit = 3; // A job that ends later than three times its objective helps nobody.
 
 } // namespace
 
@@ -147,7 +151,7 @@
     const Duration latest = objective * objectiveToLateLimit - Duration(static_cast<std::int64_t>(chain));
     if (excess && wait > busyWait) {
         decision.verdict = AdmissionVerdict::OverRate;
-    } else if (wait > latest) {
+    } else if (wait > Duration(static_cast<std::int64_t>(static_cast<double>(latest.count()) * admissionMargin))) {
         decision.verdict = AdmissionVerdict::Busy;
     }
     if (decision.verdict != AdmissionVerdict::Admitted) {
@@ -170,6 +174,7 @@
     if (m_waitingWorkAt == TimePoint() || now - m_waitingWorkAt >= loadInterval) {
         m_waitingWorkAt = now;
         m_waitingWork.clear();
+        m_waitingTasks.clear();
         m_capacity = 0;
         for (const auto &[id, worker] : m_workers.all()) {
             m_capacity += worker.registered && !worker.info.draining ? worker.info.capacity.cpu.value() : 0;
@@ -177,7 +182,10 @@
         for (const auto &[id, entry] : m_jobs.open()) {
             const CellRoute *route = m_config ? m_config->route(entry->job.route) : nullptr;
             for (const auto &step : entry->steps) {
-                m_waitingWork[route != nullptr ? route->priority : 0] += step->waiting * step->spec->demand.cpu.value() * step->spec->estimate.count();
+                const int level = route != nullptr ? route->priority : 0;
+                m_waitingWork[level] += step->waiting * step->spec->demand.cpu.value() * step->spec->estimate.count();
+                const bool isReady = step->readySince != TimePoint() && now < entry->lateBy;
+                m_waitingTasks[level] += isReady ? step->waiting : 0;
             }
         }
     }
@@ -185,7 +193,26 @@
     for (const auto &[level, waiting] : m_waitingWork) {
         work += level <= priority ? waiting : 0;
     }
-    return m_capacity > 0 ? Duration(static_cast<std::int64_t>(static_cast<double>(work) / static_cast<double>(m_capacity) * busyFactor)) : Duration(0);
+    std::int64_t tasks = 0;
+    for (const auto &[level, waiting] : m_waitingTasks) {
+        tasks += level <= priority ? waiting : 0;
+    }
+    const double byRoom = m_capacity > 0 ? static_cast<double>(work) / static_cast<double>(m_capacity) * busyFactor : 0;
+    // The leader itself or the policy service can be what holds starts up.
+    const double byRate = tasks > backlogTasks ? static_cast<double>(tasks) / std::max(m_startRate, slowestRate) * 1000 : 0;
+    return Duration(static_cast<std::int64_t>(std::max(byRoom, byRate)));
+}
+
+void CellScheduler::measureRate(TimePoint now)
+{
+    if (now < m_rateFrom + rateInterval) {
+        return;
+    }
+    const double span = static_cast<double>((now - m_rateFrom).count()) / 1000;
+    const double rate = static_cast<double>(m_counters.starts - m_rateStarts) / span;
+    m_startRate = m_rateFrom == TimePoint() ? 0 : std::max(m_startRate * rateMemory + rate * (1 - rateMemory), rate);
+    m_rateFrom = now;
+    m_rateStarts = m_counters.starts;
 }
 
 void CellScheduler::onJobStored(const CellJob &job, const CellTime &time)
@@ -553,6 +580,7 @@
         acknowledgeEnds();
     }
     driveWorkers(orders, time, checkRuns);
+    measureRate(time.now);
     if (m_loaded && m_config) {
         settleUnlocated(time.now);
         place(orders, time);
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -186,6 +186,7 @@
     void settleUnlocated(TimePoint now);
     [[nodiscard]] std::pair<int, TimePoint> orderKey(const StepRun &step, TimePoint now) const;
     [[nodiscard]] Duration predictedWait(int priority, TimePoint now);
+    void measureRate(TimePoint now);
     [[nodiscard]] bool needsAttention(const StepRun &step) const;
 
     CellSchedulerSettings m_settings;
@@ -213,6 +214,11 @@
     bool m_endsStored = false; ///< Progress was stored since ends were last acknowledged.
     std::uint64_t m_askOrder = 0; ///< Varies which of equally free workers a step asks about.
     std::map<int, std::int64_t> m_waitingWork; ///< Core milliseconds that wait, by priority, as of m_waitingWorkAt.
+    std::map<int, std::int64_t> m_waitingTasks; ///< Ready tasks that wait and still help somebody, by priority, as of m_waitingWorkAt.
+    double m_startRate = 0; ///< Starts a second: of the last span, or the mean of the last few if that is higher.
+    TimePoint m_rateFrom;
+    std::uint64_t m_rateStarts = 0;
+    std::size_t m_nextTurn = 0; ///< Where the steps begin that get a turn behind the first ones.
     std::int64_t m_capacity = 0; ///< Thousandths of a core of all workers, as of m_waitingWorkAt.
     TimePoint m_waitingWorkAt;
     TimePoint m_nextRunCheck;
--- a/src/cell/jobtable.cpp
+++ b/src/cell/jobtable.cpp
@@ -42,7 +42,9 @@
     entry->submitted = now - Duration(age);
     const auto chain = static_cast<double>(longestChain(job.steps).count());
     const TimePoint due = job.occurrences > 0 ? now + Duration(job.firstRunUnixMs - unixNowMs) : entry->submitted;
-    entry->onTimeBy = due + Duration(static_cast<std::int64_t>(chain * rules.stretch)) + rules.targetLatency;
+    const Duration objective = Duration(static_cast<std::int64_t>(chain * rules.stretch)) + rules.targetLatency;
+    entry->onTimeBy = due + objective;
+    entry->lateBy = due + objective * objectiveToLateLimit;
     JobEntry &added = *entry;
     m_jobs.emplace(job.id, std::move(entry));
     m_open.emplace(job.id, &added);
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -91,6 +91,7 @@
     std::map<std::pair<int, int>, StepProgress> finishedSteps; ///< Progress of occurrences that are done.
     TimePoint submitted;
     TimePoint onTimeBy; ///< Objective of the first occurrence.
+    TimePoint lateBy; ///< By then the first occurrence is so late that it helps nobody.
     bool excess = false; ///< Beyond the workspace's rate: served after the others.
     TimePoint admittedAt; ///< When this process first heard of it.
     TimePoint endedAt;
--- a/test/cell/testcellscheduler.cpp
+++ b/test/cell/testcellscheduler.cpp
@@ -486,3 +486,34 @@
     cell.run(Duration(1500));
     CHECK_TRUE(cell.state("urgent") == CellJobState::Succeeded);
 }
+
+// Guards against a backlog of late work that keeps the rest from being on time (pattern: burst far above what can be started).
+TEST(CellSchedulerLoad, ServesNewWorkOnTimeWhileABacklogIsTooLateToHelpAnybody)
+{
+    FakeCell cell(2);
+    cell.lead();
+    cell.run(Duration(200));
+    for (int i = 0; i < 60; ++i) {
+        cell.submit(cellJob("old" + std::to_string(i), 2, 1000, Duration(700)));
+    }
+    cell.run(Duration(9500));
+    cell.submit(cellJob("new", 2, 1000, Duration(700)));
+    cell.run(Duration(2600));
+    CHECK_TRUE(cell.state("new") == CellJobState::Succeeded);
+}
+
+// Guards against jobs that are admitted though the leader can't start them in time (pattern: hot tenant and burst together).
+TEST(CellSchedulerLoad, RefusesWhatCanNotBeStartedInTime)
+{
+    FakeCell cell(400);
+    cell.config->workspaces[0].weight = 100000;
+    cell.addRoute("advised", 0, AdviceTerms{400, 1, Duration(2500)});
+    cell.lead();
+    cell.run(Duration(300));
+    int refused = 0;
+    for (int i = 0; i < 300; ++i) {
+        refused += cell.submit(cellJob("job" + std::to_string(i), 4, 1000, Duration(300), "advised")) == AdmissionVerdict::Busy ? 1 : 0;
+        cell.run(Duration(5));
+    }
+    CHECK_TRUE(refused > 0);
+}
