Bound what a change of leader holds back; renew tickets less often

Change: hidden usage is at most what the silent workers can hold; a step whose renewed tickets led to no start waits 0.4 s, doubled up to 3.2 s, before the next renewal.

Measured: CountsNoMoreThanTheSilentWorkersCanHold fails before, passes after.

--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -26,6 +26,8 @@
 constexpr std::uint64_t shuffleRange = 1000003;
 constexpr Duration adviceRetry{150};
 constexpr Duration overrunStep{200}; // A run past its expected end is expected to go on for about this time.
+constexpr Duration renewalPause{400}; // Between two renewals of a step's tickets; doubled until the step starts a task.
+constexpr int longestRenewalDoublings = 3;
 constexpr Duration repairTerm{1200}; // A member of a gang that was refused may go to another worker for so long.
 constexpr Duration longWait{3000}; // A ready step that waits longer is mentioned in the log.
 constexpr int mostLongWaits = 5; // In one second, the oldest first.
@@ -167,7 +169,7 @@
 void CellScheduler::place(CellOrders &orders, const CellTime &time)
 {
     m_workers.noteUsable(time.now);
-    countHiddenUsage();
+    countHiddenUsage(time.now);
     const bool isFullPass = m_nextFullPass <= time.now;
     if (isFullPass) {
         m_nextFullPass = time.now + fullPassInterval;
@@ -215,13 +217,15 @@
     }
 }
 
-void CellScheduler::countHiddenUsage()
+void CellScheduler::countHiddenUsage(TimePoint now)
 {
     m_hiddenUsage.clear();
     if (m_lapsedBy == TimePoint()) {
         return;
     }
-    // Every task of an older job may run on a worker that has not answered yet, and counts against its workspace's maximum.
+    // Tasks of older jobs may run on workers that have not answered yet, and count against their workspaces' maximum as far as
+    // these workers can hold them.
+    const Resources hiddenRoom = m_workers.hiddenCapacity(now);
     for (const auto &[id, entry] : m_jobs.open()) {
         for (const auto &step : entry->steps) {
             if (entry->unlocated && step->readySince != TimePoint()) {
@@ -229,6 +233,9 @@
             }
         }
     }
+    for (auto &[workspace, usage] : m_hiddenUsage) {
+        usage = usage.limitedTo(hiddenRoom);
+    }
 }
 
 RunNumber CellScheduler::nextRun(const CellTask &task) const
@@ -256,6 +263,7 @@
     m_usage[added.workspace] += added.demand;
     step.expectedEnd = std::max(step.expectedEnd, added.expectedEnd);
     m_jobs.onStarted(step, index, run, pass.time.now);
+    step.advice.renewals = 0;
     ++m_counters.starts;
 }
 
@@ -310,7 +318,7 @@
     }
     if (!stale.empty()) {
         stale.resize(std::min(stale.size(), renewedAtOnce));
-        requestAdviceFor(step, stale, now);
+        renewTickets(step, stale, now);
     } else {
         requestAdvice(step, now);
     }
@@ -420,8 +428,19 @@
         workers.push_back(m_workers.at(worker)->info.id);
     }
     if (stale && needed <= now + adviceTerms(step)->callDuration(workers.size()) + renewAhead) {
-        requestAdviceFor(step, workers, now);
+        renewTickets(step, workers, now);
+    }
+}
+
+void CellScheduler::renewTickets(StepRun &step, const std::vector<WorkerId> &workers, TimePoint now)
+{
+    if (step.advice.inFlight || step.advice.nextRenewal > now) {
+        return;
     }
+    // The policy service is slow: a step whose renewed tickets did not lead to a start waits longer each time.
+    const int doublings = std::min(step.advice.renewals++, longestRenewalDoublings);
+    step.advice.nextRenewal = now + renewalPause * (1 << doublings);
+    requestAdviceFor(step, workers, now);
 }
 
 bool CellScheduler::askFurther(StepRun &step, int missing, TimePoint now)
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -165,12 +165,13 @@
     void placeTasks(StepRun &step, Pass &pass);
     void placeGang(StepRun &step, Pass &pass);
     void renewForGang(StepRun &step, const GangForecast &forecast, const std::vector<WorkerRoom> &rooms, TimePoint now);
+    void renewTickets(StepRun &step, const std::vector<WorkerId> &workers, TimePoint now);
     bool askFurther(StepRun &step, int missing, TimePoint now);
     void limitToAllowed(const StepRun &step, std::vector<WorkerRoom> &rooms, const Pass &pass) const;
     void repairGang(StepRun &step, Pass &pass);
     void reserveForGang(StepRun &step, const std::vector<WorkerRoom> &rooms, Pass &pass);
     void startTask(StepRun &step, int index, Worker &worker, RunNumber run, Pass &pass);
-    void countHiddenUsage();
+    void countHiddenUsage(TimePoint now);
     [[nodiscard]] RunNumber nextRun(const CellTask &task) const;
     [[nodiscard]] std::vector<WorkerRoom> roomsFor(StepRun &step, Pass &pass, bool needTicket);
     void addRoom(const StepRun &step, const Worker &worker, Pass &pass, std::vector<WorkerRoom> &rooms) const;
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -28,6 +28,8 @@
     std::set<WorkerIndex> asked; ///< Workers that were named in an answered call.
     bool inFlight = false;
     TimePoint nextCall; ///< No call before this.
+    TimePoint nextRenewal; ///< No renewal of tickets before this.
+    int renewals = 0; ///< Since the step last started a task.
 
     [[nodiscard]] Ticket *find(WorkerIndex worker);
     void put(Ticket ticket);
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -520,6 +520,23 @@
     }
 }
 
+Resources WorkerTable::hiddenCapacity(TimePoint now) const
+{
+    Resources largest;
+    for (const auto &[id, worker] : m_workers) {
+        largest.cpu = std::max(largest.cpu, worker.info.capacity.cpu);
+        largest.memory = std::max(largest.memory, worker.info.capacity.memory);
+        largest.accelerators = std::max(largest.accelerators, worker.info.capacity.accelerators);
+    }
+    Resources sum;
+    for (const auto &[id, worker] : m_workers) {
+        if (!worker.inventoried && worker.presumedDead > now) {
+            sum += worker.info.capacity.isZero() ? largest : worker.info.capacity;
+        }
+    }
+    return sum;
+}
+
 bool WorkerTable::mayHideRuns(TimePoint now) const
 {
     return std::any_of(m_workers.begin(), m_workers.end(), [now](const auto &entry) { return !entry.second.inventoried && entry.second.presumedDead > now; });
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -185,6 +185,8 @@
     void advanceAcknowledged(Worker &worker, const std::function<bool(const UnacknowledgedEnd &)> &isStored);
     /// True while a worker of an earlier leadership might still run tasks that nobody listed.
     [[nodiscard]] bool mayHideRuns(TimePoint now) const;
+    /// What such workers can hold at most; the size of the largest known worker is taken where it is not known.
+    [[nodiscard]] Resources hiddenCapacity(TimePoint now) const;
 
 private:
     void beginLife(Worker &worker, WorkerLife life, std::vector<RunEvent> &events);
--- a/src/node/cellrows.cpp
+++ b/src/node/cellrows.cpp
@@ -98,7 +98,7 @@
     m_timers.emplace(id, std::move(timer));
 }
 
-void CellRows::admit(const CellJob &job, TimePoint deadline, std::function<void(AdmitOutcome)> callback)
+void CellRows::admit(const CellJob &job, TimePoint deadline, const std::function<void(AdmitOutcome)> &callback)
 {
     admitOnce(job, deadline, false, callback);
 }
@@ -128,7 +128,7 @@
     });
 }
 
-void CellRows::cancel(const JobId &id, TimePoint deadline, std::function<void(bool)> callback)
+void CellRows::cancel(const JobId &id, TimePoint deadline, const std::function<void(bool)> &callback)
 {
     cancelOnce(id, deadline, callback);
 }
@@ -151,7 +151,7 @@
     });
 }
 
-void CellRows::readState(const JobId &id, Duration timeout, std::function<void(const StoredState &)> callback)
+void CellRows::readState(const JobId &id, Duration timeout, const std::function<void(const StoredState &)> &callback)
 {
     const std::string part = partOf(id);
     const TimePoint deadline = m_loop.now() + timeout;
@@ -193,10 +193,10 @@
     std::function<void(std::optional<StoredJobs>)> callback;
 };
 
-void CellRows::loadAll(std::function<void(std::optional<StoredJobs>)> callback)
+void CellRows::loadAll(const std::function<void(std::optional<StoredJobs>)> &callback)
 {
     auto load = std::make_shared<Load>();
-    load->callback = std::move(callback);
+    load->callback = callback;
     loadNext(load);
 }
 
@@ -239,7 +239,7 @@
     });
 }
 
-void CellRows::readChanges(RowVersion after, std::function<void(bool, const std::vector<JobChange> &, RowVersion)> callback)
+void CellRows::readChanges(RowVersion after, const std::function<void(bool, const std::vector<JobChange> &, RowVersion)> &callback)
 {
     m_store.feed(FeedRead{jobTable, after, Duration(0)}, readTimeout, [callback, after](const StoreAnswer &answer) {
         std::vector<JobChange> changes;
@@ -330,7 +330,7 @@
     }
 }
 
-void CellRows::readWorkers(std::function<void(bool, const std::vector<WorkerId> &)> callback)
+void CellRows::readWorkers(const std::function<void(bool, const std::vector<WorkerId> &)> &callback)
 {
     m_store.read(RangeRead{cellTable, {}, workersKey, std::string(workersKey) + afterSuffixes, 100}, readTimeout, [this, callback](const StoreAnswer &answer) {
         std::vector<WorkerId> ids;
@@ -346,7 +346,7 @@
     });
 }
 
-void CellRows::writeWorkers(Epoch epoch, const std::vector<WorkerId> &ids, std::function<void(bool)> callback)
+void CellRows::writeWorkers(Epoch epoch, const std::vector<WorkerId> &ids, const std::function<void(bool)> &callback)
 {
     CellWire::WorkersRow row;
     for (const WorkerId &id : ids) {
@@ -368,7 +368,7 @@
     });
 }
 
-void CellRows::readLeader(std::function<void(bool, const std::optional<LeaderRecord> &, RowVersion)> callback)
+void CellRows::readLeader(const std::function<void(bool, const std::optional<LeaderRecord> &, RowVersion)> &callback)
 {
     const std::string key = leaderKey;
     m_store.read(RangeRead{cellTable, {}, key, key + afterSuffixes, 1}, readTimeout, [callback](const StoreAnswer &answer) {
@@ -382,7 +382,7 @@
 
 void CellRows::writeLeader(const LeaderRecord &record,
                            RowVersion expected,
-                           std::function<void(StoreOutcome, const std::optional<LeaderRecord> &, RowVersion)> callback)
+                           const std::function<void(StoreOutcome, const std::optional<LeaderRecord> &, RowVersion)> &callback)
 {
     const RowKey key{cellTable, {}, leaderKey};
     Transaction transaction;
--- a/src/node/cellrows.h
+++ b/src/node/cellrows.h
@@ -53,13 +53,13 @@
     CellRows(EventLoop &loop, TableStore &store, int parts = 4);
 
     /// Retries until @p deadline.
-    void admit(const CellJob &job, TimePoint deadline, std::function<void(AdmitOutcome)> callback);
-    void cancel(const JobId &id, TimePoint deadline, std::function<void(bool stored)> callback);
-    void readState(const JobId &id, Duration timeout, std::function<void(const StoredState &)> callback);
+    void admit(const CellJob &job, TimePoint deadline, const std::function<void(AdmitOutcome)> &callback);
+    void cancel(const JobId &id, TimePoint deadline, const std::function<void(bool stored)> &callback);
+    void readState(const JobId &id, Duration timeout, const std::function<void(const StoredState &)> &callback);
     /// Empty if a read failed.
-    void loadAll(std::function<void(std::optional<StoredJobs>)> callback);
+    void loadAll(const std::function<void(std::optional<StoredJobs>)> &callback);
     /// Changes since @p after; empty if the history is gone or the store did not answer.
-    void readChanges(RowVersion after, std::function<void(bool historyGone, const std::vector<JobChange> &, RowVersion)> callback);
+    void readChanges(RowVersion after, const std::function<void(bool historyGone, const std::vector<JobChange> &, RowVersion)> &callback);
 
     /// Writes progress; each job is reported once. A final state removes the job's other rows.
     /// @p stored: the write took effect, or the row already has a final state, which is passed along.
@@ -68,14 +68,14 @@
     /// Forgets the versions of progress rows; to be called when a leadership begins.
     void resetVersions();
 
-    void readWorkers(std::function<void(bool known, const std::vector<WorkerId> &ids)> callback);
+    void readWorkers(const std::function<void(bool known, const std::vector<WorkerId> &ids)> &callback);
     /// Each leadership writes a row of its own, so that a late write of an earlier leader can't hide workers of this one.
-    void writeWorkers(Epoch epoch, const std::vector<WorkerId> &ids, std::function<void(bool stored)> callback);
+    void writeWorkers(Epoch epoch, const std::vector<WorkerId> &ids, const std::function<void(bool stored)> &callback);
 
-    void readLeader(std::function<void(bool known, const std::optional<LeaderRecord> &, RowVersion)> callback);
+    void readLeader(const std::function<void(bool known, const std::optional<LeaderRecord> &, RowVersion)> &callback);
     void writeLeader(const LeaderRecord &record,
                      RowVersion expected,
-                     std::function<void(StoreOutcome, const std::optional<LeaderRecord> &current, RowVersion version)> callback);
+                     const std::function<void(StoreOutcome, const std::optional<LeaderRecord> &current, RowVersion version)> &callback);
 
     /// The part that holds all rows of a job.
     [[nodiscard]] std::string partOf(const JobId &id) const;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -15,7 +15,6 @@
 constexpr Duration beatInterval{200};
 constexpr Duration memberListInterval{1000}; // New daemons learn their peers with such beats.
 constexpr Duration registrationRetry{500};
-constexpr Duration memberSearchInterval{2000};
 constexpr Duration storeTimeout{1000};
 constexpr Duration readyAge{4000}; // Of the configuration: an older one can't be used to check keys.
 const char memberTable[] = "daemons";
--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -145,7 +145,7 @@
             }
         }
         scheduler->finishLoading(now);
-        events.clear();
+        m_events.clear();
         nextRegistry = now;
     }
 
@@ -224,7 +224,7 @@
     /// The start takes effect at @p at, although it got no answer.
     void deliverLate(const StartOrder &order, TimePoint at)
     {
-        events.emplace(at, [this, order] { (void)apply(order); });
+        m_events.emplace(at, [this, order] { (void)apply(order); });
     }
 
     OrderAnswer apply(const StartOrder &order)
@@ -351,18 +351,18 @@
         for (const StartOrder &order : orders.starts) {
             orderEpochs[{order.task, order.run}] = epoch;
             const bool through = workers.at(order.worker).reachable && onStart(order);
-            events.emplace(now + (through ? latency : lost),
-                           [this, order, through] { scheduler->onStartAnswer(order, through ? apply(order) : OrderAnswer{}, time()); });
+            m_events.emplace(now + (through ? latency : lost),
+                             [this, order, through] { scheduler->onStartAnswer(order, through ? apply(order) : OrderAnswer{}, time()); });
         }
         for (const StopOrder &order : orders.stops) {
-            events.emplace(now + latency, [this, order] { answerStop(order); });
+            m_events.emplace(now + latency, [this, order] { answerStop(order); });
         }
         for (const HoldOrder &order : orders.holds) {
-            events.emplace(now + latency + std::min(order.wait, Duration(20)), [this, order, sent = now] { answerHold(order, sent); });
+            m_events.emplace(now + latency + std::min(order.wait, Duration(20)), [this, order, sent = now] { answerHold(order, sent); });
         }
         for (const AdviceCall &call : orders.advice) {
             ++adviceCalls;
-            events.emplace(now + call.duration, [this, call, sent = now] {
+            m_events.emplace(now + call.duration, [this, call, sent = now] {
                 AdviceAnswer answer;
                 answer.answered = true;
                 answer.validity = Duration(2500);
@@ -400,9 +400,9 @@
     {
         now += Duration(5);
         stepWorkers();
-        while (!events.empty() && events.begin()->first <= now) {
-            const auto event = events.begin()->second;
-            events.erase(events.begin());
+        while (!m_events.empty() && m_events.begin()->first <= now) {
+            const auto event = m_events.begin()->second;
+            m_events.erase(m_events.begin());
             event();
         }
         if (nextRegistry <= now) {
@@ -427,7 +427,7 @@
 
     static constexpr Duration latency{2};
     static constexpr Duration lost{400};
-    std::multimap<TimePoint, std::function<void()>> events;
+    std::multimap<TimePoint, std::function<void()>> m_events;
 
 public:
     std::set<WorkerId> hidden; ///< Workers that the registry does not list.
--- a/test/cell/testcellscheduler.cpp
+++ b/test/cell/testcellscheduler.cpp
@@ -400,6 +400,23 @@
     CHECK_EQUAL(4, cell.runningTasks());
 }
 
+// Guards against new work that stands still because one worker is out of reach (pattern: change of leader with a long queue).
+TEST(CellSchedulerTakeover, CountsNoMoreThanTheSilentWorkersCanHold)
+{
+    FakeCell cell(4);
+    cell.config->workspaces[0].maximum.cpu = MilliCores(12000);
+    cell.lead();
+    for (int i = 0; i < 20; ++i) {
+        cell.submit(cellJob("old" + std::to_string(i), 4, 1000, Duration(900)));
+    }
+    cell.run(Duration(800));
+    cell.worker(0).crashed = true;
+    cell.lead(2);
+    cell.submit(cellJob("next", 2, 1000, Duration(500)));
+    cell.run(Duration(3000));
+    CHECK_TRUE(cell.state("next") == CellJobState::Succeeded);
+}
+
 TEST_GROUP(CellSchedulerAdvice){};
 
 // Guards against starts on workers that the policy does not allow.
@@ -517,3 +534,21 @@
     }
     CHECK_TRUE(refused > 0);
 }
+
+// Guards against a slow policy service that is kept busy with tickets nobody uses (pattern: many gangs on a full cell).
+TEST(CellSchedulerLoad, RenewsTicketsLessOftenForGangsThatDoNotStart)
+{
+    FakeCell cell(6);
+    cell.addRoute("advised", 1, AdviceTerms{300, 1, Duration(1500)});
+    cell.duration = [](const StartOrder &order) { return order.task.step.job == JobId("filler") ? Duration(20000) : Duration(500); };
+    cell.lead();
+    cell.submit(cellJob("filler", 6, 3500, Duration(400)));
+    cell.run(Duration(300));
+    for (int i = 0; i < 5; ++i) {
+        CellJob gang = cellJob("gang" + std::to_string(i), 6, 1000, Duration(500), "advised");
+        gang.steps[0].gang = true;
+        cell.submit(gang);
+    }
+    cell.run(Duration(15000));
+    CHECK_TRUE(cell.adviceCalls <= 5 * 8);
+}
--- a/test/node/testrelaystore.cpp
+++ b/test/node/testrelaystore.cpp
@@ -42,7 +42,7 @@
 
 /// One daemon's peers and store.
 struct Daemon {
-    Daemon(EventLoop &loop, const std::string &id, const std::string &address, TableStore &direct, std::vector<std::string> helpers)
+    Daemon(EventLoop &loop, const std::string &id, const std::string &address, TableStore &direct, const std::vector<std::string> &helpers)
     {
         CellMember self;
         self.id = DaemonId(id);
