--- a/src/node/relaystore.cpp
+++ b/src/node/relaystore.cpp
@@ -95,9 +95,14 @@
 void RelayStore::noteDirect(const StoreAnswer &answer)
 {
     const bool reachable = isAnswer(answer.outcome);
-    if (reachable != m_reachable) {
-        logLine(
-            LogPart::Platform, reachable ? LogLevel::Info : LogLevel::Warning, reachable ? "the store answers again" : "the store does not answer this daemon");
+    m_directFailures = reachable ? 0 : m_directFailures + 1;
+    // Single lost answers are common on bad days; only a series of them, and its end, is worth a line.
+    if (m_directFailures == failuresWhenDown && !m_lossLogged) {
+        m_lossLogged = true;
+        logLine(LogPart::Platform, LogLevel::Warning, "the store does not answer this daemon");
+    } else if (reachable && m_lossLogged) {
+        m_lossLogged = false;
+        logLine(LogPart::Platform, LogLevel::Info, "the store answers again");
     }
     m_reachable = reachable;
     m_directAgain = reachable ? TimePoint() : m_loop.now() + directPause;
--- a/src/node/relaystore.h
+++ b/src/node/relaystore.h
@@ -49,6 +49,8 @@
     CellPeers &m_peers;
     std::function<std::vector<std::string>()> m_helpers;
     bool m_reachable = true;
+    int m_directFailures = 0; ///< In a row.
+    bool m_lossLogged = false;
     TimePoint m_directAgain; ///< Until then calls go to peers first.
     std::map<std::string, TimePoint> m_helperAgain; ///< Peers that could not help lately.
     int m_failures = 0; ///< Calls without an answer on either way since the last answer.
