Renew tickets for as many workers as a wide step has tasks waiting

After the first tickets had run out a step renewed eight at a time, with pauses. Change: it renews for as many workers with room as it has tasks waiting, 8 to 100.

--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -19,7 +19,7 @@
 constexpr Duration renewAhead{250}; // Tickets of a gang that could start soon are renewed this much earlier than needed.
 constexpr int mostReservations = 4; // Gangs that hold room back from later work.
 constexpr std::size_t mostNamed = 100; // Workers that one advice call may name.
-constexpr std::size_t renewedAtOnce = 8; // Workers for which single tasks renew their tickets.
+constexpr std::size_t renewedAtLeast = 8; // Workers for which a step of single tasks renews tickets, if so many have room.
 constexpr int spareChoice = 8; // Workers that are asked about beyond what the tasks need.
 constexpr int workersPerTask = 4; // A policy may allow a third of the workers, and some of these are full.
 constexpr std::int64_t roomClass = 2000; // Workers whose room differs by less count as equally free.
@@ -317,7 +317,8 @@
         return;
     }
     if (!stale.empty()) {
-        stale.resize(std::min(stale.size(), renewedAtOnce));
+        // One task may need each of them; more would only keep the policy service busy.
+        stale.resize(std::min({stale.size(), std::max(renewedAtLeast, static_cast<std::size_t>(step.waiting)), mostNamed}));
         renewTickets(step, stale, now);
     } else {
         requestAdvice(step, now);
--- a/test/cell/testcellscheduler.cpp
+++ b/test/cell/testcellscheduler.cpp
@@ -552,3 +552,17 @@
     cell.run(Duration(15000));
     CHECK_TRUE(cell.adviceCalls <= 5 * 8);
 }
+
+// Guards against a wide step that gets a few tickets at a time after its first ones ran out (pattern: wide batch on a large cell).
+TEST(CellSchedulerLoad, RenewsEnoughTicketsForAWideStep)
+{
+    FakeCell cell(60);
+    cell.addRoute("advised", 2, AdviceTerms{200, 1, Duration(1500)});
+    cell.duration = [](const StartOrder &order) { return order.task.step.job == JobId("filler") ? Duration(4000) : Duration(2000); };
+    cell.lead();
+    cell.submit(cellJob("filler", 60, 3500, Duration(400)));
+    cell.run(Duration(300));
+    cell.submit(cellJob("wide", 60, 3000, Duration(2000), "advised"));
+    cell.run(Duration(5700));
+    CHECK_TRUE(cell.runningTasks() >= 50);
+}
