--- /dev/null
+++ b/src/cell/cellruns.cpp
@@ -0,0 +1,353 @@
+// What the workers' answers mean for jobs: ends, losses, runs that were found, health, and the orders that keep workers in touch.
+#include "cellscheduler_p.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr Duration holdPause{6}; // Between two renewals of a worker: ends that come together are read together.
+constexpr Duration unacknowledgedPause{100}; // The longest wait for the store before a worker is asked again.
+constexpr Duration silentHoldPause{250}; // Before a worker that did not answer is asked again.
+constexpr Duration startRepeat{350}; // A start without an answer is repeated on a new connection after this time.
+constexpr int mostStarts = 3; // Orders for one run; then it is stopped, which settles it.
+constexpr Duration unhealthyPause{700}; // A worker that refuses as unhealthy gets no new work for this time.
+constexpr Duration roomPause{400}; // After a refusal for want of room: the worker's own list shows what it runs.
+constexpr Duration unansweredPause{300}; // After a start without an answer; doubled with each further one in a row.
+constexpr int failuresToBlock = 2; // Failed runs of different jobs in a row; a sound worker rarely shows them.
+constexpr Duration firstBlock{1500};
+constexpr int longestBlockDoublings = 3;
+
+} // namespace
+void CellScheduler::onStartAnswer(const StartOrder &order, const OrderAnswer &answer, const CellTime &time)
+{
+    Worker *worker = m_workers.find(order.worker);
+    if (worker == nullptr) {
+        return;
+    }
+    if (answer.outcome != OrderOutcome::Done) {
+        log("task " + order.task.text() + " run " + std::to_string(order.run.value()) + " not started on " + order.worker.value() + ": "
+            + toString(answer.outcome));
+    }
+    if (answer.outcome == OrderOutcome::Unhealthy) {
+        worker->blockedUntil = std::max(worker->blockedUntil, time.now + unhealthyPause);
+    }
+    if (answer.outcome == OrderOutcome::NoAnswer) {
+        const int doublings = std::min(worker->unansweredStarts++, longestBlockDoublings);
+        worker->blockedUntil = std::max(worker->blockedUntil, time.now + unansweredPause * (1 << doublings));
+    } else {
+        worker->unansweredStarts = 0;
+    }
+    if (answer.outcome == OrderOutcome::NoRoom) {
+        worker->blockedUntil = std::max(worker->blockedUntil, time.now + roomPause);
+    }
+    StepRun *step = m_jobs.findStep(order.task.step);
+    Ticket *ticket = step != nullptr ? step->advice.find(worker->index) : nullptr;
+    if (answer.outcome == OrderOutcome::BadTicket && ticket != nullptr) {
+        ticket->validUntil = time.now;
+    }
+    onRunEvents(m_workers.onStartAnswer(order, answer, time.now), time);
+}
+
+void CellScheduler::onStopAnswer(const StopOrder &order, const OrderAnswer &answer, const CellTime &time)
+{
+    onRunEvents(m_workers.onStopAnswer(order, answer, time.now), time);
+}
+
+void CellScheduler::onHoldAnswer(const HoldOrder &order, const HoldView *view, TimePoint sent, const CellTime &time)
+{
+    Worker *worker = m_workers.find(order.worker);
+    if (worker == nullptr) {
+        return;
+    }
+    const bool wasInventoried = worker->inventoried && worker->info.life == order.life;
+    std::vector<FoundRun> found;
+    std::vector<EndedEntry> strays;
+    onRunEvents(m_workers.onHoldAnswer(order, view, sent, time.now, found, strays), time);
+    for (const EndedEntry &end : strays) {
+        onStrayEnd(order.worker, end, time);
+    }
+    for (const FoundRun &run : found) {
+        onFoundRun(run, time);
+    }
+    if (view == nullptr) {
+        worker->nextHold = time.now + silentHoldPause;
+    } else if (!wasInventoried) {
+        worker->nextHold = time.now;
+    } else {
+        // With ends that are not acknowledged a worker answers at once, so the next renewal waits until they are stored.
+        worker->nextHold = time.now + (worker->ends.empty() ? holdPause : unacknowledgedPause);
+    }
+}
+
+void CellScheduler::onRunEvents(const std::vector<RunEvent> &events, const CellTime &time)
+{
+    for (const RunEvent &event : events) {
+        m_usage[event.run.workspace] -= event.run.demand;
+        JobEntry *entry = m_jobs.find(event.run.task.step.job);
+        StepRun *step = m_jobs.findStep(event.run.task.step);
+        if (step != nullptr && event.run.task.index >= static_cast<int>(step->tasks.size())) {
+            step = nullptr; // A run that was found on a worker and that the job does not have.
+        }
+        Worker *worker = m_workers.find(event.worker);
+        if (event.kind == RunEvent::Kind::Ended) {
+            if (entry != nullptr && step != nullptr) {
+                onRunEnded(event, *entry, step, time);
+            }
+            if (worker != nullptr) {
+                storeEndRevision(*worker, event.entry.number, entry);
+            }
+        } else if (event.kind == RunEvent::Kind::Lost) {
+            ++m_counters.lost;
+            log("task " + event.run.task.text() + " run " + std::to_string(event.run.number.value()) + " lost on " + event.worker.value());
+            if (step != nullptr) {
+                m_jobs.onReturned(*step, event.run.task.index, event.run.checkpoint, time.now);
+                breakGang(*step, time.now);
+            }
+        } else {
+            ++m_counters.neverRan;
+            if (step != nullptr && event.refusal == OrderOutcome::OldRun) {
+                step->tasks.at(static_cast<std::size_t>(event.run.task.index)).lastRun = RunNumber(event.run.number.value() + runsSkippedWhenOld);
+            }
+        }
+        if (entry != nullptr) {
+            m_jobs.onRunGone(*entry, step, event.run.task.index);
+        }
+    }
+}
+
+void CellScheduler::onRunEnded(const RunEvent &event, JobEntry &entry, StepRun *step, const CellTime &time)
+{
+    const EndedEntry &end = event.entry;
+    Worker *worker = m_workers.find(event.worker);
+    switch (end.end) {
+    case RunEnd::Succeeded:
+        ++m_counters.succeeded;
+        m_jobs.onSucceeded(*step, end.task.index, time.now, time.unixMs);
+        if (worker != nullptr) {
+            noteHealth(*worker, entry.job.id, true, time.now);
+        }
+        if (step->spec->speculative && !step->spec->gang) {
+            stopTask(*step, end.task.index, time.now);
+        }
+        break;
+    case RunEnd::Failed: {
+        ++m_counters.failed;
+        if (worker != nullptr) {
+            noteHealth(*worker, entry.job.id, false, time.now);
+        }
+        m_jobs.onReturned(*step, end.task.index, std::string(), time.now);
+        const bool failedJob = m_jobs.onFailed(*step, end, event.worker, rulesOf(entry.job.route).attempts, time.now);
+        log("task " + end.task.text() + " run " + std::to_string(end.run.value()) + " failed on " + event.worker.value()
+            + (failedJob ? ": attempts used up, the job has failed" : ""));
+        if (failedJob) {
+            stopRuns(entry.job.id, time.now);
+        }
+        breakGang(*step, time.now);
+        break;
+    }
+    default:
+        ++m_counters.otherEnds;
+        log("task " + end.task.text() + " run " + std::to_string(end.run.value()) + " ended on " + event.worker.value() + ": " + toString(end.end));
+        m_jobs.onReturned(*step, end.task.index, end.checkpoint, time.now);
+        breakGang(*step, time.now);
+        break;
+    }
+}
+
+void CellScheduler::onStrayEnd(const WorkerId &worker, const EndedEntry &end, const CellTime &time)
+{
+    if (!m_loaded) {
+        m_strayEarly.emplace_back(worker, end);
+        return;
+    }
+    JobEntry *entry = m_jobs.find(end.task.step.job);
+    StepRun *step = m_jobs.findStep(end.task.step);
+    if (entry != nullptr && step != nullptr && end.task.index < static_cast<int>(step->tasks.size())) {
+        RunEvent event;
+        event.kind = RunEvent::Kind::Ended;
+        event.worker = worker;
+        event.entry = end;
+        CellTask &task = step->tasks[static_cast<std::size_t>(end.task.index)];
+        task.lastRun = std::max(task.lastRun, end.run, [](RunNumber a, RunNumber b) { return a < b; });
+        const bool wasActive = task.liveRuns > 0;
+        if (end.end == RunEnd::Succeeded || end.end == RunEnd::Failed || !wasActive) {
+            onRunEnded(event, *entry, step, time);
+        }
+        if (end.end == RunEnd::Succeeded && wasActive) {
+            stopTask(*step, end.task.index, time.now);
+        }
+    }
+    if (Worker *holder = m_workers.find(worker)) {
+        storeEndRevision(*holder, end.number, entry);
+    }
+}
+
+void CellScheduler::onFoundRun(const FoundRun &found, const CellTime &time)
+{
+    if (!m_loaded) {
+        m_foundEarly.push_back(found);
+        return;
+    }
+    Worker *worker = m_workers.find(found.worker);
+    if (worker == nullptr || worker->runs.count({found.entry.task, found.entry.run}) > 0) {
+        return;
+    }
+    JobEntry *entry = m_jobs.find(found.entry.task.step.job);
+    StepRun *step = m_jobs.findStep(found.entry.task.step);
+    const bool known = entry != nullptr && step != nullptr && found.entry.task.index < static_cast<int>(step->tasks.size());
+    step = known ? step : nullptr;
+    const Resources demand = known ? step->spec->demand : Resources{};
+    const WorkspaceId workspace = entry != nullptr ? entry->job.workspace : WorkspaceId();
+    Run &run = m_workers.adopt(*worker, found.entry, demand, workspace, time.now);
+    m_usage[workspace] += demand;
+    if (!known) {
+        if (entry != nullptr) {
+            ++entry->liveRuns;
+        }
+        m_workers.requestStop(*worker, run, time.now);
+        return;
+    }
+    run.expectedEnd = time.now + step->spec->estimate / 2;
+    const CellTask &task = step->tasks[static_cast<std::size_t>(found.entry.task.index)];
+    const bool wanted = task.phase == CellTaskPhase::Waiting && task.liveRuns == 0 && entry->outcome == CellJobState::Unknown;
+    m_jobs.onFound(*step, found.entry.task.index, found.entry.run);
+    if (step->spec->gang && wanted) {
+        if (step->gangRun < found.entry.run) {
+            step->gangRun = found.entry.run;
+            step->gangStarted = time.now;
+        }
+    }
+    log("task " + found.entry.task.text() + " run " + std::to_string(found.entry.run.value()) + " found on " + found.worker.value()
+        + (wanted ? ": adopted" : ": obsolete, stopped"));
+    if (!wanted) {
+        m_workers.requestStop(*worker, run, time.now);
+    }
+}
+
+void CellScheduler::noteHealth(Worker &worker, const JobId &job, bool succeeded, TimePoint now)
+{
+    if (succeeded) {
+        worker.failureStreak = 0;
+        worker.lastFailedJob = JobId();
+        return;
+    }
+    if (worker.lastFailedJob == job) {
+        return; // The job may be at fault.
+    }
+    worker.lastFailedJob = job;
+    ++worker.failureStreak;
+    if (worker.failureStreak >= failuresToBlock) {
+        const int doublings = std::min(worker.failureStreak - failuresToBlock, longestBlockDoublings);
+        worker.blockedUntil = std::max(worker.blockedUntil, now + firstBlock * (1 << doublings));
+        log("worker " + worker.info.id.value() + " gets no new work for a while: " + std::to_string(worker.failureStreak)
+            + " failures of different jobs in a row");
+    }
+}
+
+void CellScheduler::breakGang(StepRun &step, TimePoint now)
+{
+    if (!step.spec->gang || step.active == 0 || step.gangBroken) {
+        return;
+    }
+    step.gangBroken = true;
+    for (int i = 0; i < static_cast<int>(step.tasks.size()); ++i) {
+        stopTask(step, i, now);
+    }
+}
+
+void CellScheduler::stopTask(const StepRun &step, int index, TimePoint now)
+{
+    const TaskRef task{step.ref, index};
+    for (auto &[id, worker] : m_workers.all()) {
+        for (auto run = worker.runs.lower_bound({task, RunNumber()}); run != worker.runs.end() && run->first.first == task; ++run) {
+            m_workers.requestStop(worker, run->second, now);
+        }
+    }
+}
+
+void CellScheduler::stopRuns(const JobId &job, TimePoint now)
+{
+    for (auto &[id, worker] : m_workers.all()) {
+        for (auto &[key, run] : worker.runs) {
+            if (run.task.step.job == job) {
+                m_workers.requestStop(worker, run, now);
+            }
+        }
+    }
+}
+
+void CellScheduler::storeEndRevision(Worker &worker, EndNumber number, const JobEntry *entry)
+{
+    for (auto end = worker.ends.rbegin(); end != worker.ends.rend(); ++end) {
+        if (end->number == number) {
+            end->revision = entry != nullptr ? entry->revision : 0;
+            return;
+        }
+    }
+}
+
+void CellScheduler::acknowledgeEnds()
+{
+    if (!m_loaded) {
+        return;
+    }
+    for (auto &[id, worker] : m_workers.all()) {
+        m_workers.advanceAcknowledged(worker, [this](const UnacknowledgedEnd &end) {
+            const JobEntry *entry = m_jobs.find(end.job);
+            return entry == nullptr || entry->storedRevision >= end.revision;
+        });
+    }
+}
+
+void CellScheduler::driveWorkers(CellOrders &orders, const CellTime &time, bool checkRuns)
+{
+    for (auto &[id, worker] : m_workers.all()) {
+        const bool needed = worker.registered || !worker.runs.empty();
+        if (!needed || worker.info.address.empty()) {
+            continue;
+        }
+        if (!worker.holdOpen && worker.nextHold <= time.now) {
+            const bool busy = worker.inventoried && worker.firstSilent == TimePoint();
+            orders.holds.push_back(m_workers.hold(worker, busy ? m_settings.holdWait : Duration(0), time.now));
+            ++m_counters.holds;
+        }
+        if (checkRuns) {
+            repeatStarts(worker, orders, time.now);
+            watchRuns(worker, time.now);
+        }
+    }
+}
+
+void CellScheduler::repeatStarts(Worker &worker, CellOrders &orders, TimePoint now)
+{
+    for (auto &[key, run] : worker.runs) {
+        if (run.phase != RunPhase::Starting || run.startsOpen > 0 || now < run.sentAt + startRepeat * run.startsSent) {
+            continue;
+        }
+        auto repeated = run.startsSent < mostStarts ? m_workers.repeatStart(worker, run, now) : std::nullopt;
+        if (repeated) {
+            orders.starts.push_back(std::move(*repeated));
+        } else {
+            m_workers.requestStop(worker, run, now);
+        }
+    }
+}
+
+void CellScheduler::watchRuns(Worker &worker, TimePoint now)
+{
+    if (!worker.info.draining) {
+        return;
+    }
+    // A task that can go on elsewhere from a checkpoint leaves a draining worker at once.
+    for (auto &[key, run] : worker.runs) {
+        const StepRun *step = m_jobs.findStep(run.task.step);
+        const bool movable = step != nullptr && (step->spec->checkpointing || step->spec->longRunning) && !step->spec->gang;
+        if (run.phase == RunPhase::Running && movable && run.expectedEnd > now + worker.info.remaining) {
+            m_workers.requestStop(worker, run, now);
+        }
+    }
+}
+
+} // namespace KingCupLadder
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -27,7 +27,6 @@
     WorkerLimits workers;
     Duration holdWait{1000}; ///< How long a worker may keep a renewal open; leases are renewed at least that often.
     Duration statusTerm{120000}; ///< How long the state of an ended job can be read.
-    Duration gangTerm{3000}; ///< How long members of a gang wait for each other on the workers.
 };
 
 /// What the scheduler wants sent. The receiver must not send it without a valid leadership.
@@ -139,8 +138,6 @@
     [[nodiscard]] const CellCounters &counters() const;
     [[nodiscard]] const WorkerTable &workers() const;
     [[nodiscard]] std::size_t unfinishedJobs() const;
-    /// A worker has seen a higher fencing token: this leadership is over.
-    [[nodiscard]] bool isFencedOff() const;
 
 private:
     struct Pass;
@@ -195,7 +192,6 @@
     std::shared_ptr<const CellConfig> m_config;
     Epoch m_epoch;
     bool m_loaded = false;
-    bool m_fencedOff = false;
     TimePoint m_lapsedBy;
     JobTable m_jobs;
     WorkerTable m_workers;
--- a/src/cell/cellscheduler_p.h
+++ b/src/cell/cellscheduler_p.h
@@ -10,4 +10,9 @@
 /// A worker that refuses a run as old has seen a higher one; the next run is numbered this much higher.
 constexpr std::uint64_t runsSkippedWhenOld = 1000;
 
+/// A start has to reach the worker before its ticket runs out.
+constexpr Duration ticketMargin{60};
+/// Workers that one advice call may name.
+constexpr std::size_t mostNamed = 100;
+
 } // namespace KingCupLadder
