--- a/src/cell/advicedesk.cpp
+++ b/src/cell/advicedesk.cpp
@@ -99,15 +99,6 @@
     return expired;
 }
 
-Duration AdviceDesk::backlog() const
-{
-    Duration sum{0};
-    for (const auto &[key, call] : m_waiting) {
-        sum += call.duration;
-    }
-    return m_lanes.empty() ? sum : sum / static_cast<std::int64_t>(m_lanes.size());
-}
-
 void AdviceDesk::clear()
 {
     m_waiting.clear();
--- a/src/cell/advicedesk.h
+++ b/src/cell/advicedesk.h
@@ -33,8 +33,6 @@
     [[nodiscard]] std::optional<AdviceCall> finish(std::uint64_t id);
     /// Calls whose answers are overdue; they are forgotten here.
     [[nodiscard]] std::vector<AdviceCall> expire(TimePoint now);
-    /// How long a new call of the priority would wait for a lane, about.
-    [[nodiscard]] Duration backlog() const;
     void clear();
 
 private:
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -135,7 +135,7 @@
     if (!worker.wasUsable || !isEligible(step, worker)) {
         return;
     }
-    WorkerRoom room{worker.index, worker.free(), INT_MAX, worker.speed, nullptr};
+    WorkerRoom room{worker.index, worker.free(), INT_MAX, nullptr};
     if (step.spec->maxPerWorker > 0) {
         const auto first = worker.runs.lower_bound({TaskRef{step.ref, 0}, RunNumber()});
         int present = 0;
--- a/src/cell/placementplan.cpp
+++ b/src/cell/placementplan.cpp
@@ -62,7 +62,7 @@
     const auto roomsAt = [&rooms, &releasesOf](TimePoint at) {
         std::vector<WorkerRoom> later;
         for (const WorkerRoom &room : rooms) {
-            WorkerRoom copy{room.worker, room.free, room.maxTasks, room.speed, nullptr};
+            WorkerRoom copy{room.worker, room.free, room.maxTasks, nullptr};
             for (const Release &release : releasesOf(room)) {
                 if (release.at <= at) {
                     copy.free += release.amount;
--- a/src/cell/placementplan.h
+++ b/src/cell/placementplan.h
@@ -24,7 +24,6 @@
     std::size_t worker = 0; ///< Index of the worker.
     Resources free;
     int maxTasks = 0; ///< How many more tasks of the step may run there, apart from room.
-    double speed = 1;
     const std::vector<Release> *releases = nullptr; ///< In order of time; null: none.
 };
 
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -279,16 +279,25 @@
     return run.order;
 }
 
-std::vector<RunEvent> WorkerTable::onStartAnswer(const StartOrder &order, const OrderAnswer &answer, TimePoint now)
+Worker *WorkerTable::answering(const WorkerId &id, WorkerLife life, const OrderAnswer &answer, TimePoint now)
 {
-    std::vector<RunEvent> events;
-    Worker *worker = find(order.worker);
-    if (worker == nullptr || worker->info.life != order.life) {
-        return events;
+    Worker *worker = find(id);
+    if (worker == nullptr || worker->info.life != life) {
+        return nullptr;
     }
     if (answer.clock > 0) {
         worker->clock.observe(answer.clock, now);
     }
+    return worker;
+}
+
+std::vector<RunEvent> WorkerTable::onStartAnswer(const StartOrder &order, const OrderAnswer &answer, TimePoint now)
+{
+    std::vector<RunEvent> events;
+    Worker *worker = answering(order.worker, order.life, answer, now);
+    if (worker == nullptr) {
+        return events;
+    }
     const auto found = worker->runs.find({order.task, order.run});
     if (found == worker->runs.end()) {
         return events;
@@ -346,13 +355,10 @@
 std::vector<RunEvent> WorkerTable::onStopAnswer(const StopOrder &order, const OrderAnswer &answer, TimePoint now)
 {
     std::vector<RunEvent> events;
-    Worker *worker = find(order.worker);
-    if (worker == nullptr || worker->info.life != order.life) {
+    Worker *worker = answering(order.worker, order.life, answer, now);
+    if (worker == nullptr) {
         return events;
     }
-    if (answer.clock > 0) {
-        worker->clock.observe(answer.clock, now);
-    }
     const auto found = worker->runs.find({order.task, order.run});
     if (found == worker->runs.end()) {
         return events;
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -108,7 +108,6 @@
     int unansweredStarts = 0; ///< In a row.
     std::uint64_t changedAt = 1; ///< Count of changes when room here last grew or the worker last became usable.
     bool wasUsable = false; ///< At the last call of noteUsable().
-    double speed = 1; ///< Estimated work per time relative to a usual worker.
 
     [[nodiscard]] Resources free() const
     {
@@ -197,6 +196,8 @@
 
     WorkerLimits m_limits;
     [[nodiscard]] Worker &obtain(const WorkerId &id);
+    /// The worker to which an order was sent, with the clock of the answer noted; null if it is gone or has another life.
+    [[nodiscard]] Worker *answering(const WorkerId &id, WorkerLife life, const OrderAnswer &answer, TimePoint now);
 
     std::map<WorkerId, Worker> m_workers;
     std::vector<Worker *> m_byIndex; ///< Into m_workers; null for forgotten workers.
--- a/src/node/rowcodec.cpp
+++ b/src/node/rowcodec.cpp
@@ -83,23 +83,6 @@
 
 } // namespace
 
-const char *toString(StoreOutcome outcome)
-{
-    switch (outcome) {
-    case StoreOutcome::Done:
-        return "done";
-    case StoreOutcome::Conflict:
-        return "conflict";
-    case StoreOutcome::NotDone:
-        return "refused";
-    case StoreOutcome::Unknown:
-        return "no answer";
-    case StoreOutcome::HistoryGone:
-        return "history gone";
-    }
-    return "unknown";
-}
-
 CellWire::JobRow toWire(const CellJob &job)
 {
     CellWire::JobRow row;
--- a/src/node/tablestore.h
+++ b/src/node/tablestore.h
@@ -66,7 +66,6 @@
     Unknown, ///< It may have been done, or may be done later if its conditions still hold.
     HistoryGone, ///< Feeds only: the changes after that version are not kept any more.
 };
-[[nodiscard]] const char *toString(StoreOutcome outcome);
 
 struct StoreAnswer {
     StoreOutcome outcome = StoreOutcome::Unknown;
