--- a/src/cell/advicedesk.cpp
+++ b/src/cell/advicedesk.cpp
@@ -99,6 +99,16 @@
     return expired;
 }
 
+std::size_t AdviceDesk::waitingCalls() const
+{
+    return m_waiting.size();
+}
+
+std::size_t AdviceDesk::openCalls() const
+{
+    return m_open.size();
+}
+
 void AdviceDesk::clear()
 {
     m_waiting.clear();
--- a/src/cell/advicedesk.h
+++ b/src/cell/advicedesk.h
@@ -34,6 +34,8 @@
     /// Calls whose answers are overdue; they are forgotten here.
     [[nodiscard]] std::vector<AdviceCall> expire(TimePoint now);
     void clear();
+    [[nodiscard]] std::size_t waitingCalls() const;
+    [[nodiscard]] std::size_t openCalls() const;
 
 private:
     struct Lane {
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -19,9 +19,20 @@
 constexpr std::size_t renewedAtLeast = 8; // Workers for which a step of single tasks renews tickets, if so many have room.
 constexpr Duration overrunStep{200}; // A run past its expected end is expected to go on for about this time.
 constexpr Duration repairTerm{1200}; // A member of a gang that was refused may go to another worker for so long.
+constexpr Duration maximumSettles{15000}; // Longer than a lease: an earlier leader knew no other maximum.
 constexpr Duration longWait{3000}; // A ready step that waits longer is mentioned in the log.
 constexpr int mostLongWaits = 5; // In one second, the oldest first.
 
+/// What is left of @p maximum beside @p used; a kind without a maximum has no limit.
+Resources remainder(const Resources &maximum, const Resources &used)
+{
+    Resources left = (maximum - used).clampedToZero();
+    left.cpu = maximum.cpu.value() > 0 ? left.cpu : MilliCores(INT64_MAX);
+    left.memory = maximum.memory.value() > 0 ? left.memory : MebiBytes(INT64_MAX);
+    left.accelerators = maximum.accelerators.value() > 0 ? left.accelerators : Accelerators(INT64_MAX);
+    return left;
+}
+
 } // namespace
 
 /// One round of placement.
@@ -111,26 +122,28 @@
     return cpu && memory && accelerators;
 }
 
-std::vector<WorkerRoom> CellScheduler::roomsFor(StepRun &step, Pass &pass, bool needTicket)
+std::vector<WorkerRoom> CellScheduler::roomsFor(StepRun &step, Pass &pass, RoomsOf choice)
 {
+    const bool withReleases = choice == RoomsOf::AllowedWorkersLater;
     std::vector<WorkerRoom> rooms;
     if (adviceTerms(step) != nullptr) {
         rooms.reserve(step.advice.good.size());
         for (const Ticket &ticket : step.advice.good) {
-            const Worker *worker = !needTicket || ticket.validUntil >= pass.time.now + ticketMargin ? m_workers.at(ticket.worker) : nullptr;
+            const bool counts = choice != RoomsOf::TicketedWorkers || ticket.validUntil >= pass.time.now + ticketMargin;
+            const Worker *worker = counts ? m_workers.at(ticket.worker) : nullptr;
             if (worker != nullptr) {
-                addRoom(step, *worker, pass, rooms);
+                addRoom(step, *worker, pass, withReleases, rooms);
             }
         }
         return rooms;
     }
     for (const auto &[id, worker] : m_workers.all()) {
-        addRoom(step, worker, pass, rooms);
+        addRoom(step, worker, pass, withReleases, rooms);
     }
     return rooms;
 }
 
-void CellScheduler::addRoom(const StepRun &step, const Worker &worker, Pass &pass, std::vector<WorkerRoom> &rooms) const
+void CellScheduler::addRoom(const StepRun &step, const Worker &worker, Pass &pass, bool withReleases, std::vector<WorkerRoom> &rooms) const
 {
     if (!worker.wasUsable || !isEligible(step, worker)) {
         return;
@@ -144,7 +157,10 @@
         }
         room.maxTasks = std::max(step.spec->maxPerWorker - present, 0);
     }
-    room.releases = &pass.releasesOf(worker);
+    // Sorting the runs of every worker would cost more than the rest of a round.
+    if (withReleases || pass.reservations.concern(worker.index)) {
+        room.releases = &pass.releasesOf(worker);
+    }
     rooms.push_back(room);
 }
 
@@ -184,6 +200,10 @@
             requestAdvice(*step, time.now);
             continue;
         }
+        if (!mayStart(*step->job)) {
+            step->triedAt = 0; // To be considered as soon as the leader's row is renewed.
+            continue;
+        }
         if (step->spec->gang && step->active > 0) {
             repairGang(*step, pass);
         } else if (step->spec->gang && pass.reserved >= mostReservations && !isFullPass && !news) {
@@ -217,13 +237,17 @@
     }
     for (auto &[workspace, usage] : m_hiddenUsage) {
         usage = usage.limitedTo(hiddenRoom);
+        // Earlier leaders kept to the maximum as well: when they started their last task, what was found here ran besides the rest.
+        const auto maximum = m_maxima.find(workspace);
+        if (maximum != m_maxima.end() && now - maximum->second.since > maximumSettles) {
+            usage = usage.limitedTo(remainder(maximum->second.maximum, m_foundUsage[workspace]));
+        }
     }
 }
 
 RunNumber CellScheduler::nextRun(const CellTask &task) const
 {
-    const std::uint64_t base = (m_epoch.value() > 0 ? m_epoch.value() - 1 : 0) * runsPerEpoch + 1;
-    return RunNumber(std::max(task.lastRun.value() + 1, base));
+    return std::max(task.lastRun.next(), firstRunOf(m_epoch), [](RunNumber a, RunNumber b) { return a < b; });
 }
 
 void CellScheduler::startTask(StepRun &step, int index, Worker &worker, RunNumber run, Pass &pass)
@@ -252,7 +276,7 @@
 void CellScheduler::placeTasks(StepRun &step, Pass &pass)
 {
     const TimePoint now = pass.time.now;
-    std::vector<WorkerRoom> rooms = roomsFor(step, pass, false);
+    std::vector<WorkerRoom> rooms = roomsFor(step, pass, RoomsOf::AllowedWorkers);
     const bool advised = adviceTerms(step) != nullptr;
     std::vector<WorkerId> stale;
     bool lacksRoom = false;
@@ -324,11 +348,11 @@
     if (!mayStart || !isWithinMaximum(step, count)) {
         return;
     }
-    std::vector<WorkerRoom> rooms = roomsFor(step, pass, true);
+    std::vector<WorkerRoom> rooms = roomsFor(step, pass, RoomsOf::TicketedWorkers);
     limitToAllowed(step, rooms, pass);
     const auto fit = fitGang(rooms, step.spec->demand, count);
     if (!fit) {
-        reserveForGang(step, roomsFor(step, pass, false), pass);
+        reserveForGang(step, roomsFor(step, pass, RoomsOf::AllowedWorkersLater), pass);
         return;
     }
     RunNumber run;
@@ -398,7 +422,7 @@
         breakGang(step, now);
         return;
     }
-    std::vector<WorkerRoom> rooms = roomsFor(step, pass, true);
+    std::vector<WorkerRoom> rooms = roomsFor(step, pass, RoomsOf::TicketedWorkers);
     for (int index = 0; index < static_cast<int>(step.tasks.size()); ++index) {
         const CellTask &task = step.tasks[static_cast<std::size_t>(index)];
         if (task.phase != CellTaskPhase::Waiting || task.liveRuns > 0) {
--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -202,6 +202,9 @@
     const WorkspaceId workspace = entry != nullptr ? entry->job.workspace : WorkspaceId();
     Run &run = m_workers.adopt(*worker, found.entry, demand, workspace, time.now);
     m_usage[workspace] += demand;
+    if (found.entry.run < firstRunOf(m_epoch)) {
+        m_foundUsage[workspace] += demand;
+    }
     if (!known) {
         if (entry != nullptr) {
             ++entry->liveRuns;
@@ -260,19 +263,19 @@
 void CellScheduler::stopTask(const StepRun &step, int index, TimePoint now)
 {
     const TaskRef task{step.ref, index};
-    for (auto &[id, worker] : m_workers.all()) {
-        for (auto run = worker.runs.lower_bound({task, RunNumber()}); run != worker.runs.end() && run->first.first == task; ++run) {
-            m_workers.requestStop(worker, run->second, now);
+    for (Worker *worker : m_workers.holdersOf(step.ref.job)) {
+        for (auto run = worker->runs.lower_bound({task, RunNumber()}); run != worker->runs.end() && run->first.first == task; ++run) {
+            m_workers.requestStop(*worker, run->second, now);
         }
     }
 }
 
 void CellScheduler::stopRuns(const JobId &job, TimePoint now)
 {
-    for (auto &[id, worker] : m_workers.all()) {
-        for (auto &[key, run] : worker.runs) {
+    for (Worker *worker : m_workers.holdersOf(job)) {
+        for (auto &[key, run] : worker->runs) {
             if (run.task.step.job == job) {
-                m_workers.requestStop(worker, run, now);
+                m_workers.requestStop(*worker, run, now);
             }
         }
     }
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -36,9 +36,16 @@
     }
 }
 
-void CellScheduler::setConfig(std::shared_ptr<const CellConfig> config, TimePoint /*now*/)
+void CellScheduler::setConfig(std::shared_ptr<const CellConfig> config, TimePoint now)
 {
     m_config = std::move(config);
+    std::map<WorkspaceId, KnownMaximum> maxima;
+    for (const Workspace &workspace : m_config->workspaces) {
+        const auto known = m_maxima.find(workspace.name);
+        const bool same = known != m_maxima.end() && known->second.maximum == workspace.maximum;
+        maxima[workspace.name] = KnownMaximum{workspace.maximum, same ? known->second.since : now};
+    }
+    m_maxima = std::move(maxima);
 }
 
 void CellScheduler::beginTerm(Epoch epoch, TimePoint lapsedBy)
@@ -46,10 +53,13 @@
     m_epoch = epoch;
     m_loaded = false;
     m_lapsedBy = lapsedBy;
+    m_renewedAt = TimePoint();
+    m_lastStored = TimePoint();
     m_jobs = JobTable();
     m_workers = WorkerTable(m_settings.workers);
     m_advice.clear();
     m_usage.clear();
+    m_foundUsage.clear();
     m_rates.clear();
     m_writing.clear();
     m_foundEarly.clear();
@@ -76,11 +86,35 @@
     return rules;
 }
 
-void CellScheduler::load(const CellJob &job, const JobProgress *progress, bool cancelled, const CellTime &time)
+void CellScheduler::noteStored(JobEntry &entry, TimePoint now)
+{
+    if (!entry.stored) {
+        entry.stored = true;
+        entry.storedAt = now;
+        m_lastStored = now;
+    }
+}
+
+bool CellScheduler::mayStart(const JobEntry &entry) const
+{
+    return entry.stored && entry.storedAt < m_renewedAt;
+}
+
+void CellScheduler::onLeaseRenewed(TimePoint sent)
+{
+    m_renewedAt = std::max(m_renewedAt, sent);
+}
+
+bool CellScheduler::wantsRenewal() const
+{
+    return m_lastStored != TimePoint() && m_renewedAt <= m_lastStored;
+}
+
+void CellScheduler::load(const CellJob &job, const JobProgress *progress, bool cancelled, bool mayRun, const CellTime &time)
 {
     JobEntry &entry = m_jobs.add(job, rulesOf(job.route), time.now, time.unixMs);
-    entry.stored = true;
-    entry.unlocated = true;
+    noteStored(entry, time.now);
+    entry.unlocated = mayRun;
     if (progress != nullptr) {
         m_jobs.restore(entry, *progress);
     }
@@ -207,16 +241,16 @@
 void CellScheduler::onJobStored(const CellJob &job, const CellTime &time)
 {
     JobEntry &entry = m_jobs.add(job, rulesOf(job.route), time.now, time.unixMs);
-    entry.stored = true;
+    noteStored(entry, time.now);
 }
 
-bool CellScheduler::onKnownJobStored(const JobId &id)
+bool CellScheduler::onKnownJobStored(const JobId &id, TimePoint now)
 {
     JobEntry *entry = m_jobs.find(id);
     if (entry == nullptr) {
         return false;
     }
-    entry->stored = true;
+    noteStored(*entry, now);
     return true;
 }
 
@@ -409,6 +443,28 @@
     return m_workers;
 }
 
+std::string CellScheduler::describeLoad(TimePoint now)
+{
+    std::size_t usable = 0;
+    for (const auto &[id, worker] : m_workers.all()) {
+        usable += worker.wasUsable ? 1 : 0;
+    }
+    const std::vector<StepRun *> steps = m_jobs.waitingSteps();
+    std::size_t unadvised = 0;
+    std::size_t unlocated = 0;
+    std::size_t atMaximum = 0;
+    for (const StepRun *step : steps) {
+        unadvised += step->advice.asked.empty() && adviceTerms(*step) != nullptr ? 1 : 0;
+        unlocated += step->job->unlocated ? 1 : 0;
+        atMaximum += isWithinMaximum(*step, step->spec->gang ? step->spec->count : 1) ? 0 : 1;
+    }
+    return std::to_string(m_jobs.unfinished()) + " unfinished jobs, " + std::to_string(steps.size()) + " steps wait (" + std::to_string(unadvised)
+        + " for their first advice, " + std::to_string(atMaximum) + " with their workspace at its maximum, " + std::to_string(unlocated)
+        + " may still run elsewhere), " + std::to_string(m_advice.openCalls()) + " advice calls open, " + std::to_string(m_advice.waitingCalls()) + " waiting, "
+        + std::to_string(usable) + " of " + std::to_string(m_workers.all().size()) + " workers usable, predicted wait "
+        + std::to_string(predictedWait(INT_MAX, now).count()) + " ms";
+}
+
 std::size_t CellScheduler::unfinishedJobs() const
 {
     return m_jobs.unfinished();
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -94,7 +94,13 @@
     /// Workers that earlier leaders used; to be added before finishLoading().
     void addFormerWorkers(const std::vector<WorkerId> &ids);
     /// Adds a stored job; @p progress is null if none is stored. Only between beginTerm() and finishLoading() are jobs "former".
-    void load(const CellJob &job, const JobProgress *progress, bool cancelled, const CellTime &time);
+    /// @p mayRun: an earlier leader may have started it.
+    void load(const CellJob &job, const JobProgress *progress, bool cancelled, bool mayRun, const CellTime &time);
+    /// The leader's row was renewed by a write that was sent at @p sent. What was stored before that may start: the next leader
+    /// finds by the versions of the rows which jobs can't have been started.
+    void onLeaseRenewed(TimePoint sent);
+    /// Jobs wait for the next renewal.
+    [[nodiscard]] bool wantsRenewal() const;
     void loadFinal(const JobId &id, const JobProgress &progress, TimePoint now);
     /// All rows were read: unknown runs on workers are obsolete from now on.
     void finishLoading(TimePoint now);
@@ -104,7 +110,7 @@
     /// The job's row is stored. Adds the job if it is not known.
     void onJobStored(const CellJob &job, const CellTime &time);
     /// The same for a job that was submitted here. False if it is not known.
-    [[nodiscard]] bool onKnownJobStored(const JobId &id);
+    [[nodiscard]] bool onKnownJobStored(const JobId &id, TimePoint now);
     /// The job's row was certainly not written.
     void onJobDropped(const JobId &id);
     /// The cancellation is stored.
@@ -138,11 +144,20 @@
     [[nodiscard]] const CellCounters &counters() const;
     [[nodiscard]] const WorkerTable &workers() const;
     [[nodiscard]] std::size_t unfinishedJobs() const;
+    /// One line for the log: what waits and for what.
+    [[nodiscard]] std::string describeLoad(TimePoint now);
 
 private:
     struct Pass;
+    enum class RoomsOf {
+        AllowedWorkers,
+        TicketedWorkers, ///< Only those whose tickets are valid.
+        AllowedWorkersLater, ///< With the room that running tasks will give back.
+    };
 
     void log(const std::string &line) const;
+    void noteStored(JobEntry &entry, TimePoint now);
+    [[nodiscard]] bool mayStart(const JobEntry &entry) const;
     [[nodiscard]] RouteRules rulesOf(const RouteName &route) const;
     void onRunEvents(const std::vector<RunEvent> &events, const CellTime &time);
     void onRunEnded(const RunEvent &event, JobEntry &entry, StepRun *step, const CellTime &time);
@@ -170,8 +185,8 @@
     void startTask(StepRun &step, int index, Worker &worker, RunNumber run, Pass &pass);
     void countHiddenUsage(TimePoint now);
     [[nodiscard]] RunNumber nextRun(const CellTask &task) const;
-    [[nodiscard]] std::vector<WorkerRoom> roomsFor(StepRun &step, Pass &pass, bool needTicket);
-    void addRoom(const StepRun &step, const Worker &worker, Pass &pass, std::vector<WorkerRoom> &rooms) const;
+    [[nodiscard]] std::vector<WorkerRoom> roomsFor(StepRun &step, Pass &pass, RoomsOf choice);
+    void addRoom(const StepRun &step, const Worker &worker, Pass &pass, bool withReleases, std::vector<WorkerRoom> &rooms) const;
     [[nodiscard]] bool isEligible(const StepRun &step, const Worker &worker) const;
     [[nodiscard]] bool isWithinMaximum(const StepRun &step, int tasks) const;
     void requestAdvice(StepRun &step, TimePoint now);
@@ -196,6 +211,12 @@
     JobTable m_jobs;
     WorkerTable m_workers;
     AdviceDesk m_advice;
+    struct KnownMaximum {
+        Resources maximum;
+        TimePoint since;
+    };
+    std::map<WorkspaceId, KnownMaximum> m_maxima; ///< Of the workspaces, and since when they have had this value.
+    std::map<WorkspaceId, Resources> m_foundUsage; ///< Runs of earlier leaders that were found since this term began, ended ones included.
     std::map<WorkspaceId, Resources> m_hiddenUsage; ///< What may run on workers that have not answered this leader yet.
     std::map<WorkspaceId, Resources> m_usage; ///< Sum of the demands of all runs, by workspace.
     struct RateBucket {
@@ -203,6 +224,8 @@
         TimePoint filled;
     };
     std::map<WorkspaceId, RateBucket> m_rates;
+    TimePoint m_renewedAt; ///< When the last confirmed renewal of the leader's row was sent.
+    TimePoint m_lastStored; ///< When a job was last noted as stored.
     std::set<JobId> m_writing; ///< Jobs whose progress is being stored.
     std::vector<FoundRun> m_foundEarly; ///< Found before all rows were read.
     std::vector<std::pair<WorkerId, EndedEntry>> m_strayEarly;
--- a/src/cell/cellscheduler_p.h
+++ b/src/cell/cellscheduler_p.h
@@ -7,6 +7,12 @@
 
 /// Runs of a new leader are numbered above all runs that earlier leaders may have started.
 constexpr std::uint64_t runsPerEpoch = 100000;
+/// The first run number of a leader.
+inline RunNumber firstRunOf(Epoch epoch)
+{
+    return RunNumber((epoch.value() > 0 ? epoch.value() - 1 : 0) * runsPerEpoch + 1);
+}
+
 /// A worker that refuses a run as old has seen a higher one; the next run is numbered this much higher.
 constexpr std::uint64_t runsSkippedWhenOld = 1000;
 
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -83,6 +83,7 @@
     CellJobState state = CellJobState::Pending; ///< What callers may see; final only once stored.
     CellJobState outcome = CellJobState::Unknown; ///< Final state that was reached, perhaps not stored yet.
     bool stored = false; ///< The job's row is known to be stored; nothing starts before.
+    TimePoint storedAt; ///< Since when; nothing starts before the leader's row was renewed after it.
     bool anyStarted = false;
     bool unlocated = false; ///< Was admitted under an earlier leader: its tasks may run on workers that do not answer.
     std::uint64_t revision = 0; ///< Grows with each change that has to be stored.
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -83,6 +83,7 @@
     if (!listed) {
         m_next.members.push_back(m_self);
     }
+    m_formerVersion = m_version;
     m_pending = true;
     m_writeSent = now;
 }
@@ -116,10 +117,26 @@
     return m_version;
 }
 
+TimePoint Leadership::renewedAt() const
+{
+    return m_leaseFrom;
+}
+
+RowVersion Leadership::formerVersion() const
+{
+    return m_formerVersion;
+}
+
+void Leadership::requestRenewal()
+{
+    m_nextWrite = std::max(std::min(m_nextWrite, m_writeSent + m_settings.soonestRenewal), m_noWriteBefore);
+}
+
 void Leadership::adopt(const std::optional<LeaderRecord> &record, RowVersion version, TimePoint now)
 {
     if (!m_rowKnown || version != m_version) {
-        m_versionSeen = now;
+        // The leader's lease on a version began before it could tell about it.
+        m_versionSeen = version == m_beatVersion ? m_beatVersionSeen : now;
     }
     m_rowKnown = true;
     m_version = version;
@@ -185,6 +202,7 @@
 {
     m_pending = false;
     m_nextWrite = now + m_settings.retryInterval;
+    m_noWriteBefore = m_nextWrite;
     m_nextRead = now;
     if (m_isLeader && m_resigning && !m_retired) {
         // The resignation may take effect, so nothing is sent before a renewal is confirmed.
@@ -193,11 +211,15 @@
     }
 }
 
-bool Leadership::onBeat(const CellMember &leader, Epoch epoch, TimePoint now)
+bool Leadership::onBeat(const CellMember &leader, Epoch epoch, RowVersion version, TimePoint now)
 {
     if (m_isLeader || (m_row && epoch < m_row->epoch)) {
         return false;
     }
+    if (version != m_beatVersion) {
+        m_beatVersion = version;
+        m_beatVersionSeen = now;
+    }
     learnMember(leader);
     if (!m_row || m_row->epoch < epoch) {
         LeaderRecord record;
@@ -307,10 +329,15 @@
 }
 
 std::vector<CellMember> Leadership::liveMembers(TimePoint now) const
+{
+    return membersHeardWithin(memberSilence, now);
+}
+
+std::vector<CellMember> Leadership::membersHeardWithin(Duration silence, TimePoint now) const
 {
     std::vector<std::pair<TimePoint, DaemonId>> order;
     for (const auto &[id, state] : m_states) {
-        if (now - state.lastAnswer < memberSilence) {
+        if (now - state.lastAnswer < silence) {
             order.emplace_back(state.lastAnswer, id);
         }
     }
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -32,17 +32,18 @@
 };
 
 struct LeadershipSettings {
-    Duration term{2000}; ///< A leader whose row has not changed for so long has lost its lease.
-    Duration margin{300}; ///< The holder stops so much earlier: timers fire late and clocks drift.
+    Duration term{1200}; ///< A leader whose row has not changed for so long has lost its lease.
+    Duration margin{250}; ///< The holder stops so much earlier: timers fire late and clocks drift.
     Duration renewInterval{400};
     Duration retryInterval{150}; ///< After a renewal that failed.
-    Duration beatTimeout{700}; ///< Without a beat of the leader for so long, a member looks at the row.
+    Duration soonestRenewal{40}; ///< Between two renewals if new jobs wait for one; the policy service takes about as long to answer.
+    Duration beatTimeout{350}; ///< Without a beat of the leader for so long, a member looks at the row.
     Duration readInterval{250};
-    Duration promise{1500}; ///< A member that answers a beat does not take over for so long.
+    Duration promise{1000}; ///< A member that answers a beat does not take over for so long.
     Duration longestOnPromises{7000}; ///< After the store's last confirmation; below strangerTerm.
     Duration strangerTerm{9000}; ///< A daemon that is not in the row's list of members takes over only after this.
     double strongerFactor = 1.5; ///< A leader yields to a member with so much more processor.
-    Duration yieldAfter{800}; ///< A leader leads at least so long before it yields.
+    Duration yieldAfter{500}; ///< A leader leads at least so long before it yields.
     Duration strongerHead{300}; ///< A weak member lets much stronger ones claim first.
     Duration successorHead{400}; ///< After a resignation the others wait so long for the successor.
 };
@@ -62,6 +63,12 @@
     [[nodiscard]] LeaderAction nextAction(TimePoint now);
     [[nodiscard]] const LeaderRecord &next() const;
     [[nodiscard]] RowVersion expected() const;
+    /// When the last renewal that the store confirmed was sent; zero: none.
+    [[nodiscard]] TimePoint renewedAt() const;
+    /// The version of the leader's row that the claim of this leadership replaced: the last sign of the leaders before.
+    [[nodiscard]] RowVersion formerVersion() const;
+    /// Renews earlier than the lease needs, but not more often than the settings say.
+    void requestRenewal();
 
     /// The row as read; no record if it does not exist.
     void onRow(const std::optional<LeaderRecord> &record, RowVersion version, TimePoint now);
@@ -73,7 +80,8 @@
     void onWriteFailed(TimePoint now);
 
     /// A beat of the leader arrived. True if it is the present leader's, and may be answered with a promise.
-    bool onBeat(const CellMember &leader, Epoch epoch, TimePoint now);
+    /// @p version is that of the leader's row, as the leader knows it; 0: not told.
+    bool onBeat(const CellMember &leader, Epoch epoch, RowVersion version, TimePoint now);
     /// The leader has given up the leadership: looks at the row at once.
     void onResigned(const DaemonId &leader, Epoch epoch);
     /// A member answered the beat that was sent at @p beatSent.
@@ -89,6 +97,8 @@
     [[nodiscard]] std::optional<CellMember> leader() const;
     /// Members that answered lately, without this daemon.
     [[nodiscard]] std::vector<CellMember> liveMembers(TimePoint now) const;
+    /// The same for members that answered within @p silence, the latest first.
+    [[nodiscard]] std::vector<CellMember> membersHeardWithin(Duration silence, TimePoint now) const;
     [[nodiscard]] const std::map<DaemonId, CellMember> &knownMembers() const;
     void learnMember(const CellMember &member);
 
@@ -112,11 +122,15 @@
     std::optional<LeaderRecord> m_row; ///< As last seen.
     RowVersion m_version;
     bool m_rowKnown = false;
-    TimePoint m_versionSeen; ///< When m_version was first seen.
+    TimePoint m_versionSeen; ///< When m_version was first seen, in the store or in a beat.
+    RowVersion m_beatVersion; ///< As told by the last beat.
+    TimePoint m_beatVersionSeen; ///< When a beat first told m_beatVersion.
     TimePoint m_lastBeat;
     TimePoint m_promisedUntil; ///< No claim before this.
     TimePoint m_nextRead;
     TimePoint m_nextWrite;
+    TimePoint m_noWriteBefore; ///< After a write that failed.
+    RowVersion m_formerVersion;
     bool m_pending = false; ///< An action is under way.
     TimePoint m_writeSent;
     LeaderRecord m_next;
--- a/src/cell/placementplan.cpp
+++ b/src/cell/placementplan.cpp
@@ -87,6 +87,11 @@
     std::stable_sort(reserved.begin(), reserved.end(), [](const Release &a, const Release &b) { return a.at < b.at; });
 }
 
+bool Reservations::concern(std::size_t worker) const
+{
+    return m_reserved.count(worker) > 0;
+}
+
 bool Reservations::allows(const WorkerRoom &room, const Resources &demand, TimePoint end) const
 {
     const auto found = m_reserved.find(room.worker);
--- a/src/cell/placementplan.h
+++ b/src/cell/placementplan.h
@@ -51,6 +51,7 @@
 {
 public:
     void add(std::size_t worker, TimePoint at, const Resources &amount);
+    [[nodiscard]] bool concern(std::size_t worker) const;
     /// May a task of @p demand that ends at @p end start on the worker now without delaying a reservation?
     [[nodiscard]] bool allows(const WorkerRoom &room, const Resources &demand, TimePoint end) const;
     /// How many tasks of @p demand that end at @p end may start on the worker now without delaying a reservation.
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -181,6 +181,35 @@
     }
 }
 
+std::vector<Worker *> WorkerTable::holdersOf(const JobId &job)
+{
+    std::vector<Worker *> holders;
+    const auto found = m_holders.find(job);
+    if (found != m_holders.end()) {
+        for (const auto &[index, runs] : found->second) {
+            holders.push_back(m_byIndex.at(index));
+        }
+    }
+    return holders;
+}
+
+void WorkerTable::addHolder(const Worker &worker, const JobId &job)
+{
+    ++m_holders[job][worker.index];
+}
+
+void WorkerTable::removeHolder(const Worker &worker, const JobId &job)
+{
+    const auto found = m_holders.find(job);
+    const auto runs = found->second.find(worker.index);
+    if (--runs->second == 0) {
+        found->second.erase(runs);
+    }
+    if (found->second.empty()) {
+        m_holders.erase(found);
+    }
+}
+
 void WorkerTable::markDurable(const std::vector<WorkerId> &ids)
 {
     for (const WorkerId &id : ids) {
@@ -237,6 +266,7 @@
     event.run = std::move(run->second);
     event.worker = worker.info.id;
     worker.committed -= event.run.demand;
+    removeHolder(worker, event.run.task.step.job);
     worker.changedAt = ++m_changes;
     worker.runs.erase(run);
     return event;
@@ -265,6 +295,7 @@
     added.startsOpen = 1;
     added.order = order;
     worker.committed += added.demand;
+    addHolder(worker, run.task.step.job);
     worker.runs[{run.task, run.number}] = added;
     return order;
 }
@@ -512,6 +543,7 @@
     run.percent = entry.percent;
     run.percentSince = now;
     worker.committed += demand;
+    addHolder(worker, entry.task.step.job);
     return worker.runs[{entry.task, entry.run}] = run;
 }
 
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -154,6 +155,9 @@
     [[nodiscard]] std::map<WorkerId, Worker> &all();
     [[nodiscard]] const std::map<WorkerId, Worker> &all() const;
 
+    /// Workers on which runs of the job may exist.
+    [[nodiscard]] std::vector<Worker *> holdersOf(const JobId &job);
+
     /// Counts workers that have become usable as changed; to be called before a round of placement.
     void noteUsable(TimePoint now);
     /// Grows whenever a worker gets more room or becomes usable.
@@ -200,6 +204,10 @@
     [[nodiscard]] Worker *answering(const WorkerId &id, WorkerLife life, const OrderAnswer &answer, TimePoint now);
 
     std::map<WorkerId, Worker> m_workers;
+    void addHolder(const Worker &worker, const JobId &job);
+    void removeHolder(const Worker &worker, const JobId &job);
+
+    std::unordered_map<JobId, std::map<WorkerIndex, int>> m_holders; ///< Runs of each job on each worker; no zeros.
     std::vector<Worker *> m_byIndex; ///< Into m_workers; null for forgotten workers.
     std::uint64_t m_changes = 1;
 };
--- a/src/node/cellpeers.cpp
+++ b/src/node/cellpeers.cpp
@@ -10,12 +10,16 @@
 constexpr Duration pingTimeout{1200};
 constexpr Duration connectTimeout{500};
 constexpr Duration longestReconnect{400};
+constexpr Duration collectFor{2}; // A message through ZeroMQ costs several system calls in two threads, whatever its size.
 // libzmq 4.3.4 aborts (stream_engine_base.cpp, "!_io_error") if a connection breaks while a full queue holds back its input.
 constexpr int receiveQueue = 200000;
 
 } // namespace
 
-CellPeers::CellPeers(EventLoop &loop, const CellMember &self, Handler handler) : m_loop(loop), m_self(self), m_handler(std::move(handler)) { }
+CellPeers::CellPeers(EventLoop &loop, const CellMember &self, Handler handler) : m_loop(loop), m_self(self), m_handler(std::move(handler))
+{
+    m_flush = EventWatch::timer(loop, [this] { flush(); });
+}
 
 Result<std::unique_ptr<CellPeers>> CellPeers::create(EventLoop &loop, const CellMember &self, Handler handler)
 {
@@ -37,10 +41,27 @@
 
 void CellPeers::send(const std::string &address, Envelope message)
 {
-    message.set_from(m_self.id.value());
-    message.set_incarnation(m_self.incarnation.value());
-    message.set_reply_address(m_self.peerAddress);
-    m_transport->send(address, message.SerializeAsString());
+    const auto [waiting, isFirst] = m_outbox.try_emplace(address);
+    if (isFirst) {
+        waiting->second = std::move(message);
+    } else {
+        *waiting->second.add_others() = std::move(message);
+    }
+    if (!m_flushSet) {
+        m_flushSet = true;
+        m_flush->start(collectFor);
+    }
+}
+
+void CellPeers::flush()
+{
+    m_flushSet = false;
+    for (auto &[address, message] : std::exchange(m_outbox, {})) {
+        message.set_from(m_self.id.value());
+        message.set_incarnation(m_self.incarnation.value());
+        message.set_reply_address(m_self.peerAddress);
+        m_transport->send(address, message.SerializeAsString());
+    }
 }
 
 void CellPeers::ask(const std::string &address, Envelope question, Duration timeout, AnswerCallback callback)
@@ -66,9 +87,23 @@
     if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || message.from().empty()) {
         return false;
     }
+    for (CellWire::CellEnvelope &other : *message.mutable_others()) {
+        other.set_from(message.from());
+        other.set_incarnation(message.incarnation());
+        other.set_reply_address(message.reply_address());
+    }
+    handle(message);
+    for (const CellWire::CellEnvelope &other : message.others()) {
+        handle(other);
+    }
+    return true;
+}
+
+void CellPeers::handle(const Envelope &message)
+{
     if (!message.is_answer()) {
         m_handler(message);
-        return true;
+        return;
     }
     const auto open = m_open.find(message.call());
     if (open != m_open.end()) {
@@ -76,7 +111,6 @@
         m_open.erase(open);
         callback(&message);
     }
-    return true;
 }
 
 void CellPeers::expire(TimePoint now)
--- a/src/node/cellpeers.h
+++ b/src/node/cellpeers.h
@@ -21,6 +21,7 @@
 
     [[nodiscard]] static Result<std::unique_ptr<CellPeers>> create(EventLoop &loop, const CellMember &self, Handler handler);
 
+    /// Messages to one address that come at about the same time leave as one.
     void send(const std::string &address, Envelope message);
     /// The callback comes exactly once, after the call has returned.
     void ask(const std::string &address, Envelope question, Duration timeout, AnswerCallback callback);
@@ -37,11 +38,16 @@
 
     CellPeers(EventLoop &loop, const CellMember &self, Handler handler);
     [[nodiscard]] bool receive(std::string_view bytes);
+    void handle(const Envelope &message);
+    void flush();
 
     EventLoop &m_loop;
     CellMember m_self;
     Handler m_handler;
     std::unique_ptr<PeerTransport> m_transport;
+    std::map<std::string, Envelope> m_outbox; ///< By address: what leaves at the next flush.
+    std::unique_ptr<EventWatch> m_flush;
+    bool m_flushSet = false;
     std::map<std::uint64_t, Open> m_open;
     std::uint64_t m_lastCall = 0;
 };
--- a/src/node/cellrows.cpp
+++ b/src/node/cellrows.cpp
@@ -187,56 +187,76 @@
 
 struct CellRows::Load {
     StoredJobs jobs;
-    int part = 0;
-    bool progress = false; ///< Reading progress rows, after the jobs of all parts.
-    std::string from;
+    int partsLeft = 0;
+    bool failed = false;
     std::function<void(std::optional<StoredJobs>)> callback;
 };
 
+/// Where the reading of one part has come to.
+struct CellRows::LoadPart {
+    std::shared_ptr<Load> load;
+    std::string part;
+    bool progress = false; ///< Reading progress rows, after the jobs of this part.
+    std::string from;
+};
+
 void CellRows::loadAll(const std::function<void(std::optional<StoredJobs>)> &callback)
 {
     auto load = std::make_shared<Load>();
     load->callback = callback;
-    loadNext(load);
+    load->partsLeft = m_parts;
+    for (int part = 0; part < m_parts; ++part) {
+        loadNext(LoadPart{load, "j" + std::to_string(part), false, {}});
+    }
+}
+
+void CellRows::loadNext(const LoadPart &next)
+{
+    const RangeRead range{next.progress ? progressTable : jobTable, next.part, next.from, {}, 500};
+    m_store.read(range, readTimeout, [this, next](const StoreAnswer &answer) { onLoaded(next, answer); });
 }
 
-void CellRows::loadNext(const std::shared_ptr<Load> &load)
+void CellRows::onLoaded(LoadPart next, const StoreAnswer &answer)
 {
-    if (load->part == m_parts && load->progress) {
-        load->callback(std::move(load->jobs));
+    Load &load = *next.load;
+    if (load.failed) {
         return;
     }
-    if (load->part == m_parts) {
-        load->progress = true;
-        load->part = 0;
+    if (answer.outcome != StoreOutcome::Done) {
+        load.failed = true;
+        load.callback(std::nullopt);
+        return;
     }
-    const RangeRead range{load->progress ? progressTable : jobTable, "j" + std::to_string(load->part), load->from, {}, 500};
-    m_store.read(range, readTimeout, [this, load](const StoreAnswer &answer) {
-        if (answer.outcome != StoreOutcome::Done) {
-            load->callback(std::nullopt);
-            return;
-        }
-        if (load->jobs.version == RowVersion()) {
-            load->jobs.version = answer.version;
-        }
-        for (const TableRow &row : answer.rows) {
-            if (const auto cancelled = cancelledJob(row.key.key)) {
-                load->jobs.jobs[*cancelled].cancelled = true;
-            } else if (load->progress) {
-                load->jobs.jobs[JobId(row.key.key)].progress = decodeProgressRow(row);
-                m_versions[JobId(row.key.key)] = row.version;
-            } else {
-                load->jobs.jobs[JobId(row.key.key)].job = decodeJobRow(row);
-            }
+    // Changes after the earliest read may be missing from the rows.
+    if (load.jobs.version == RowVersion() || answer.version < load.jobs.version) {
+        load.jobs.version = answer.version;
+    }
+    for (const TableRow &row : answer.rows) {
+        if (const auto cancelled = cancelledJob(row.key.key)) {
+            load.jobs.jobs[*cancelled].cancelled = true;
+            continue;
         }
-        if (answer.truncated && !answer.rows.empty()) {
-            load->from = answer.rows.back().key.key + '\0';
+        StoredJobs::Entry &entry = load.jobs.jobs[JobId(row.key.key)];
+        if (next.progress) {
+            entry.progress = decodeProgressRow(row);
+            m_versions[JobId(row.key.key)] = row.version;
         } else {
-            ++load->part;
-            load->from.clear();
+            entry.job = decodeJobRow(row);
+            entry.admitted = row.version;
         }
-        loadNext(load);
-    });
+    }
+    if (answer.truncated && !answer.rows.empty()) {
+        next.from = answer.rows.back().key.key + '\0';
+    } else if (!next.progress) {
+        next.progress = true;
+        next.from.clear();
+    } else {
+        if (--load.partsLeft == 0) {
+            load.callback(std::move(load.jobs));
+        }
+        return;
+    }
+    loadNext(next);
 }
 
 void CellRows::readChanges(RowVersion after, const std::function<void(bool, const std::vector<JobChange> &, RowVersion)> &callback)
--- a/src/node/cellrows.h
+++ b/src/node/cellrows.h
@@ -35,6 +35,7 @@
         std::optional<CellJob> job;
         std::optional<JobProgress> progress;
         bool cancelled = false;
+        RowVersion admitted; ///< Version of the job's row.
     };
     std::map<JobId, Entry> jobs;
     RowVersion version; ///< Later changes are in the feed after this version.
@@ -82,13 +83,15 @@
 
 private:
     struct Load;
+    struct LoadPart;
 
     [[nodiscard]] RowKey jobKey(const JobId &id) const;
     [[nodiscard]] RowKey cancelKey(const JobId &id) const;
     [[nodiscard]] RowKey progressKey(const JobId &id) const;
     void admitOnce(const CellJob &job, TimePoint deadline, bool mayBeStored, const std::function<void(AdmitOutcome)> &callback);
     void cancelOnce(const JobId &id, TimePoint deadline, const std::function<void(bool)> &callback);
-    void loadNext(const std::shared_ptr<Load> &load);
+    void loadNext(const LoadPart &next);
+    void onLoaded(LoadPart next, const StoreAnswer &answer);
     void writePart(const std::string &part, const std::vector<ProgressWrite> &writes, std::int64_t unixNowMs, const ProgressCallback &callback);
     void onPartWritten(const std::vector<ProgressWrite> &writes, const StoreAnswer &answer, const ProgressCallback &callback);
     void after(Duration pause, std::function<void()> function);
--- a/src/node/leaderduty.cpp
+++ b/src/node/leaderduty.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <tuple>
 
 namespace KingCupLadder {
 
@@ -16,6 +17,11 @@
 constexpr int mostProgressOpen = 120; // Jobs whose progress is being written.
 constexpr Duration storeTimeout{1000};
 constexpr Duration lapseMargin{300}; // Beyond the longest lease of an earlier leader, for timers and drift.
+constexpr std::size_t carriedFrom = 100; // Workers; the calls to fewer take less of a processor than messages about them would add delay.
+constexpr std::size_t mostCarriers = 4; // Enough for a few hundred workers; more would make the messages smaller and more.
+constexpr double carrierPower = 0.75; // Of the strongest member's processor.
+constexpr Duration carrierSilence{700}; // Members answer five beats a second.
+constexpr Duration loadLineInterval{1000};
 constexpr Duration adviceSlack{1200}; // A lane may handle another call first.
 
 void logDecision(const std::string &line)
@@ -32,9 +38,10 @@
                        CellRows &rows,
                        TableStore &store,
                        const Translation &translation,
-                       WorkerPort &workers,
+                       CarriedWorkers &workers,
                        AdvicePort &advice,
-                       CellPeers &peers)
+                       CellPeers &peers,
+                       std::function<void()> onRenewalWanted)
     : m_loop(loop)
     , m_self(self)
     , m_settings(settings)
@@ -45,6 +52,7 @@
     , m_workers(workers)
     , m_advice(advice)
     , m_peers(peers)
+    , m_onRenewalWanted(std::move(onRenewalWanted))
     , m_scheduler(settings.scheduler, logDecision)
 {
     m_wake = EventWatch::timer(loop, [this] {
@@ -109,7 +117,58 @@
     if (m_scheduler.isLoaded() && !m_changesOpen && m_nextChanges <= now) {
         pollChanges();
     }
+    chooseCarriers();
     decide();
+    logLoad();
+}
+
+void LeaderDuty::logLoad()
+{
+    const TimePoint now = m_loop.now();
+    if (now < m_nextLoadLine || !m_scheduler.isLoaded()) {
+        return;
+    }
+    m_nextLoadLine = now + loadLineInterval;
+    const CellCounters counters = m_scheduler.counters();
+    const CellCounters before = std::exchange(m_loggedCounters, counters);
+    const auto meanDelay = m_adviceAnswers > 0 ? m_adviceDelay.count() / static_cast<std::int64_t>(m_adviceAnswers) : 0;
+    logLine(LogPart::Leader,
+            LogLevel::Info,
+            "load: " + std::to_string(counters.starts - before.starts) + " starts, " + std::to_string(counters.succeeded - before.succeeded) + " successes, "
+                + std::to_string(m_decisions) + " rounds, " + std::to_string(counters.holds - before.holds) + " renewals, "
+                + std::to_string(counters.adviceCalls - before.adviceCalls) + " advice calls, mean delay " + std::to_string(meanDelay) + " ms, "
+                + std::to_string(m_carriers.size()) + " carriers; " + m_scheduler.describeLoad(now));
+    m_decisions = 0;
+    m_adviceAnswers = 0;
+    m_adviceDelay = Duration(0);
+}
+
+void LeaderDuty::chooseCarriers()
+{
+    std::vector<CellMember> chosen;
+    if (m_scheduler.workers().all().size() >= carriedFrom) {
+        std::vector<CellMember> candidates = m_leadership.membersHeardWithin(carrierSilence, m_loop.now());
+        std::int64_t strongest = 0;
+        for (const CellMember &member : candidates) {
+            strongest = std::max(strongest, member.power.value());
+        }
+        const auto isWeak = [strongest](const CellMember &member) {
+            return static_cast<double>(member.power.value()) < carrierPower * static_cast<double>(strongest);
+        };
+        candidates.erase(std::remove_if(candidates.begin(), candidates.end(), isWeak), candidates.end());
+        // Those that carry calls now go on, so that connections to workers last.
+        const auto isCarrier = [this](const CellMember &member) {
+            return std::any_of(
+                m_carriers.begin(), m_carriers.end(), [&member](const CellMember &carrier) { return carrier.peerAddress == member.peerAddress; });
+        };
+        std::sort(candidates.begin(), candidates.end(), [&isCarrier](const CellMember &a, const CellMember &b) {
+            return std::make_tuple(!isCarrier(a), a.id) < std::make_tuple(!isCarrier(b), b.id);
+        });
+        candidates.resize(std::min(candidates.size(), mostCarriers));
+        chosen = std::move(candidates);
+    }
+    m_carriers = std::move(chosen);
+    m_workers.setCarriers(m_carriers);
 }
 
 void LeaderDuty::begin()
@@ -137,6 +196,8 @@
 {
     ++m_term;
     m_active = false;
+    m_carriers.clear();
+    m_workers.setCarriers({});
     logLine(LogPart::Leader, LogLevel::Info, "no longer leads the cell; its epoch was " + std::to_string(m_epoch.value()));
 }
 
@@ -158,17 +219,23 @@
             }
             const CellTime now = time();
             std::size_t open = 0;
+            std::size_t former = 0;
             for (const auto &[id, entry] : stored->jobs) {
                 if (entry.progress && isFinal(entry.progress->finalState)) {
                     m_scheduler.loadFinal(id, *entry.progress, now.now);
                 } else if (entry.job) {
                     ++open;
-                    m_scheduler.load(*entry.job, entry.progress ? &*entry.progress : nullptr, entry.cancelled, now);
+                    const bool mayRun = entry.admitted < m_leadership.formerVersion();
+                    former += mayRun ? 1 : 0;
+                    m_scheduler.load(*entry.job, entry.progress ? &*entry.progress : nullptr, entry.cancelled, mayRun, now);
                 }
             }
             m_changesSeen = stored->version;
             m_scheduler.finishLoading(now.now);
-            logLine(LogPart::Leader, LogLevel::Info, "loaded " + std::to_string(open) + " open jobs of " + std::to_string(stored->jobs.size()));
+            logLine(LogPart::Leader,
+                    LogLevel::Info,
+                    "loaded " + std::to_string(open) + " open jobs of " + std::to_string(stored->jobs.size()) + "; earlier leaders may have started "
+                        + std::to_string(former));
             wake();
         }));
     }));
@@ -257,8 +324,14 @@
         lanes.push_back(member.id);
     }
     m_scheduler.setAdviceLanes(lanes);
+    m_scheduler.onLeaseRenewed(m_leadership.renewedAt());
+    ++m_decisions;
     carryOut(m_scheduler.tick(time()));
     storeProgress();
+    if (m_scheduler.wantsRenewal() && m_onRenewalWanted) {
+        m_leadership.requestRenewal();
+        m_onRenewalWanted();
+    }
 }
 
 void LeaderDuty::carryOut(const CellOrders &orders)
@@ -296,7 +369,9 @@
 void LeaderDuty::sendAdvice(const AdviceCall &call)
 {
     const TimePoint sent = m_loop.now();
-    const auto done = whileLeading([this, id = call.id, sent](const AdviceAnswer &answer) {
+    const auto done = whileLeading([this, id = call.id, sent, expected = call.duration](const AdviceAnswer &answer) {
+        ++m_adviceAnswers;
+        m_adviceDelay += m_loop.now() - sent - expected;
         m_scheduler.onAdvice(id, answer, sent, m_loop.now());
         wake();
     });
@@ -410,7 +485,7 @@
         if (loaded && job) {
             m_scheduler.onJobStored(*job, time());
             reply.mutable_acknowledgement();
-        } else if (loaded && m_scheduler.onKnownJobStored(JobId(row.id()))) {
+        } else if (loaded && m_scheduler.onKnownJobStored(JobId(row.id()), m_loop.now())) {
             reply.mutable_acknowledgement();
         }
     } else if (question.has_cancel_notice()) {
--- a/src/node/leaderduty.h
+++ b/src/node/leaderduty.h
@@ -2,6 +2,7 @@
 // scheduler's orders, and stores progress.
 #pragma once
 
+#include "carriedworkers.h"
 #include "cell/cellscheduler.h"
 #include "cell/leadership.h"
 #include "cellpeers.h"
@@ -34,9 +35,10 @@
                CellRows &rows,
                TableStore &store,
                const Translation &translation,
-               WorkerPort &workers,
+               CarriedWorkers &workers,
                AdvicePort &advice,
-               CellPeers &peers);
+               CellPeers &peers,
+               std::function<void()> onRenewalWanted = nullptr);
 
     /// Starts or ends the duty when the leadership has changed; runs what is due.
     void tick();
@@ -59,6 +61,8 @@
     void storeProgress();
     void carryOut(const CellOrders &orders);
     void sendAdvice(const AdviceCall &call);
+    void chooseCarriers();
+    void logLoad();
     [[nodiscard]] CellTime time() const;
     /// A callback that does nothing once this leadership has ended.
     template<typename Function>
@@ -78,10 +82,12 @@
     CellRows &m_rows;
     TableStore &m_store;
     const Translation &m_translation;
-    WorkerPort &m_workers;
+    CarriedWorkers &m_workers;
     AdvicePort &m_advice;
     CellPeers &m_peers;
+    std::function<void()> m_onRenewalWanted; ///< New jobs wait for a renewal of the leader's row.
     CellScheduler m_scheduler;
+    std::vector<CellMember> m_carriers;
     bool m_active = false;
     std::uint64_t m_term = 0; ///< Grows at the begin and end of each leadership; tells late answers apart.
     Epoch m_epoch;
@@ -95,6 +101,11 @@
     TimePoint m_nextProgress;
     TimePoint m_nextFinals;
     TimePoint m_nextLoad;
+    TimePoint m_nextLoadLine;
+    CellCounters m_loggedCounters; ///< As of the last line about the load.
+    std::uint64_t m_decisions = 0; ///< Since then.
+    std::uint64_t m_adviceAnswers = 0;
+    Duration m_adviceDelay{0}; ///< Of these answers, beyond the time that the calls take in the service.
     std::unique_ptr<EventWatch> m_wake;
     bool m_wakeSet = false;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -54,8 +54,11 @@
     m_peers = std::move(peers).value();
     m_store = std::make_unique<RelayStore>(m_loop, m_directStore, *m_peers, [this] { return storeHelpers(); });
     m_rows = std::make_unique<CellRows>(m_loop, *m_store, m_settings.jobParts);
-    m_duty =
-        std::make_unique<LeaderDuty>(m_loop, m_settings.self, m_settings.duty, m_leadership, *m_rows, *m_store, m_translation, m_workers, m_advice, *m_peers);
+    m_carried = std::make_unique<CarriedWorkers>(m_loop, m_workers, *m_peers);
+    m_duty = std::make_unique<LeaderDuty>(
+        m_loop, m_settings.self, m_settings.duty, m_leadership, *m_rows, *m_store, m_translation, *m_carried, m_advice, *m_peers, [this] {
+            driveLeadership();
+        });
     m_config = std::make_unique<ConfigFollower>(
         m_loop, *m_store, m_translation, m_settings.config, [this](const std::shared_ptr<const CellConfig> &config) { m_duty->setConfig(config); });
     CellAccess access;
@@ -225,6 +228,7 @@
     beat->set_peer_address(m_settings.self.peerAddress);
     beat->set_acting(m_leadership.mayAct(now));
     beat->set_ready(m_duty->isLoaded());
+    beat->set_row_version(m_leadership.expected().value());
     if (m_duty->isLoaded()) {
         for (const auto &[route, queued] : m_duty->scheduler().queuedByRoute()) {
             CellWire::QueueCount *count = beat->add_queued();
@@ -261,6 +265,8 @@
         driveLeadership();
     } else if (message.has_store_call()) {
         m_store->serve(message);
+    } else if (message.has_worker_order()) {
+        m_carried->serve(message);
     } else if (message.has_advice_order()) {
         onAdviceOrder(message);
     } else if (message.call() != 0) {
@@ -275,7 +281,7 @@
     const CellWire::LeaderBeat &beat = message.leader_beat();
     const TimePoint now = m_loop.now();
     const CellMember leader{DaemonId(message.from()), Incarnation(beat.incarnation()), beat.peer_address(), {}, {}};
-    if (!m_leadership.onBeat(leader, Epoch(beat.epoch()), now)) {
+    if (!m_leadership.onBeat(leader, Epoch(beat.epoch()), RowVersion(beat.row_version()), now)) {
         return;
     }
     for (const CellWire::Member &member : beat.members()) {
@@ -401,6 +407,9 @@
     add("jobs_refused_total", "", cell.refused);
     add("jobs_unfinished", "", m_duty->isActive() ? m_duty->scheduler().unfinishedJobs() : 0);
     add("leader", "", m_duty->isActive() ? 1 : 0);
+    add("worker_calls_total", "way=\"direct\"", m_carried->counters().direct);
+    add("worker_calls_total", "way=\"carried by a peer\"", m_carried->counters().carried);
+    add("worker_calls_for_peers_total", "", m_carried->counters().forPeers);
     add("store_calls_total", "", m_store->counters().calls);
     add("store_calls_relayed_total", "", m_store->counters().relayed);
     add("store_calls_for_peers_total", "", m_store->counters().forPeers);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -67,6 +67,7 @@
     Leadership m_leadership;
     std::unique_ptr<CellPeers> m_peers;
     std::unique_ptr<RelayStore> m_store;
+    std::unique_ptr<CarriedWorkers> m_carried;
     std::unique_ptr<CellRows> m_rows;
     std::unique_ptr<ConfigFollower> m_config;
     std::unique_ptr<LeaderDuty> m_duty;
--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -132,7 +132,7 @@
         epoch = Epoch(epochValue);
         config->index();
         scheduler = std::make_unique<CellScheduler>(settings);
-        scheduler->setConfig(config, now);
+        scheduler->setConfig(config, configSince == TimePoint() ? now : configSince);
         scheduler->setAdviceLanes({DaemonId("d1"), DaemonId("d2")});
         scheduler->beginTerm(epoch, now + lapse);
         scheduler->addFormerWorkers(formerWorkers);
@@ -141,7 +141,7 @@
             if (progress != storedProgress.end() && isFinal(progress->second.finalState)) {
                 scheduler->loadFinal(id, progress->second, now);
             } else {
-                scheduler->load(job, progress == storedProgress.end() ? nullptr : &progress->second, cancelled.count(id) > 0, time());
+                scheduler->load(job, progress == storedProgress.end() ? nullptr : &progress->second, cancelled.count(id) > 0, unstarted.count(id) == 0, time());
             }
         }
         scheduler->finishLoading(now);
@@ -206,6 +206,9 @@
     std::map<JobId, CellJob> storedJobs;
     std::map<JobId, JobProgress> storedProgress;
     std::set<JobId> cancelled;
+    std::set<JobId> unstarted; ///< Stored after the last sign of the earlier leader.
+    TimePoint configSince; ///< Since when the configuration is known; zero: since the leadership began.
+    bool renews = true; ///< The store takes the renewals of the leader's row.
     std::set<TaskRef> succeededAndNoted;
     std::vector<std::string> violations;
     Epoch epoch;
@@ -218,6 +221,8 @@
     /// What becomes of a start: true lets it through. May schedule a late delivery by deliverLate().
     std::function<bool(const StartOrder &)> onStart = [](const StartOrder &) { return true; };
     std::set<WorkerId> goodWorkers; ///< Of the policy service; empty: all.
+    /// Which workers the policy service allows a step; goodWorkers if it is not set.
+    std::function<bool(const StepRef &, const WorkerId &)> isAllowed;
     int adviceCalls = 0;
     int starts = 0;
 
@@ -367,7 +372,7 @@
                 answer.answered = true;
                 answer.validity = Duration(2500);
                 for (const WorkerId &id : call.workers) {
-                    if (goodWorkers.empty() || goodWorkers.count(id) > 0) {
+                    if (isAllowed ? isAllowed(call.step, id) : goodWorkers.empty() || goodWorkers.count(id) > 0) {
                         answer.good.emplace_back(id, "ticket");
                     }
                 }
@@ -416,6 +421,9 @@
             }
             scheduler->onRegistry(listed, time());
         }
+        if (renews) {
+            scheduler->onLeaseRenewed(now);
+        }
         carryOut(scheduler->tick(time()));
         if (storeAnswers) {
             for (const ProgressWrite &write : scheduler->takeProgress(100)) {
--- a/test/cell/testcellscheduler.cpp
+++ b/test/cell/testcellscheduler.cpp
@@ -417,6 +417,61 @@
     CHECK_TRUE(cell.state("next") == CellJobState::Succeeded);
 }
 
+// Guards against jobs that wait for the leases of a worker on which nobody can have started them (pattern: the leader's failure
+// domain is cut off, and callers go on submitting).
+TEST(CellSchedulerTakeover, StartsAtOnceWhatNoEarlierLeaderCanHaveStarted)
+{
+    FakeCell cell(4);
+    cell.lead();
+    cell.run(Duration(200));
+    cell.worker(0).crashed = true;
+    CellJob job = cellJob("gap", 4, 1000, Duration(500));
+    job.submittedUnixMs = cell.time().unixMs;
+    cell.storedJobs[job.id] = job;
+    cell.unstarted.insert(job.id);
+    cell.lead(2);
+    cell.run(Duration(1000));
+    CHECK_TRUE(cell.state("gap") == CellJobState::Succeeded);
+}
+
+// Guards against a start that the next leader takes for impossible, since the row of the leader is older than the job's.
+TEST(CellSchedulerTakeover, StartsNothingBeforeTheLeadersRowWasRenewed)
+{
+    FakeCell cell(2);
+    cell.lead();
+    cell.run(Duration(100));
+    cell.renews = false;
+    cell.submit(cellJob("job", 1, 1000));
+    cell.run(Duration(300));
+    CHECK_EQUAL(0, cell.starts);
+    CHECK_TRUE(cell.scheduler->wantsRenewal());
+    cell.renews = true;
+    cell.run(Duration(100));
+    CHECK_EQUAL(1, cell.starts);
+}
+
+// Guards against a workspace that is held below its maximum for the length of a lease because of tasks that can't exist (pattern:
+// change of leader while one worker does not answer and the workspace is at its maximum).
+TEST(CellSchedulerTakeover, LeavesTheRoomThatTheMaximumHasBesideWhatWasFound)
+{
+    FakeCell cell(3);
+    cell.config->workspaces[0].maximum.cpu = MilliCores(8000);
+    cell.configSince = TimePoint(Duration(1));
+    cell.lead();
+    cell.submit(cellJob("running", 8, 1000, Duration(2000)));
+    cell.run(Duration(1000));
+    cell.submit(cellJob("waiting", 8, 1000, Duration(2000)));
+    cell.run(Duration(200));
+    for (int i = 0; i < 3; ++i) {
+        cell.worker(i).crashed = cell.worker(i).running.empty();
+    }
+    cell.lead(2);
+    cell.submit(cellJob("next", 8, 1000, Duration(2000)));
+    cell.run(Duration(1800));
+    CHECK_EQUAL(8, cell.runningTasks());
+    NO_VIOLATION(cell);
+}
+
 TEST_GROUP(CellSchedulerAdvice){};
 
 // Guards against starts on workers that the policy does not allow.
--- /dev/null
+++ b/test/cell/testgrowncell.cpp
@@ -0,0 +1,184 @@
+// The load of a grown cell: 350 workers, 20 workspaces, a policy service that allows a third of the workers, wide gangs, wide
+// batches and many quick jobs, at the rates of an ordinary second. Quick jobs are urgent; gangs are worth most.
+#include "fakecell.h"
+
+#include <cmath>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr int grownWorkers = 350;
+constexpr std::int64_t grownCores = 16000;
+constexpr Duration arrivalStep{5};
+
+/// One kind of job.
+struct LoadClass {
+    const char *route;
+    double perSecond;
+    double steps;
+    double width;
+    std::int64_t milliCores;
+    std::int64_t memory;
+    Duration work;
+    bool gang;
+    double stretch;
+    Duration target;
+};
+
+const LoadClass gangs{"gangs", 4.28, 1.2, 20, 4500, 13000, Duration(5000), true, 2.2, Duration(1000)};
+const LoadClass batches{"batches", 8.95, 1.5, 25, 1700, 3600, Duration(2700), false, 4.0, Duration(3000)};
+const LoadClass quick{"quick", 125, 1, 3, 2500, 1500, Duration(640), false, 1.5, Duration(300)};
+
+class GrownCell
+{
+public:
+    explicit GrownCell(int lanes = 41) : cell(grownWorkers, grownCores)
+    {
+        addClass(quick, 0, AdviceTerms{12, 0.3, Duration(2000)}, 2);
+        addClass(gangs, 1, AdviceTerms{440, 6.2, Duration(2000)}, 4);
+        addClass(batches, 2, AdviceTerms{60, 1, Duration(2000)}, 3);
+        cell.config->workspaces.clear();
+        for (int i = 0; i < workspaces; ++i) {
+            cell.config->workspaces.push_back(Workspace{WorkspaceId("t" + std::to_string(i)), {"key"}, 20, Resources{}});
+        }
+        for (auto &[id, worker] : cell.workers) {
+            worker.info.capacity = cellCores(grownCores, 65536);
+        }
+        cell.duration = [](const StartOrder &order) {
+            const auto percent = static_cast<int>(50 + std::hash<std::string>()(order.task.text()) % 100);
+            if (order.payload == gangs.route) {
+                return gangs.work;
+            }
+            return (order.payload == quick.route ? quick.work : batches.work) * percent / 100;
+        };
+        cell.isAllowed = [](const StepRef &step, const WorkerId &worker) {
+            return std::hash<std::string>()(step.job.value() + std::to_string(step.step) + worker.value()) % 100 < 35;
+        };
+        cell.lead();
+        std::vector<DaemonId> ids;
+        for (int i = 0; i < lanes; ++i) {
+            ids.emplace_back("d" + std::to_string(i));
+        }
+        cell.scheduler->setAdviceLanes(ids);
+        cell.run(Duration(500));
+    }
+
+    /// Lets @p span pass with arrivals at @p factor times the ordinary rate; quick jobs at @p quickFactor times.
+    void serve(Duration span, double factor = 1, double quickFactor = 1)
+    {
+        const TimePoint until = cell.now + span;
+        while (cell.now < until) {
+            arrive(gangs, factor);
+            arrive(batches, factor);
+            arrive(quick, quickFactor);
+            cell.run(arrivalStep);
+            noteEnds();
+        }
+    }
+
+    /// Share of the admitted jobs of a route that ended within their objective, of those that should have ended by now.
+    [[nodiscard]] double shareOnTime(const LoadClass &kind) const
+    {
+        int due = 0;
+        int onTime = 0;
+        for (const auto &[id, job] : m_jobs) {
+            if (job.route == kind.route && job.onTimeBy <= cell.now) {
+                ++due;
+                onTime += job.ended != TimePoint() && job.ended <= job.onTimeBy ? 1 : 0;
+            }
+        }
+        return due > 0 ? static_cast<double>(onTime) / due : 1;
+    }
+
+    FakeCell cell;
+    int refused = 0;
+    int submitted = 0;
+    static constexpr int workspaces = 20;
+
+private:
+    struct Submitted {
+        std::string route;
+        TimePoint onTimeBy;
+        TimePoint ended;
+    };
+
+    void addClass(const LoadClass &kind, int priority, const AdviceTerms &advice, int attempts)
+    {
+        cell.addRoute(kind.route, priority, advice);
+        CellRoute &route = cell.config->routes.back();
+        route.stretch = kind.stretch;
+        route.targetLatency = kind.target;
+        route.attempts = attempts;
+    }
+
+    int around(double mean)
+    {
+        return std::max(1, static_cast<int>(std::lround(mean * std::exponential_distribution<double>(1)(m_random))));
+    }
+
+    void arrive(const LoadClass &kind, double factor)
+    {
+        const double expected = kind.perSecond * factor * static_cast<double>(arrivalStep.count()) / 1000;
+        const int number = std::poisson_distribution<int>(expected)(m_random);
+        for (int i = 0; i < number; ++i) {
+            ++submitted;
+            const int steps = kind.steps > 1 && std::uniform_real_distribution<double>(0, 1)(m_random) < kind.steps - 1 ? 2 : 1;
+            const int width = std::min(kind.width > 5 ? around(kind.width) : static_cast<int>(kind.width), 120);
+            CellJob job = cellJob(std::string(kind.route) + std::to_string(submitted), width, kind.milliCores, kind.work, kind.route);
+            job.payload = kind.route;
+            job.workspace = WorkspaceId("t" + std::to_string(m_random() % workspaces));
+            job.steps[0].gang = kind.gang;
+            job.steps[0].demand = cellCores(kind.milliCores, kind.memory);
+            if (steps == 2) {
+                StepSpec second = job.steps[0];
+                second.after = {0};
+                job.steps.push_back(second);
+            }
+            if (cell.submit(job) != AdmissionVerdict::Admitted) {
+                ++refused;
+                continue;
+            }
+            // The objective counts one call for advice on 30 workers for each step.
+            const Duration chain = kind.work * steps;
+            const Duration objective = Duration(static_cast<std::int64_t>(static_cast<double>(chain.count()) * kind.stretch)) + kind.target;
+            m_jobs[job.id] = Submitted{kind.route, cell.now + objective, TimePoint()};
+            m_open.insert(job.id);
+        }
+    }
+
+    void noteEnds()
+    {
+        for (auto id = m_open.begin(); id != m_open.end();) {
+            if (isFinal(cell.scheduler->state(*id))) {
+                m_jobs[*id].ended = cell.now;
+                id = m_open.erase(id);
+            } else {
+                ++id;
+            }
+        }
+    }
+
+    std::mt19937 m_random{20260704};
+    std::map<JobId, Submitted> m_jobs;
+    std::set<JobId> m_open;
+};
+
+} // namespace
+
+TEST_GROUP(GrownCell){};
+
+// Guards against a cell that serves one kind of job at the cost of another (pattern: ordinary second of a grown cell).
+TEST(GrownCell, ServesEveryKindOfJobOnTime)
+{
+    GrownCell grown;
+    grown.serve(Duration(12000));
+    CHECK_TRUE(grown.shareOnTime(quick) >= 0.9);
+    CHECK_TRUE(grown.shareOnTime(batches) >= 0.9);
+    CHECK_TRUE(grown.cell.violations.empty());
+}
+
+} // namespace KingCupLadder
--- a/test/cell/testleadership.cpp
+++ b/test/cell/testleadership.cpp
@@ -137,7 +137,7 @@
     (void)other.nextAction(start);
     other.onRow(heldBy("d1", 4), RowVersion(5), start);
     const TimePoint beat = start + settings.term;
-    CHECK_TRUE(other.onBeat(daemon("d1"), Epoch(4), beat));
+    CHECK_TRUE(other.onBeat(daemon("d1"), Epoch(4), RowVersion(9), beat));
     CHECK_FALSE(other.nextAction(beat + settings.promise - Duration(1)) == LeaderAction::WriteRow);
 }
 
@@ -193,3 +193,51 @@
     CHECK_TRUE(leadership.next().holder.isEmpty());
     CHECK_TRUE(leadership.next().successor == DaemonId("d2"));
 }
+
+// Guards against a take-over that waits a whole term more because the row is only read once the beats have stopped.
+TEST(Leadership, CountsTheTermFromTheBeatThatToldTheRowsVersion)
+{
+    Leadership other(daemon("d2"), settings);
+    (void)other.nextAction(start);
+    other.onRow(heldBy("d1", 4), RowVersion(5), start);
+    const TimePoint beat = start + Duration(400);
+    CHECK_TRUE(other.onBeat(daemon("d1"), Epoch(4), RowVersion(6), beat));
+    const TimePoint quiet = beat + settings.beatTimeout + Duration(1);
+    CHECK_TRUE(other.nextAction(quiet) == LeaderAction::ReadRow);
+    other.onRow(heldBy("d1", 4), RowVersion(6), quiet);
+    CHECK_FALSE(other.nextAction(beat + settings.term) == LeaderAction::WriteRow);
+    other.onRow(heldBy("d1", 4), RowVersion(6), beat + settings.term);
+    CHECK_TRUE(other.nextAction(beat + settings.term + Duration(1)) == LeaderAction::WriteRow);
+}
+
+// Guards against new jobs that wait for the next regular renewal before they may start.
+TEST(Leadership, RenewsEarlyWhenAskedButNotAllTheTime)
+{
+    Leadership leadership = elected(start);
+    leadership.requestRenewal();
+    CHECK_TRUE(leadership.nextAction(start + settings.soonestRenewal - Duration(1)) == LeaderAction::None);
+    CHECK_TRUE(leadership.nextAction(start + settings.soonestRenewal) == LeaderAction::WriteRow);
+}
+
+// Guards against a store that is asked all the time by a leader which it turns away.
+TEST(Leadership, DoesNotHurryAfterAFailedRenewal)
+{
+    Leadership leadership = elected(start);
+    const TimePoint now = start + settings.renewInterval;
+    (void)leadership.nextAction(now);
+    leadership.onWriteFailed(now);
+    leadership.requestRenewal();
+    CHECK_TRUE(leadership.nextAction(now + settings.retryInterval - Duration(1)) == LeaderAction::None);
+}
+
+// Guards against a new leader that can't tell which jobs the earlier one may have started.
+TEST(Leadership, RemembersTheVersionThatItsClaimReplaced)
+{
+    Leadership other(daemon("d2"), settings);
+    (void)other.nextAction(start);
+    other.onRow(heldBy("d1", 4), RowVersion(5), start);
+    const TimePoint later = start + settings.term + Duration(1);
+    (void)other.nextAction(later);
+    other.onWritten(RowVersion(8), later);
+    CHECK_EQUAL(5U, other.formerVersion().value());
+}
