Yield before the jobs are loaded, and stay away from the leadership afterwards

A weak leader yields with its first renewal, 0.1 s after its claim, and does not claim again for 2 s. Ruled out: the lead of the strong daemons alone (0.3 s to 0.5 s): a read of the store that gets no answer takes a second.

--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -30,7 +30,10 @@
         const auto strongest = strongestMember(now);
         const bool isWeak = strongest && isMuchWeakerThan(*strongest);
         const bool isConfirmed = now - m_leaseFrom < m_settings.term / 2;
-        m_resigning = m_resigning || (isWeak && isConfirmed && now - m_leaderSince > m_settings.yieldAfter);
+        if (!m_resigning && isWeak && isConfirmed && now - m_leaderSince > m_settings.yieldAfter && !m_retired) {
+            m_resigning = true;
+            m_noClaimBefore = now + m_settings.yieldedFor;
+        }
         prepareRenewal(now);
         return LeaderAction::WriteRow;
     }
@@ -49,7 +52,7 @@
 
 bool Leadership::mayClaim(TimePoint now) const
 {
-    if (m_retired || now < m_promisedUntil) {
+    if (m_retired || now < m_promisedUntil || now < m_noClaimBefore) {
         return false;
     }
     if (!m_row || m_row->holder == m_self.id) {
@@ -176,11 +179,13 @@
         m_lastBeat = now;
         return;
     }
-    m_leaderSince = m_isLeader ? m_leaderSince : now;
+    const bool isNew = !m_isLeader;
+    m_leaderSince = isNew ? now : m_leaderSince;
     m_isLeader = true;
     m_epoch = m_next.epoch;
     m_leaseFrom = std::max(m_leaseFrom, m_writeSent);
-    m_nextWrite = m_writeSent + m_settings.renewInterval;
+    // A weak leader yields with its first renewal, before it has loaded the jobs.
+    m_nextWrite = m_writeSent + (isNew ? std::min(m_settings.yieldAfter + Duration(1), m_settings.renewInterval) : m_settings.renewInterval);
 }
 
 void Leadership::onConflict(const std::optional<LeaderRecord> &record, RowVersion version, TimePoint now)
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -43,9 +43,10 @@
     Duration longestOnPromises{7000}; ///< After the store's last confirmation; below strangerTerm.
     Duration strangerTerm{9000}; ///< A daemon that is not in the row's list of members takes over only after this.
     double strongerFactor = 1.5; ///< A leader yields to a member with so much more processor.
-    Duration yieldAfter{500}; ///< A leader leads at least so long before it yields.
-    Duration strongerHead{300}; ///< A weak member lets much stronger ones claim first.
-    Duration successorHead{400}; ///< After a resignation the others wait so long for the successor.
+    Duration yieldAfter{100}; ///< A leader leads at least so long before it yields: the jobs are not loaded twice.
+    Duration yieldedFor{2000}; ///< A leader that has yielded does not claim again for so long.
+    Duration strongerHead{500}; ///< A weak member lets much stronger ones claim first.
+    Duration successorHead{800}; ///< After a resignation the others wait so long for the successor.
 };
 
 enum class LeaderAction {
@@ -137,6 +138,7 @@
     bool m_isLeader = false;
     bool m_retired = false;
     bool m_resigning = false;
+    TimePoint m_noClaimBefore; ///< After it has yielded.
     TimePoint m_leaderSince;
     Epoch m_epoch;
     TimePoint m_leaseFrom; ///< When the last confirmed write was sent.
--- a/test/cell/testleadership.cpp
+++ b/test/cell/testleadership.cpp
@@ -241,3 +241,20 @@
     other.onWritten(RowVersion(8), later);
     CHECK_EQUAL(5U, other.formerVersion().value());
 }
+
+// Guards against a weak leader that takes the leadership back while its stronger successor is about to claim it (pattern: takeover while
+// the store is slow to answer).
+TEST(Leadership, DoesNotClaimAgainRightAfterItHasYielded)
+{
+    Leadership leadership = elected(start);
+    CellMember strong = daemon("d2");
+    strong.power = MilliCores(500);
+    const TimePoint later = start + settings.yieldAfter + Duration(1);
+    leadership.onPromise(strong, false, later, later);
+    leadership.requestRenewal();
+    CHECK_TRUE(leadership.nextAction(later) == LeaderAction::WriteRow);
+    CHECK_TRUE(leadership.next().holder.isEmpty());
+    leadership.onWritten(RowVersion(6), later);
+    const TimePoint soon = later + settings.successorHead + Duration(200);
+    CHECK_FALSE(leadership.nextAction(soon) == LeaderAction::WriteRow);
+}
