--- a/test/cell/testgrowncell.cpp
+++ b/test/cell/testgrowncell.cpp
@@ -60,6 +60,7 @@
         };
         cell.lead();
         std::vector<DaemonId> ids;
+        ids.reserve(static_cast<std::size_t>(lanes));
         for (int i = 0; i < lanes; ++i) {
             ids.emplace_back("d" + std::to_string(i));
         }
