--- a/test/platform/soak/testsoak.cpp
+++ b/test/platform/soak/testsoak.cpp
@@ -1,5 +1,5 @@
 // Runs soaks. A short one with a fixed seed is part of every test run. By hand: LADDER_SOAK_SEED=7 LADDER_SOAK_RUNS=50 test-soak
-// plays the seeds from 7 on. Seeds that ever failed are listed below and played each time.
+// plays the seeds from 7 on.
 #include "soak.h"
 
 #include <CppUTest/TestHarness.h>
