Settle starts that may have reached a worker's next process by a stop

A start was sent to a worker that had just restarted under its id; the new process took it. When the leader heard of the new process, it settled the run as lost with the earlier one and started the task elsewhere. At a change of a worker's process only runs that its list has shown, and whose starts are all answered, are lost. Others are stopped; the acknowledged stop bars a start that is still under way. The fake worker now takes orders meant for its earlier process, as the platform's do. Ruled out: naming the worker with each order; a worker that restarts keeps its id. Test: CellSchedulerWorkerFaults.NeverRunsATaskTwiceWhenItsStartReachedTheNextProcess (failed first).

--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -135,7 +135,7 @@
         Worker &worker = obtain(info.id);
         const bool isNew = worker.info.id.isEmpty();
         if (isNew || worker.info.life < info.life) {
-            beginLife(worker, info.life, events);
+            beginLife(worker, info.life, now, events);
         }
         if (isNew || worker.info.sequence != info.sequence || !worker.registered) {
             worker.sequenceSeen = now;
@@ -245,12 +245,25 @@
     return m_changes;
 }
 
-void WorkerTable::beginLife(Worker &worker, WorkerLife life, std::vector<RunEvent> &events)
+void WorkerTable::beginLife(Worker &worker, WorkerLife life, TimePoint now, std::vector<RunEvent> &events)
 {
     if (worker.info.life != WorkerLife()) {
         worker.presumedDead = TimePoint(); // What an earlier leader started there has ended with the earlier life.
     }
-    loseRuns(worker, events);
+    // A start whose run the earlier life never listed may have reached the new one, or be on its way to it: a stop settles that.
+    for (auto run = worker.runs.begin(); run != worker.runs.end();) {
+        const auto next = std::next(run);
+        if (run->second.listed && run->second.startsOpen == 0 && !run->second.startUnanswered) {
+            events.push_back(settle(worker, run, RunEvent::Kind::Lost));
+        } else {
+            run->second.phase = RunPhase::Stopping;
+            run->second.stopConfirmed = false;
+            run->second.stopOpen = false;
+            run->second.nextStop = now;
+            worker.presumedDead = now + m_limits.maxLease * 2;
+        }
+        run = next;
+    }
     worker.info.life = life;
     worker.clock = WorkerClock(m_limits.clockDrift);
     worker.longestDeadline = 0;
@@ -444,7 +457,7 @@
         return events; // An answer of a process that has been replaced.
     }
     if (worker->info.life < view->life) {
-        beginLife(*worker, view->life, events);
+        beginLife(*worker, view->life, now, events);
     }
     worker->clock.observe(view->clock, now);
     worker->lastAnswer = now;
@@ -497,6 +510,7 @@
         if (run.percent != entry.percent || run.percentSince == TimePoint()) {
             run.percentSince = now;
         }
+        run.listed = true;
         run.percent = entry.percent;
         run.load = entry.load;
         run.checkpoint = entry.checkpoint;
@@ -543,6 +557,7 @@
     run.phase = RunPhase::Running;
     run.sentAt = now;
     run.confirmedAt = now;
+    run.listed = true;
     run.checkpoint = entry.checkpoint;
     run.percent = entry.percent;
     run.percentSince = now;
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -59,6 +59,7 @@
     StartOrder order; ///< For repeats; empty for a run that was found on the worker.
     int startsSent = 0;
     int startsOpen = 0; ///< Starts without an answer so far; at most startsSent.
+    bool listed = false; ///< The worker's list showed it in this life.
     bool startUnanswered = false; ///< A start got no answer and may take effect late.
     TimePoint sentAt;
     TimePoint confirmedAt; ///< When the worker confirmed the start, or the stop while stopping.
@@ -193,7 +194,7 @@
     [[nodiscard]] Resources hiddenCapacity(TimePoint now) const;
 
 private:
-    void beginLife(Worker &worker, WorkerLife life, std::vector<RunEvent> &events);
+    void beginLife(Worker &worker, WorkerLife life, TimePoint now, std::vector<RunEvent> &events);
     void loseRuns(Worker &worker, std::vector<RunEvent> &events);
     void readEnds(Worker &worker, const HoldView &view, std::vector<RunEvent> &events, std::vector<EndedEntry> &strayEnds);
     void readRunning(Worker &worker, const HoldView &view, TimePoint sent, TimePoint now, std::vector<RunEvent> &events, std::vector<FoundRun> &found);
--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -236,9 +236,10 @@
     {
         FakeCellWorker &worker = workers.at(order.worker);
         const WorkerClockMs clock = worker.clock(now);
-        if (worker.crashed || order.life != worker.info.life) {
-            return {worker.crashed ? OrderOutcome::NoAnswer : OrderOutcome::OtherLife, 0};
+        if (worker.crashed) {
+            return {OrderOutcome::NoAnswer, 0};
         }
+        // A worker that was started again under its id takes an order that was meant for its earlier life.
         if (epochOf(order) < worker.fence) {
             return {OrderOutcome::StaleFence, clock};
         }
--- a/test/cell/testcellscheduler.cpp
+++ b/test/cell/testcellscheduler.cpp
@@ -304,6 +304,23 @@
     CHECK_EQUAL(2, cell.starts);
 }
 
+// Guards against a task that runs twice because its start reached the worker's next process (pattern: a worker restarts while it is
+// given work, and the leader hears of it later; seeds 106, 110, 113 and 209 of the soak).
+TEST(CellSchedulerWorkerFaults, NeverRunsATaskTwiceWhenItsStartReachedTheNextProcess)
+{
+    FakeCell cell(3);
+    cell.lead();
+    cell.run(Duration(300));
+    for (int i = 0; i < 12; ++i) {
+        cell.submit(cellJob("job" + std::to_string(i), 3, 1000, Duration(400)));
+        cell.worker(i % 3).restart();
+        cell.run(Duration(5 + i % 4 * 5));
+    }
+    cell.run(Duration(6000));
+    NO_VIOLATION(cell);
+    CHECK_TRUE(cell.state("job11") == CellJobState::Succeeded);
+}
+
 // Guards against starts on a worker that is about to leave.
 TEST(CellSchedulerWorkerFaults, SendsNoNewWorkToADrainingWorker)
 {
