--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -13,52 +13,6 @@
 
 } // namespace
 
-const char *toString(RunEnd end)
-{
-    switch (end) {
-    case RunEnd::Succeeded:
-        return "succeeded";
-    case RunEnd::Failed:
-        return "failed";
-    case RunEnd::Stopped:
-        return "stopped";
-    case RunEnd::LeaseExpired:
-        return "lease expired";
-    case RunEnd::GangBroken:
-        return "gang broken";
-    case RunEnd::GangIncomplete:
-        return "gang incomplete";
-    }
-    return "unknown";
-}
-
-const char *toString(OrderOutcome outcome)
-{
-    switch (outcome) {
-    case OrderOutcome::Done:
-        return "done";
-    case OrderOutcome::StaleFence:
-        return "stale fencing token";
-    case OrderOutcome::OldRun:
-        return "old run number";
-    case OrderOutcome::TooLate:
-        return "deadline passed";
-    case OrderOutcome::NoRoom:
-        return "no room";
-    case OrderOutcome::BadTicket:
-        return "bad ticket";
-    case OrderOutcome::Refused:
-        return "refused";
-    case OrderOutcome::Unhealthy:
-        return "worker unhealthy";
-    case OrderOutcome::OtherLife:
-        return "other worker process";
-    case OrderOutcome::NoAnswer:
-        return "no answer";
-    }
-    return "unknown";
-}
-
 WorkerClock::WorkerClock(double drift) : m_drift(drift) { }
 
 void WorkerClock::observe(WorkerClockMs clock, TimePoint received)
@@ -257,6 +211,7 @@
             events.push_back(settle(worker, run, RunEvent::Kind::Lost));
         } else {
             run->second.phase = RunPhase::Stopping;
+            run->second.listed = false;
             run->second.stopConfirmed = false;
             run->second.stopOpen = false;
             run->second.nextStop = now;
--- /dev/null
+++ b/src/cell/workerview.cpp
@@ -0,0 +1,52 @@
+// Names of ends and outcomes for the log.
+#include "workerview.h"
+
+namespace KingCupLadder {
+
+const char *toString(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Succeeded:
+        return "succeeded";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::LeaseExpired:
+        return "lease expired";
+    case RunEnd::GangBroken:
+        return "gang broken";
+    case RunEnd::GangIncomplete:
+        return "gang incomplete";
+    }
+    return "unknown";
+}
+
+const char *toString(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Done:
+        return "done";
+    case OrderOutcome::StaleFence:
+        return "stale fencing token";
+    case OrderOutcome::OldRun:
+        return "old run number";
+    case OrderOutcome::TooLate:
+        return "deadline passed";
+    case OrderOutcome::NoRoom:
+        return "no room";
+    case OrderOutcome::BadTicket:
+        return "bad ticket";
+    case OrderOutcome::Refused:
+        return "refused";
+    case OrderOutcome::Unhealthy:
+        return "worker unhealthy";
+    case OrderOutcome::OtherLife:
+        return "other worker process";
+    case OrderOutcome::NoAnswer:
+        return "no answer";
+    }
+    return "unknown";
+}
+
+} // namespace KingCupLadder
--- a/src/daemon/eventloop.cpp
+++ b/src/daemon/eventloop.cpp
@@ -171,4 +171,19 @@
     event_del(m_event);
 }
 
+void DelayedCalls::after(Duration pause, std::function<void()> function)
+{
+    const auto timer = m_timers.emplace(m_timers.end());
+    *timer = EventWatch::timer(m_loop, [this, timer, function = std::move(function)] {
+        m_timers.erase(timer);
+        function(); // May destroy this object.
+    });
+    (*timer)->start(pause);
+}
+
+bool DelayedCalls::isEmpty() const
+{
+    return m_timers.empty();
+}
+
 } // namespace KingCupLadder
--- a/src/daemon/eventloop.h
+++ b/src/daemon/eventloop.h
@@ -6,6 +6,7 @@
 #include "core/units.h"
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <vector>
 
@@ -72,4 +73,18 @@
     Handler m_handler;
 };
 
+/// Functions that are each called once after a pause; those that are not due when this object is destroyed are dropped.
+class DelayedCalls
+{
+public:
+    explicit DelayedCalls(EventLoop &loop) : m_loop(loop) { }
+
+    void after(Duration pause, std::function<void()> function);
+    [[nodiscard]] bool isEmpty() const;
+
+private:
+    EventLoop &m_loop;
+    std::list<std::unique_ptr<EventWatch>> m_timers;
+};
+
 } // namespace KingCupLadder
--- a/src/node/carriedworkers.cpp
+++ b/src/node/carriedworkers.cpp
@@ -100,6 +100,10 @@
     for (const CellMember &carrier : carriers) {
         addresses.push_back(carrier.peerAddress);
     }
+    const TimePoint now = m_loop.now();
+    for (auto entry = m_directUntil.begin(); entry != m_directUntil.end();) {
+        entry = entry->second <= now ? m_directUntil.erase(entry) : std::next(entry);
+    }
     if (addresses == m_carriers) {
         return;
     }
@@ -118,18 +122,18 @@
     }
 }
 
-std::string CarriedWorkers::carrierOf(const WorkerId &worker)
+void CarriedWorkers::abandon()
+{
+    m_carriers.clear();
+    m_open.clear();
+    m_directUntil.clear();
+}
+
+std::string CarriedWorkers::carrierOf(const WorkerId &worker) const
 {
-    if (m_carriers.empty()) {
+    if (m_carriers.empty() || m_directUntil.count(worker) > 0) {
         return {};
     }
-    const auto direct = m_directUntil.find(worker);
-    if (direct != m_directUntil.end()) {
-        if (m_loop.now() < direct->second) {
-            return {};
-        }
-        m_directUntil.erase(direct);
-    }
     // The carrier with the highest mixed hash, so that most workers keep theirs when the carriers change.
     const auto weight = [&worker](const std::string &address) { return std::hash<std::string>()(address + "/" + worker.value()); };
     return *std::max_element(m_carriers.begin(), m_carriers.end(), [&weight](const std::string &a, const std::string &b) { return weight(a) < weight(b); });
@@ -158,6 +162,17 @@
     });
 }
 
+void CarriedWorkers::carryOrder(const std::string &carrier, CellWire::WorkerOrder order, const WorkerId &worker, OrderCallback callback)
+{
+    carry(carrier, std::move(order), orderPatience, [this, worker, callback = std::move(callback)](const CellWire::WorkerResult *result) {
+        const OrderAnswer answer = answerOf(result);
+        if (answer.outcome == OrderOutcome::NoAnswer) {
+            noteFailure(worker);
+        }
+        callback(answer);
+    });
+}
+
 void CarriedWorkers::start(const StartOrder &order, Epoch epoch, OrderCallback callback)
 {
     const std::string carrier = carrierOf(order.worker);
@@ -172,13 +187,7 @@
     wire.set_checkpoint(order.checkpoint);
     wire.set_ticket(order.ticket);
     wire.set_deadline(order.deadline);
-    carry(carrier, std::move(wire), orderPatience, [this, worker = order.worker, callback = std::move(callback)](const CellWire::WorkerResult *result) {
-        const OrderAnswer answer = answerOf(result);
-        if (answer.outcome == OrderOutcome::NoAnswer) {
-            noteFailure(worker);
-        }
-        callback(answer);
-    });
+    carryOrder(carrier, std::move(wire), order.worker, std::move(callback));
 }
 
 void CarriedWorkers::stop(const StopOrder &order, Epoch epoch, OrderCallback callback)
@@ -191,13 +200,7 @@
     }
     CellWire::WorkerOrder wire = orderFor(CellWire::WorkerOrder::STOP, epoch, order.worker, order.address, order.life);
     setTask(wire, order.task, order.run);
-    carry(carrier, std::move(wire), orderPatience, [this, worker = order.worker, callback = std::move(callback)](const CellWire::WorkerResult *result) {
-        const OrderAnswer answer = answerOf(result);
-        if (answer.outcome == OrderOutcome::NoAnswer) {
-            noteFailure(worker);
-        }
-        callback(answer);
-    });
+    carryOrder(carrier, std::move(wire), order.worker, std::move(callback));
 }
 
 void CarriedWorkers::hold(const HoldOrder &order, Epoch epoch, HoldCallback callback)
--- a/src/node/carriedworkers.h
+++ b/src/node/carriedworkers.h
@@ -23,8 +23,11 @@
 public:
     CarriedWorkers(EventLoop &loop, WorkerPort &direct, CellPeers &peers);
 
-    /// The members that carry calls from now on; none: all calls are made directly. Calls that others still carry are given up.
+    /// The members that carry calls from now on; none: all calls are made directly. Calls that others still carry are given up. To be
+    /// called regularly.
     void setCarriers(const std::vector<CellMember> &carriers);
+    /// The leadership has ended: nothing more is sent for the calls that are under way, and their callbacks do not come.
+    void abandon();
     void start(const StartOrder &order, Epoch epoch, OrderCallback callback) override;
     void stop(const StopOrder &order, Epoch epoch, OrderCallback callback) override;
     void hold(const HoldOrder &order, Epoch epoch, HoldCallback callback) override;
@@ -33,11 +36,17 @@
     [[nodiscard]] const CarrierCounters &counters() const;
 
 private:
-    using Callback = std::function<void(const CellWire::WorkerResult *result)>;
+    using Callback = std::function<void(const CellWire::WorkerResult *result)>; ///< Null: no answer.
+
+    struct Open {
+        std::string carrier;
+        Callback callback;
+    };
 
     /// The peer that carries calls to the worker; empty: none.
-    [[nodiscard]] std::string carrierOf(const WorkerId &worker);
+    [[nodiscard]] std::string carrierOf(const WorkerId &worker) const;
     void carry(const std::string &carrier, CellWire::WorkerOrder order, Duration timeout, Callback callback);
+    void carryOrder(const std::string &carrier, CellWire::WorkerOrder order, const WorkerId &worker, OrderCallback callback);
     void noteFailure(const WorkerId &worker);
 
     EventLoop &m_loop;
@@ -45,10 +54,6 @@
     CellPeers &m_peers;
     std::vector<std::string> m_carriers; ///< Peer addresses.
     std::map<WorkerId, TimePoint> m_directUntil; ///< Workers that a carrier did not reach lately.
-    struct Open {
-        std::string carrier;
-        Callback callback;
-    };
     std::map<std::uint64_t, Open> m_open; ///< Calls that carriers have not answered.
     std::uint64_t m_lastOpen = 0;
     CarrierCounters m_counters;
--- a/src/node/cellpeers.cpp
+++ b/src/node/cellpeers.cpp
@@ -11,6 +11,7 @@
 constexpr Duration connectTimeout{500};
 constexpr Duration longestReconnect{400};
 constexpr Duration collectFor{2}; // A message through ZeroMQ costs several system calls in two threads, whatever its size.
+constexpr std::size_t largestCollected = 32UL * 1024; // Bytes; many larger messages together could exceed what one message may hold.
 // libzmq 4.3.4 aborts (stream_engine_base.cpp, "!_io_error") if a connection breaks while a full queue holds back its input.
 constexpr int receiveQueue = 200000;
 
@@ -41,6 +42,15 @@
 
 void CellPeers::send(const std::string &address, Envelope message)
 {
+    if (message.ByteSizeLong() > largestCollected) {
+        const auto before = m_outbox.find(address);
+        if (before != m_outbox.end()) {
+            transmit(address, std::move(before->second)); // The order is kept.
+            m_outbox.erase(before);
+        }
+        transmit(address, std::move(message));
+        return;
+    }
     const auto [waiting, isFirst] = m_outbox.try_emplace(address);
     if (isFirst) {
         waiting->second = std::move(message);
@@ -57,13 +67,18 @@
 {
     m_flushSet = false;
     for (auto &[address, message] : std::exchange(m_outbox, {})) {
-        message.set_from(m_self.id.value());
-        message.set_incarnation(m_self.incarnation.value());
-        message.set_reply_address(m_self.peerAddress);
-        m_transport->send(address, message.SerializeAsString());
+        transmit(address, std::move(message));
     }
 }
 
+void CellPeers::transmit(const std::string &address, Envelope message)
+{
+    message.set_from(m_self.id.value());
+    message.set_incarnation(m_self.incarnation.value());
+    message.set_reply_address(m_self.peerAddress);
+    m_transport->send(address, message.SerializeAsString());
+}
+
 void CellPeers::ask(const std::string &address, Envelope question, Duration timeout, AnswerCallback callback)
 {
     question.set_call(++m_lastCall);
--- a/src/node/cellpeers.h
+++ b/src/node/cellpeers.h
@@ -21,7 +21,7 @@
 
     [[nodiscard]] static Result<std::unique_ptr<CellPeers>> create(EventLoop &loop, const CellMember &self, Handler handler);
 
-    /// Messages to one address that come at about the same time leave as one.
+    /// Small messages to one address that come at about the same time leave as one.
     void send(const std::string &address, Envelope message);
     /// The callback comes exactly once, after the call has returned.
     void ask(const std::string &address, Envelope question, Duration timeout, AnswerCallback callback);
@@ -40,6 +40,7 @@
     [[nodiscard]] bool receive(std::string_view bytes);
     void handle(const Envelope &message);
     void flush();
+    void transmit(const std::string &address, Envelope message);
 
     EventLoop &m_loop;
     CellMember m_self;
--- a/src/node/cellrows.cpp
+++ b/src/node/cellrows.cpp
@@ -60,7 +60,7 @@
 
 } // namespace
 
-CellRows::CellRows(EventLoop &loop, TableStore &store, int parts) : m_loop(loop), m_store(store), m_parts(std::max(parts, 1)) { }
+CellRows::CellRows(EventLoop &loop, TableStore &store, int parts) : m_loop(loop), m_store(store), m_parts(std::max(parts, 1)), m_delayed(loop) { }
 
 std::string CellRows::partOf(const JobId &id) const
 {
@@ -86,18 +86,6 @@
     return RowKey{progressTable, partOf(id), id.value()};
 }
 
-void CellRows::after(Duration pause, std::function<void()> function)
-{
-    const std::uint64_t id = ++m_lastTimer;
-    auto timer = EventWatch::timer(m_loop, [this, id, function = std::move(function)] {
-        const auto keep = std::move(m_timers.at(id));
-        m_timers.erase(id);
-        function();
-    });
-    timer->start(pause);
-    m_timers.emplace(id, std::move(timer));
-}
-
 void CellRows::admit(const CellJob &job, TimePoint deadline, const std::function<void(AdmitOutcome)> &callback)
 {
     admitOnce(job, deadline, false, callback);
@@ -124,7 +112,7 @@
             callback(unknown ? AdmitOutcome::Unknown : AdmitOutcome::NotStored);
             return;
         }
-        after(retryPause, [this, job, deadline, unknown, callback] { admitOnce(job, deadline, unknown, callback); });
+        m_delayed.after(retryPause, [this, job, deadline, unknown, callback] { admitOnce(job, deadline, unknown, callback); });
     });
 }
 
@@ -147,7 +135,7 @@
             callback(false);
             return;
         }
-        after(retryPause, [this, id, deadline, callback] { cancelOnce(id, deadline, callback); });
+        m_delayed.after(retryPause, [this, id, deadline, callback] { cancelOnce(id, deadline, callback); });
     });
 }
 
--- a/src/node/cellrows.h
+++ b/src/node/cellrows.h
@@ -94,15 +94,13 @@
     void onLoaded(LoadPart next, const StoreAnswer &answer);
     void writePart(const std::string &part, const std::vector<ProgressWrite> &writes, std::int64_t unixNowMs, const ProgressCallback &callback);
     void onPartWritten(const std::vector<ProgressWrite> &writes, const StoreAnswer &answer, const ProgressCallback &callback);
-    void after(Duration pause, std::function<void()> function);
 
     EventLoop &m_loop;
     TableStore &m_store;
     int m_parts;
     std::map<JobId, RowVersion> m_versions; ///< Of progress rows; absent: no such row.
     std::vector<std::string> m_formerWorkerKeys; ///< Rows of earlier leaderships; their workers are in the next list.
-    std::map<std::uint64_t, std::unique_ptr<EventWatch>> m_timers;
-    std::uint64_t m_lastTimer = 0;
+    DelayedCalls m_delayed; ///< Repeats of writes.
 };
 
 } // namespace KingCupLadder
--- a/src/node/leaderduty.cpp
+++ b/src/node/leaderduty.cpp
@@ -118,6 +118,11 @@
         pollChanges();
     }
     chooseCarriers();
+    std::vector<DaemonId> lanes{m_self.id};
+    for (const CellMember &member : m_leadership.liveMembers(now)) {
+        lanes.push_back(member.id);
+    }
+    m_scheduler.setAdviceLanes(lanes);
     decide();
     logLoad();
 }
@@ -197,7 +202,7 @@
     ++m_term;
     m_active = false;
     m_carriers.clear();
-    m_workers.setCarriers({});
+    m_workers.abandon();
     logLine(LogPart::Leader, LogLevel::Info, "no longer leads the cell; its epoch was " + std::to_string(m_epoch.value()));
 }
 
@@ -319,16 +324,11 @@
     if (!m_active || !m_leadership.mayAct(m_loop.now())) {
         return;
     }
-    std::vector<DaemonId> lanes{m_self.id};
-    for (const CellMember &member : m_leadership.liveMembers(m_loop.now())) {
-        lanes.push_back(member.id);
-    }
-    m_scheduler.setAdviceLanes(lanes);
     m_scheduler.onLeaseRenewed(m_leadership.renewedAt());
     ++m_decisions;
     carryOut(m_scheduler.tick(time()));
     storeProgress();
-    if (m_scheduler.wantsRenewal() && m_onRenewalWanted) {
+    if (m_scheduler.wantsRenewal()) {
         m_leadership.requestRenewal();
         m_onRenewalWanted();
     }
--- a/src/node/leaderduty.h
+++ b/src/node/leaderduty.h
@@ -38,7 +38,7 @@
                CarriedWorkers &workers,
                AdvicePort &advice,
                CellPeers &peers,
-               std::function<void()> onRenewalWanted = nullptr);
+               std::function<void()> onRenewalWanted);
 
     /// Starts or ends the duty when the leadership has changed; runs what is due.
     void tick();
--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -12,6 +12,9 @@
 #include <string>
 #include <vector>
 
+/// Fails with the first thing that must never happen.
+#define NO_VIOLATION(cell) STRCMP_EQUAL("", ((cell).violations.empty() ? std::string() : (cell).violations.front()).c_str())
+
 namespace KingCupLadder {
 
 inline Resources cellCores(std::int64_t milliCores, std::int64_t memory = 100)
@@ -224,6 +227,7 @@
     /// Which workers the policy service allows a step; goodWorkers if it is not set.
     std::function<bool(const StepRef &, const WorkerId &)> isAllowed;
     int adviceCalls = 0;
+    int workersNamed = 0; ///< In these calls.
     int starts = 0;
 
     /// The start takes effect at @p at, although it got no answer.
@@ -368,6 +372,7 @@
         }
         for (const AdviceCall &call : orders.advice) {
             ++adviceCalls;
+            workersNamed += static_cast<int>(call.workers.size());
             m_events.emplace(now + call.duration, [this, call, sent = now] {
                 AdviceAnswer answer;
                 answer.answered = true;
--- a/test/cell/testgrowncell.cpp
+++ b/test/cell/testgrowncell.cpp
@@ -68,14 +68,14 @@
         cell.run(Duration(500));
     }
 
-    /// Lets @p span pass with arrivals at @p factor times the ordinary rate; quick jobs at @p quickFactor times.
-    void serve(Duration span, double factor = 1, double quickFactor = 1)
+    /// Lets @p span pass with arrivals at the ordinary rates.
+    void serve(Duration span)
     {
         const TimePoint until = cell.now + span;
         while (cell.now < until) {
-            arrive(gangs, factor);
-            arrive(batches, factor);
-            arrive(quick, quickFactor);
+            arrive(gangs);
+            arrive(batches);
+            arrive(quick);
             cell.run(arrivalStep);
             noteEnds();
         }
@@ -96,11 +96,11 @@
     }
 
     FakeCell cell;
-    int refused = 0;
-    int submitted = 0;
-    static constexpr int workspaces = 20;
 
 private:
+    static constexpr int workspaces = 20;
+    int m_submitted = 0;
+
     struct Submitted {
         std::string route;
         TimePoint onTimeBy;
@@ -121,15 +121,15 @@
         return std::max(1, static_cast<int>(std::lround(mean * std::exponential_distribution<double>(1)(m_random))));
     }
 
-    void arrive(const LoadClass &kind, double factor)
+    void arrive(const LoadClass &kind)
     {
-        const double expected = kind.perSecond * factor * static_cast<double>(arrivalStep.count()) / 1000;
+        const double expected = kind.perSecond * static_cast<double>(arrivalStep.count()) / 1000;
         const int number = std::poisson_distribution<int>(expected)(m_random);
         for (int i = 0; i < number; ++i) {
-            ++submitted;
+            ++m_submitted;
             const int steps = kind.steps > 1 && std::uniform_real_distribution<double>(0, 1)(m_random) < kind.steps - 1 ? 2 : 1;
             const int width = std::min(kind.width > 5 ? around(kind.width) : static_cast<int>(kind.width), 120);
-            CellJob job = cellJob(std::string(kind.route) + std::to_string(submitted), width, kind.milliCores, kind.work, kind.route);
+            CellJob job = cellJob(std::string(kind.route) + std::to_string(m_submitted), width, kind.milliCores, kind.work, kind.route);
             job.payload = kind.route;
             job.workspace = WorkspaceId("t" + std::to_string(m_random() % workspaces));
             job.steps[0].gang = kind.gang;
@@ -140,10 +140,8 @@
                 job.steps.push_back(second);
             }
             if (cell.submit(job) != AdmissionVerdict::Admitted) {
-                ++refused;
                 continue;
             }
-            // The objective counts one call for advice on 30 workers for each step.
             const Duration chain = kind.work * steps;
             const Duration objective = Duration(static_cast<std::int64_t>(static_cast<double>(chain.count()) * kind.stretch)) + kind.target;
             m_jobs[job.id] = Submitted{kind.route, cell.now + objective, TimePoint()};
@@ -178,8 +176,25 @@
     GrownCell grown;
     grown.serve(Duration(12000));
     CHECK_TRUE(grown.shareOnTime(quick) >= 0.9);
+    CHECK_TRUE(grown.shareOnTime(gangs) >= 0.9);
     CHECK_TRUE(grown.shareOnTime(batches) >= 0.9);
-    CHECK_TRUE(grown.cell.violations.empty());
+    NO_VIOLATION(grown.cell);
+}
+
+// Guards against long calls to the policy service that delay a gang although far fewer workers have the room (pattern: a gang of an
+// ordinary width on a cell with room).
+TEST(GrownCell, NamesNoMoreWorkersThanAGangNeeds)
+{
+    GrownCell grown;
+    CellJob gang = cellJob("gang", 20, gangs.milliCores, gangs.work, gangs.route);
+    gang.payload = gangs.route;
+    gang.workspace = WorkspaceId("t0");
+    gang.steps[0].gang = true;
+    grown.cell.submit(gang);
+    grown.cell.run(Duration(1500));
+    CHECK_EQUAL(20, grown.cell.runningTasks());
+    // An empty worker takes three tasks, and the policy allows about a third of the workers.
+    CHECK_TRUE(grown.cell.workersNamed <= 2 * 3 * 20 / 3);
 }
 
 } // namespace KingCupLadder
--- a/test/node/testcarriedworkers.cpp
+++ b/test/node/testcarriedworkers.cpp
@@ -1,3 +1,4 @@
+#include "loops.h"
 #include "node/carriedworkers.h"
 
 #include <CppUTest/TestHarness.h>
@@ -92,18 +93,13 @@
 
     void runUntil(const std::function<bool()> &condition, Duration most = Duration(4000))
     {
-        bool over = false;
-        const auto timer = EventWatch::timer(*loop, [&over] { over = true; });
-        timer->start(most);
         const auto step = EventWatch::repeating(*loop, Duration(5), [this] {
             leader.peers->expire(loop->now());
             if (carrier) {
                 carrier->peers->expire(loop->now());
             }
         });
-        while (!over && !condition()) {
-            loop->runOnce();
-        }
+        KingCupLadder::runUntil(*loop, condition, most);
     }
 
     void connect()
@@ -202,3 +198,16 @@
     CHECK_TRUE(result->outcome == OrderOutcome::NoAnswer);
     CHECK_EQUAL(0, leader.port.starts);
 }
+
+// Guards against renewals by a daemon that no longer leads (pattern: the leader loses its leadership while a carrier is silent).
+TEST(CarriedWorkers, SendsNothingMoreOnceTheLeadershipHasEnded)
+{
+    connect();
+    carrier.reset();
+    bool called = false;
+    leader.workers->hold(holdOrder(), Epoch(2), [&called](const std::optional<HoldView> &) { called = true; });
+    leader.workers->abandon();
+    runUntil([&called] { return called; }, Duration(1500));
+    CHECK_FALSE(called);
+    CHECK_EQUAL(0, leader.port.holds);
+}
--- a/test/node/testcellrows.cpp
+++ b/test/node/testcellrows.cpp
@@ -1,3 +1,4 @@
+#include "loops.h"
 #include "memorytablestore.h"
 #include "node/cellrows.h"
 
@@ -31,10 +32,8 @@
 
     void runUntil(const bool &done)
     {
-        const TimePoint giveUp = loop->now() + Duration(3000);
-        while (!done && loop->now() < giveUp) {
-            loop->runOnce();
-        }
+        KingCupLadder::runUntil(
+            *loop, [&done] { return done; }, Duration(3000));
     }
 
     AdmitOutcome admit(const CellJob &job, Duration patience = Duration(500))
--- a/test/node/testnode.cpp
+++ b/test/node/testnode.cpp
@@ -1,3 +1,4 @@
+#include "loops.h"
 #include "memorytablestore.h"
 #include "node/node.h"
 
@@ -59,16 +60,6 @@
         settings.readyAddress = address(2);
         return std::move(Node::create(*loop, settings, emptyTranslation(), store, workers, advice)).value();
     }
-
-    void runFor(Duration span)
-    {
-        bool over = false;
-        const auto timer = EventWatch::timer(*loop, [&over] { over = true; });
-        timer->start(span);
-        while (!over) {
-            loop->runOnce();
-        }
-    }
 };
 
 // Guards against a leader that never hears of daemons which started after it and leaves their share of the work undone (pattern: all
@@ -76,9 +67,9 @@
 TEST(Node, TheLeaderFindsADaemonThatStartedLater)
 {
     const auto leader = start("d1", 17341);
-    runFor(Duration(700));
+    runFor(*loop, Duration(700));
     CHECK_TRUE(leader->metrics().find("kingcupladder_leader 1") != std::string::npos);
     const auto later = start("d2", 17351);
-    runFor(Duration(4000));
+    runFor(*loop, Duration(4000));
     CHECK_TRUE(leader->metrics().find("kingcupladder_members_live 1") != std::string::npos);
 }
--- a/test/node/testrelaystore.cpp
+++ b/test/node/testrelaystore.cpp
@@ -1,3 +1,4 @@
+#include "loops.h"
 #include "memorytablestore.h"
 #include "node/relaystore.h"
 
@@ -73,16 +74,6 @@
     MemoryTableStore healthy{*loop};
     SilentStore silent{*loop};
 
-    void pause(Duration span)
-    {
-        bool over = false;
-        const auto timer = EventWatch::timer(*loop, [&over] { over = true; });
-        timer->start(span);
-        while (!over) {
-            loop->runOnce();
-        }
-    }
-
     StoreAnswer write(Daemon & from, const std::string &key, std::vector<Daemon *> daemons)
     {
         Transaction transaction;
@@ -94,15 +85,13 @@
             result = answer;
             done = true;
         });
-        const TimePoint giveUp = loop->now() + Duration(5000);
         const auto tick = EventWatch::repeating(*loop, Duration(5), [&] {
             for (Daemon *daemon : daemons) {
                 daemon->peers->expire(loop->now());
             }
         });
-        while (!done && loop->now() < giveUp) {
-            loop->runOnce();
-        }
+        runUntil(
+            *loop, [&done] { return done; }, Duration(5000));
         CHECK_TRUE(done);
         return result;
     }
@@ -119,7 +108,7 @@
     const TimePoint giveUp = loop->now() + Duration(5000);
     while (answer.outcome != StoreOutcome::Done && answer.outcome != StoreOutcome::Conflict && loop->now() < giveUp) {
         answer = write(daemon, "a", {&daemon, &helper});
-        pause(Duration(150));
+        runFor(*loop, Duration(150));
     }
     CHECK_TRUE(answer.outcome == StoreOutcome::Done || answer.outcome == StoreOutcome::Conflict);
     CHECK_TRUE(healthy.has("t", "a"));
--- a/test/platform/soak/soak.cpp
+++ b/test/platform/soak/soak.cpp
@@ -50,6 +50,7 @@
     ConnectionPoolSettings pool;
     pool.probeSuspects = false;
     m_clients = std::make_unique<ConnectionPools>(*m_loop, pool);
+    m_delayed = std::make_unique<DelayedCalls>(*m_loop);
     std::filesystem::create_directories(settings.folder);
     for (int i = 0; i < settings.daemons; ++i) {
         Daemon &daemon = m_daemons.emplace_back();
@@ -91,18 +92,6 @@
     m_faults.push_back(std::to_string((m_loop->now() - m_begun).count()) + " ms: " + fault);
 }
 
-void Soak::after(Duration pause, std::function<void()> function)
-{
-    m_timers.emplace_back();
-    const auto timer = std::prev(m_timers.end());
-    *timer = EventWatch::timer(*m_loop, [this, timer, function = std::move(function)] {
-        const auto ending = std::move(*timer);
-        m_timers.erase(timer);
-        function();
-    });
-    (*timer)->start(pause);
-}
-
 void Soak::writeConfig()
 {
     ++m_configVersion;
@@ -165,10 +154,10 @@
         if (status >= httpOk && status < 300) {
             m_book.noteAdmitted(id);
             if (pick(12) == 0) {
-                after(span(0, 900), [this, id] { cancelJob(id); });
+                m_delayed->after(span(0, 900), [this, id] { cancelJob(id); });
             }
         } else if (left > 1) {
-            after(span(50, 900), [this, id, left] { attempt(id, left - 1); });
+            m_delayed->after(span(50, 900), [this, id, left] { attempt(id, left - 1); });
         }
     });
 }
@@ -229,7 +218,7 @@
         link.resetAll();
         return;
     }
-    after(length, [&link] { link.setFault(LinkFault::None); });
+    m_delayed->after(length, [&link] { link.setFault(LinkFault::None); });
 }
 
 void Soak::faultDaemon(Daemon &daemon)
@@ -238,7 +227,7 @@
         return;
     }
     const auto restartLater = [this, &daemon](Duration pause) {
-        after(pause, [this, &daemon] { startDaemon(daemon); }); // Also ends a process that has not stopped by then.
+        m_delayed->after(pause, [this, &daemon] { startDaemon(daemon); }); // Also ends a process that has not stopped by then.
     };
     switch (pick(4)) {
     case 0:
@@ -250,7 +239,7 @@
         const Duration length = span(200, 5000);
         note(daemon.id + " is paused for " + std::to_string(length.count()) + " ms");
         daemon.process->signal(SIGSTOP);
-        after(length, [process = daemon.process.get(), &daemon] {
+        m_delayed->after(length, [process = daemon.process.get(), &daemon] {
             if (daemon.process.get() == process) {
                 process->signal(SIGCONT);
             }
@@ -279,7 +268,7 @@
         m_store->slowBy = span(20, 400);
         note("the store is slower by " + std::to_string(m_store->slowBy.count()) + " ms for " + std::to_string(length.count()) + " ms");
     }
-    after(length, [this] {
+    m_delayed->after(length, [this] {
         m_store->refuses = false;
         m_store->slowBy = Duration(0);
     });
@@ -318,7 +307,7 @@
         } else {
             note("worker " + workerName + " fails everything for a while");
             m_workers->setFailing(worker, true);
-            after(span(200, 2000), [this, worker] { m_workers->setFailing(worker, false); });
+            m_delayed->after(span(200, 2000), [this, worker] { m_workers->setFailing(worker, false); });
         }
         break;
     }
@@ -369,7 +358,7 @@
     m_injects = false;
     m_submits = false;
     note("the last fault was injected");
-    runFor(m_settings.calmFor, [this] { return m_book.unfinished().empty() && m_timers.empty(); });
+    runFor(m_settings.calmFor, [this] { return m_book.unfinished().empty() && m_delayed->isEmpty(); });
     SoakReport report;
     report.breaches = m_book.breaches();
     for (const JobId &id : m_book.unfinished()) {
--- a/test/platform/soak/soak.h
+++ b/test/platform/soak/soak.h
@@ -64,7 +64,6 @@
     void askState(const JobId &id);
     void cancelJob(const JobId &id);
     void tick();
-    void after(Duration pause, std::function<void()> function);
     void runFor(Duration span, const std::function<bool()> &isOver);
     void note(const std::string &fault);
     [[nodiscard]] int pick(int below);
@@ -80,7 +79,7 @@
     std::unique_ptr<PolicyServer> m_policy;
     std::list<Daemon> m_daemons;
     std::unique_ptr<ConnectionPools> m_clients;
-    std::list<std::unique_ptr<EventWatch>> m_timers;
+    std::unique_ptr<DelayedCalls> m_delayed; ///< Ends of faults, restarts and callers' next attempts.
     std::vector<JobId> m_jobs;
     std::map<JobId, std::string> m_bodies;
     std::vector<std::string> m_faults;
--- a/test/platform/soak/standincell.cpp
+++ b/test/platform/soak/standincell.cpp
@@ -14,8 +14,7 @@
 namespace {
 
 constexpr Duration heartbeat{500};
-constexpr Duration cancelTerm{6000}; // After the acknowledgement of a cancellation nothing of the job starts any more.
-constexpr Duration visibleTerm{3000}; // So long after its admission every daemon knows a job.
+constexpr Duration policyDelay{10};
 constexpr std::size_t mostEnds = 500;
 constexpr int statusConflict = 412;
 constexpr int statusOtherInstance = 421;
@@ -102,182 +101,17 @@
 
 } // namespace
 
-void PromiseBook::breach(const std::string &text)
-{
-    m_breaches.push_back(text);
-}
-
-void PromiseBook::noteSent(const CellJob &job)
-{
-    Entry &entry = m_jobs[job.id];
-    entry.job = job;
-    ++entry.openAttempts;
-}
-
-void PromiseBook::noteAttempt(const JobId &id, bool refused)
-{
-    Entry &entry = m_jobs.at(id);
-    --entry.openAttempts;
-    entry.mayBeAdmitted = entry.mayBeAdmitted || !refused;
-}
-
-void PromiseBook::noteAdmitted(const JobId &id)
-{
-    Entry &entry = m_jobs.at(id);
-    entry.admittedAt = entry.admitted ? entry.admittedAt : m_loop.now();
-    entry.admitted = true;
-}
-
-void PromiseBook::noteCancelled(const JobId &id)
-{
-    m_jobs.at(id).cancelled = m_loop.now();
-}
-
-void PromiseBook::noteShown(const JobId &id, const std::string &state, TimePoint asked)
-{
-    Entry &entry = m_jobs.at(id);
-    const bool final = state == "completed" || state == "canceled" || state == "failed";
-    if (final && entry.endShown == TimePoint()) {
-        entry.endShown = m_loop.now();
-    }
-    if (state == "completed") {
-        entry.ended = true;
-        if (!isSucceeded(id)) {
-            breach("job " + id.value() + " is shown as completed before all of its tasks have succeeded");
-        }
-    } else if (state == "canceled" || state == "failed") {
-        entry.ended = true;
-        if (state == "failed" || entry.cancelled == TimePoint()) {
-            breach("job " + id.value() + " is shown as " + state + " without cause");
-        }
-    } else if (state.empty() && entry.admitted && asked - entry.admittedAt > visibleTerm && entry.cancelled == TimePoint()) {
-        breach("admitted job " + id.value() + " is said not to exist");
-    } else if (entry.ended && entry.cancelled == TimePoint() && asked > entry.endShown) {
-        breach("ended job " + id.value() + " is shown as " + state);
-    }
-}
-
-const StepSpec *PromiseBook::stepOf(const TaskRef &task) const
-{
-    const auto found = m_jobs.find(task.step.job);
-    const bool known = found != m_jobs.end() && task.step.step < static_cast<int>(found->second.job.steps.size());
-    return known ? &found->second.job.steps[static_cast<std::size_t>(task.step.step)] : nullptr;
-}
-
-void PromiseBook::noteStart(const WorkerId &worker, const StartOrder &order)
-{
-    ++m_starts;
-    const std::string task = order.task.text() + " run " + std::to_string(order.run.value()) + " on " + worker.value();
-    const StepSpec *step = stepOf(order.task);
-    if (step == nullptr || order.task.index >= step->count) {
-        breach(task + " was never submitted");
-        return;
-    }
-    Entry &entry = m_jobs.at(order.task.step.job);
-    if (entry.job.payload != order.payload) {
-        breach(task + " has another payload");
-    }
-    if (!entry.admitted && !entry.mayBeAdmitted && entry.openAttempts == 0) {
-        breach(task + " belongs to a job of which every attempt was refused");
-    }
-    if (m_noted.count(order.task) > 0) {
-        breach(task + " started after its success was acknowledged");
-    }
-    if (entry.cancelled != TimePoint() && m_loop.now() - entry.cancelled > cancelTerm) {
-        breach(task + " started long after the job's cancellation");
-    }
-    for (const int before : step->after) {
-        if (static_cast<int>(entry.done[before].size()) < entry.job.steps[static_cast<std::size_t>(before)].count) {
-            breach(task + " started before step " + std::to_string(before) + " was done");
-        }
-    }
-}
-
-void PromiseBook::noteEnd(const TaskRef &task, RunEnd end)
-{
-    const StepSpec *step = stepOf(task);
-    if (step == nullptr || end != RunEnd::Succeeded) {
-        return;
-    }
-    std::set<int> &done = m_jobs.at(task.step.job).done[task.step.step];
-    for (int i = step->gang ? 0 : task.index; i <= (step->gang ? step->count - 1 : task.index); ++i) {
-        done.insert(i);
-    }
-}
-
-void PromiseBook::noteAcknowledged(const TaskRef &task, RunEnd end)
-{
-    if (end == RunEnd::Succeeded) {
-        m_noted.insert(task);
-    }
-}
-
-bool PromiseBook::isSucceeded(const JobId &id) const
-{
-    const Entry &entry = m_jobs.at(id);
-    for (std::size_t i = 0; i < entry.job.steps.size(); ++i) {
-        const auto done = entry.done.find(static_cast<int>(i));
-        if (done == entry.done.end() || static_cast<int>(done->second.size()) < entry.job.steps[i].count) {
-            return false;
-        }
-    }
-    return true;
-}
-
-const std::vector<std::string> &PromiseBook::breaches() const
-{
-    return m_breaches;
-}
-
-std::vector<JobId> PromiseBook::unfinished() const
-{
-    std::vector<JobId> open;
-    for (const auto &[id, entry] : m_jobs) {
-        if (entry.admitted && entry.cancelled == TimePoint() && !entry.ended) {
-            open.push_back(id);
-        }
-    }
-    return open;
-}
-
-std::size_t PromiseBook::admitted() const
-{
-    return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [](const auto &entry) { return entry.second.admitted; }));
-}
-
-std::size_t PromiseBook::succeeded() const
-{
-    return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [this](const auto &entry) { return isSucceeded(entry.first); }));
-}
-
-std::size_t PromiseBook::starts() const
-{
-    return m_starts;
-}
-
 StoreServer::StoreServer(EventLoop &loop, const std::string &address)
-    : rows(loop), m_loop(loop), m_server(listenAt(loop, address, [this](const HttpCallPtr &call) { serve(call); }))
+    : rows(loop), m_loop(loop), m_delayed(loop), m_server(listenAt(loop, address, [this](const HttpCallPtr &call) { serve(call); }))
 {
 }
 
-void StoreServer::after(Duration pause, std::function<void()> function)
-{
-    m_timers.emplace_back();
-    const auto timer = std::prev(m_timers.end());
-    *timer = EventWatch::timer(m_loop, [this, timer, function = std::move(function)] {
-        const auto ending = std::move(*timer);
-        m_timers.erase(timer);
-        function();
-    });
-    (*timer)->start(pause);
-}
-
 void StoreServer::serve(const HttpCallPtr &call)
 {
     if (refuses) {
         call->respond(HttpResponse{httpUnavailable, {}, {}});
     } else if (slowBy > Duration(0)) {
-        after(slowBy, [this, call] { carryOut(call); });
+        m_delayed.after(slowBy, [this, call] { carryOut(call); });
     } else {
         carryOut(call);
     }
@@ -318,7 +152,7 @@
         *look = [this, feed, until, respond, weak = std::weak_ptr<std::function<void()>>(look)] {
             rows.feed(feed, Duration(0), [this, until, respond, self = weak.lock()](const StoreAnswer &answer) {
                 if (answer.rows.empty() && m_loop.now() < until) {
-                    after(feedInterval, [self] { (*self)(); });
+                    m_delayed.after(feedInterval, [self] { (*self)(); });
                 } else {
                     respond(answer);
                 }
@@ -636,20 +470,13 @@
     }
 }
 
-PolicyServer::PolicyServer(EventLoop &loop, const std::string &address, const WorkerServers &workers) : m_loop(loop)
-{
-    m_server = listenAt(loop, address, [this, &workers](const HttpCallPtr &call) {
+PolicyServer::PolicyServer(EventLoop &loop, const std::string &address, const WorkerServers &workers)
+    : m_delayed(loop), m_server(listenAt(loop, address, [this, &workers](const HttpCallPtr &call) {
         const nlohmann::json body = parseJson(call->request().body).value_or(nlohmann::json());
         const nlohmann::json answer = {{"good", workers.advise(textOf(member(body, "step")), member(body, "workers"))}, {"validity_ms", 1500}};
-        m_timers.emplace_back();
-        const auto timer = std::prev(m_timers.end());
-        *timer = EventWatch::timer(m_loop, [this, timer, call, answer] {
-            const auto ending = std::move(*timer);
-            m_timers.erase(timer);
-            call->respond(jsonResponse(httpOk, answer.dump()));
-        });
-        (*timer)->start(Duration(10));
-    });
+        m_delayed.after(policyDelay, [call, answer] { call->respond(jsonResponse(httpOk, answer.dump())); });
+    }))
+{
 }
 
 } // namespace KingCupLadder::SoakTest
--- a/test/platform/soak/standincell.h
+++ b/test/platform/soak/standincell.h
@@ -1,5 +1,5 @@
 // Stand-ins for what the platform gives a cell: the store, workers and the policy service, served over HTTP in this process. They
-// obey the platform's protocol, and note every promise that a start or an answer breaks.
+// obey the platform's protocol, and report starts, ends and acknowledgements to the book of promises.
 #pragma once
 
 #include "cell/celljob.h"
@@ -8,68 +8,18 @@
 #include "daemon/httpfrontend.h"
 #include "faultproxy.h"
 #include "node/memorytablestore.h"
+#include "promisebook.h"
 
 #include <nlohmann/json.hpp>
 
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace KingCupLadder::SoakTest {
 
-/// What happens to jobs as callers and workers see it, and what must never happen.
-class PromiseBook
-{
-public:
-    explicit PromiseBook(EventLoop &loop) : m_loop(loop) { }
-
-    /// A caller is about to send the job.
-    void noteSent(const CellJob &job);
-    /// The answer to one attempt: @p refused if it said that the job was not admitted.
-    void noteAttempt(const JobId &id, bool refused);
-    void noteAdmitted(const JobId &id);
-    void noteCancelled(const JobId &id);
-    /// A caller saw this state in the answer to a request that it sent at @p asked.
-    void noteShown(const JobId &id, const std::string &state, TimePoint asked);
-    void noteStart(const WorkerId &worker, const StartOrder &order);
-    void noteEnd(const TaskRef &task, RunEnd end);
-    /// The leader acknowledged the end.
-    void noteAcknowledged(const TaskRef &task, RunEnd end);
-    void breach(const std::string &text);
-
-    [[nodiscard]] const StepSpec *stepOf(const TaskRef &task) const;
-    [[nodiscard]] bool isSucceeded(const JobId &id) const;
-    [[nodiscard]] const std::vector<std::string> &breaches() const;
-    /// Admitted jobs that are neither cancelled nor shown as ended.
-    [[nodiscard]] std::vector<JobId> unfinished() const;
-    [[nodiscard]] std::size_t admitted() const;
-    [[nodiscard]] std::size_t succeeded() const;
-    [[nodiscard]] std::size_t starts() const;
-
-private:
-    struct Entry {
-        CellJob job;
-        bool admitted = false;
-        TimePoint admittedAt; ///< When a caller was first told.
-        bool mayBeAdmitted = false; ///< An attempt had no clear answer.
-        int openAttempts = 0;
-        TimePoint cancelled;
-        bool ended = false; ///< Shown in a final state.
-        TimePoint endShown; ///< When a caller first saw that.
-        std::map<int, std::set<int>> done; ///< Tasks with a successful end, by step.
-    };
-
-    EventLoop &m_loop;
-    std::map<JobId, Entry> m_jobs;
-    std::set<TaskRef> m_noted; ///< Tasks whose success was acknowledged.
-    std::vector<std::string> m_breaches;
-    std::size_t m_starts = 0;
-};
-
 /// The store over HTTP. One port; each daemon reaches it through a proxy of its own.
 class StoreServer
 {
@@ -83,11 +33,10 @@
 private:
     void serve(const HttpCallPtr &call);
     void carryOut(const HttpCallPtr &call);
-    void after(Duration pause, std::function<void()> function);
 
     EventLoop &m_loop;
+    DelayedCalls m_delayed;
     std::unique_ptr<HttpFrontend> m_server;
-    std::list<std::unique_ptr<EventWatch>> m_timers;
 };
 
 /// All workers of the cell, each with an address of its own behind a proxy.
@@ -147,9 +96,8 @@
     PolicyServer(EventLoop &loop, const std::string &address, const WorkerServers &workers);
 
 private:
-    EventLoop &m_loop;
+    DelayedCalls m_delayed;
     std::unique_ptr<HttpFrontend> m_server;
-    std::list<std::unique_ptr<EventWatch>> m_timers;
 };
 
 } // namespace KingCupLadder::SoakTest
