Start nothing beside runs whose demand is not known

Two jobs were cancelled 20 ms before a planned change of leader. Their final states were stored, their runs were still being stopped. The new leader found the runs, knew the demands of ended jobs no more, counted them as nothing and filled the room. A worker with a run of unknown demand has no room until that run is settled, which takes a stop. Ruled out: a late order of the former leader (the worker was fenced and read before); the settlement of a worker's next process (no worker had restarted). Test: CellSchedulerTakeover.StartsNothingBesideRunsOfAJobThatHasEnded (failed first).

--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -201,12 +201,13 @@
     StepRun *step = m_jobs.findStep(found.entry.task.step);
     const bool known = entry != nullptr && step != nullptr && found.entry.task.index < static_cast<int>(step->tasks.size());
     step = known ? step : nullptr;
-    const Resources demand = known ? step->spec->demand : Resources{};
+    // The demands of a job that has ended are not stored any more.
+    const auto demand = known ? std::optional<Resources>(step->spec->demand) : std::nullopt;
     const WorkspaceId workspace = entry != nullptr ? entry->job.workspace : WorkspaceId();
     Run &run = m_workers.adopt(*worker, found.entry, demand, workspace, time.now);
-    m_usage[workspace] += demand;
+    m_usage[workspace] += run.demand;
     if (found.entry.run < firstRunOf(m_epoch)) {
-        m_foundUsage[workspace] += demand;
+        m_foundUsage[workspace] += run.demand;
     }
     if (!known) {
         if (entry != nullptr) {
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -238,6 +238,7 @@
     event.run = std::move(run->second);
     event.worker = worker.info.id;
     worker.committed -= event.run.demand;
+    worker.unsizedRuns -= event.run.isSized ? 0 : 1;
     removeHolder(worker, event.run.task.step.job);
     worker.changedAt = ++m_changes;
     worker.runs.erase(run);
@@ -502,12 +503,13 @@
     return events;
 }
 
-Run &WorkerTable::adopt(Worker &worker, const RunningEntry &entry, const Resources &demand, const WorkspaceId &workspace, TimePoint now)
+Run &WorkerTable::adopt(Worker &worker, const RunningEntry &entry, const std::optional<Resources> &demand, const WorkspaceId &workspace, TimePoint now)
 {
     Run run;
     run.task = entry.task;
     run.number = entry.run;
-    run.demand = demand;
+    run.demand = demand.value_or(Resources{});
+    run.isSized = demand.has_value();
     run.workspace = workspace;
     run.phase = RunPhase::Running;
     run.sentAt = now;
@@ -516,7 +518,8 @@
     run.checkpoint = entry.checkpoint;
     run.percent = entry.percent;
     run.percentSince = now;
-    worker.committed += demand;
+    worker.committed += run.demand;
+    worker.unsizedRuns += run.isSized ? 0 : 1;
     addHolder(worker, entry.task.step.job);
     return worker.runs[{entry.task, entry.run}] = run;
 }
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -53,7 +53,8 @@
 struct Run {
     TaskRef task;
     RunNumber number;
-    Resources demand;
+    Resources demand; ///< Zero if it is not known.
+    bool isSized = true; ///< Its demand is known.
     WorkspaceId workspace;
     RunPhase phase = RunPhase::Starting;
     StartOrder order; ///< For repeats; empty for a run that was found on the worker.
@@ -103,6 +104,7 @@
     std::deque<UnacknowledgedEnd> ends; ///< In order; numbers above acknowledged.
     std::map<RunKey, Run> runs;
     Resources committed; ///< Sum of the demands of runs.
+    int unsizedRuns = 0; ///< Runs whose demand is not known. Nothing is placed beside them.
     TimePoint sequenceSeen; ///< When the registry's sequence last changed.
     TimePoint leavesAt; ///< While draining: by then it may have left.
     TimePoint blockedUntil; ///< Gets no new work until then.
@@ -114,7 +116,7 @@
 
     [[nodiscard]] Resources free() const
     {
-        return info.capacity - committed;
+        return unsizedRuns > 0 ? Resources{} : info.capacity - committed;
     }
 };
 
@@ -182,8 +184,8 @@
     onHoldAnswer(const HoldOrder &order, const HoldView *view, TimePoint sent, TimePoint now, std::vector<FoundRun> &found, std::vector<EndedEntry> &strayEnds);
     /// Runs on silent workers whose leases have certainly run out.
     [[nodiscard]] std::vector<RunEvent> expireLeases(TimePoint now);
-    /// Takes over a run that was found on a worker.
-    Run &adopt(Worker &worker, const RunningEntry &entry, const Resources &demand, const WorkspaceId &workspace, TimePoint now);
+    /// Takes over a run that was found on a worker. No demand: it is not known.
+    Run &adopt(Worker &worker, const RunningEntry &entry, const std::optional<Resources> &demand, const WorkspaceId &workspace, TimePoint now);
     /// Removes a run that was proven not to run.
     [[nodiscard]] RunEvent settle(Worker &worker, std::map<RunKey, Run>::iterator run, RunEvent::Kind kind);
     /// Moves the acknowledged mark over ends whose consequences are stored.
--- a/test/cell/testcellfaults.cpp
+++ b/test/cell/testcellfaults.cpp
@@ -234,6 +234,22 @@
     CHECK_TRUE(cell.state("job") == CellJobState::Active || cell.state("job") == CellJobState::Succeeded);
 }
 
+// Guards against a worker over its capacity: the runs of a job that has ended still take room, though its demands are not stored any
+// more (pattern: jobs are cancelled just before the leader changes).
+TEST(CellSchedulerTakeover, StartsNothingBesideRunsOfAJobThatHasEnded)
+{
+    FakeCell cell(1);
+    cell.lead();
+    cell.submit(cellJob("ended", 4, 1000, Duration(20000)));
+    cell.run(Duration(500));
+    cell.storedProgress[JobId("ended")].finalState = CellJobState::Cancelled;
+    cell.lead(2);
+    cell.submit(cellJob("next", 4, 1000, Duration(500)));
+    cell.run(Duration(3000));
+    NO_VIOLATION(cell);
+    CHECK_TRUE(cell.state("next") == CellJobState::Succeeded);
+}
+
 // Guards against failures that are counted twice and end a job too early.
 TEST(CellSchedulerTakeover, CountsAFailureOnceThoughTwoLeadersSeeIt)
 {
