Withhold acknowledgements from a worker that may have restarted

Cause: orders name a worker by its id, which a restarted process keeps.

Change: the daemon that calls the worker passes an acknowledgement on only if the intended incarnation answered it within the last 0.5 s and no hold has failed since. This covers direct calls, calls for a leader, the direct repetition of a relayed hold, and a relay that was paused. The test of relayed renewals no longer expects an acknowledgement in the first hold; a test of the second hold replaces that check.

Ruled out: naming the incarnation in X-Expect-Instance. The platform names instances by the worker's id, and another value is refused.

--- a/src/node/relayingworkergateway.cpp
+++ b/src/node/relayingworkergateway.cpp
@@ -212,7 +212,7 @@
     const std::string relay = relayFor(order.worker);
     if (relay.empty()) {
         ++m_counters.direct;
-        m_direct.hold(order, epoch, std::move(callback));
+        holdDirectly(order, epoch, std::move(callback));
         return;
     }
     CellWire::WorkerOrder message = makeOrder(CellWire::WorkerOrder::HOLD, epoch, order.worker, order.address, order.incarnation);
@@ -233,10 +233,24 @@
                   HoldOrder directOrder = order;
                   directOrder.wait = Duration(0); // No long poll, so that the reply comes at once.
                   ++m_counters.direct;
-                  m_direct.hold(directOrder, epoch, callback);
+                  holdDirectly(directOrder, epoch, callback);
               });
 }
 
+void RelayingWorkerGateway::holdDirectly(const HoldOrder &order, Epoch epoch, HoldCallback callback)
+{
+    m_direct.hold(m_acknowledgementGuard.guard(order, m_loop.now()),
+                  epoch,
+                  [this, worker = order.worker, callback = std::move(callback)](const std::optional<HoldReply> &holdReply) {
+                      if (holdReply) {
+                          m_acknowledgementGuard.confirm(worker, holdReply->incarnation, m_loop.now());
+                      } else {
+                          m_acknowledgementGuard.revoke(worker);
+                      }
+                      callback(holdReply);
+                  });
+}
+
 void RelayingWorkerGateway::serve(const PeerMessaging::Envelope &peerRequest)
 {
     ++m_counters.forPeers;
@@ -259,7 +273,7 @@
         order.acknowledged = EndNumber(message.acknowledged());
         order.deadline = message.deadline();
         order.wait = Duration(message.wait_ms());
-        m_direct.hold(order, epoch, [this, returnAddress](const std::optional<HoldReply> &holdReply) {
+        holdDirectly(order, epoch, [this, returnAddress](const std::optional<HoldReply> &holdReply) {
             PeerMessaging::Envelope reply;
             CellWire::WorkerResult *result = reply.mutable_worker_result();
             if (holdReply) {
--- a/src/node/relayingworkergateway.h
+++ b/src/node/relayingworkergateway.h
@@ -2,6 +2,7 @@
 // several milliseconds, which leaves the leader's CPU to scheduling. A relay can be replaced by any other member at any time.
 #pragma once
 
+#include "acknowledgementguard.h"
 #include "peermessaging.h"
 #include "platforminterfaces.h"
 
@@ -47,6 +48,8 @@
     [[nodiscard]] std::string relayFor(const WorkerId &worker) const;
     void relayCall(const std::string &relay, CellWire::WorkerOrder order, Duration timeout, Callback callback);
     void relayOrder(const std::string &relay, CellWire::WorkerOrder order, const WorkerId &worker, OrderCallback callback);
+    /// Sends a hold to the worker itself, for this daemon or for a leader.
+    void holdDirectly(const HoldOrder &order, Epoch epoch, HoldCallback callback);
     /// Records that a relayed call got no answer. The worker is called directly for some time, since it is not known whether the relay or the
     /// worker failed.
     void recordRelayFailure(const WorkerId &worker);
@@ -57,6 +60,7 @@
     std::vector<std::string> m_relays; ///< Peer addresses.
     std::map<WorkerId, TimePoint> m_directUntil; ///< Workers that a relay recently did not reach, and until when they are called directly.
     std::map<std::uint64_t, PendingCall> m_pending; ///< Calls that relays have not answered.
+    AcknowledgementGuard m_acknowledgementGuard;
     std::uint64_t m_lastCallId = 0;
     WorkerCallCounters m_counters;
 };
--- a/test/node/testrelayingworkergateway.cpp
+++ b/test/node/testrelayingworkergateway.cpp
@@ -128,7 +128,6 @@
     runUntil([&holdReply] { return holdReply.has_value(); });
     CHECK_TRUE(holdReply.has_value());
     CHECK_EQUAL(0, leader.directWorkers.holds);
-    CHECK_EQUAL(17U, relay->directWorkers.lastHold.acknowledged.value());
     CHECK_EQUAL(1234, relay->directWorkers.lastHold.deadline);
     CHECK_TRUE(holdReply->running.at(0).task == task);
     CHECK_EQUAL(5U, holdReply->running.at(0).run.value());
@@ -136,6 +135,39 @@
     CHECK_EQUAL(18U, holdReply->ended.at(0).number.value());
 }
 
+// Guards against ends that stay unacknowledged for ever because renewals are relayed.
+TEST(RelayingWorkerGateway, RelaysAnAcknowledgementOnceTheIncarnationHasAnswered)
+{
+    connect();
+    relay->directWorkers.holdReply.incarnation = WorkerIncarnation(3);
+    int answered = 0;
+    const auto count = [&answered](const std::optional<HoldReply> &) { ++answered; };
+    leader.workers->hold(holdOrder(), Epoch(2), count);
+    runUntil([&answered] { return answered == 1; });
+    leader.workers->hold(holdOrder(), Epoch(2), count);
+    runUntil([&answered] { return answered == 2; });
+    CHECK_EQUAL(0, leader.directWorkers.holds);
+    CHECK_EQUAL(17U, relay->directWorkers.lastHold.acknowledged.value());
+}
+
+// Guards against a task that runs again after its success: the acknowledgement for a worker's former process reached the restarted one,
+// which dropped ends that had not been read.
+TEST(RelayingWorkerGateway, AcknowledgesNothingToAWorkerThatMayHaveRestarted)
+{
+    leader.directWorkers.holdReply.incarnation = WorkerIncarnation(3);
+    int answered = 0;
+    const auto count = [&answered](const std::optional<HoldReply> &) { ++answered; };
+    leader.workers->hold(holdOrder(), Epoch(2), count);
+    runUntil([&answered] { return answered == 1; });
+    leader.directWorkers.answers = false;
+    leader.workers->hold(holdOrder(), Epoch(2), count);
+    runUntil([&answered] { return answered == 2; });
+    leader.directWorkers.answers = true;
+    leader.workers->hold(holdOrder(), Epoch(2), count);
+    CHECK_EQUAL(3, leader.directWorkers.holds);
+    CHECK_EQUAL(0U, leader.directWorkers.lastHold.acknowledged.value());
+}
+
 // Guards against a relayed refusal that the leader receives as a different outcome. The relay sends the outcome as the number of its
 // enumerator.
 TEST(RelayingWorkerGateway, RelaysAStartWithItsTicketAndReturnsTheRefusal)
