--- a/src/cell/celladvice.cpp
+++ b/src/cell/celladvice.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr double spareWorkersShare = 0.5; // A renewal of a gang names this many more workers than the gang needs, since other steps may take capacity meanwhile.
 constexpr Duration gangRenewalLead{250}; // Tickets of a gang are renewed this much earlier than its start requires.
 constexpr std::size_t minWorkersPerCall = 16; // Even if the policy allows only a third of the workers, at least one is almost certainly allowed.
 // The workers named in a call have this many task slots per task: about a third of the workers is allowed, and other steps occupy some
@@ -31,18 +32,24 @@
 
 void CellScheduler::renewTicketsForGang(StepInstance &step, const GangForecast &forecast, const std::vector<CandidateWorker> &candidates, TimePoint now)
 {
+    const AdviceSettings &settings = *adviceSettings(step);
+    const Duration longestCall = settings.callDuration(std::min(candidates.size(), maxWorkersPerCall));
     const TimePoint needed = std::max(forecast.start, now);
-    const auto isStale = [&](WorkerIndex worker) { return step.advice.find(worker)->validUntil < needed + ticketMargin; };
+    if (needed > now + longestCall + gangRenewalLead) {
+        return; // Too early: the tickets would expire before the start.
+    }
+    // Tickets that expire before the call for the others is answered have to be renewed with them.
+    const TimePoint usableUntil = std::max(needed, now + longestCall) + ticketMargin;
     std::set<WorkerIndex> named;
-    bool stale = false;
     for (const TaskAllocation &allocation : forecast.allocations) {
-        named.insert(allocation.worker);
-        stale = stale || isStale(allocation.worker);
+        if (step.advice.find(allocation.worker)->validUntil < usableUntil) {
+            named.insert(allocation.worker);
+        }
     }
-    // Names some more workers than needed, since other steps may take capacity meanwhile.
-    const std::size_t wanted = named.size() + named.size() / 2 + 1;
+    const std::size_t wanted = named.size() + static_cast<std::size_t>(static_cast<double>(named.size()) * spareWorkersShare) + 1;
     for (const CandidateWorker &candidate : candidates) {
-        if (named.size() < wanted && tasksThatFit(step.spec->demand, candidate.free, candidate.maxTasks) > 0) {
+        const bool isStale = step.advice.find(candidate.worker)->validUntil < usableUntil;
+        if (named.size() < wanted && isStale && tasksThatFit(step.spec->demand, candidate.free, candidate.maxTasks) > 0) {
             named.insert(candidate.worker);
         }
     }
@@ -51,18 +58,17 @@
     for (const WorkerIndex worker : named) {
         workers.push_back(m_workers.at(worker)->info.id);
     }
-    if (stale && needed <= now + adviceSettings(step)->callDuration(workers.size()) + gangRenewalLead) {
+    if (!workers.empty()) {
         renewTickets(step, workers, now);
     }
 }
 
 void CellScheduler::renewTickets(StepInstance &step, const std::vector<WorkerId> &workers, TimePoint now)
 {
-    if (step.advice.inFlight || step.advice.nextRenewal > now) {
+    if (step.advice.inFlight || step.advice.nextRenewal > now || step.advice.nextCall > now) {
         return;
     }
-    // The policy service is slow, so the pause grows while renewed tickets do not lead to a start. A renewal is counted even if
-    // requestAdviceFor() sends nothing because nextCall has not been reached.
+    // The policy service is slow, so the pause grows while renewed tickets do not lead to a start.
     const int doublings = std::min(step.advice.renewals++, maxRenewalDoublings);
     step.advice.nextRenewal = now + renewalBackoff * (1 << doublings);
     requestAdviceFor(step, workers, now);
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -17,7 +17,8 @@
 constexpr std::size_t rotatedStepsPerPass = 80; // The others are considered in turn, this many per pass, so that a backlog does not slow down every pass.
 constexpr int overRateTierOffset = 100; // For work above its workspace's rate, which goes last.
 constexpr Duration fullPassInterval{50}; // Interval at which steps are reconsidered even if nothing changed on their workers.
-constexpr int maxGangReservations = 4; // Gangs per pass that may reserve capacity for a later start; reservations withhold it from other steps.
+constexpr int minAllowedSlotsPerTask = 4; // A gang asks about further workers while its allowed workers fit fewer tasks than this factor when they are idle.
+constexpr int maxGangReservations = 8; // Gangs per pass that may reserve capacity for a later start; reservations withhold it from other steps.
 constexpr std::size_t minTicketsToRenew = 8; // A non-gang step renews tickets for at least this many workers, if that many have capacity.
 constexpr Duration overrunEstimate{200}; // A run past its expected end is assumed to continue for about this time.
 constexpr Duration gangRepairTimeout{1200}; // How long a gang member whose start was rejected may be moved to another worker; then the gang restarts.
@@ -25,6 +26,37 @@
 constexpr Duration longWaitThreshold{3000}; // A ready step that waits longer is logged.
 constexpr int maxLongWaitsLogged = 5; // Per second, longest wait first.
 
+/// Order of the workers that a single task may start on; the lowest rank is the best.
+struct PlacementRank {
+    bool hasFailedThere = false; ///< The task has failed on the worker.
+    bool isOtherRack = false; ///< The worker is in another rack than the preferred one.
+    int lostGangTasks = 0; ///< How many fewer tasks of an average gang fit on the worker afterwards.
+    MilliCores freeAfter; ///< Best fit: the fullest worker comes first.
+
+    friend bool operator<(const PlacementRank &a, const PlacementRank &b)
+    {
+        return std::tie(a.hasFailedThere, a.isOtherRack, a.lostGangTasks, a.freeAfter)
+            < std::tie(b.hasFailedThere, b.isOtherRack, b.lostGangTasks, b.freeAfter);
+    }
+};
+
+/// Returns the mean demand of the tasks of all gangs among @p steps; zero if there is none.
+Resources meanGangTaskDemand(const std::vector<StepInstance *> &steps)
+{
+    Resources sum;
+    std::int64_t tasks = 0;
+    for (const StepInstance *step : steps) {
+        if (step->spec->gang) {
+            sum += step->spec->demand * step->spec->count;
+            tasks += step->spec->count;
+        }
+    }
+    if (tasks == 0) {
+        return Resources{};
+    }
+    return Resources{MilliCores(sum.cpu.value() / tasks), MebiBytes(sum.memory.value() / tasks), Accelerators(sum.accelerators.value() / tasks), Slots(0)};
+}
+
 /// Returns @p maximum minus @p used; a resource without a maximum is unlimited.
 Resources remainder(const Resources &maximum, const Resources &used)
 {
@@ -42,6 +74,7 @@
     CellOrders &orders;
     CellTime time;
     Reservations reservations;
+    Resources gangTaskDemand; ///< Mean demand of the tasks of the waiting gangs.
     int reservingGangs = 0; ///< Gangs that have reserved capacity for a later start.
     std::map<WorkerIndex, std::vector<TimedResources>> releases; ///< Filled on demand. Candidates point to the entries, whose addresses are stable.
 
@@ -197,7 +230,7 @@
         ordered.resize(stepsInEveryPass + rotatedStepsPerPass);
         m_rotationOffset += rotatedStepsPerPass;
     }
-    PlacementPass pass{orders, time, {}, 0, {}};
+    PlacementPass pass{orders, time, {}, meanGangTaskDemand(steps), 0, {}};
     for (const auto &[key, step] : ordered) {
         const bool hasChanges = shouldReconsider(*step);
         step->consideredAtGeneration = m_workers.generation();
@@ -296,7 +329,7 @@
             continue;
         }
         CandidateWorker *best = nullptr;
-        double bestScore = 0;
+        PlacementRank bestRank;
         for (CandidateWorker &candidate : candidates) {
             if (candidate.maxTasks < 1 || !step.spec->demand.fitsIn(candidate.free)
                 || !pass.reservations.allows(candidate, step.spec->demand, now + step.spec->estimate)) {
@@ -309,18 +342,17 @@
                 }
                 continue;
             }
-            // Best fit: prefers the fullest worker with enough capacity, so that other workers keep capacity for gangs. The penalties
-            // outweigh the free CPU of a worker of up to 100 cores: workers on which the task has failed come last, workers in other
-            // racks than the preferred one before them.
-            double score = static_cast<double>((candidate.free.cpu - step.spec->demand.cpu).value());
-            score += !task.failedOn.empty() && task.failedOn.count(worker.info.id) > 0 ? 1e6 : 0;
             const std::string &rack = step.spec->preferredRack;
-            if (!rack.empty() && std::find(worker.info.labels.begin(), worker.info.labels.end(), rack) == worker.info.labels.end()) {
-                score += 1e5;
-            }
-            if (best == nullptr || score < bestScore) {
+            const std::vector<std::string> &labels = worker.info.labels;
+            PlacementRank rank;
+            rank.hasFailedThere = task.failedOn.count(worker.info.id) > 0;
+            rank.isOtherRack = !rack.empty() && std::find(labels.begin(), labels.end(), rack) == labels.end();
+            rank.lostGangTasks = tasksThatFit(pass.gangTaskDemand, candidate.free, INT_MAX)
+                - tasksThatFit(pass.gangTaskDemand, candidate.free - step.spec->demand, INT_MAX);
+            rank.freeAfter = candidate.free.cpu - step.spec->demand.cpu;
+            if (best == nullptr || rank < bestRank) {
                 best = &candidate;
-                bestScore = score;
+                bestRank = rank;
             }
         }
         if (best == nullptr) {
@@ -382,7 +414,8 @@
         }
     }
     log("gang " + TaskRef{step.ref, 0}.text() + " run " + std::to_string(run.value()) + " placed: " + std::to_string(count) + " tasks on "
-        + std::to_string(fit->size()) + " workers");
+        + std::to_string(fit->size()) + " workers, " + std::to_string((now - step.readySince).count()) + " ms after it was ready, "
+        + std::to_string(step.advice.evaluated.size()) + " workers asked");
 }
 
 void CellScheduler::reserveForGang(StepInstance &step, const std::vector<CandidateWorker> &candidates, PlacementPass &pass)
@@ -400,12 +433,15 @@
     limitToReservations(step, availableNow, pass);
     const auto fit = fitGang(availableNow, step.spec->demand, step.spec->count);
     std::optional<GangForecast> forecast;
-    if (!fit && settings != nullptr) {
-        // Workers that have not been asked about may have the capacity that the allowed ones lack now.
-        int fitting = 0;
-        for (const CandidateWorker &candidate : availableNow) {
-            fitting += candidate.maxTasks;
-        }
+    int fitting = 0;
+    int fittingWhenIdle = 0;
+    for (const CandidateWorker &candidate : availableNow) {
+        fitting += candidate.maxTasks;
+        fittingWhenIdle += tasksThatFit(step.spec->demand, m_workers.at(candidate.worker)->info.capacity, step.spec->count);
+    }
+    if (!fit && settings != nullptr && fittingWhenIdle < step.spec->count * minAllowedSlotsPerTask) {
+        // Workers that have not been asked about may have the capacity that the allowed ones lack now. With enough allowed workers, a call
+        // about further ones would only delay the renewal of tickets once there is room.
         (void)requestFurtherAdvice(step, std::max(step.spec->count - fitting, 1), now);
     }
     if (fit) {
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -15,6 +15,7 @@
 constexpr Duration maxRetryAfter{15000};
 constexpr std::int64_t milliCoresPerCore = 1000; // totalWork() returns core milliseconds; m_waitingWork is in millicore milliseconds.
 constexpr Duration waitingWorkInterval{50}; // Minimum interval between two computations of the waiting work.
+constexpr Duration workerRecordsInterval{200}; // Minimum interval between two writes of the worker records, which are several KiB long.
 constexpr Duration runCheckInterval{20}; // Interval of the checks for start retries, due stops and expired leases.
 constexpr Duration startRateSpan{250}; // Length of the time spans over which starts are counted.
 constexpr double startRateDecay = 0.7; // Weight of the previous average when a new span is added.
@@ -64,14 +65,15 @@
     m_progressWritesInFlight.clear();
     m_discoveredBeforeLoad.clear();
     m_unmatchedEndsBeforeLoad.clear();
-    m_workerListOutdated = false;
-    m_workerListWriteInFlight = false;
+    m_workerRecordsFailed = false;
+    m_workerRecordsInFlight = false;
+    m_nextWorkerRecords = TimePoint();
     m_waitingWorkAt = TimePoint();
 }
 
-void CellScheduler::addPreviousWorkers(const std::vector<WorkerId> &ids)
+void CellScheduler::addPreviousWorkers(const std::vector<WorkerRecord> &records)
 {
-    m_workers.addPrevious(ids, m_leasesExpiredBy);
+    m_workers.addPrevious(records, m_leasesExpiredBy);
 }
 
 RouteRules CellScheduler::rulesOf(const RouteName &name) const
@@ -210,11 +212,11 @@
             const CellRoute *route = m_config ? m_config->route(entry->job.route) : nullptr;
             for (const auto &step : entry->steps) {
                 const int level = route != nullptr ? route->priority : 0;
+                if (now >= entry->firmDeadline) {
+                    continue; // Does not delay a new job: it ranks after other work, see missedFirmDeadlineTierOffset.
+                }
                 m_waitingWork[level] += step->waiting * step->spec->demand.cpu.value() * step->spec->estimate.count();
-                // Tasks past the firm deadline count as waiting work, but not as waiting tasks: they rank after other work (see
-                // missedFirmDeadlineTierOffset).
-                const bool isReady = step->readySince != TimePoint() && now < entry->firmDeadline;
-                m_waitingTasks[level] += isReady ? step->waiting : 0;
+                m_waitingTasks[level] += step->readySince != TimePoint() ? step->waiting : 0;
             }
         }
     }
@@ -295,15 +297,15 @@
 void CellScheduler::onRegistry(const std::vector<WorkerInfo> &workers, const CellTime &time)
 {
     onRunEvents(m_workers.onRegistry(workers, time.now), time);
-    for (const auto &[id, worker] : m_workers.all()) {
-        m_workerListOutdated = m_workerListOutdated || (worker.registered && !worker.idStored);
-    }
 }
 
-void CellScheduler::onWorkersStored(const std::vector<WorkerId> &ids)
+void CellScheduler::onWorkersStored(const std::vector<WorkerRecord> &records, bool stored)
 {
-    m_workerListWriteInFlight = false;
-    m_workers.markIdsStored(ids);
+    m_workerRecordsInFlight = false;
+    m_workerRecordsFailed = !stored;
+    if (stored) {
+        m_workers.onRecordsStored(records);
+    }
 }
 
 void CellScheduler::setAdviceDaemons(const std::vector<DaemonId> &daemons)
@@ -341,12 +343,10 @@
     }
     orders.advice = m_advice.dispatch(time.now);
     m_counters.adviceCalls += orders.advice.size();
-    if (m_workerListOutdated && !m_workerListWriteInFlight) {
-        for (const auto &[id, worker] : m_workers.all()) {
-            orders.workersToStore.push_back(id);
-        }
-        m_workerListOutdated = false;
-        m_workerListWriteInFlight = true;
+    if (!m_workerRecordsInFlight && m_nextWorkerRecords <= time.now && (m_workerRecordsFailed || m_workers.areRecordsOutdated(time.now))) {
+        orders.workersToStore = m_workers.makeRecords(time.now);
+        m_nextWorkerRecords = time.now + workerRecordsInterval;
+        m_workerRecordsInFlight = true;
     }
     if (m_nextHousekeeping <= time.now) {
         m_nextHousekeeping = time.now + housekeepingInterval;
@@ -360,12 +360,15 @@
 
 void CellScheduler::finishReconciliation(TimePoint now)
 {
-    if (m_leasesExpiredBy == TimePoint() || m_workers.mayHaveUnreportedRuns(now)) {
+    const auto jobs = m_leasesExpiredBy == TimePoint() ? std::nullopt : m_workers.jobsWithUnreportedRuns(now);
+    if (!jobs) {
         return;
     }
-    m_leasesExpiredBy = TimePoint();
     for (const auto &[id, entry] : m_jobs.all()) {
-        entry->unreconciled = false;
+        entry->unreconciled = entry->unreconciled && jobs->count(id) > 0;
+    }
+    if (jobs->empty()) {
+        m_leasesExpiredBy = TimePoint();
     }
 }
 
@@ -453,23 +456,32 @@
 std::string CellScheduler::describeLoad(TimePoint now)
 {
     std::size_t usable = 0;
+    Resources capacity;
+    Resources allocated;
     for (const auto &[id, worker] : m_workers.all()) {
         usable += worker.wasUsable ? 1 : 0;
+        capacity += worker.wasUsable ? worker.info.capacity : Resources{};
+        allocated += worker.wasUsable ? worker.allocated : Resources{};
     }
+    const auto percentOfCapacity = [&capacity](const Resources &part) {
+        return std::to_string(capacity.cpu.value() > 0 ? part.cpu.value() * 100 / capacity.cpu.value() : 0) + "%";
+    };
     const std::vector<StepInstance *> steps = m_jobs.waitingSteps();
     std::size_t unadvised = 0;
     std::size_t unreconciled = 0;
     std::size_t atMaximum = 0;
+    std::size_t gangs = 0;
     for (const StepInstance *step : steps) {
+        gangs += step->spec->gang ? 1 : 0;
         unadvised += step->advice.evaluated.empty() && adviceSettings(*step) != nullptr ? 1 : 0;
         unreconciled += step->job->unreconciled ? 1 : 0;
         atMaximum += isWithinWorkspaceMaximum(*step, step->spec->gang ? step->spec->count : 1) ? 0 : 1;
     }
     return std::to_string(m_jobs.unfinishedCount()) + " unfinished jobs, " + std::to_string(steps.size()) + " steps waiting (" + std::to_string(unadvised)
         + " for their first answer from the policy service, " + std::to_string(atMaximum) + " with their workspace at its maximum, "
-        + std::to_string(unreconciled) + " because runs of a previous leader may exist), " + std::to_string(m_advice.callsInFlight())
+        + std::to_string(unreconciled) + " because runs of a previous leader may exist), " + std::to_string(gangs) + " of them gangs, " + std::to_string(m_advice.callsInFlight())
         + " advice calls in flight, " + std::to_string(m_advice.waitingCalls()) + " queued, " + std::to_string(usable) + " of "
-        + std::to_string(m_workers.all().size()) + " workers usable, predicted wait " + std::to_string(predictedWait(INT_MAX, now).count()) + " ms";
+        + std::to_string(m_workers.all().size()) + " workers usable, their CPU " + percentOfCapacity(allocated) + " allocated, predicted wait " + std::to_string(predictedWait(INT_MAX, now).count()) + " ms";
 }
 
 std::size_t CellScheduler::unfinishedJobs() const
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -36,7 +36,7 @@
     std::vector<StopOrder> stops;
     std::vector<HoldOrder> holds;
     std::vector<AdviceCall> advice;
-    std::vector<WorkerId> workersToStore; ///< The complete list of workers, if it has to be stored before new workers can be used.
+    std::vector<WorkerRecord> workersToStore; ///< Records of all workers, if they have to be stored.
 };
 
 /// Receives log lines, each with a decision, its inputs and its outcome.
@@ -94,8 +94,8 @@
     void setConfig(std::shared_ptr<const CellConfig> config, TimePoint now);
     /// Starts a leadership with an empty state. Leases granted by previous leaders have expired by @p leasesExpiredBy.
     void beginEpoch(Epoch epoch, TimePoint leasesExpiredBy);
-    /// Adds workers used by previous leaders. To be called before finishLoading().
-    void addPreviousWorkers(const std::vector<WorkerId> &ids);
+    /// Adds the stored workers of previous leaders. To be called before finishLoading().
+    void addPreviousWorkers(const std::vector<WorkerRecord> &records);
     /// Adds a stored job. Used between beginEpoch() and finishLoading() for the jobs of previous leaders. @p progress is null if none is
     /// stored. @p mayHaveStarted: a previous leader may have started the job.
     void load(const CellJob &job, const JobProgress *progress, bool cancelled, bool mayHaveStarted, const CellTime &time);
@@ -126,7 +126,8 @@
 
     /// Applies the complete registry of workers.
     void onRegistry(const std::vector<WorkerInfo> &workers, const CellTime &time);
-    void onWorkersStored(const std::vector<WorkerId> &ids);
+    /// Ends the write of CellOrders::workersToStore.
+    void onWorkersStored(const std::vector<WorkerRecord> &records, bool stored);
     void onStartAnswer(const StartOrder &order, const OrderAnswer &answer, const CellTime &time);
     void onStopAnswer(const StopOrder &order, const OrderAnswer &answer, const CellTime &time);
     void onHoldAnswer(const HoldOrder &order, const HoldReply *reply, TimePoint sent, const CellTime &time);
@@ -187,6 +188,7 @@
     void runPlacementPass(CellOrders &orders, const CellTime &time);
     void placeTasks(StepInstance &step, PlacementPass &pass);
     void placeGang(StepInstance &step, PlacementPass &pass);
+    /// Renews the tickets that the gang needs for its forecast start, unless that is too early.
     void renewTicketsForGang(StepInstance &step, const GangForecast &forecast, const std::vector<CandidateWorker> &candidates, TimePoint now);
     void renewTickets(StepInstance &step, const std::vector<WorkerId> &workers, TimePoint now);
     bool requestFurtherAdvice(StepInstance &step, int missing, TimePoint now);
@@ -243,8 +245,9 @@
     std::set<JobId> m_progressWritesInFlight;
     std::vector<DiscoveredRun> m_discoveredBeforeLoad; ///< Runs discovered before finishLoading().
     std::vector<std::pair<WorkerId, EndedEntry>> m_unmatchedEndsBeforeLoad;
-    bool m_workerListOutdated = false; ///< The stored list of workers has to be written.
-    bool m_workerListWriteInFlight = false;
+    bool m_workerRecordsFailed = false; ///< The last write of the worker records may not have taken effect.
+    bool m_workerRecordsInFlight = false;
+    TimePoint m_nextWorkerRecords; ///< Earliest time of the next write of the worker records.
     bool m_progressWasStored = false; ///< Progress was stored since ends were last acknowledged.
     std::uint64_t m_shuffleSeed = 0; ///< Varies the order of equally free workers between advice calls.
     std::map<int, std::int64_t> m_waitingWork; ///< Waiting work in millicore milliseconds by priority, as of m_waitingWorkAt.
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -8,9 +8,22 @@
 namespace {
 
 constexpr Duration stopRetryInterval{400}; // A stop takes effect within 200 ms.
+constexpr Duration minRecordedSilence{300}; // A shorter silence is not recorded, since a hold that one connection lost is repeated after 250 ms.
+constexpr std::size_t maxRecordedJobs = 2000; // Keeps the row below the store's 64 KiB; further closed workers are recorded as if any job could run there.
 constexpr Duration registryDelay{500}; // Delay until a change of the registry is read here.
 constexpr Duration leaseExpiryMargin{150}; // Allows for timer and scheduling delays with which a worker ends runs whose lease has expired.
 
+/// Extrapolates the progress between the previous report and this one. Estimates of task durations are rough, progress is not.
+void updateExpectedEnd(Run &run, int percent, TimePoint now)
+{
+    constexpr int completePercent = 100; // A service reports this while it works, and has no expected end.
+    if (percent >= completePercent || percent <= run.percent || run.percentChangedAt == TimePoint()) {
+        return;
+    }
+    const Duration passed = now - run.percentChangedAt;
+    run.expectedEnd = now + passed * (completePercent - percent) / (percent - run.percent);
+}
+
 } // namespace
 
 WorkerClock::WorkerClock(double maxDrift) : m_maxDrift(maxDrift) { }
@@ -102,6 +115,7 @@
         }
         worker.info = info;
         worker.registered = true;
+        worker.departed = false;
     }
     for (auto entry = m_workers.begin(); entry != m_workers.end();) {
         Worker &worker = entry->second;
@@ -114,32 +128,104 @@
         const bool left = worker.registered && worker.info.draining && now - worker.sequenceChangedAt < 2 * m_settings.heartbeat;
         worker.registered = false;
         if (left) {
+            worker.departed = true;
             markRunsLost(worker, events);
         }
-        const bool forget = worker.runs.empty() && !worker.holdInFlight && (left || haveLeasesExpired(worker, now));
+        const bool forget = worker.runs.empty() && !worker.holdInFlight && (worker.departed || haveLeasesExpired(worker, now));
         if (forget) {
             m_byIndex[worker.index] = nullptr;
+            m_forgotWorker = true;
         }
         entry = forget ? m_workers.erase(entry) : std::next(entry);
     }
     return events;
 }
 
-void WorkerTable::addPrevious(const std::vector<WorkerId> &ids, TimePoint leasesExpiredBy)
+void WorkerTable::addPrevious(const std::vector<WorkerRecord> &records, TimePoint leasesExpiredBy)
 {
-    for (const WorkerId &id : ids) {
-        Worker &worker = findOrAdd(id);
+    for (const WorkerRecord &record : records) {
+        Worker &worker = findOrAdd(record.id);
         if (worker.info.id.isEmpty()) {
-            worker.info.id = id;
+            worker.info.id = record.id;
             worker.clock = WorkerClock(m_settings.maxClockDrift);
         }
-        worker.idStored = true;
+        worker.idStored = !record.isClosed;
+        worker.recordedAsClosed = record.isClosed;
+        if (record.isClosed) {
+            worker.previousJobs = std::set<JobId>(record.jobs.begin(), record.jobs.end());
+        }
         if (!worker.listsRead) {
             worker.presumedDeadAt = leasesExpiredBy;
         }
     }
 }
 
+bool WorkerTable::areRecordsOutdated(TimePoint now) const
+{
+    return m_forgotWorker || std::any_of(m_workers.begin(), m_workers.end(), [now](const auto &entry) {
+               const Worker &worker = entry.second;
+               if (isClosed(worker, now)) {
+                   return !worker.recordedAsClosed;
+               }
+               return worker.registered && !worker.idStored && !isKnownFromRecord(worker);
+           });
+}
+
+bool WorkerTable::isClosed(const Worker &worker, TimePoint now)
+{
+    const bool isSilent = worker.unresponsiveSince != TimePoint() && now - worker.unresponsiveSince >= minRecordedSilence;
+    return worker.listsRead && (worker.info.draining || isSilent);
+}
+
+bool WorkerTable::isKnownFromRecord(const Worker &worker)
+{
+    return !worker.listsRead && worker.previousJobs.has_value();
+}
+
+std::vector<WorkerRecord> WorkerTable::makeRecords(TimePoint now)
+{
+    std::vector<WorkerRecord> records;
+    records.reserve(m_workers.size());
+    std::size_t recordedJobs = 0;
+    for (auto &[id, worker] : m_workers) {
+        if (worker.departed) {
+            continue;
+        }
+        WorkerRecord record;
+        record.id = id;
+        worker.recordedAsClosed = isClosed(worker, now) || isKnownFromRecord(worker);
+        if (worker.recordedAsClosed) {
+            std::set<JobId> jobs;
+            for (const auto &[key, run] : worker.runs) {
+                jobs.insert(key.first.step.job);
+            }
+            if (isKnownFromRecord(worker)) {
+                jobs.insert(worker.previousJobs->begin(), worker.previousJobs->end());
+            }
+            record.isClosed = recordedJobs + jobs.size() <= maxRecordedJobs;
+            if (record.isClosed) {
+                recordedJobs += jobs.size();
+                record.jobs.assign(jobs.begin(), jobs.end());
+            }
+        }
+        // The write may take effect even if its answer is lost, so from now on the worker may be recorded as closed.
+        worker.idStored = worker.idStored && !record.isClosed;
+        records.push_back(std::move(record));
+    }
+    m_forgotWorker = false;
+    return records;
+}
+
+void WorkerTable::onRecordsStored(const std::vector<WorkerRecord> &records)
+{
+    for (const WorkerRecord &record : records) {
+        Worker *worker = find(record.id);
+        if (worker != nullptr && !record.isClosed && !worker->recordedAsClosed) {
+            worker->idStored = true;
+        }
+    }
+}
+
 std::vector<Worker *> WorkerTable::workersRunning(const JobId &job)
 {
     std::vector<Worker *> runningWorkers;
@@ -169,15 +255,6 @@
     }
 }
 
-void WorkerTable::markIdsStored(const std::vector<WorkerId> &ids)
-{
-    for (const WorkerId &id : ids) {
-        if (Worker *worker = find(id)) {
-            worker->idStored = true;
-        }
-    }
-}
-
 bool WorkerTable::isUsable(const Worker &worker, TimePoint now) const
 {
     const bool answers = worker.listsRead && now - worker.lastAnswer < m_settings.unresponsiveAfter && worker.unresponsiveSince == TimePoint();
@@ -472,6 +549,7 @@
             run.phase = RunPhase::Running;
             run.confirmedAt = now;
         }
+        updateExpectedEnd(run, entry.percent, now);
         if (run.percent != entry.percent || run.percentChangedAt == TimePoint()) {
             run.percentChangedAt = now;
         }
@@ -564,9 +642,19 @@
     return sum;
 }
 
-bool WorkerTable::mayHaveUnreportedRuns(TimePoint now) const
+std::optional<std::set<JobId>> WorkerTable::jobsWithUnreportedRuns(TimePoint now) const
 {
-    return std::any_of(m_workers.begin(), m_workers.end(), [now](const auto &entry) { return !entry.second.listsRead && entry.second.presumedDeadAt > now; });
+    std::set<JobId> jobs;
+    for (const auto &[id, worker] : m_workers) {
+        if (worker.listsRead || worker.presumedDeadAt <= now) {
+            continue;
+        }
+        if (!worker.previousJobs) {
+            return std::nullopt;
+        }
+        jobs.insert(worker.previousJobs->begin(), worker.previousJobs->end());
+    }
+    return jobs;
 }
 
 } // namespace KingCupLadder
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -84,6 +84,15 @@
     std::uint64_t revision = 0; ///< Revision of the job that has to be stored; 0: none.
 };
 
+/// What a leader stores about a worker on which it may have runs, so that the next leader knows which jobs may still run there.
+struct WorkerRecord {
+    WorkerId id;
+    /// The worker was draining or did not answer when the record was made, and gets no new work before a record without this flag is
+    /// stored. Until then only the jobs below can have runs on it.
+    bool isClosed = false;
+    std::vector<JobId> jobs; ///< Only for a closed worker.
+};
+
 /// Identifies a worker within one WorkerTable; never reused.
 using WorkerIndex = std::size_t;
 
@@ -92,7 +101,10 @@
     WorkerIndex index = 0;
     WorkerInfo info;
     bool registered = false; ///< Currently listed in the registry.
-    bool idStored = false; ///< Its id is stored, so that the next leader knows of it.
+    bool departed = false; ///< It has left after it had announced that, so nothing runs on it.
+    bool idStored = false; ///< The stored record allows any run, so that the next leader waits for the worker.
+    bool recordedAsClosed = false; ///< The worker was closed when records were last made.
+    std::optional<std::set<JobId>> previousJobs; ///< Jobs of previous leaders that may run there, if the worker was recorded as closed.
     bool listsRead = false; ///< This leader has read the lists of this incarnation.
     WorkerClock clock{0};
     WorkerClockMs latestDeadline = 0; ///< Latest lease or start deadline sent to this incarnation.
@@ -152,8 +164,15 @@
     /// on them.
     [[nodiscard]] std::vector<RunEvent> onRegistry(const std::vector<WorkerInfo> &workers, TimePoint now);
     /// Adds workers of previous leaders. Unless they answer before, all their leases have expired at @p leasesExpiredBy.
-    void addPrevious(const std::vector<WorkerId> &ids, TimePoint leasesExpiredBy);
-    void markIdsStored(const std::vector<WorkerId> &ids);
+    void addPrevious(const std::vector<WorkerRecord> &records, TimePoint leasesExpiredBy);
+    /// Whether the stored records differ from what records() would return now in a way that matters: a registered worker has no
+    /// record that allows runs, a worker has been closed, or a recorded worker has been forgotten.
+    [[nodiscard]] bool areRecordsOutdated(TimePoint now) const;
+    /// Returns a record of every worker on which runs may exist. A worker that is recorded as closed gets no new work until another record of
+    /// it is stored.
+    [[nodiscard]] std::vector<WorkerRecord> makeRecords(TimePoint now);
+    /// The records are stored.
+    void onRecordsStored(const std::vector<WorkerRecord> &records);
 
     [[nodiscard]] Worker *find(const WorkerId &id);
     [[nodiscard]] const Worker *find(const WorkerId &id) const;
@@ -199,8 +218,8 @@
     [[nodiscard]] RunEvent removeRun(Worker &worker, std::map<RunKey, Run>::iterator run, RunEvent::Kind kind);
     /// Advances Worker::acknowledged past the ends whose effects are stored.
     void advanceAcknowledged(Worker &worker, const std::function<bool(const UnacknowledgedEnd &)> &isStored);
-    /// Whether workers that have not answered this leader may still have runs of previous leaders.
-    [[nodiscard]] bool mayHaveUnreportedRuns(TimePoint now) const;
+    /// The jobs of previous leaders of which runs may exist on workers that have not answered this leader; empty: any job.
+    [[nodiscard]] std::optional<std::set<JobId>> jobsWithUnreportedRuns(TimePoint now) const;
     /// Upper bound on the resources of runs on workers that have not answered this leader: the capacity of these workers. For workers
     /// of unknown capacity the largest known capacity is assumed.
     [[nodiscard]] Resources unreportedCapacity(TimePoint now) const;
@@ -212,6 +231,10 @@
     void
     readRunning(Worker &worker, const HoldReply &reply, TimePoint sent, TimePoint now, std::vector<RunEvent> &events, std::vector<DiscoveredRun> &discovered);
     [[nodiscard]] bool haveLeasesExpired(const Worker &worker, TimePoint now) const;
+    /// Whether a worker whose runs are all known gets no new work, because it drains or has not answered for some time.
+    [[nodiscard]] static bool isClosed(const Worker &worker, TimePoint now);
+    /// Whether all that is known of the worker's runs is the record of a previous leader.
+    [[nodiscard]] static bool isKnownFromRecord(const Worker &worker);
 
     WorkerTableSettings m_settings;
     [[nodiscard]] Worker &findOrAdd(const WorkerId &id);
@@ -225,6 +248,7 @@
     std::unordered_map<JobId, std::map<WorkerIndex, int>> m_runCounts; ///< Number of runs of each job on each worker; never zero.
     std::vector<Worker *> m_byIndex; ///< Points into m_workers; null for removed workers.
     std::uint64_t m_generation = 1;
+    bool m_forgotWorker = false; ///< A worker was removed since records were last made.
 };
 
 } // namespace KingCupLadder
--- a/src/node/cellstorage.cpp
+++ b/src/node/cellstorage.cpp
@@ -58,6 +58,18 @@
     return wire && row.version.value() > 0 ? std::optional<LeaderRecord>(fromWire(*wire)) : std::nullopt;
 }
 
+/// Adds the records of one leadership. A worker is closed only if every leadership that recorded it says so.
+void mergeWorkerRecords(const CellWire::WorkersRow &row, std::map<WorkerId, WorkerRecord> &records)
+{
+    for (WorkerRecord &record : fromWire(row)) {
+        const auto [entry, isNew] = records.try_emplace(record.id, record);
+        if (!isNew) {
+            entry->second.isClosed = entry->second.isClosed && record.isClosed;
+            entry->second.jobs.insert(entry->second.jobs.end(), record.jobs.begin(), record.jobs.end());
+        }
+    }
+}
+
 } // namespace
 
 CellStorage::CellStorage(EventLoop &loop, TableStore &store, int partitions)
@@ -356,39 +368,50 @@
     }
 }
 
-void CellStorage::readWorkers(const std::function<void(bool, const std::vector<WorkerId> &)> &callback)
+void CellStorage::readWorkers(const std::function<void(bool, const std::vector<WorkerRecord> &)> &callback)
 {
     m_store.read(RangeRead{cellTable, {}, workersKey, std::string(workersKey) + rangeEndSuffix, 100}, readTimeout, [this, callback](const StoreAnswer &answer) {
-        std::vector<WorkerId> ids;
+        std::map<WorkerId, WorkerRecord> records;
         m_formerWorkerRowKeys.clear();
         for (const TableRow &stored : answer.rows) {
             m_formerWorkerRowKeys.push_back(stored.key.key);
-            const auto row = decodeRow<CellWire::WorkersRow>(stored.value);
-            for (int i = 0; row && i < row->ids_size(); ++i) {
-                ids.emplace_back(row->ids(i));
+            if (const auto row = decodeRow<CellWire::WorkersRow>(stored.value)) {
+                mergeWorkerRecords(*row, records);
             }
         }
-        callback(answer.outcome == StoreOutcome::Done, ids);
+        std::vector<WorkerRecord> merged;
+        merged.reserve(records.size());
+        for (auto &[id, record] : records) {
+            merged.push_back(std::move(record));
+        }
+        callback(answer.outcome == StoreOutcome::Done, merged);
     });
 }
 
-void CellStorage::writeWorkers(Epoch epoch, const std::vector<WorkerId> &ids, const std::function<void(bool)> &callback)
+void CellStorage::writeWorkers(Epoch epoch, const std::vector<WorkerRecord> &records, const std::function<void(bool)> &callback)
 {
-    CellWire::WorkersRow row;
-    for (const WorkerId &id : ids) {
-        row.add_ids(id.value());
-    }
     const RowKey key{cellTable, {}, workersKey + ("-" + std::to_string(epoch.value()))};
+    if (m_workerRowKey != key.key) {
+        m_workerRowKey = key.key;
+        m_workerRowVersion = RowVersion();
+    }
     Transaction transaction;
-    transaction.writes.push_back(TableWrite{key, encodeRow(row)});
+    transaction.conditions.push_back(RowCondition{key, m_workerRowVersion});
+    transaction.writes.push_back(TableWrite{key, encodeRow(toWire(records))});
     for (const std::string &formerKey : m_formerWorkerRowKeys) {
         if (formerKey != key.key) {
             transaction.removals.push_back(RowKey{cellTable, {}, formerKey});
         }
     }
-    m_store.transact(transaction, transactTimeout, [this, callback](const StoreAnswer &answer) {
+    m_store.transact(transaction, transactTimeout, [this, key, callback](const StoreAnswer &answer) {
         if (answer.outcome == StoreOutcome::Done) {
             m_formerWorkerRowKeys.clear();
+            m_workerRowVersion = answer.version;
+        } else if (answer.outcome == StoreOutcome::Conflict) {
+            // An earlier write without an answer took effect. The caller repeats its write with the version that is known now.
+            for (const TableRow &row : answer.rows) {
+                m_workerRowVersion = row.key == key ? row.version : m_workerRowVersion;
+            }
         }
         callback(answer.outcome == StoreOutcome::Done);
     });
--- a/src/node/cellstorage.h
+++ b/src/node/cellstorage.h
@@ -72,9 +72,10 @@
     void clearProgressVersions();
 
     /// Reads the workers that earlier leaderships stored.
-    void readWorkers(const std::function<void(bool wasRead, const std::vector<WorkerId> &ids)> &callback);
-    /// Each leadership writes its own row, so that a late write of an earlier leader can't overwrite the workers of this one.
-    void writeWorkers(Epoch epoch, const std::vector<WorkerId> &ids, const std::function<void(bool stored)> &callback);
+    void readWorkers(const std::function<void(bool wasRead, const std::vector<WorkerRecord> &records)> &callback);
+    /// Each leadership writes its own row, so that a late write of an earlier leader can't overwrite the workers of this one. A write replaces
+    /// only the row that this object last wrote or saw, so that a write without an answer can't replace a later one.
+    void writeWorkers(Epoch epoch, const std::vector<WorkerRecord> &records, const std::function<void(bool stored)> &callback);
 
     void readLeader(const std::function<void(bool wasRead, const std::optional<LeaderRecord> &, RowVersion)> &callback);
     void writeLeader(const LeaderRecord &record,
@@ -109,6 +110,8 @@
     /// Keys of the rows in which earlier leaderships stored their workers. The next writeWorkers() removes these rows, since its list contains
     /// their workers too.
     std::vector<std::string> m_formerWorkerRowKeys;
+    std::string m_workerRowKey; ///< Key of the row that writeWorkers() last wrote.
+    RowVersion m_workerRowVersion; ///< Last known version of that row.
     DelayedCalls m_delayedCalls; ///< Retries of writes.
 };
 
--- a/src/node/leadercontroller.cpp
+++ b/src/node/leadercontroller.cpp
@@ -209,13 +209,13 @@
 void LeaderController::load()
 {
     m_loading = true;
-    m_storage.readWorkers(whileLeading([this](bool wasRead, const std::vector<WorkerId> &ids) {
+    m_storage.readWorkers(whileLeading([this](bool wasRead, const std::vector<WorkerRecord> &records) {
         if (!wasRead) {
             m_loading = false;
             m_nextLoadAttempt = m_loop.now() + m_settings.loadRetryInterval;
             return;
         }
-        m_scheduler.addPreviousWorkers(ids);
+        m_scheduler.addPreviousWorkers(records);
         m_storage.loadAll(whileLeading([this](const std::optional<StoredJobs> &stored) {
             m_loading = false;
             if (!stored) {
@@ -362,8 +362,8 @@
         requestAdvice(call);
     }
     if (!orders.workersToStore.empty()) {
-        m_storage.writeWorkers(m_epoch, orders.workersToStore, whileLeading([this, ids = orders.workersToStore](bool stored) {
-                                   m_scheduler.onWorkersStored(stored ? ids : std::vector<WorkerId>{});
+        m_storage.writeWorkers(m_epoch, orders.workersToStore, whileLeading([this, records = orders.workersToStore](bool stored) {
+                                   m_scheduler.onWorkersStored(records, stored);
                                    scheduleRound();
                                }));
     }
--- a/src/node/rowcodec.cpp
+++ b/src/node/rowcodec.cpp
@@ -188,6 +188,44 @@
     return progress;
 }
 
+CellWire::WorkersRow toWire(const std::vector<WorkerRecord> &records)
+{
+    CellWire::WorkersRow row;
+    for (const WorkerRecord &record : records) {
+        row.add_ids(record.id.value());
+        if (record.isClosed) {
+            CellWire::ClosedWorker *closed = row.add_closed();
+            closed->set_id(record.id.value());
+            for (const JobId &job : record.jobs) {
+                closed->add_jobs(job.value());
+            }
+        }
+    }
+    return row;
+}
+
+std::vector<WorkerRecord> fromWire(const CellWire::WorkersRow &row)
+{
+    std::vector<WorkerRecord> records;
+    std::map<WorkerId, std::size_t> indexes;
+    for (const std::string &id : row.ids()) {
+        indexes.emplace(WorkerId(id), records.size());
+        records.push_back(WorkerRecord{WorkerId(id), false, {}});
+    }
+    for (const CellWire::ClosedWorker &closed : row.closed()) {
+        const auto index = indexes.find(WorkerId(closed.id()));
+        if (index == indexes.end()) {
+            continue;
+        }
+        WorkerRecord &record = records[index->second];
+        record.isClosed = true;
+        for (const std::string &job : closed.jobs()) {
+            record.jobs.emplace_back(job);
+        }
+    }
+    return records;
+}
+
 CellWire::Member toWire(const CellMember &member)
 {
     CellWire::Member wire;
--- a/src/node/rowcodec.h
+++ b/src/node/rowcodec.h
@@ -5,6 +5,7 @@
 #include "cell.pb.h"
 #include "cell/celljob.h"
 #include "cell/leadership.h"
+#include "cell/workertable.h"
 #include "tablestore.h"
 
 #include <optional>
@@ -20,6 +21,8 @@
 [[nodiscard]] JobProgress fromWire(const CellWire::ProgressRow &row);
 [[nodiscard]] CellWire::LeaderRow toWire(const LeaderRecord &record);
 [[nodiscard]] LeaderRecord fromWire(const CellWire::LeaderRow &row);
+[[nodiscard]] CellWire::WorkersRow toWire(const std::vector<WorkerRecord> &records);
+[[nodiscard]] std::vector<WorkerRecord> fromWire(const CellWire::WorkersRow &row);
 [[nodiscard]] CellWire::Member toWire(const CellMember &member);
 [[nodiscard]] CellMember fromWire(const CellWire::Member &member);
 [[nodiscard]] CellWire::KnownState toWire(CellJobState state);
--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -46,6 +46,7 @@
     TimePoint ends;
     StartOrder order;
     bool gang = false;
+    TimePoint started;
 };
 
 /// A fake worker.
@@ -141,7 +142,7 @@
     {
         epoch = Epoch(epochValue);
         config->buildIndexes();
-        scheduler = std::make_unique<CellScheduler>(settings);
+        scheduler = std::make_unique<CellScheduler>(settings, log);
         scheduler->setConfig(config, configSince == TimePoint() ? now : configSince);
         scheduler->setAdviceDaemons({DaemonId("d1"), DaemonId("d2")});
         scheduler->beginEpoch(epoch, now + leaseExpiry);
@@ -210,10 +211,11 @@
     }
 
     CellSchedulerSettings settings;
+    DecisionLog log; ///< Receives the scheduler's log lines; set before startLeadership().
     std::shared_ptr<CellConfig> config;
     std::unique_ptr<CellScheduler> scheduler;
     std::map<WorkerId, FakeCellWorker> workers;
-    std::vector<WorkerId> previousWorkers;
+    std::vector<WorkerRecord> previousWorkers;
     std::map<JobId, CellJob> storedJobs;
     std::map<JobId, JobProgress> storedProgress;
     std::set<JobId> cancelled;
@@ -292,7 +294,7 @@
         }
         const StepSpec &spec = storedJobs.at(order.task.step.job).steps.at(static_cast<std::size_t>(order.task.step.step));
         const Duration span = duration ? duration(order) : spec.estimate;
-        worker.running[order.task] = FakeCellRun{order.run, now + span, order, spec.gang};
+        worker.running[order.task] = FakeCellRun{order.run, now + span, order, spec.gang, now};
         worker.leaseEnd = std::max(worker.leaseEnd, now + Duration(order.deadline - worker.clock(now)));
         ++starts;
         Resources used;
@@ -354,7 +356,9 @@
         reply.incarnation = worker.info.incarnation;
         reply.clock = worker.clock(now);
         for (const auto &[task, run] : worker.running) {
-            reply.running.push_back(RunningEntry{task, run.number, {}, 50, 0});
+            const Duration span = run.ends - run.started;
+            const int percent = span > Duration(0) ? static_cast<int>((now - run.started) * 100 / span) : 0;
+            reply.running.push_back(RunningEntry{task, run.number, {}, std::min(percent, 99), 0});
         }
         for (const EndedEntry &end : worker.ended) {
             if (worker.acknowledged < end.number) {
@@ -394,9 +398,11 @@
                 scheduler->onAdvice(call.id, answer, sent, now);
             });
         }
-        if (!orders.workersToStore.empty() && storeReachable) {
-            previousWorkers = orders.workersToStore;
-            scheduler->onWorkersStored(orders.workersToStore);
+        if (!orders.workersToStore.empty()) {
+            if (storeReachable) {
+                previousWorkers = orders.workersToStore;
+            }
+            scheduler->onWorkersStored(orders.workersToStore, storeReachable);
         }
     }
 
--- a/test/cell/testcellfaults.cpp
+++ b/test/cell/testcellfaults.cpp
@@ -304,6 +304,72 @@
     CHECK_TRUE(cell.state("next") == CellJobState::Succeeded);
 }
 
+// Guards against every older job waiting for the longest lease after a change of leader, because workers that left before it are still
+// in the stored records.
+TEST(CellSchedulerTakeover, DoesNotWaitForWorkersThatHadLeft)
+{
+    FakeCell cell(2);
+    cell.startLeadership();
+    cell.run(Duration(200));
+    cell.worker(0).info.draining = true;
+    cell.worker(0).info.remaining = Duration(600);
+    cell.run(Duration(700));
+    cell.worker(0).crashed = true;
+    cell.run(Duration(700));
+    cell.submit(cellJob("blocking", 4, 1000, Duration(2000)));
+    cell.submit(cellJob("old", 2, 1000, Duration(500)));
+    cell.run(Duration(200));
+    cell.cancel("blocking");
+    cell.startLeadership(2);
+    cell.run(Duration(1500));
+    CHECK_TRUE(cell.state("old") == CellJobState::Succeeded);
+    CHECK_NO_VIOLATION(cell);
+}
+
+// Guards against every older job waiting for the longest lease after a change of leader, because some workers had crashed before it. Only
+// jobs that had runs on these workers have to wait.
+TEST(CellSchedulerTakeover, HoldsBackOnlyTheJobsThatASilentWorkerMayRun)
+{
+    FakeCell cell(2);
+    cell.startLeadership();
+    cell.submit(cellJob("lost", 4, 1000, Duration(2000)));
+    cell.run(Duration(700));
+    const int holder = cell.worker(0).running.empty() ? 1 : 0;
+    cell.worker(holder).reachable = false;
+    cell.unregistered.insert(cell.worker(holder).info.id);
+    cell.run(Duration(800));
+    cell.submit(cellJob("blocking", 4, 1000, Duration(20000)));
+    cell.run(Duration(200));
+    cell.submit(cellJob("old", 2, 1000, Duration(500)));
+    cell.run(Duration(200));
+    cell.cancel("blocking");
+    cell.startLeadership(2);
+    cell.run(Duration(1500));
+    CHECK_TRUE(cell.state("old") == CellJobState::Succeeded);
+    CHECK_TRUE(cell.state("lost") == CellJobState::Active || cell.state("lost") == CellJobState::Pending);
+    cell.run(Duration(10000));
+    CHECK_TRUE(cell.state("lost") == CellJobState::Succeeded);
+    CHECK_NO_VIOLATION(cell);
+}
+
+// Guards against a second run of a task: the next leader must not rely on a record of a silent worker that has got new work since.
+TEST(CellSchedulerTakeover, SendsNoNewWorkToARecordedWorkerBeforeItsRecordIsReplaced)
+{
+    FakeCell cell(1);
+    cell.startLeadership();
+    cell.run(Duration(300));
+    cell.worker(0).reachable = false;
+    cell.run(Duration(900));
+    cell.storeReachable = false;
+    cell.worker(0).reachable = true;
+    cell.submit(cellJob("job", 1, 1000, Duration(500)));
+    cell.run(Duration(1000));
+    CHECK_EQUAL(0, cell.starts);
+    cell.storeReachable = true;
+    cell.run(Duration(1000));
+    CHECK_EQUAL(1, cell.starts);
+}
+
 // Guards against jobs that wait for leases of unreachable workers although no leader can have started them there. Happens if the
 // leader's failure domain is partitioned while callers keep submitting.
 TEST(CellSchedulerTakeover, StartsJobsAtOnceThatNoPreviousLeaderCanHaveStarted)
--- a/test/cell/testrunsafety.cpp
+++ b/test/cell/testrunsafety.cpp
@@ -17,6 +17,7 @@
 
 constexpr Duration delayWithinStartValidity{1500};
 constexpr Duration delayBeyondStartValidity{2600};
+constexpr Duration laterJobAt{1300}; // In the longer partitions, when worker 0 has been recorded as silent.
 constexpr Duration simulatedTime{30000};
 
 struct Scenario {
@@ -25,11 +26,13 @@
     Duration partitionAt{0}; ///< Time at which worker 0 is partitioned; 0: never.
     Duration partitionLength{0};
     bool restarts = false; ///< Worker 0 restarts when the partition ends.
+    Duration secondTakeover{0}; ///< Time at which a third leader takes over; 0: never.
 
     [[nodiscard]] std::string text() const
     {
         return "first start " + std::to_string(static_cast<int>(firstStart)) + ", takeover at " + std::to_string(takeover.count()) + " ms, partition at "
-            + std::to_string(partitionAt.count()) + " ms for " + std::to_string(partitionLength.count()) + (restarts ? ", worker restart" : "");
+            + std::to_string(partitionAt.count()) + " ms for " + std::to_string(partitionLength.count()) + (restarts ? ", worker restart" : "") + ", second takeover at "
+            + std::to_string(secondTakeover.count()) + " ms";
     }
 };
 
@@ -74,6 +77,12 @@
         if (isDue(scenario.takeover)) {
             cell.startLeadership(2);
         }
+        if (isDue(scenario.secondTakeover)) {
+            cell.startLeadership(3);
+        }
+        if (isDue(laterJobAt)) {
+            cell.submit(cellJob("later", 5, 1000, Duration(700)));
+        }
         if (isDue(scenario.partitionAt)) {
             cell.worker(0).reachable = false;
             cell.unregistered.insert(WorkerId("w0"));
@@ -102,18 +111,24 @@
          {FirstStart::Arrives, FirstStart::IsLost, FirstStart::ArrivesWithoutAnswer, FirstStart::ArrivesAfterRetries, FirstStart::ArrivesAfterItsDeadline}) {
         for (const int takeover : {0, 400, 900, 1600, 2800}) {
             for (const auto &[partitionAt, partitionLength] : std::vector<std::pair<int, int>>{{0, 0}, {600, 1500}, {600, 5500}, {1400, 9000}}) {
-                for (const bool restarts : {false, true}) {
-                    const Scenario scenario{first, Duration(takeover), Duration(partitionAt), Duration(partitionLength), restarts};
+                // The second takeover comes while worker 0 is recorded as silent, or while it is used again.
+                for (const auto &[restarts, secondTakeover] :
+                     std::vector<std::pair<bool, int>>{{false, 0}, {true, 0}, {false, 3200}, {true, 3200}, {false, 6400}, {true, 6400}}) {
+                    const Scenario scenario{
+                        first, Duration(takeover), Duration(partitionAt), Duration(partitionLength), restarts, Duration(takeover > 0 ? secondTakeover : 0)};
                     FakeCell cell(2);
                     runScenario(cell, scenario);
                     const std::string problem = cell.violations.empty() ? std::string() : cell.violations.front() + " in: " + scenario.text();
                     STRCMP_EQUAL("", problem.c_str());
                     STRCMP_EQUAL("succeeded",
                                  (std::string(toString(cell.state("job"))) + (cell.state("job") == CellJobState::Succeeded ? "" : scenario.text())).c_str());
+                    STRCMP_EQUAL(
+                        "succeeded",
+                        (std::string(toString(cell.state("later"))) + (cell.state("later") == CellJobState::Succeeded ? "" : scenario.text())).c_str());
                     ++scenariosRun;
                 }
             }
         }
     }
-    CHECK_EQUAL(200, scenariosRun);
+    CHECK_EQUAL(600, scenariosRun);
 }
--- a/test/node/testcellstorage.cpp
+++ b/test/node/testcellstorage.cpp
@@ -177,17 +177,58 @@
 TEST(CellStorage, KeepsWorkersOfEveryLeadershipUntilTheNextListIncludesThem)
 {
     bool done = false;
-    storage.writeWorkers(Epoch(1), {WorkerId("w1")}, [&](bool) { done = true; });
+    storage.writeWorkers(Epoch(1), {WorkerRecord{WorkerId("w1"), false, {}}}, [&](bool) { done = true; });
     runUntil(done);
     done = false;
-    storage.writeWorkers(Epoch(2), {WorkerId("w2")}, [&](bool) { done = true; });
+    storage.writeWorkers(Epoch(2), {WorkerRecord{WorkerId("w2"), false, {}}}, [&](bool) { done = true; });
     runUntil(done);
-    std::vector<WorkerId> ids;
+    std::vector<WorkerRecord> records;
     done = false;
-    storage.readWorkers([&](bool, const std::vector<WorkerId> &all) {
-        ids = all;
+    storage.readWorkers([&](bool, const std::vector<WorkerRecord> &all) {
+        records = all;
         done = true;
     });
     runUntil(done);
-    CHECK_EQUAL(2U, ids.size());
+    CHECK_EQUAL(2U, records.size());
+}
+
+TEST(CellStorage, KeepsTheJobsOfAClosedWorker)
+{
+    bool done = false;
+    storage.writeWorkers(
+        Epoch(1), {WorkerRecord{WorkerId("w1"), false, {}}, WorkerRecord{WorkerId("w2"), true, {JobId("a"), JobId("b")}}}, [&](bool) { done = true; });
+    runUntil(done);
+    std::vector<WorkerRecord> records;
+    done = false;
+    storage.readWorkers([&](bool, const std::vector<WorkerRecord> &all) {
+        records = all;
+        done = true;
+    });
+    runUntil(done);
+    CHECK_EQUAL(2U, records.size());
+    CHECK_FALSE(records.at(0).isClosed);
+    CHECK_TRUE(records.at(1).isClosed);
+    CHECK_TRUE(records.at(1).jobs == (std::vector<JobId>{JobId("a"), JobId("b")}));
+}
+
+// Guards against a lost write that the store carries out seconds later and that replaces a newer row: the next leader would not know of a
+// worker that has got work meanwhile.
+TEST(CellStorage, ReplacesTheWorkersOnlyIfTheirRowIsTheOneLastSeen)
+{
+    std::vector<bool> stored;
+    const auto record = [&](bool wasStored) { stored.push_back(wasStored); };
+    bool done = false;
+    const auto write = [&](const char *id) {
+        done = false;
+        storage.writeWorkers(Epoch(1), {WorkerRecord{WorkerId(id), false, {}}}, [&](bool wasStored) {
+            record(wasStored);
+            done = true;
+        });
+        runUntil(done);
+    };
+    store.writeOutcomes = {StoreOutcome::Unknown}; // Takes effect without an answer.
+    write("w1");
+    write("w2");
+    write("w3");
+    CHECK_TRUE(stored == (std::vector<bool>{false, false, true}));
 }
