Let a step ask about further workers while its tickets are renewed

Cause: each step had one call to the policy service in flight. A gang that asked about further workers for up to 0.95 s could not renew its tickets meanwhile, and a gang that stopped asking starved if its few allowed workers were full (9 tasks of 7,600 millicores, 20 allowed workers). Change: questions and renewals are tracked apart, and a gang asks on until its allowed workers, if idle, fit eight times its tasks.

--- a/src/cell/advicedispatcher.h
+++ b/src/cell/advicedispatcher.h
@@ -18,6 +18,7 @@
     std::vector<WorkerId> workers;
     Duration duration{0}; ///< Expected processing time in the policy service.
     int priority = 0; ///< 0 is the highest.
+    bool isRenewal = false; ///< The step knows that the workers are allowed and only needs new tickets.
     DaemonId daemon; ///< The daemon that makes the call; set by dispatch().
     std::uint64_t id = 0; ///< Set by dispatch().
 };
--- a/src/cell/celladvice.cpp
+++ b/src/cell/celladvice.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr double spareWorkersShare = 0.5; // A renewal of a gang names this many more workers than the gang needs, since other steps may take capacity meanwhile.
+constexpr double spareWorkersShare =
+    0.5; // A renewal of a gang names this many more workers than the gang needs, since other steps may take capacity meanwhile.
 constexpr Duration gangRenewalLead{250}; // Tickets of a gang are renewed this much earlier than its start requires.
 constexpr std::size_t minWorkersPerCall = 16; // Even if the policy allows only a third of the workers, at least one is almost certainly allowed.
 // The workers named in a call have this many task slots per task: about a third of the workers is allowed, and other steps occupy some
@@ -65,18 +66,18 @@
 
 void CellScheduler::renewTickets(StepInstance &step, const std::vector<WorkerId> &workers, TimePoint now)
 {
-    if (step.advice.inFlight || step.advice.nextRenewal > now || step.advice.nextCall > now) {
+    if (step.advice.renewalInFlight || step.advice.nextRenewal > now || step.advice.nextCall > now) {
         return;
     }
     // The policy service is slow, so the pause grows while renewed tickets do not lead to a start.
     const int doublings = std::min(step.advice.renewals++, maxRenewalDoublings);
     step.advice.nextRenewal = now + renewalBackoff * (1 << doublings);
-    requestAdviceFor(step, workers, now);
+    requestAdviceFor(step, workers, true, now);
 }
 
 bool CellScheduler::requestFurtherAdvice(StepInstance &step, int missing, TimePoint now)
 {
-    if (step.advice.inFlight || step.advice.nextCall > now) {
+    if (step.advice.questionInFlight || step.advice.nextCall > now) {
         return false;
     }
     std::vector<std::pair<int, WorkerIndex>> workersByFit; // With the negated number of fitting tasks, so that the largest comes first.
@@ -99,7 +100,7 @@
         workers.push_back(m_workers.at(worker)->info.id);
     }
     if (!workers.empty()) {
-        requestAdviceFor(step, workers, now);
+        requestAdviceFor(step, workers, false, now);
     }
     return !workers.empty();
 }
@@ -136,12 +137,12 @@
 
 void CellScheduler::requestAdvice(StepInstance &step, TimePoint now)
 {
-    if (!step.advice.inFlight && step.advice.nextCall <= now) {
-        requestAdviceFor(step, workersToAsk(step), now);
+    if (!step.advice.questionInFlight && step.advice.nextCall <= now) {
+        requestAdviceFor(step, workersToAsk(step), false, now);
     }
 }
 
-void CellScheduler::requestAdviceFor(StepInstance &step, const std::vector<WorkerId> &workers, TimePoint now)
+void CellScheduler::requestAdviceFor(StepInstance &step, const std::vector<WorkerId> &workers, bool isRenewal, TimePoint now)
 {
     const AdviceSettings *settings = adviceSettings(step);
     if (settings == nullptr || workers.empty() || step.advice.nextCall > now) {
@@ -152,7 +153,8 @@
     call.workers = workers;
     call.duration = settings->callDuration(workers.size());
     call.priority = priorityKey(step, now).first;
-    step.advice.inFlight = true;
+    (isRenewal ? step.advice.renewalInFlight : step.advice.questionInFlight) = true;
+    call.isRenewal = isRenewal;
     m_advice.add(std::move(call));
 }
 
@@ -163,7 +165,7 @@
     if (step == nullptr) {
         return;
     }
-    step->advice.inFlight = false;
+    (call->isRenewal ? step->advice.renewalInFlight : step->advice.questionInFlight) = false;
     step->consideredAtGeneration = 0;
     if (!answer.answered) {
         step->advice.nextCall = now + adviceRetryInterval;
@@ -194,7 +196,7 @@
         for (const auto &step : entry->steps) {
             const AdviceSettings *settings =
                 step->readySince == TimePoint() && step->waiting > 0 && step->advice.evaluated.empty() ? adviceSettings(*step) : nullptr;
-            if (settings == nullptr || step->advice.inFlight) {
+            if (settings == nullptr || step->advice.questionInFlight) {
                 continue;
             }
             const bool soon = std::all_of(step->spec->after.begin(), step->spec->after.end(), [&](int before) {
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t rotatedStepsPerPass = 80; // The others are considered in turn, this many per pass, so that a backlog does not slow down every pass.
 constexpr int overRateTierOffset = 100; // For work above its workspace's rate, which goes last.
 constexpr Duration fullPassInterval{50}; // Interval at which steps are reconsidered even if nothing changed on their workers.
-constexpr int minAllowedSlotsPerTask = 4; // A gang asks about further workers while its allowed workers fit fewer tasks than this factor when they are idle.
+constexpr int minAllowedSlotsPerTask = 8; // A gang asks about further workers while its allowed workers fit fewer tasks than this factor when they are idle.
 constexpr int maxGangReservations = 8; // Gangs per pass that may reserve capacity for a later start; reservations withhold it from other steps.
 constexpr std::size_t minTicketsToRenew = 8; // A non-gang step renews tickets for at least this many workers, if that many have capacity.
 constexpr Duration overrunEstimate{200}; // A run past its expected end is assumed to continue for about this time.
@@ -40,13 +40,16 @@
     }
 };
 
-/// Returns the mean demand of the tasks of all gangs among @p steps; zero if there is none.
-Resources meanGangTaskDemand(const std::vector<StepInstance *> &steps)
+/// A waiting step with its sort key, see CellScheduler::priorityKey().
+using OrderedStep = std::pair<std::pair<int, TimePoint>, StepInstance *>;
+
+/// Returns the mean demand of the tasks of all gangs that wait for a start; zero if there is none.
+Resources meanGangTaskDemand(const std::vector<OrderedStep> &steps)
 {
     Resources sum;
     std::int64_t tasks = 0;
-    for (const StepInstance *step : steps) {
-        if (step->spec->gang) {
+    for (const auto &[key, step] : steps) {
+        if (step->spec->gang && step->active == 0) {
             sum += step->spec->demand * step->spec->count;
             tasks += step->spec->count;
         }
@@ -211,7 +214,7 @@
         m_nextFullPass = time.now + fullPassInterval;
     }
     std::vector<StepInstance *> steps = m_jobs.waitingSteps();
-    std::vector<std::pair<std::pair<int, TimePoint>, StepInstance *>> ordered;
+    std::vector<OrderedStep> ordered;
     ordered.reserve(steps.size());
     for (StepInstance *step : steps) {
         const bool isSchedulable = m_config->route(step->job->job.route) != nullptr && !step->job->unreconciled;
@@ -230,7 +233,7 @@
         ordered.resize(stepsInEveryPass + rotatedStepsPerPass);
         m_rotationOffset += rotatedStepsPerPass;
     }
-    PlacementPass pass{orders, time, {}, meanGangTaskDemand(steps), 0, {}};
+    PlacementPass pass{orders, time, {}, meanGangTaskDemand(ordered), 0, {}};
     for (const auto &[key, step] : ordered) {
         const bool hasChanges = shouldReconsider(*step);
         step->consideredAtGeneration = m_workers.generation();
@@ -347,8 +350,8 @@
             PlacementRank rank;
             rank.hasFailedThere = task.failedOn.count(worker.info.id) > 0;
             rank.isOtherRack = !rack.empty() && std::find(labels.begin(), labels.end(), rack) == labels.end();
-            rank.lostGangTasks = tasksThatFit(pass.gangTaskDemand, candidate.free, INT_MAX)
-                - tasksThatFit(pass.gangTaskDemand, candidate.free - step.spec->demand, INT_MAX);
+            rank.lostGangTasks =
+                tasksThatFit(pass.gangTaskDemand, candidate.free, INT_MAX) - tasksThatFit(pass.gangTaskDemand, candidate.free - step.spec->demand, INT_MAX);
             rank.freeAfter = candidate.free.cpu - step.spec->demand.cpu;
             if (best == nullptr || rank < bestRank) {
                 best = &candidate;
@@ -363,7 +366,7 @@
         best->free -= step.spec->demand;
         --best->maxTasks;
     }
-    if (!hasUnplacedTasks || !advised || step.advice.inFlight) {
+    if (!hasUnplacedTasks || !advised) {
         return;
     }
     if (!staleTicketWorkers.empty()) {
@@ -457,7 +460,7 @@
     for (const TaskAllocation &allocation : forecast->allocations) {
         pass.reservations.add(allocation.worker, forecast->start, step.spec->demand * allocation.tasks);
     }
-    if (settings == nullptr || step.advice.inFlight) {
+    if (settings == nullptr) {
         return;
     }
     renewTicketsForGang(step, *forecast, candidates, now);
@@ -529,8 +532,8 @@
         + " allowed workers usable of " + std::to_string(step.advice.tickets.size()) + " (" + std::to_string(step.advice.evaluated.size()) + " asked), "
         + std::to_string(valid) + " tickets valid, room for " + std::to_string(fitting) + " tasks"
         + (isWithinWorkspaceMaximum(step, step.spec->gang ? step.spec->count : 1) ? "" : ", workspace at its maximum")
-        + (step.job->unreconciled ? ", runs of an earlier leader not ruled out" : "") + (step.advice.inFlight ? ", advice asked" : "")
-        + (step.gangStopping ? ", gang broken" : "");
+        + (step.job->unreconciled ? ", runs of an earlier leader not ruled out" : "") + (step.advice.questionInFlight ? ", asking about further workers" : "")
+        + (step.advice.renewalInFlight ? ", renewing tickets" : "") + (step.gangStopping ? ", gang broken" : "");
 }
 
 } // namespace KingCupLadder
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -338,7 +338,7 @@
     m_counters.stops += orders.stops.size();
     for (const AdviceCall &expired : m_advice.expire(time.now)) {
         if (StepInstance *step = m_jobs.findStep(expired.step)) {
-            step->advice.inFlight = false;
+            (expired.isRenewal ? step->advice.renewalInFlight : step->advice.questionInFlight) = false;
         }
     }
     orders.advice = m_advice.dispatch(time.now);
@@ -479,9 +479,10 @@
     }
     return std::to_string(m_jobs.unfinishedCount()) + " unfinished jobs, " + std::to_string(steps.size()) + " steps waiting (" + std::to_string(unadvised)
         + " for their first answer from the policy service, " + std::to_string(atMaximum) + " with their workspace at its maximum, "
-        + std::to_string(unreconciled) + " because runs of a previous leader may exist), " + std::to_string(gangs) + " of them gangs, " + std::to_string(m_advice.callsInFlight())
-        + " advice calls in flight, " + std::to_string(m_advice.waitingCalls()) + " queued, " + std::to_string(usable) + " of "
-        + std::to_string(m_workers.all().size()) + " workers usable, their CPU " + percentOfCapacity(allocated) + " allocated, predicted wait " + std::to_string(predictedWait(INT_MAX, now).count()) + " ms";
+        + std::to_string(unreconciled) + " because runs of a previous leader may exist), " + std::to_string(gangs) + " of them gangs, "
+        + std::to_string(m_advice.callsInFlight()) + " advice calls in flight, " + std::to_string(m_advice.waitingCalls()) + " queued, "
+        + std::to_string(usable) + " of " + std::to_string(m_workers.all().size()) + " workers usable, their CPU " + percentOfCapacity(allocated)
+        + " allocated, predicted wait " + std::to_string(predictedWait(INT_MAX, now).count()) + " ms";
 }
 
 std::size_t CellScheduler::unfinishedJobs() const
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -204,7 +204,7 @@
     [[nodiscard]] bool isEligible(const StepInstance &step, const Worker &worker) const;
     [[nodiscard]] bool isWithinWorkspaceMaximum(const StepInstance &step, int tasks) const;
     void requestAdvice(StepInstance &step, TimePoint now);
-    void requestAdviceFor(StepInstance &step, const std::vector<WorkerId> &workers, TimePoint now);
+    void requestAdviceFor(StepInstance &step, const std::vector<WorkerId> &workers, bool isRenewal, TimePoint now);
     void prefetchAdvice(TimePoint now);
     void logLongWaits(TimePoint now);
     [[nodiscard]] std::string describeWait(const StepInstance &step, TimePoint now) const;
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -26,7 +26,8 @@
 struct StepAdvice {
     std::vector<Ticket> tickets; ///< Of the allowed workers, ordered by worker. A worker stays allowed when its ticket expires.
     std::set<WorkerIndex> evaluated; ///< Workers named in answered calls.
-    bool inFlight = false; ///< A call for this step is queued or sent.
+    bool questionInFlight = false; ///< A call about workers that the step has not asked about is queued or sent.
+    bool renewalInFlight = false; ///< A call that renews tickets is queued or sent.
     TimePoint nextCall; ///< Earliest time of the next call.
     TimePoint nextRenewal; ///< Earliest time of the next ticket renewal.
     int renewals = 0; ///< Renewals since the step last started a task.
--- a/src/node/acknowledgementguard.cpp
+++ b/src/node/acknowledgementguard.cpp
@@ -14,8 +14,7 @@
 HoldOrder AcknowledgementGuard::guard(HoldOrder order, TimePoint now) const
 {
     const auto found = m_confirmations.find(order.worker);
-    const bool isConfirmed =
-        found != m_confirmations.end() && found->second.incarnation == order.incarnation && now - found->second.at <= maxConfirmationAge;
+    const bool isConfirmed = found != m_confirmations.end() && found->second.incarnation == order.incarnation && now - found->second.at <= maxConfirmationAge;
     if (!isConfirmed) {
         order.acknowledged = EndNumber();
     }
