Start the gangs that have waited longest first while the cell has room

With 90 gangs waiting and 44% to 75% of the CPU allocated, gangs renewed tickets for workers that were reserved for another gang when the answer came (25 tasks, 115 allowed workers, room for 30 to 105 tasks over 10 s, 28 to 32 tickets valid), and the pause between renewals grew to 3.2 s. Change: while less than 70% of the CPU is allocated, the two gangs that have waited longest, and more than 5 s, are placed first.

--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -18,6 +18,10 @@
 constexpr int overRateTierOffset = 100; // For work above its workspace's rate, which goes last.
 constexpr Duration fullPassInterval{50}; // Interval at which steps are reconsidered even if nothing changed on their workers.
 constexpr int minAllowedSlotsPerTask = 8; // A gang asks about further workers while its allowed workers fit fewer tasks than this factor when they are idle.
+constexpr int starvingTier = -1; // Before every other tier.
+constexpr Duration starvingAfter{5000}; // A gang that has waited longer may be starving.
+constexpr std::size_t maxStarvingFirst = 2; // Gangs ranked first at a time: with more of them, their reservations get in each other's way again.
+constexpr double maxAllocatedShareForStarving = 0.7; // Above this share of allocated CPU, work that is still in time comes first.
 constexpr int maxGangReservations = 8; // Gangs per pass that may reserve capacity for a later start; reservations withhold it from other steps.
 constexpr std::size_t minTicketsToRenew = 8; // A non-gang step renews tickets for at least this many workers, if that many have capacity.
 constexpr Duration overrunEstimate{200}; // A run past its expected end is assumed to continue for about this time.
@@ -40,11 +44,8 @@
     }
 };
 
-/// A waiting step with its sort key, see CellScheduler::priorityKey().
-using OrderedStep = std::pair<std::pair<int, TimePoint>, StepInstance *>;
-
 /// Returns the mean demand of the tasks of all gangs that wait for a start; zero if there is none.
-Resources meanGangTaskDemand(const std::vector<OrderedStep> &steps)
+Resources meanGangTaskDemand(const std::vector<std::pair<std::pair<int, TimePoint>, StepInstance *>> &steps)
 {
     Resources sum;
     std::int64_t tasks = 0;
@@ -223,6 +224,7 @@
             ordered.emplace_back(priorityKey(*step, time.now), step);
         }
     }
+    rankStarvingGangsFirst(ordered, time.now);
     std::sort(
         ordered.begin(), ordered.end(), [](const auto &a, const auto &b) { return a.first != b.first ? a.first < b.first : a.second->ref < b.second->ref; });
     if (ordered.size() > stepsInEveryPass + rotatedStepsPerPass) {
@@ -262,6 +264,33 @@
     }
 }
 
+void CellScheduler::rankStarvingGangsFirst(std::vector<OrderedStep> &steps, TimePoint now) const
+{
+    std::int64_t capacity = 0;
+    std::int64_t allocated = 0;
+    for (const auto &[id, worker] : m_workers.all()) {
+        capacity += worker.wasUsable ? worker.info.capacity.cpu.value() : 0;
+        allocated += worker.wasUsable ? worker.allocated.cpu.value() : 0;
+    }
+    if (static_cast<double>(allocated) >= maxAllocatedShareForStarving * static_cast<double>(capacity)) {
+        return;
+    }
+    std::vector<OrderedStep *> starving;
+    for (OrderedStep &entry : steps) {
+        const StepInstance &step = *entry.second;
+        const bool waits = step.spec->gang && step.active == 0 && now - step.readySince > starvingAfter;
+        if (waits && isWithinWorkspaceMaximum(step, step.spec->count)) {
+            starving.push_back(&entry);
+        }
+    }
+    std::sort(starving.begin(), starving.end(), [](const OrderedStep *a, const OrderedStep *b) { return a->second->readySince < b->second->readySince; });
+    starving.resize(std::min(starving.size(), maxStarvingFirst));
+    for (OrderedStep *entry : starving) {
+        entry->first = {starvingTier, entry->second->readySince};
+        entry->second->advice.renewals = std::min(entry->second->advice.renewals, 1);
+    }
+}
+
 void CellScheduler::estimateUnreportedUsage(TimePoint now)
 {
     m_unreportedUsage.clear();
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -158,6 +158,8 @@
 
 private:
     struct PlacementPass;
+    /// A waiting step with its sort key, see priorityKey().
+    using OrderedStep = std::pair<std::pair<int, TimePoint>, StepInstance *>;
     enum class CandidateSet {
         AllowedWorkers, ///< All workers that the policy service allows.
         WorkersWithValidTicket, ///< Only allowed workers with a valid ticket.
@@ -186,6 +188,8 @@
     void retryStarts(Worker &worker, CellOrders &orders, TimePoint now);
     void evacuateDrainingWorker(Worker &worker, TimePoint now);
     void runPlacementPass(CellOrders &orders, const CellTime &time);
+    /// Moves the gangs that have waited longest to the front while the cell has room, so that no gang waits for ever.
+    void rankStarvingGangsFirst(std::vector<OrderedStep> &steps, TimePoint now) const;
     void placeTasks(StepInstance &step, PlacementPass &pass);
     void placeGang(StepInstance &step, PlacementPass &pass);
     /// Renews the tickets that the gang needs for its forecast start, unless that is too early.
