--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -21,7 +21,7 @@
 constexpr int starvingTier = -1; // Before every other tier.
 constexpr Duration starvingAfter{5000}; // A gang that has waited longer may be starving.
 constexpr std::size_t maxStarvingFirst = 2; // Gangs ranked first at a time: with more of them, their reservations get in each other's way again.
-constexpr double maxAllocatedShareForStarving = 0.7; // Above this share of allocated CPU, work that is still in time comes first.
+constexpr double maxAllocatedShareForStarving = 0.5; // Above this share of allocated CPU, work that is still in time comes first.
 constexpr int maxGangReservations = 8; // Gangs per pass that may reserve capacity for a later start; reservations withhold it from other steps.
 constexpr std::size_t minTicketsToRenew = 8; // A non-gang step renews tickets for at least this many workers, if that many have capacity.
 constexpr Duration overrunEstimate{200}; // A run past its expected end is assumed to continue for about this time.
