Log what a stalled step waits for

Callers saw accepted jobs that were never started although most of the cell was free. The log named the five longest waits and whether a call to the policy service was pending, which does not tell these causes apart: a call that waits in the leader's own queue, a pause between renewals, room that is withheld for other steps, and a shortage of room.

The load line now counts the steps that are stalled although there is room, and says how long the oldest call has been queued. The line of a waiting step says for how long its question and its renewal have been pending, when the next renewal is due and how many of its tasks are withheld by reservations; stalled steps come first among the five that are logged.

--- a/src/cell/advicedispatcher.cpp
+++ b/src/cell/advicedispatcher.cpp
@@ -105,6 +105,15 @@
     return m_waiting.size();
 }
 
+Duration AdviceDispatcher::longestQueueTime(TimePoint now) const
+{
+    Duration longest{0};
+    for (const auto &[key, call] : m_waiting) {
+        longest = std::max(longest, now - call.queuedAt);
+    }
+    return longest;
+}
+
 std::size_t AdviceDispatcher::callsInFlight() const
 {
     return m_inFlight.size();
--- a/src/cell/advicedispatcher.h
+++ b/src/cell/advicedispatcher.h
@@ -19,6 +19,7 @@
     Duration duration{0}; ///< Expected processing time in the policy service.
     int priority = 0; ///< 0 is the highest.
     bool isRenewal = false; ///< The step knows that the workers are allowed and only needs new tickets.
+    TimePoint queuedAt;
     DaemonId daemon; ///< The daemon that makes the call; set by dispatch().
     std::uint64_t id = 0; ///< Set by dispatch().
 };
@@ -38,6 +39,8 @@
     [[nodiscard]] std::vector<AdviceCall> expire(TimePoint now);
     void clear();
     [[nodiscard]] std::size_t waitingCalls() const;
+    /// Time that the oldest waiting call has been queued; zero if none waits.
+    [[nodiscard]] Duration longestQueueTime(TimePoint now) const;
     [[nodiscard]] std::size_t callsInFlight() const;
 
 private:
--- a/src/cell/celladvice.cpp
+++ b/src/cell/celladvice.cpp
@@ -153,7 +153,9 @@
     call.workers = workers;
     call.duration = settings->callDuration(workers.size());
     call.priority = priorityKey(step, now).first;
+    call.queuedAt = now;
     (isRenewal ? step.advice.renewalInFlight : step.advice.questionInFlight) = true;
+    (isRenewal ? step.advice.renewalSince : step.advice.questionSince) = now;
     call.isRenewal = isRenewal;
     m_advice.add(std::move(call));
 }
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -264,7 +264,7 @@
     }
 }
 
-void CellScheduler::rankStarvingGangsFirst(std::vector<OrderedStep> &steps, TimePoint now) const
+double CellScheduler::allocatedShare() const
 {
     std::int64_t capacity = 0;
     std::int64_t allocated = 0;
@@ -272,7 +272,12 @@
         capacity += worker.wasUsable ? worker.info.capacity.cpu.value() : 0;
         allocated += worker.wasUsable ? worker.allocated.cpu.value() : 0;
     }
-    if (static_cast<double>(allocated) >= maxAllocatedShareForStarving * static_cast<double>(capacity)) {
+    return capacity > 0 ? static_cast<double>(allocated) / static_cast<double>(capacity) : 1;
+}
+
+void CellScheduler::rankStarvingGangsFirst(std::vector<OrderedStep> &steps, TimePoint now) const
+{
+    if (allocatedShare() >= maxAllocatedShareForStarving) {
         return;
     }
     std::vector<OrderedStep *> starving;
@@ -354,6 +359,7 @@
     const bool advised = adviceSettings(step) != nullptr;
     std::vector<WorkerId> staleTicketWorkers;
     bool hasUnplacedTasks = false;
+    step.withheldTasks = 0;
     for (int index = 0; index < static_cast<int>(step.tasks.size()); ++index) {
         const CellTask &task = step.tasks[static_cast<std::size_t>(index)];
         const bool isStartable = task.phase == CellTaskPhase::Waiting && task.notBefore <= now && task.liveRuns == 0;
@@ -362,9 +368,13 @@
         }
         CandidateWorker *best = nullptr;
         PlacementRank bestRank;
+        bool isWithheld = false;
         for (CandidateWorker &candidate : candidates) {
-            if (candidate.maxTasks < 1 || !step.spec->demand.fitsIn(candidate.free)
-                || !pass.reservations.allows(candidate, step.spec->demand, now + step.spec->estimate)) {
+            if (candidate.maxTasks < 1 || !step.spec->demand.fitsIn(candidate.free)) {
+                continue;
+            }
+            if (!pass.reservations.allows(candidate, step.spec->demand, now + step.spec->estimate)) {
+                isWithheld = true;
                 continue;
             }
             const Worker &worker = *m_workers.at(candidate.worker);
@@ -389,6 +399,7 @@
         }
         if (best == nullptr) {
             hasUnplacedTasks = true;
+            step.withheldTasks += isWithheld ? 1 : 0;
             continue;
         }
         startTask(step, index, *m_workers.at(best->worker), nextRun(task), pass);
@@ -426,7 +437,15 @@
         return;
     }
     std::vector<CandidateWorker> candidates = candidatesFor(step, pass, CandidateSet::WorkersWithValidTicket);
+    int fittingWithoutReservations = 0;
+    for (const CandidateWorker &candidate : candidates) {
+        fittingWithoutReservations += tasksThatFit(step.spec->demand, candidate.free, std::min(candidate.maxTasks, count));
+    }
     limitToReservations(step, candidates, pass);
+    step.withheldTasks = fittingWithoutReservations;
+    for (const CandidateWorker &candidate : candidates) {
+        step.withheldTasks -= std::min(candidate.maxTasks, count);
+    }
     const auto fit = fitGang(candidates, step.spec->demand, count);
     if (!fit) {
         reserveForGang(step, candidatesFor(step, pass, CandidateSet::AllowedWorkersWithReleases), pass);
@@ -524,17 +543,33 @@
     }
 }
 
+bool CellScheduler::isStalled(const StepInstance &step, TimePoint now) const
+{
+    if (now - step.readySince <= longWaitThreshold || step.job->liveRuns > 0 || !isWithinWorkspaceMaximum(step, step.spec->count)
+        || allocatedShare() >= maxAllocatedShareForStarving) {
+        return false;
+    }
+    const int needed = 2 * (step.spec->gang ? step.spec->count : 1);
+    int fitting = 0;
+    for (const auto &[id, worker] : m_workers.all()) {
+        fitting += worker.wasUsable && isEligible(step, worker) ? tasksThatFit(step.spec->demand, worker.free(), needed) : 0;
+    }
+    return fitting >= needed;
+}
+
 void CellScheduler::logLongWaits(TimePoint now)
 {
-    std::vector<std::pair<TimePoint, const StepInstance *>> waits;
+    // Stalled steps first, then the longest wait.
+    std::vector<std::tuple<bool, TimePoint, const StepInstance *>> waits;
     for (const StepInstance *step : m_jobs.waitingSteps()) {
         if (now - step->readySince > longWaitThreshold) {
-            waits.emplace_back(step->readySince, step);
+            waits.emplace_back(!isStalled(*step, now), step->readySince, step);
         }
     }
     std::sort(waits.begin(), waits.end());
     for (std::size_t i = 0; i < waits.size() && i < static_cast<std::size_t>(maxLongWaitsLogged); ++i) {
-        log(describeWait(*waits[i].second, now) + ", one of " + std::to_string(waits.size()) + " long waits");
+        const auto &[isNotStalled, since, step] = waits[i];
+        log(describeWait(*step, now) + (isNotStalled ? "" : ", stalled although there is room") + ", one of " + std::to_string(waits.size()) + " long waits");
     }
 }
 
@@ -561,8 +596,14 @@
         + " allowed workers usable of " + std::to_string(step.advice.tickets.size()) + " (" + std::to_string(step.advice.evaluated.size()) + " asked), "
         + std::to_string(valid) + " tickets valid, room for " + std::to_string(fitting) + " tasks"
         + (isWithinWorkspaceMaximum(step, step.spec->gang ? step.spec->count : 1) ? "" : ", workspace at its maximum")
-        + (step.job->unreconciled ? ", runs of an earlier leader not ruled out" : "") + (step.advice.questionInFlight ? ", asking about further workers" : "")
-        + (step.advice.renewalInFlight ? ", renewing tickets" : "") + (step.gangStopping ? ", gang broken" : "");
+        + (step.withheldTasks > 0 ? ", room for " + std::to_string(step.withheldTasks) + " reserved by other steps" : "")
+        + (step.job->unreconciled ? ", runs of an earlier leader not ruled out" : "")
+        + (step.advice.questionInFlight ? ", asking about further workers for " + std::to_string((now - step.advice.questionSince).count()) + " ms" : "")
+        + (step.advice.renewalInFlight ? ", renewing tickets for " + std::to_string((now - step.advice.renewalSince).count()) + " ms" : "")
+        + (!step.advice.renewalInFlight && step.advice.nextRenewal > now
+               ? ", next renewal in " + std::to_string((step.advice.nextRenewal - now).count()) + " ms"
+               : "")
+        + (step.gangStopping ? ", gang broken" : "");
 }
 
 } // namespace KingCupLadder
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -471,16 +471,19 @@
     std::size_t unreconciled = 0;
     std::size_t atMaximum = 0;
     std::size_t gangs = 0;
+    std::size_t stalled = 0;
     for (const StepInstance *step : steps) {
         gangs += step->spec->gang ? 1 : 0;
         unadvised += step->advice.evaluated.empty() && adviceSettings(*step) != nullptr ? 1 : 0;
         unreconciled += step->job->unreconciled ? 1 : 0;
+        stalled += isStalled(*step, now) ? 1 : 0;
         atMaximum += isWithinWorkspaceMaximum(*step, step->spec->gang ? step->spec->count : 1) ? 0 : 1;
     }
     return std::to_string(m_jobs.unfinishedCount()) + " unfinished jobs, " + std::to_string(steps.size()) + " steps waiting (" + std::to_string(unadvised)
         + " for their first answer from the policy service, " + std::to_string(atMaximum) + " with their workspace at its maximum, "
         + std::to_string(unreconciled) + " because runs of a previous leader may exist), " + std::to_string(gangs) + " of them gangs, "
-        + std::to_string(m_advice.callsInFlight()) + " advice calls in flight, " + std::to_string(m_advice.waitingCalls()) + " queued, "
+        + std::to_string(stalled) + " stalled although there is room, " + std::to_string(m_advice.callsInFlight()) + " advice calls in flight, "
+        + std::to_string(m_advice.waitingCalls()) + " queued for up to " + std::to_string(m_advice.longestQueueTime(now).count()) + " ms, "
         + std::to_string(usable) + " of " + std::to_string(m_workers.all().size()) + " workers usable, their CPU " + percentOfCapacity(allocated)
         + " allocated, predicted wait " + std::to_string(predictedWait(INT_MAX, now).count()) + " ms";
 }
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -210,6 +210,11 @@
     void requestAdvice(StepInstance &step, TimePoint now);
     void requestAdviceFor(StepInstance &step, const std::vector<WorkerId> &workers, bool isRenewal, TimePoint now);
     void prefetchAdvice(TimePoint now);
+    /// Whether the step has waited for some time without any run of its job, although half of the cell is free and has room for twice the
+    /// tasks that it needs for a start.
+    [[nodiscard]] bool isStalled(const StepInstance &step, TimePoint now) const;
+    /// Share of the CPU of the usable workers that is allocated, from 0 to 1; 1 if there are none.
+    [[nodiscard]] double allocatedShare() const;
     void logLongWaits(TimePoint now);
     [[nodiscard]] std::string describeWait(const StepInstance &step, TimePoint now) const;
     [[nodiscard]] std::vector<WorkerId> workersToAsk(const StepInstance &step);
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -28,6 +28,8 @@
     std::set<WorkerIndex> evaluated; ///< Workers named in answered calls.
     bool questionInFlight = false; ///< A call about workers that the step has not asked about is queued or sent.
     bool renewalInFlight = false; ///< A call that renews tickets is queued or sent.
+    TimePoint questionSince; ///< While questionInFlight: when the call was queued.
+    TimePoint renewalSince; ///< While renewalInFlight: when the call was queued.
     TimePoint nextCall; ///< Earliest time of the next call.
     TimePoint nextRenewal; ///< Earliest time of the next ticket renewal.
     int renewals = 0; ///< Renewals since the step last started a task.
@@ -69,6 +71,7 @@
     TimePoint gangStarted; ///< Start time of the first member of gangRun.
     bool gangStopping = false; ///< A member has ended or cannot be placed: all members are stopped before the gang restarts.
     StepAdvice advice;
+    int withheldTasks = 0; ///< Tasks that fit into free capacity with a valid ticket, but not beside the reservations of other steps, in the last pass.
     std::uint64_t consideredAtGeneration = 0; ///< WorkerTable::generation() when placement last considered the step; 0: consider it again.
     TimePoint readySince; ///< Since when the step is due and needs no earlier step; zero: not ready.
     TimePoint expectedEnd; ///< Latest expected end of the active tasks.
