Tests for startable steps that wait for the policy service

Cause: the calls to the policy service are served by (tier, arrival), each with the worker list of the moment when it was queued. Late work comes last for as long as newer work arrives, a step that has room waits behind calls of steps that have none, and a list from the queue names workers that have filled or gone.

StallCheck watches a FakeCell for the users' rule: a job without a run for 3 s, although a step of it is due, twice the room for its start is free on allowed workers, and less than half of its workspace's maximum and of the cell is in use. It reads the fake workers, the stored jobs and the fake policy, not the scheduler. A fake daemon now handles one call at a time; it overlapped the last 20 ms of calls before.

--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -144,7 +144,11 @@
         config->buildIndexes();
         scheduler = std::make_unique<CellScheduler>(settings, log);
         scheduler->setConfig(config, configSince == TimePoint() ? now : configSince);
-        scheduler->setAdviceDaemons({DaemonId("d1"), DaemonId("d2")});
+        std::vector<DaemonId> daemons;
+        for (int i = 1; i <= daemonCount; ++i) {
+            daemons.emplace_back("d" + std::to_string(i));
+        }
+        scheduler->setAdviceDaemons(daemons);
         scheduler->beginEpoch(epoch, now + leaseExpiry);
         scheduler->addPreviousWorkers(previousWorkers);
         for (const auto &[id, job] : storedJobs) {
@@ -201,6 +205,12 @@
         return workers.at(WorkerId("w" + std::to_string(index)));
     }
 
+    /// Whether the policy service allows the worker for the step.
+    [[nodiscard]] bool allows(const StepRef &step, const WorkerId &id) const
+    {
+        return isAllowed ? isAllowed(step, id) : allowedWorkers.empty() || allowedWorkers.count(id) > 0;
+    }
+
     [[nodiscard]] int runningTasks() const
     {
         int sum = 0;
@@ -236,6 +246,9 @@
     std::set<WorkerId> allowedWorkers; ///< Workers that the policy service allows; empty: all.
     /// Whether the policy service allows a worker for a step; allowedWorkers decides if not set.
     std::function<bool(const StepRef &, const WorkerId &)> isAllowed;
+    int daemonCount = 2; ///< Daemons that call the policy service; set before startLeadership().
+    Duration ticketValidity{2500};
+    std::function<void()> afterStep; ///< Called after each simulated step; may be empty.
     int adviceCalls = 0;
     int workersNamed = 0; ///< Total number of workers named in advice calls.
     int starts = 0;
@@ -386,12 +399,15 @@
         for (const AdviceCall &call : orders.advice) {
             ++adviceCalls;
             workersNamed += static_cast<int>(call.workers.size());
-            m_events.emplace(now + call.duration, [this, call, sent = now] {
+            // A daemon's policy service handles one call at a time.
+            TimePoint &busyUntil = m_serviceBusyUntil[call.daemon];
+            busyUntil = std::max(busyUntil, now) + call.duration;
+            m_events.emplace(busyUntil, [this, call, sent = now] {
                 AdviceAnswer answer;
                 answer.answered = true;
-                answer.validity = Duration(2500);
+                answer.validity = ticketValidity;
                 for (const WorkerId &id : call.workers) {
-                    if (isAllowed ? isAllowed(call.step, id) : allowedWorkers.empty() || allowedWorkers.count(id) > 0) {
+                    if (allows(call.step, id)) {
                         answer.allowed.emplace_back(id, "ticket");
                     }
                 }
@@ -452,11 +468,15 @@
                 scheduler->onProgressStored(write.job, write.revision);
             }
         }
+        if (afterStep) {
+            afterStep();
+        }
     }
 
     static constexpr Duration latency{2};
     static constexpr Duration answerTimeout{400};
     std::multimap<TimePoint, std::function<void()>> m_events;
+    std::map<DaemonId, TimePoint> m_serviceBusyUntil;
 
 public:
     std::set<WorkerId> unregistered; ///< Workers missing from the registry.
--- /dev/null
+++ b/test/cell/teststalledsteps.cpp
@@ -0,0 +1,315 @@
+// Steps that could run and wait for a slow policy service: two daemons with one call at a time each. Every test states the calls that its
+// steps need, so that it demands nothing that the service cannot do.
+#include "stallcheck.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::int64_t wholeWorker = 4000; // Millicores of a worker.
+constexpr std::int64_t smallTask = 500;
+constexpr Duration checkAfterTraffic{14000}; // The users' rule is checked this long after the last job was submitted.
+constexpr Duration longTime{60000}; // Longer than a test.
+
+/// Adds a label to the workers @p first to @p last.
+void addLabel(FakeCell &cell, const std::string &label, int first, int last)
+{
+    for (int i = first; i <= last; ++i) {
+        cell.worker(i).info.labels.push_back(label);
+    }
+}
+
+/// Returns a job that fills @p workers workers of the label for @p span without asking the policy service. Its tasks are as small as the others,
+/// so that it takes whatever they leave.
+CellJob fillingJob(const std::string &id, const std::string &label, int workers, Duration span)
+{
+    CellJob job = cellJob(id, workers * static_cast<int>(wholeWorker / smallTask), smallTask, span, "urgent");
+    job.steps[0].requiredLabel = label;
+    return job;
+}
+
+/// Stores a job that was accepted @p age ago.
+void storeAccepted(FakeCell &cell, CellJob job, Duration age)
+{
+    job.submittedUnixMs = cell.time().unixMs - age.count();
+    cell.storedJobs[job.id] = job;
+    cell.scheduler->onJobStored(job, cell.time());
+}
+
+/// Runs the cell for @p span while a short urgent job of the route "quick" arrives every @p interval.
+void runWithStream(FakeCell &cell, Duration span, Duration interval)
+{
+    const TimePoint until = cell.now + span;
+    while (cell.now < until) {
+        cell.submit(cellJob("quick" + std::to_string(cell.now.time_since_epoch().count()), 1, smallTask, Duration(200), "quick"));
+        cell.run(interval);
+    }
+}
+
+constexpr int burstJobs = 260;
+constexpr int earlyWorkers = 19;
+constexpr int lateWorkers = 26;
+
+/// A cell for a burst of small jobs. A call names the 16 workers with the most room and takes 77 ms, so that the two daemons make 26 calls per
+/// second. The early workers are free until a job fills them for good, the late ones are free from the end of the traffic on. Two fifths of the
+/// room are in use then.
+FakeCell burstCell()
+{
+    FakeCell cell(earlyWorkers + lateWorkers, wholeWorker);
+    addLabel(cell, "early", 0, earlyWorkers - 1);
+    addLabel(cell, "late", earlyWorkers, earlyWorkers + lateWorkers - 1);
+    cell.addRoute("slow", 1, AdviceSettings{60, 1, Duration(2500)});
+    return cell;
+}
+
+void submitBurst(FakeCell &cell)
+{
+    for (int i = 0; i < burstJobs; ++i) {
+        cell.submit(cellJob("small" + std::to_string(i), 1, smallTask, Duration(300), "slow"));
+    }
+}
+
+int unfinishedJobs(const FakeCell &cell)
+{
+    int sum = 0;
+    for (int i = 0; i < burstJobs; ++i) {
+        sum += cell.state("small" + std::to_string(i)) == CellJobState::Succeeded ? 0 : 1;
+    }
+    return sum;
+}
+
+} // namespace
+
+TEST_GROUP(StallCheck){};
+
+// Guards against a check that overlooks a job that is never started.
+TEST(StallCheck, RecordsAJobThatCouldRun)
+{
+    FakeCell cell(2);
+    cell.startLeadership();
+    StallCheck stalls(cell);
+    const CellJob job = cellJob("job", 1, 1000);
+    cell.storedJobs[job.id] = job; // Unknown to the scheduler.
+    cell.run(Duration(3100));
+    CHECK_EQUAL(1, cell.violations.size());
+}
+
+// Guards against a check that forgets what a job has waited before the time from which it records.
+TEST(StallCheck, RecordsOnlyFromTheGivenTime)
+{
+    FakeCell cell(2);
+    cell.startLeadership();
+    StallCheck stalls(cell);
+    stalls.from = cell.now + Duration(5000);
+    const CellJob job = cellJob("job", 1, 1000);
+    cell.storedJobs[job.id] = job;
+    cell.run(Duration(4900));
+    CHECK_EQUAL(0, cell.violations.size());
+    cell.run(Duration(200));
+    CHECK_EQUAL(1, cell.violations.size());
+}
+
+// Guards against a check that demands a start where the job has too little room.
+TEST(StallCheck, IgnoresAJobWithoutRoomForItTwice)
+{
+    FakeCell cell(3);
+    cell.addRoute("advised", 1, AdviceSettings{40, 1, Duration(2500)});
+    cell.allowedWorkers = {WorkerId("w0")};
+    cell.startLeadership();
+    StallCheck stalls(cell);
+    const CellJob job = cellJob("job", 1, 2100, Duration(1000), "advised");
+    cell.storedJobs[job.id] = job;
+    cell.run(Duration(5000));
+    CHECK_NO_VIOLATION(cell);
+}
+
+// Guards against a check that demands a start while a tenant uses half of its maximum.
+TEST(StallCheck, IgnoresAJobWhoseWorkspaceUsesHalfOfItsMaximum)
+{
+    FakeCell cell(4);
+    cell.config->workspaces[0].maximum = cellResources(2000, 0);
+    cell.startLeadership();
+    cell.submit(cellJob("running", 1, 1000, longTime));
+    cell.run(Duration(200));
+    StallCheck stalls(cell);
+    const CellJob job = cellJob("job", 1, 100);
+    cell.storedJobs[job.id] = job;
+    cell.run(Duration(5000));
+    CHECK_NO_VIOLATION(cell);
+}
+
+// Guards against a check that demands a start while half of the room is in use.
+TEST(StallCheck, IgnoresJobsWhileHalfOfTheRoomIsInUse)
+{
+    FakeCell cell(2, wholeWorker);
+    cell.startLeadership();
+    cell.submit(cellJob("running", 1, wholeWorker, longTime));
+    cell.run(Duration(200));
+    StallCheck stalls(cell);
+    const CellJob job = cellJob("job", 1, 100);
+    cell.storedJobs[job.id] = job;
+    cell.run(Duration(5000));
+    CHECK_NO_VIOLATION(cell);
+}
+
+// Guards against a check that demands a second run before the first is known to be gone.
+TEST(StallCheck, WaitsForTheLeaseOfACrashedWorker)
+{
+    FakeCell cell(4);
+    cell.startLeadership();
+    StallCheck stalls(cell);
+    cell.submit(cellJob("job", 1, 1000, Duration(3000)));
+    cell.run(Duration(500));
+    for (auto &[id, worker] : cell.workers) {
+        worker.crashed = !worker.running.empty();
+    }
+    cell.run(Duration(12000));
+    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
+    CHECK_NO_VIOLATION(cell);
+}
+
+// Guards against a check that takes a step for due before the steps that it needs.
+TEST(StallCheck, AcceptsAJobOfSeveralStepsThatRuns)
+{
+    FakeCell cell(4);
+    cell.startLeadership();
+    StallCheck stalls(cell);
+    CellJob job = cellJob("job", 2, 1000, Duration(4000));
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].after = {0};
+    job.steps[1].gang = true;
+    cell.submit(job);
+    cell.run(Duration(12000));
+    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
+    CHECK_NO_VIOLATION(cell);
+}
+
+TEST_GROUP(StalledSteps){};
+
+// Guards against accepted jobs that are lost after a burst: their queued questions name the workers that had room when they were queued.
+TEST(StalledSteps, EndTheJobsOfABurstWhenTheirFirstWorkersAreFull)
+{
+    FakeCell cell = burstCell();
+    cell.startLeadership();
+    cell.run(Duration(500));
+    cell.submit(fillingJob("first", "late", lateWorkers, Duration(2500)));
+    cell.run(Duration(500));
+    submitBurst(cell);
+    cell.run(Duration(100));
+    cell.submit(fillingJob("second", "early", earlyWorkers, longTime));
+    cell.run(Duration(1900));
+    // One call per job takes 10 s, and the time is enough for 360 calls.
+    cell.run(checkAfterTraffic);
+    CHECK_EQUAL(0, unfinishedJobs(cell));
+}
+
+// Guards against accepted jobs that are lost because a new leader asks for all of them again and meanwhile their workers have filled.
+TEST(StalledSteps, KeepTheRuleAfterAChangeOfLeaderInABurst)
+{
+    FakeCell cell = burstCell();
+    cell.startLeadership();
+    cell.run(Duration(500));
+    StallCheck stalls(cell);
+    cell.submit(fillingJob("first", "late", lateWorkers, Duration(2500)));
+    cell.run(Duration(500));
+    submitBurst(cell);
+    cell.run(Duration(500));
+    cell.startLeadership(2);
+    cell.run(Duration(200));
+    cell.submit(fillingJob("second", "early", earlyWorkers, longTime));
+    cell.run(Duration(1300));
+    // One call per job takes 10 s, and the time is enough for 360 calls.
+    stalls.from = cell.now + checkAfterTraffic;
+    cell.run(checkAfterTraffic + Duration(100));
+    CHECK_NO_VIOLATION(cell);
+}
+
+// Guards against a step that is not started again after a crash, since its call comes after those of late gangs that have no room.
+TEST(StalledSteps, RestartASmallStepBehindABacklogOfLateGangs)
+{
+    FakeCell cell(24, wholeWorker);
+    addLabel(cell, "wide", 0, 7);
+    addLabel(cell, "full", 0, 0);
+    cell.addRoute("small", 1, AdviceSettings{200, 1, Duration(2500)});
+    cell.addRoute("gangs", 1, AdviceSettings{400, 6, Duration(2500)});
+    cell.startLeadership();
+    cell.run(Duration(500));
+    StallCheck stalls(cell);
+    stalls.limit *= 2;
+    cell.submit(fillingJob("filling", "full", 1, longTime));
+    cell.submit(cellJob("small", 1, smallTask, Duration(1500), "small"));
+    cell.run(Duration(1000));
+    for (auto &[id, worker] : cell.workers) {
+        worker.crashed = worker.running.count(TaskRef{StepRef{JobId("small"), 0, 0}, 0}) > 0;
+    }
+    cell.run(Duration(4500));
+    // The gangs need all eight workers of their label, and one of them is filled.
+    for (int i = 0; i < 60; ++i) {
+        CellJob gang = cellJob("gang" + std::to_string(i), 8, wholeWorker, Duration(3000), "gangs");
+        gang.steps[0].gang = true;
+        gang.steps[0].requiredLabel = "wide";
+        storeAccepted(cell, gang, Duration(12000));
+    }
+    // The step needs one call of about 210 ms.
+    cell.run(Duration(12000));
+    CHECK_NO_VIOLATION(cell);
+}
+
+namespace {
+
+/// A cell of 24 workers, of which the first 8 are allowed for the job "waiting" alone. They are filled for 12 s, while the job becomes late. From
+/// 8 s on 22 urgent jobs per second need one call each. It takes 97 ms, so that the two daemons make 20.6 calls per second: the urgent jobs
+/// wait for less than a second by the end, and one call more for the job "waiting" would delay them by 50 ms.
+FakeCell streamCell()
+{
+    FakeCell cell(24, wholeWorker);
+    addLabel(cell, "first", 0, 7);
+    cell.addRoute("slow", 2, AdviceSettings{80, 1, Duration(2500)});
+    cell.addRoute("quick", 0, AdviceSettings{80, 1, Duration(2500)});
+    cell.isAllowed = [](const StepRef &step, const WorkerId &worker) {
+        const bool isFirst = std::stoi(worker.value().substr(1)) < 8;
+        return (step.job == JobId("waiting")) == isFirst;
+    };
+    return cell;
+}
+
+/// Runs the cell until the job "waiting" has had room for 8 s.
+void runWaitingJob(FakeCell &cell, const CellJob &waiting)
+{
+    cell.run(Duration(500));
+    cell.submit(fillingJob("filling", "first", 8, Duration(12000)));
+    cell.run(Duration(100));
+    cell.submit(waiting);
+    cell.run(Duration(8000));
+    runWithStream(cell, Duration(12000), Duration(45));
+}
+
+} // namespace
+
+// Guards against a late gang that is never started while newer urgent steps arrive: its call comes after all of theirs.
+TEST(StalledSteps, StartALateGangDuringAStreamOfUrgentSteps)
+{
+    FakeCell cell = streamCell();
+    cell.startLeadership();
+    StallCheck stalls(cell);
+    stalls.limit *= 2;
+    CellJob gang = cellJob("waiting", 4, wholeWorker, Duration(1000), "slow");
+    gang.steps[0].gang = true;
+    runWaitingJob(cell, gang);
+    CHECK_NO_VIOLATION(cell);
+}
+
+// Guards against a late step that is never started while newer urgent steps arrive: its call comes after all of theirs.
+TEST(StalledSteps, StartALateStepDuringAStreamOfUrgentSteps)
+{
+    FakeCell cell = streamCell();
+    cell.startLeadership();
+    StallCheck stalls(cell);
+    stalls.limit *= 2;
+    runWaitingJob(cell, cellJob("waiting", 1, wholeWorker, Duration(1000), "slow"));
+    CHECK_NO_VIOLATION(cell);
+}
+
+} // namespace KingCupLadder
