Give each waiting step its turn in the full placement passes

Cause: with more than 240 waiting steps a pass considers the first 160 and 80 of the others, from an offset that full passes and other passes shared. A pass with slightly more than 240 steps cut the offset to its own size. As long as such passes come between the full ones, as they do while many gangs wait, the end of a longer full pass is never reached: the late and the least urgent steps.

Change: the 80 others are those that have waited longest for a turn. Full passes, in which every step takes part, keep turns of their own, so they alone reach every step, in as many passes as it takes at 80 steps each.

--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -14,7 +14,7 @@
 constexpr int missedSoftDeadlineTierOffset = 50; // For work that will miss its soft deadline, so that work that can meet it goes first.
 constexpr int missedFirmDeadlineTierOffset = 70; // For work that will miss its firm deadline and be worthless; it goes after late work.
 constexpr std::size_t stepsInEveryPass = 160; // The first steps by priority are considered in every pass; bounds the time of a pass.
-constexpr std::size_t rotatedStepsPerPass = 80; // The others are considered in turn, this many per pass, so that a backlog does not slow down every pass.
+constexpr std::size_t rotatedStepsPerPass = 80; // The others take turns, this many per pass, so that a backlog does not slow down every pass.
 constexpr int overRateTierOffset = 100; // For work above its workspace's rate, which goes last.
 constexpr Duration fullPassInterval{50}; // Interval at which steps are reconsidered even if nothing changed on their workers.
 constexpr int minAllowedSlotsPerTask = 8; // A gang asks about further workers while its allowed workers fit fewer tasks than this factor when they are idle.
@@ -44,6 +44,11 @@
     }
 };
 
+bool isMoreUrgent(const std::pair<std::pair<int, TimePoint>, StepInstance *> &a, const std::pair<std::pair<int, TimePoint>, StepInstance *> &b)
+{
+    return a.first != b.first ? a.first < b.first : a.second->ref < b.second->ref;
+}
+
 /// Returns the mean demand of the tasks of all gangs that wait for a start; zero if there is none.
 Resources meanGangTaskDemand(const std::vector<std::pair<std::pair<int, TimePoint>, StepInstance *>> &steps)
 {
@@ -225,16 +230,8 @@
         }
     }
     rankStarvingStepsFirst(ordered, time.now);
-    std::sort(
-        ordered.begin(), ordered.end(), [](const auto &a, const auto &b) { return a.first != b.first ? a.first < b.first : a.second->ref < b.second->ref; });
-    if (ordered.size() > stepsInEveryPass + rotatedStepsPerPass) {
-        const std::size_t others = ordered.size() - stepsInEveryPass;
-        m_rotationOffset %= others;
-        const auto tail = ordered.begin() + static_cast<std::ptrdiff_t>(stepsInEveryPass);
-        std::rotate(tail, tail + static_cast<std::ptrdiff_t>(m_rotationOffset), ordered.end());
-        ordered.resize(stepsInEveryPass + rotatedStepsPerPass);
-        m_rotationOffset += rotatedStepsPerPass;
-    }
+    std::sort(ordered.begin(), ordered.end(), isMoreUrgent);
+    limitToTurns(ordered, isFullPass, time.now);
     PlacementPass pass{orders, time, {}, meanGangTaskDemand(ordered), 0, {}};
     for (const auto &[key, step] : ordered) {
         const bool hasChanges = shouldReconsider(*step);
@@ -264,6 +261,25 @@
     }
 }
 
+void CellScheduler::limitToTurns(std::vector<OrderedStep> &steps, bool isFullPass, TimePoint now)
+{
+    // Every step takes part in full passes, so these alone reach each step within a bounded time. The other passes have turns of their own,
+    // since they skip some of their gangs.
+    TimePoint StepInstance::*const lastTurn = isFullPass ? &StepInstance::lastFullTurn : &StepInstance::lastTurn;
+    if (steps.size() > stepsInEveryPass + rotatedStepsPerPass) {
+        const auto tail = steps.begin() + static_cast<std::ptrdiff_t>(stepsInEveryPass);
+        const auto end = tail + static_cast<std::ptrdiff_t>(rotatedStepsPerPass);
+        // A new step has no earlier turn than those that have waited for one since before it was ready.
+        const auto waitsSince = [lastTurn](const OrderedStep &entry) { return std::max(entry.second->*lastTurn, entry.second->readySince); };
+        std::stable_sort(tail, steps.end(), [&waitsSince](const OrderedStep &a, const OrderedStep &b) { return waitsSince(a) < waitsSince(b); });
+        steps.erase(end, steps.end());
+        std::sort(tail, end, isMoreUrgent);
+    }
+    for (const OrderedStep &entry : steps) {
+        entry.second->*lastTurn = now;
+    }
+}
+
 double CellScheduler::allocatedShare() const
 {
     std::int64_t capacity = 0;
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -190,6 +190,8 @@
     void runPlacementPass(CellOrders &orders, const CellTime &time);
     /// Moves the steps that have waited longest to the front while the cell has room, so that none waits for ever.
     void rankStarvingStepsFirst(std::vector<OrderedStep> &steps, TimePoint now) const;
+    /// Leaves the most urgent of the ordered steps and, of the others, those that have waited longest for their turn in such a pass.
+    static void limitToTurns(std::vector<OrderedStep> &steps, bool isFullPass, TimePoint now);
     void placeTasks(StepInstance &step, PlacementPass &pass);
     void placeGang(StepInstance &step, PlacementPass &pass);
     /// Renews the tickets that the gang needs for its forecast start, unless that is too early.
@@ -273,7 +275,6 @@
     double m_startRate = 0; ///< Starts per second in the last time span, or the moving average if that is higher.
     TimePoint m_startRateSince; ///< Begin of the time span over which starts are counted.
     std::uint64_t m_startsAtSpanBegin = 0; ///< m_counters.starts at m_startRateSince.
-    std::size_t m_rotationOffset = 0; ///< Position, behind the first stepsInEveryPass steps, at which the next pass continues.
     std::int64_t m_capacity = 0; ///< Millicores of all registered workers that are not draining, as of m_waitingWorkAt.
     TimePoint m_waitingWorkAt;
     TimePoint m_nextRunCheck;
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -77,6 +77,8 @@
     int missingTasks = 0; ///< Of a gang that has too few allowed workers: tasks that fit on none of them.
     int withheldTasks = 0; ///< Tasks that fit into free capacity with a valid ticket, but not beside the reservations of other steps, in the last pass.
     std::uint64_t consideredAtGeneration = 0; ///< WorkerTable::generation() when placement last considered the step; 0: consider it again.
+    TimePoint lastTurn; ///< When the step last took part in a placement pass that was not a full one.
+    TimePoint lastFullTurn; ///< When the step last took part in a full placement pass.
     TimePoint readySince; ///< Since when the step is due and needs no earlier step; zero: not ready.
     TimePoint expectedEnd; ///< Latest expected end of the active tasks.
 
