Charge only steps that can start for the room of starving steps

Callers saw accepted jobs that were never started although most of the cell was free (LOST): "waiting.0.0.0 could run and has not been started for 6000 ms, with most of the room free".

Cause: starving steps are ranked first, oldest first, until they have used up half of the free CPU. Steps that could not start were charged as well, with all of their waiting tasks. A few old, wide steps whose workers were full or refused used up the room, and younger steps that had room were not ranked. Steps that ran were counted too, since they became ready long ago, and passed before work that was in time.

Change: what fits now is counted on the usable, eligible workers that the policy service has not refused. A step without room is skipped; of gangs without room two are ranked for their reservations, uncharged. Any other step is charged for the tasks that fit. Unless it is a service, a step is starving only if its job has no run, and it has waited since its last run ended.

The steps are selected in full passes only, the allocated share is computed once for them, and a step without room is not counted again for 200 to 350 ms. The lines about the load and about long waits compute the share and the free rooms once as well.

--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -20,7 +20,10 @@
 constexpr int minAllowedSlotsPerTask = 8; // A gang asks about further workers while its allowed workers fit fewer tasks than this factor when they are idle.
 constexpr Duration starvingAfter{2000}; // A step that has waited longer may be starving; leaves a second for the call to the policy service.
 constexpr Duration starvingRenewalPause{800}; // Longest pause before a starving step renews tickets.
-constexpr double maxShareOfRoomForStarving = 0.5; // The steps ranked first at a time need at most this share of the free CPU, except for the first of them.
+constexpr double maxShareOfRoomForStarving = 0.5; // The steps ranked first at a time may take this share of the free CPU, and the last of them more.
+constexpr Duration roomCountPause{200}; // A starving step without room is not considered again before, since counting its room takes long on a large cell.
+constexpr int roomCountGroups = 4; // The pause of a step depends on its group.
+constexpr int maxStarvingGangsWithoutRoom = 2; // Ranked first for their reservations.
 constexpr double maxAllocatedShareForStarving = 0.5; // Above this share of allocated CPU, work that is still in time comes first.
 constexpr int maxGangReservations = 8; // Gangs per pass that may reserve capacity for a later start; reservations withhold it from other steps.
 constexpr std::size_t minTicketsToRenew = 8; // A non-gang step renews tickets for at least this many workers, if that many have capacity.
@@ -189,21 +192,25 @@
     return candidates;
 }
 
+int CellScheduler::maxFurtherTasks(const StepInstance &step, const Worker &worker)
+{
+    if (step.spec->maxPerWorker <= 0) {
+        return INT_MAX;
+    }
+    int present = 0;
+    for (auto run = worker.runs.lower_bound({TaskRef{step.ref, 0}, RunNumber()}); run != worker.runs.end() && run->first.first.step == step.ref; ++run) {
+        ++present;
+    }
+    return std::max(step.spec->maxPerWorker - present, 0);
+}
+
 void CellScheduler::addCandidate(
     const StepInstance &step, const Worker &worker, PlacementPass &pass, bool withReleases, std::vector<CandidateWorker> &candidates) const
 {
     if (!worker.wasUsable || !isEligible(step, worker)) {
         return;
     }
-    CandidateWorker candidate{worker.index, worker.free(), INT_MAX, nullptr};
-    if (step.spec->maxPerWorker > 0) {
-        const auto first = worker.runs.lower_bound({TaskRef{step.ref, 0}, RunNumber()});
-        int present = 0;
-        for (auto run = first; run != worker.runs.end() && run->first.first.step == step.ref; ++run) {
-            ++present;
-        }
-        candidate.maxTasks = std::max(step.spec->maxPerWorker - present, 0);
-    }
+    CandidateWorker candidate{worker.index, worker.free(), maxFurtherTasks(step, worker), nullptr};
     // Only where needed, since sorting the runs of every worker would take longer than the rest of a pass.
     if (withReleases || pass.reservations.hasReservation(worker.index)) {
         candidate.releases = &pass.releasesOf(worker);
@@ -211,6 +218,11 @@
     candidates.push_back(candidate);
 }
 
+bool CellScheduler::isSchedulable(const StepInstance &step) const
+{
+    return m_config->route(step.job->job.route) != nullptr && !step.job->unreconciled;
+}
+
 void CellScheduler::runPlacementPass(CellOrders &orders, const CellTime &time)
 {
     m_workers.updateUsability(time.now);
@@ -220,12 +232,14 @@
         m_nextFullPass = time.now + fullPassInterval;
     }
     std::vector<StepInstance *> steps = m_jobs.waitingSteps();
+    if (isFullPass) {
+        selectStarvingSteps(steps, time.now);
+    }
     std::vector<OrderedStep> ordered;
     ordered.reserve(steps.size());
     for (StepInstance *step : steps) {
-        const bool isSchedulable = m_config->route(step->job->job.route) != nullptr && !step->job->unreconciled;
         // Waiting gangs take part in every pass, because their reservations limit the other steps.
-        if (isSchedulable && (isFullPass || step->spec->gang || shouldReconsider(*step))) {
+        if (isSchedulable(*step) && (isFullPass || step->spec->gang || shouldReconsider(*step))) {
             ordered.emplace_back(priorityKey(*step, time.now), step);
         }
     }
@@ -291,36 +305,105 @@
     return capacity > 0 ? static_cast<double>(allocated) / static_cast<double>(capacity) : 1;
 }
 
-void CellScheduler::rankStarvingStepsFirst(std::vector<OrderedStep> &steps, TimePoint now) const
+std::vector<CellScheduler::FreeRoom> CellScheduler::freeRooms() const
+{
+    std::vector<FreeRoom> rooms;
+    rooms.reserve(m_workers.all().size());
+    for (const auto &[id, worker] : m_workers.all()) {
+        const Resources free = worker.wasUsable ? worker.free() : Resources{};
+        if (free.cpu.value() > 0) {
+            rooms.push_back(FreeRoom{&worker, free});
+        }
+    }
+    return rooms;
+}
+
+int CellScheduler::startableTasks(const StepInstance &step, const std::vector<FreeRoom> &rooms, int limit) const
+{
+    int fitting = 0;
+    for (auto room = rooms.begin(); room != rooms.end() && fitting < limit; ++room) {
+        const int tasks = tasksThatFit(step.spec->demand, room->free, std::min(limit, maxFurtherTasks(step, *room->worker)));
+        if (tasks > 0) {
+            const bool isRefused = step.advice.evaluated.count(room->worker->index) > 0 && step.advice.find(room->worker->index) == nullptr;
+            fitting += !isRefused && isEligible(step, *room->worker) ? tasks : 0;
+        }
+    }
+    return std::min(fitting, limit);
+}
+
+TimePoint CellScheduler::waitsSince(const StepInstance &step)
 {
-    for (OrderedStep &entry : steps) {
-        entry.second->isStarving = false;
+    // The tasks of a service are independent of each other, so the one that has waited longest counts. Any other step is at work as long as
+    // one of its tasks is.
+    TimePoint latest;
+    TimePoint earliestWait = TimePoint::max();
+    for (const CellTask &task : step.tasks) {
+        latest = std::max(latest, task.lastRunEnded);
+        earliestWait = task.phase == CellTaskPhase::Waiting ? std::min(earliestWait, task.lastRunEnded) : earliestWait;
     }
+    return std::max(step.readySince, step.spec->longRunning ? earliestWait : latest);
+}
+
+bool CellScheduler::isStarvationDue(const StepInstance &step, bool isHalfEmpty, TimePoint now) const
+{
+    // A service has to be at work at all times, so its tasks do not wait for the cell to become half empty, nor for its other tasks to end.
+    const bool mayStarve = step.spec->longRunning || (isHalfEmpty && step.job->liveRuns == 0);
+    return mayStarve && (!step.spec->gang || step.active == 0) && now - step.readySince > starvingAfter && now - waitsSince(step) > starvingAfter
+        && isWithinWorkspaceMaximum(step, step.spec->gang ? step.spec->count : 1);
+}
+
+void CellScheduler::selectStarvingSteps(const std::vector<StepInstance *> &steps, TimePoint now) const
+{
     const bool isHalfEmpty = allocatedShare() < maxAllocatedShareForStarving;
-    std::vector<OrderedStep *> starving;
-    for (OrderedStep &entry : steps) {
-        const StepInstance &step = *entry.second;
-        const bool waits = (!step.spec->gang || step.active == 0) && now - step.readySince > starvingAfter;
-        // A service has to be at work at all times, so its tasks do not wait for the cell to become half empty.
-        const bool isDue = waits && (isHalfEmpty || step.spec->longRunning);
-        if (isDue && isWithinWorkspaceMaximum(step, step.spec->gang ? step.spec->count : 1)) {
-            starving.push_back(&entry);
+    std::vector<std::pair<TimePoint, StepInstance *>> due; // With the time since when the step waits.
+    for (StepInstance *step : steps) {
+        step->isStarving = false;
+        if (isSchedulable(*step) && isStarvationDue(*step, isHalfEmpty, now)) {
+            due.emplace_back(waitsSince(*step), step);
         }
     }
-    std::sort(starving.begin(), starving.end(), [](const OrderedStep *a, const OrderedStep *b) { return a->second->readySince < b->second->readySince; });
-    std::int64_t room = 0;
-    for (const auto &[id, worker] : m_workers.all()) {
-        room += worker.wasUsable ? worker.free().cpu.value() : 0;
-    }
-    // More steps than there is room for would withhold room from each other by their reservations.
-    auto left = static_cast<std::int64_t>(static_cast<double>(room) * maxShareOfRoomForStarving);
-    for (std::size_t i = 0; i < starving.size() && (i == 0 || left > 0); ++i) {
-        StepInstance &step = *starving[i]->second;
-        left -= step.spec->demand.cpu.value() * step.waiting;
-        starving[i]->first = {starvingTier, step.readySince};
-        step.isStarving = true;
-        step.advice.renewals = std::min(step.advice.renewals, 1);
-        step.advice.nextRenewal = std::min(step.advice.nextRenewal, now + starvingRenewalPause);
+    if (due.empty()) {
+        return;
+    }
+    std::sort(due.begin(), due.end(), [](const auto &a, const auto &b) { return a.first != b.first ? a.first < b.first : a.second->ref < b.second->ref; });
+    const std::vector<FreeRoom> rooms = freeRooms();
+    std::int64_t freeCpu = 0;
+    for (const FreeRoom &room : rooms) {
+        freeCpu += room.free.cpu.value();
+    }
+    // More steps than there is room for would withhold room from each other by their reservations. A step that cannot start is not charged,
+    // so that it takes nothing from younger ones that can.
+    auto left = static_cast<std::int64_t>(static_cast<double>(freeCpu) * maxShareOfRoomForStarving);
+    int gangsWithoutRoom = 0;
+    int stepsWithoutRoom = 0;
+    for (auto entry = due.begin(); entry != due.end() && left > 0; ++entry) {
+        StepInstance &step = *entry->second;
+        const int needed = step.spec->gang ? step.spec->count : 1;
+        const bool isCounted = step.nextRoomCount <= now;
+        const int fitting = isCounted ? startableTasks(step, rooms, step.spec->gang ? needed : step.waiting) : 0;
+        if (fitting >= needed) {
+            left -= step.spec->demand.cpu.value() * fitting;
+            step.isStarving = true;
+            continue;
+        }
+        if (isCounted) {
+            // Spreads the counts of many blocked steps over the passes.
+            step.nextRoomCount = now + roomCountPause + fullPassInterval * (stepsWithoutRoom++ % roomCountGroups);
+        }
+        step.isStarving = step.spec->gang && gangsWithoutRoom++ < maxStarvingGangsWithoutRoom;
+    }
+}
+
+void CellScheduler::rankStarvingStepsFirst(std::vector<OrderedStep> &steps, TimePoint now) const
+{
+    for (auto &[key, step] : steps) {
+        // The selection may be older than the step's last start.
+        step->isStarving = step->isStarving && (step->job->liveRuns == 0 || step->spec->longRunning);
+        if (step->isStarving) {
+            key = {starvingTier, waitsSince(*step)};
+            step->advice.renewals = std::min(step->advice.renewals, 1);
+            step->advice.nextRenewal = std::min(step->advice.nextRenewal, now + starvingRenewalPause);
+        }
     }
 }
 
@@ -572,29 +655,32 @@
     }
 }
 
-bool CellScheduler::isStalled(const StepInstance &step, TimePoint now) const
+std::set<const StepInstance *> CellScheduler::stalledSteps(const std::vector<StepInstance *> &steps, TimePoint now) const
 {
-    if (now - step.readySince <= longWaitThreshold || step.job->liveRuns > 0 || !isWithinWorkspaceMaximum(step, step.spec->count)
-        || allocatedShare() >= maxAllocatedShareForStarving) {
-        return false;
-    }
-    const int needed = 2 * (step.spec->gang ? step.spec->count : 1);
-    int fitting = 0;
-    for (const auto &[id, worker] : m_workers.all()) {
-        const StepAdvice &advice = step.advice;
-        const bool isForbidden = advice.evaluated.count(worker.index) > 0 && advice.find(worker.index) == nullptr;
-        fitting += worker.wasUsable && !isForbidden && isEligible(step, worker) ? tasksThatFit(step.spec->demand, worker.free(), needed) : 0;
+    std::set<const StepInstance *> stalled;
+    if (allocatedShare() >= maxAllocatedShareForStarving) {
+        return stalled;
+    }
+    const std::vector<FreeRoom> rooms = freeRooms();
+    for (const StepInstance *step : steps) {
+        const int needed = 2 * (step->spec->gang ? step->spec->count : 1);
+        const bool waits = now - step->readySince > longWaitThreshold && step->job->liveRuns == 0 && isWithinWorkspaceMaximum(*step, step->spec->count);
+        if (waits && startableTasks(*step, rooms, needed) >= needed) {
+            stalled.insert(step);
+        }
     }
-    return fitting >= needed;
+    return stalled;
 }
 
 void CellScheduler::logLongWaits(TimePoint now)
 {
     // Stalled steps first, then the longest wait.
     std::vector<std::tuple<bool, TimePoint, const StepInstance *>> waits;
-    for (const StepInstance *step : m_jobs.waitingSteps()) {
+    const std::vector<StepInstance *> steps = m_jobs.waitingSteps();
+    const std::set<const StepInstance *> stalled = stalledSteps(steps, now);
+    for (const StepInstance *step : steps) {
         if (now - step->readySince > longWaitThreshold) {
-            waits.emplace_back(!isStalled(*step, now), step->readySince, step);
+            waits.emplace_back(stalled.count(step) == 0, step->readySince, step);
         }
     }
     std::sort(waits.begin(), waits.end());
--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -116,6 +116,9 @@
                 step->tasks.at(static_cast<std::size_t>(event.run.task.index)).lastRun = RunNumber(event.run.number.value() + staleRunNumberSkip);
             }
         }
+        if (step != nullptr && event.kind != RunEvent::Kind::NeverRan) {
+            step->tasks.at(static_cast<std::size_t>(event.run.task.index)).lastRunEnded = time.now;
+        }
         if (entry != nullptr) {
             m_jobs.onRunGone(*entry, step, event.run.task.index);
         }
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -473,12 +473,11 @@
     std::size_t unreconciled = 0;
     std::size_t atMaximum = 0;
     std::size_t gangs = 0;
-    std::size_t stalled = 0;
+    const std::size_t stalled = stalledSteps(steps, now).size();
     for (const StepInstance *step : steps) {
         gangs += step->spec->gang ? 1 : 0;
         unadvised += step->advice.evaluated.empty() && adviceSettings(*step) != nullptr ? 1 : 0;
         unreconciled += step->job->unreconciled ? 1 : 0;
-        stalled += isStalled(*step, now) ? 1 : 0;
         atMaximum += isWithinWorkspaceMaximum(*step, step->spec->gang ? step->spec->count : 1) ? 0 : 1;
     }
     return std::to_string(m_jobs.unfinishedCount()) + " unfinished jobs, " + std::to_string(steps.size()) + " steps waiting (" + std::to_string(unadvised)
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -160,6 +160,11 @@
     struct PlacementPass;
     /// A waiting step with its sort key, see priorityKey().
     using OrderedStep = std::pair<std::pair<int, TimePoint>, StepInstance *>;
+    /// Free capacity of a usable worker.
+    struct FreeRoom {
+        const Worker *worker;
+        Resources free;
+    };
     enum class CandidateSet {
         AllowedWorkers, ///< All workers that the policy service allows.
         WorkersWithValidTicket, ///< Only allowed workers with a valid ticket.
@@ -188,7 +193,15 @@
     void retryStarts(Worker &worker, CellOrders &orders, TimePoint now);
     void evacuateDrainingWorker(Worker &worker, TimePoint now);
     void runPlacementPass(CellOrders &orders, const CellTime &time);
-    /// Moves the steps that have waited longest to the front while the cell has room, so that none waits for ever.
+    /// Whether the step may be placed now, apart from room for it.
+    [[nodiscard]] bool isSchedulable(const StepInstance &step) const;
+    /// Since when no task of the step has been at work; of a service, since when one of its tasks has not.
+    [[nodiscard]] static TimePoint waitsSince(const StepInstance &step);
+    /// Whether the step has waited so long that it comes first if it has room. @p isHalfEmpty: less than half of the cell is allocated.
+    [[nodiscard]] bool isStarvationDue(const StepInstance &step, bool isHalfEmpty, TimePoint now) const;
+    /// Sets StepInstance::isStarving for the steps that have waited longest and can start while the cell has room, so that none waits for ever.
+    void selectStarvingSteps(const std::vector<StepInstance *> &steps, TimePoint now) const;
+    /// Moves the starving steps to the front.
     void rankStarvingStepsFirst(std::vector<OrderedStep> &steps, TimePoint now) const;
     /// Leaves the most urgent of the ordered steps and, of the others, those that have waited longest for their turn in such a pass.
     static void limitToTurns(std::vector<OrderedStep> &steps, bool isFullPass, TimePoint now);
@@ -218,9 +231,15 @@
     /// Chooses the workers that a call names. Returns false if the call would be useless.
     [[nodiscard]] bool prepareAdviceCall(AdviceCall &call);
     void prefetchAdvice(TimePoint now);
-    /// Whether the step has waited for some time without any run of its job, although half of the cell is free and has room for twice the
-    /// tasks that it needs for a start.
-    [[nodiscard]] bool isStalled(const StepInstance &step, TimePoint now) const;
+    /// Returns the steps that have waited for some time without any run of their job, although half of the cell is free and has room for twice
+    /// the tasks that they need for a start.
+    [[nodiscard]] std::set<const StepInstance *> stalledSteps(const std::vector<StepInstance *> &steps, TimePoint now) const;
+    /// Returns the rooms of the usable workers that are not full.
+    [[nodiscard]] std::vector<FreeRoom> freeRooms() const;
+    /// Returns how many tasks of the step could start in the rooms, except for workers that the policy service has refused; at most @p limit.
+    [[nodiscard]] int startableTasks(const StepInstance &step, const std::vector<FreeRoom> &rooms, int limit) const;
+    /// Returns how many more tasks the step may have on the worker, whatever its room.
+    [[nodiscard]] static int maxFurtherTasks(const StepInstance &step, const Worker &worker);
     /// Share of the CPU of the usable workers that is allocated, from 0 to 1; 1 if there are none.
     [[nodiscard]] double allocatedShare() const;
     void logLongWaits(TimePoint now);
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -54,6 +54,7 @@
     std::string checkpoint;
     std::set<WorkerId> failedOn;
     TimePoint notBefore; ///< Earliest start after a failure.
+    TimePoint lastRunEnded; ///< When the last run ended or was lost; zero: none has.
     bool unreconciled = false; ///< Not used; see JobEntry::unreconciled.
 };
 
@@ -73,7 +74,8 @@
     TimePoint gangStarted; ///< Start time of the first member of gangRun.
     bool gangStopping = false; ///< A member has ended or cannot be placed: all members are stopped before the gang restarts.
     StepAdvice advice;
-    bool isStarving = false; ///< Ranked before all other steps in the last pass, see CellScheduler::rankStarvingStepsFirst().
+    bool isStarving = false; ///< Ranked before all other steps, see CellScheduler::selectStarvingSteps().
+    TimePoint nextRoomCount; ///< Until then the step counts as starving without room.
     int missingTasks = 0; ///< Of a gang that has too few allowed workers: tasks that fit on none of them.
     int withheldTasks = 0; ///< Tasks that fit into free capacity with a valid ticket, but not beside the reservations of other steps, in the last pass.
     std::uint64_t consideredAtGeneration = 0; ///< WorkerTable::generation() when placement last considered the step; 0: consider it again.
--- a/test/cell/teststalledsteps.cpp
+++ b/test/cell/teststalledsteps.cpp
@@ -312,4 +312,105 @@
     CHECK_NO_VIOLATION(cell);
 }
 
+namespace {
+
+/// Runs the cell of streamCell() with the step "waiting" beside an older job of 120 small tasks, whose only worker is full.
+void runWaitingJobBesideABlockedOne(FakeCell &cell, bool isGang)
+{
+    addLabel(cell, "last", 23, 23);
+    cell.startLeadership();
+    StallCheck stalls(cell);
+    stalls.limit *= 2;
+    cell.run(Duration(300));
+    cell.submit(fillingJob("full", "last", 1, longTime));
+    cell.run(Duration(300));
+    CellJob blocked = cellJob("blocked", 120, smallTask, Duration(1000), "batch");
+    blocked.steps[0].gang = isGang;
+    blocked.steps[0].requiredLabel = "last";
+    cell.submit(blocked);
+    runWaitingJob(cell, cellJob("waiting", 1, wholeWorker, Duration(1000), "slow"));
+}
+
+} // namespace
+
+// Guards against an older wide step without any room that uses up the room by which starving steps are counted.
+TEST(StalledSteps, StartALateStepBesideAnOlderWideStepThatHasNoRoom)
+{
+    FakeCell cell = streamCell();
+    runWaitingJobBesideABlockedOne(cell, false);
+    CHECK_NO_VIOLATION(cell);
+}
+
+// Guards against an older gang, wider than the workers that it may use, that uses up the room by which starving steps are counted.
+TEST(StalledSteps, StartALateStepBesideAnOlderGangThatHasNoRoom)
+{
+    FakeCell cell = streamCell();
+    runWaitingJobBesideABlockedOne(cell, true);
+    CHECK_NO_VIOLATION(cell);
+}
+
+namespace {
+
+// By how much later room becomes free in the variants of a test: the ends of runs are read, and full passes made, at intervals of some 10 ms.
+constexpr Duration shiftStep{5};
+constexpr Duration maxShift{350};
+
+CellJob sharedJob(const std::string &id, int tasks, Duration estimate, const std::string &route)
+{
+    CellJob job = cellJob(id, tasks, wholeWorker, estimate, route);
+    job.steps[0].requiredLabel = "shared";
+    return job;
+}
+
+/// Returns the state of an urgent job 1 s after the second of the two workers that it may use has become free, while the first one runs a task of
+/// a wide job that waits for the second one.
+CellJobState stateOfUrgentJobBesideAWideOne(Duration shift)
+{
+    FakeCell cell(8, wholeWorker);
+    addLabel(cell, "shared", 0, 1);
+    addLabel(cell, "filled", 1, 1);
+    cell.startLeadership();
+    cell.run(Duration(500));
+    cell.submit(fillingJob("filling", "filled", 1, Duration(5000) + shift));
+    cell.run(Duration(200));
+    cell.submit(sharedJob("wide", 40, longTime, "batch"));
+    cell.run(Duration(4000));
+    cell.submit(sharedJob("urgent", 1, Duration(500), "urgent"));
+    cell.run(Duration(2000));
+    return cell.state("urgent");
+}
+
+/// Returns the state of an urgent job 1 s after a wide job has released the only worker that both may use.
+CellJobState stateOfUrgentJobAfterARunOfAWideOne(Duration shift)
+{
+    FakeCell cell(8, wholeWorker);
+    addLabel(cell, "shared", 0, 0);
+    cell.duration = [shift](const StartOrder &order) { return order.task.step.job == JobId("wide") ? Duration(4000) + shift : Duration(500); };
+    cell.startLeadership();
+    cell.run(Duration(500));
+    cell.submit(sharedJob("wide", 40, longTime, "batch"));
+    cell.run(Duration(3000));
+    cell.submit(sharedJob("urgent", 1, Duration(500), "urgent"));
+    cell.run(Duration(2000));
+    return cell.state("urgent");
+}
+
+} // namespace
+
+// Guards against a wide step that runs and takes room before work that is in time, since its other tasks have waited long.
+TEST(StalledSteps, DoNotCountAStepThatRunsAsStarving)
+{
+    for (Duration shift{0}; shift < maxShift; shift += shiftStep) {
+        CHECK_TRUE(stateOfUrgentJobBesideAWideOne(shift) == CellJobState::Succeeded);
+    }
+}
+
+// Guards against a step whose run has just ended that takes room before work that is in time, since it became ready long ago.
+TEST(StalledSteps, CountTheWaitOfAStepSinceItsLastRun)
+{
+    for (Duration shift{0}; shift < maxShift; shift += shiftStep) {
+        CHECK_TRUE(stateOfUrgentJobAfterARunOfAWideOne(shift) == CellJobState::Succeeded);
+    }
+}
+
 } // namespace KingCupLadder
