Store worker records again after a leader has forgotten all of its workers

Callers saw no task start under a leader that had lost all of its workers for a while, for example after a failure of the only one.

Cause: the leader marks a write of the worker records as in flight, but an empty list is not written. Nothing ended that write, so no further records were stored, and a worker without a stored record gets no work. The list is empty when the last worker is forgotten or has left.

Change: only a list that is written counts as in flight. The stored record of the forgotten worker stays until there is another worker; a next leader then waits for its leases, as it does for any silent worker.

--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -348,7 +348,7 @@
     if (!m_workerRecordsInFlight && m_nextWorkerRecords <= time.now && (m_workerRecordsFailed || m_workers.areRecordsOutdated(time.now))) {
         orders.workersToStore = m_workers.makeRecords(time.now);
         m_nextWorkerRecords = time.now + workerRecordsInterval;
-        m_workerRecordsInFlight = true;
+        m_workerRecordsInFlight = !orders.workersToStore.empty(); // An empty list is not written, so nothing ends its write.
     }
     if (m_nextHousekeeping <= time.now) {
         m_nextHousekeeping = time.now + housekeepingInterval;
--- a/test/cell/testcellfaults.cpp
+++ b/test/cell/testcellfaults.cpp
@@ -104,6 +104,22 @@
     }
 }
 
+// Guards against workers that get no work any more under a leader that has forgotten all of its workers and so had no records to store.
+TEST(CellSchedulerWorkerFaults, UsesTheOnlyWorkerAgainAfterItWasForgotten)
+{
+    FakeCell cell(1);
+    cell.startLeadership();
+    cell.run(Duration(500));
+    cell.worker(0).crashed = true;
+    cell.run(Duration(10000));
+    cell.worker(0).crashed = false;
+    cell.worker(0).restart();
+    cell.run(Duration(2000));
+    cell.submit(cellJob("job", 1, 1000, Duration(500)));
+    cell.run(Duration(3000));
+    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
+}
+
 // Guards against unlimited attempts of a job that cannot succeed: every worker fails its task, and the route allows two attempts.
 TEST(CellSchedulerWorkerFaults, FailsAJobWhoseTaskUsesUpTheAttemptsOfItsRoute)
 {
