Withhold no room for a gang until runs end that are not going to

Callers saw jobs that were never started beside a gang that lacks room, although three quarters of each worker were free.

Cause: a gang that lacks room reserves it for its forecast start, and other steps may use it only if they end before. The forecast took every run past its expected end for one that ends in 200 ms, again in every pass. The gang therefore was always about to start, and no task fit in before, for as long as a service or a hung run existed.

Change: a run is expected to last as long again as it has overrun, so the time for other steps before the gang grows with it. A run of a long-running step never ends by itself: its capacity is not released in any forecast. A run that is being stopped still ends soon.

The two tests failed before: StalledSteps.StartASmallJobBesideAServiceWhileAGangWaitsForItsWorkers: CHECK_TRUE(stateOfSmallJobBesideEndlessRuns(cell, true) == CellJobState::Succeeded) failed StalledSteps.StartASmallJobBesideOverrunningTasksWhileAGangWaitsForTheirWorkers: CHECK_TRUE(stateOfSmallJobBesideEndlessRuns(cell, false) == CellJobState::Succeeded) failed test-cell: 88 tests pass.

--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -27,7 +27,7 @@
 constexpr double maxAllocatedShareForStarving = 0.5; // Above this share of allocated CPU, work that is still in time comes first.
 constexpr int maxGangReservations = 8; // Gangs per pass that may reserve capacity for a later start; reservations withhold it from other steps.
 constexpr std::size_t minTicketsToRenew = 8; // A non-gang step renews tickets for at least this many workers, if that many have capacity.
-constexpr Duration overrunEstimate{200}; // A run past its expected end is assumed to continue for about this time.
+constexpr Duration overrunEstimate{200}; // A run that is due or is being stopped is assumed to continue for at least this time.
 constexpr Duration gangRepairTimeout{1200}; // How long a gang member whose start was rejected may be moved to another worker; then the gang restarts.
 constexpr Duration minStableMaximumTime{15000}; // Longer than a lease: if a maximum has not changed for this time, previous leaders enforced the same value.
 constexpr Duration longWaitThreshold{3000}; // A ready step that waits longer is logged.
@@ -95,8 +95,14 @@
         const auto [entry, isNew] = releases.try_emplace(worker.index);
         if (isNew) {
             for (const auto &[key, run] : worker.runs) {
-                const TimePoint overrun = time.now + overrunEstimate;
-                entry->second.push_back(TimedResources{run.phase == RunPhase::Stopping ? overrun : std::max(run.expectedEnd, overrun), run.demand});
+                const TimePoint soon = time.now + overrunEstimate;
+                if (run.phase == RunPhase::Stopping) {
+                    entry->second.push_back(TimedResources{soon, run.demand});
+                } else if (!run.isLongRunning) {
+                    // An overrun run is expected to last as long again as it has overrun.
+                    const TimePoint expectedEnd = std::max(run.expectedEnd, time.now + (time.now - run.expectedEnd));
+                    entry->second.push_back(TimedResources{std::max(expectedEnd, soon), run.demand});
+                }
             }
             std::sort(entry->second.begin(), entry->second.end(), [](const TimedResources &a, const TimedResources &b) { return a.at < b.at; });
         }
@@ -448,6 +454,7 @@
     added.number = run;
     added.demand = step.spec->demand;
     added.workspace = step.job->job.workspace;
+    added.isLongRunning = step.spec->longRunning;
     added.expectedEnd = pass.time.now + step.spec->estimate;
     StartOrder order;
     order.payload = step.job->job.payload;
--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -223,6 +223,7 @@
         m_workers.requestStop(*worker, run, time.now);
         return;
     }
+    run.isLongRunning = step->spec->longRunning;
     run.expectedEnd = time.now + step->spec->estimate / 2; // The start time is unknown, so the run is assumed to be halfway through its estimate.
     const CellTask &task = step->tasks[static_cast<std::size_t>(discovered.entry.task.index)];
     const bool wanted = task.phase == CellTaskPhase::Waiting && task.liveRuns == 0 && entry->outcome == CellJobState::Unknown;
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -68,6 +68,7 @@
     bool stopInFlight = false;
     bool stopConfirmed = false;
     TimePoint nextStop; ///< Earliest time of the next stop order.
+    bool isLongRunning = false; ///< Ends only when it is stopped, whatever expectedEnd says.
     TimePoint expectedEnd;
     int percent = 0;
     int load = 0;
--- a/test/cell/teststalledsteps.cpp
+++ b/test/cell/teststalledsteps.cpp
@@ -413,4 +413,48 @@
     }
 }
 
+namespace {
+
+constexpr Duration endlessRun{1000000000}; // Reports no progress during a test, from which the scheduler would learn that the run is long.
+
+/// Runs a small job for 10 s on 8 workers beside an older gang that needs all of them whole. A quarter of each is in use by a run that does not
+/// end. Returns the state of the small job.
+CellJobState stateOfSmallJobBesideEndlessRuns(FakeCell &cell, bool isService)
+{
+    cell.startLeadership();
+    StallCheck stalls(cell);
+    cell.run(Duration(500));
+    CellJob endless = cellJob("endless", 8, 1000, Duration(1000), "urgent");
+    endless.steps[0].maxPerWorker = 1;
+    endless.steps[0].longRunning = isService;
+    cell.duration = [](const StartOrder &order) { return order.task.step.job == JobId("endless") ? endlessRun : Duration(1000); };
+    cell.submit(endless);
+    cell.run(Duration(2000));
+    CellJob gang = cellJob("gang", 8, wholeWorker, Duration(1000), "urgent");
+    gang.steps[0].gang = true;
+    cell.submit(gang);
+    cell.run(Duration(500));
+    cell.submit(cellJob("small", 1, smallTask, Duration(1000)));
+    cell.run(Duration(10000));
+    return cell.state("small");
+}
+
+} // namespace
+
+// Guards against a gang that reserves the capacity of a service, which never ends, and so withholds the room beside it from other steps.
+TEST(StalledSteps, StartASmallJobBesideAServiceWhileAGangWaitsForItsWorkers)
+{
+    FakeCell cell(8, wholeWorker);
+    CHECK_TRUE(stateOfSmallJobBesideEndlessRuns(cell, true) == CellJobState::Succeeded);
+    CHECK_NO_VIOLATION(cell);
+}
+
+// The same with runs that take much longer than their estimate and report only little progress.
+TEST(StalledSteps, StartASmallJobBesideOverrunningTasksWhileAGangWaitsForTheirWorkers)
+{
+    FakeCell cell(8, wholeWorker);
+    CHECK_TRUE(stateOfSmallJobBesideEndlessRuns(cell, false) == CellJobState::Succeeded);
+    CHECK_NO_VIOLATION(cell);
+}
+
 } // namespace KingCupLadder
