Limit the room that is withheld for gangs without valid tickets

Cause: a gang that fits and lacks only valid tickets reserved its room for as long as its renewal was queued, and the number of such gangs was not limited. Many of them withheld all free room from small steps and from each other, although few calls for them were under way.

Change: such a gang reserves nothing while its renewal is not expected to be sent within 300 ms, estimated from the calls before it in the queue, and at most 16 of them reserve room in a pass. A starving gang reserves its room as before.

Left out, as a trial: no reservation in the pause between two renewals either.

--- a/src/cell/advicedispatcher.cpp
+++ b/src/cell/advicedispatcher.cpp
@@ -102,6 +102,14 @@
     for (auto next = byTier.begin(); next != byTier.end() && hasFreeDaemon(now); ++next) {
         tryDispatch(m_waiting.find(next->second), hooks, now, calls, dropped);
     }
+    Duration ahead{0};
+    for (auto next = byTier.begin(); hooks.delay && next != byTier.end(); ++next) {
+        const auto waiting = m_waiting.find(next->second);
+        if (waiting != m_waiting.end()) {
+            hooks.delay(waiting->second, now + ahead / static_cast<int>(m_daemonStates.size()));
+            ahead += waiting->second.duration;
+        }
+    }
     return calls;
 }
 
--- a/src/cell/advicedispatcher.h
+++ b/src/cell/advicedispatcher.h
@@ -34,6 +34,8 @@
     std::function<std::optional<int>(const AdviceCall &)> tier;
     /// Sets AdviceCall::workers and AdviceCall::duration to what is useful now. Returns false if no call is useful.
     std::function<bool(AdviceCall &)> prepare;
+    /// Called for each call that still waits, with the time by which it is expected to be sent; may be empty.
+    std::function<void(const AdviceCall &, TimePoint)> delay;
 };
 
 /// Queues calls to the policy service and assigns them to daemons.
@@ -52,6 +54,7 @@
     /// Removes and returns calls whose deadline has passed or whose daemon is gone.
     [[nodiscard]] std::vector<AdviceCall> expire(TimePoint now);
     void clear();
+    [[nodiscard]] bool hasFreeDaemon(TimePoint now) const;
     [[nodiscard]] std::size_t waitingCalls() const;
     /// Time that the oldest waiting call has been queued; zero if none waits.
     [[nodiscard]] Duration longestQueueTime(TimePoint now) const;
@@ -69,7 +72,6 @@
 
     using WaitingCall = std::map<std::uint64_t, AdviceCall>::iterator;
 
-    [[nodiscard]] bool hasFreeDaemon(TimePoint now) const;
     [[nodiscard]] static bool isFree(const DaemonState &daemon, TimePoint now);
     [[nodiscard]] std::map<DaemonId, DaemonState>::iterator selectDaemon(const AdviceCall &call, TimePoint now);
     /// Prepares the call, and sends it if a daemon is free for it. A useless call is dropped.
--- a/src/cell/celladvice.cpp
+++ b/src/cell/celladvice.cpp
@@ -21,6 +21,7 @@
 constexpr Duration adviceRetryInterval{150};
 constexpr Duration renewalBackoff{400}; // Pause between two ticket renewals of a step; doubled each time until the step starts a task.
 constexpr int maxRenewalDoublings = 3;
+constexpr Duration shortQueueTime{300}; // A gang that fits reserves capacity while its renewal is expected to be queued for at most this time.
 constexpr Duration prefetchMargin{150}; // Added to the call's duration: how long before its expected start a step's advice is requested.
 constexpr Duration maxAnswerTransit{200}; // The transit of an answer rarely takes longer. If it does, workers may reject its tickets.
 
@@ -154,6 +155,9 @@
     call.queuedAt = now;
     (isRenewal ? step.advice.renewalInFlight : step.advice.questionInFlight) = true;
     (isRenewal ? step.advice.renewalSince : step.advice.questionSince) = now;
+    if (isRenewal) {
+        step.advice.isRenewalSentSoon = m_advice.hasFreeDaemon(now);
+    }
     m_advice.add(std::move(call));
 }
 
@@ -191,8 +195,18 @@
     AdviceCallHooks hooks;
     hooks.tier = [this, now](const AdviceCall &call) { return adviceTier(call, now); };
     hooks.prepare = [this](AdviceCall &call) { return prepareAdviceCall(call); };
+    hooks.delay = [this, now](const AdviceCall &call, TimePoint expected) {
+        if (call.isRenewal) {
+            m_jobs.findStep(call.step)->advice.isRenewalSentSoon = expected <= now + shortQueueTime;
+        }
+    };
     std::vector<AdviceCall> dropped;
     std::vector<AdviceCall> calls = m_advice.dispatch(hooks, now, dropped);
+    for (const AdviceCall &call : calls) {
+        if (call.isRenewal) {
+            m_jobs.findStep(call.step)->advice.isRenewalSentSoon = true;
+        }
+    }
     for (const AdviceCall &call : dropped) {
         if (StepInstance *step = m_jobs.findStep(call.step)) {
             (call.isRenewal ? step->advice.renewalInFlight : step->advice.questionInFlight) = false;
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -26,6 +26,7 @@
 constexpr int maxStarvingGangsWithoutRoom = 2; // Ranked first for their reservations.
 constexpr double maxAllocatedShareForStarving = 0.5; // Above this share of allocated CPU, work that is still in time comes first.
 constexpr int maxGangReservations = 8; // Gangs per pass that may reserve capacity for a later start; reservations withhold it from other steps.
+constexpr int maxStartingGangReservations = 16; // Gangs per pass, other than starving ones, that may reserve capacity while their tickets are renewed.
 constexpr std::size_t minTicketsToRenew = 8; // A non-gang step renews tickets for at least this many workers, if that many have capacity.
 constexpr Duration overrunEstimate{200}; // A run that is due or is being stopped is assumed to continue for at least this time.
 constexpr Duration gangRepairTimeout{1200}; // How long a gang member whose start was rejected may be moved to another worker; then the gang restarts.
@@ -88,6 +89,7 @@
     Reservations reservations;
     Resources gangTaskDemand; ///< Mean demand of the tasks of the waiting gangs.
     int reservingGangs = 0; ///< Gangs that have reserved capacity for a later start.
+    int startingGangs = 0; ///< Gangs that have reserved capacity while their tickets are renewed.
     std::map<WorkerIndex, std::vector<TimedResources>> releases; ///< Filled on demand. Candidates point to the entries, whose addresses are stable.
 
     const std::vector<TimedResources> &releasesOf(const Worker &worker)
@@ -252,7 +254,7 @@
     rankStarvingStepsFirst(ordered, time.now);
     std::sort(ordered.begin(), ordered.end(), isMoreUrgent);
     limitToTurns(ordered, isFullPass, time.now);
-    PlacementPass pass{orders, time, {}, meanGangTaskDemand(ordered), 0, {}};
+    PlacementPass pass{orders, time, {}, meanGangTaskDemand(ordered), 0, 0, {}};
     for (const auto &[key, step] : ordered) {
         const bool hasChanges = shouldReconsider(*step);
         step->consideredAtGeneration = m_workers.generation();
@@ -615,7 +617,7 @@
         requestAdvice(step, now);
     }
     if (fit) {
-        forecast = GangForecast{now, *fit}; // The gang only lacks valid tickets: it reserves capacity while they are renewed.
+        forecast = GangForecast{now, *fit}; // The gang only lacks valid tickets.
     } else if (pass.reservingGangs < maxGangReservations) {
         // The gang lacks capacity: at most maxGangReservations of these gangs reserve it for a later start.
         forecast = forecastGang(unreservedCandidates, step.spec->demand, step.spec->count, now);
@@ -624,13 +626,22 @@
     if (!forecast) {
         return;
     }
+    if (settings != nullptr) {
+        renewTicketsForGang(step, *forecast, candidates, now);
+    }
+    if (fit) {
+        // Many gangs whose renewals are far back in the queue would withhold most of the free capacity although none of them can start soon.
+        const StepAdvice &advice = step.advice;
+        const bool isFarBack = advice.renewalInFlight && !advice.isRenewalSentSoon;
+        const bool startsSoon = !isFarBack && pass.startingGangs < maxStartingGangReservations;
+        if (!startsSoon && !step.isStarving) {
+            return;
+        }
+        ++pass.startingGangs;
+    }
     for (const TaskAllocation &allocation : forecast->allocations) {
         pass.reservations.add(allocation.worker, forecast->start, step.spec->demand * allocation.tasks);
     }
-    if (settings == nullptr) {
-        return;
-    }
-    renewTicketsForGang(step, *forecast, candidates, now);
 }
 
 void CellScheduler::placeMissingMembers(StepInstance &step, PlacementPass &pass)
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -28,6 +28,7 @@
     std::set<WorkerIndex> evaluated; ///< Workers named in answered calls.
     bool questionInFlight = false; ///< A call about workers that the step has not asked about is queued or sent.
     bool renewalInFlight = false; ///< A call that renews tickets is queued or sent.
+    bool isRenewalSentSoon = false; ///< While renewalInFlight: the call has been sent or will be soon, as of the last time that a daemon was free.
     std::vector<WorkerId> workersToRenew; ///< Allowed workers with room for the step but without a valid ticket, as of the last pass.
     TimePoint questionSince; ///< While questionInFlight: when the call was queued.
     TimePoint renewalSince; ///< While renewalInFlight: when the call was queued.
