Pause a daemon whose calls to the policy service fail

Callers saw steps that were never started while one daemon could not reach the policy service.

Cause: a call goes to the free daemon that has been free longest. A failed or expired call reset its daemon to idle, so it was chosen for the next call as well: a daemon whose calls fail at once got all of them.

Change: after a call that was not answered, a daemon gets no call for 300 ms, doubled for each further one in a row up to 2 s. If all daemons are paused, or there is only one, the one whose pause ends first is used, so that a failure of the service itself pauses no step longer than before.

Two of the three tests failed before: StalledSteps.MakeACallByAnotherDaemonAfterAFailure: expected <1> but was <0> StalledSteps.ShareTheCallsAmongDaemonsThatAllFail: CHECK_TRUE(calls[DaemonId("d2")] > 0) failed StalledSteps.KeepAskingByTheOnlyDaemonAfterFailures passed before; it guards against a pause of the only daemon. test-cell: 91 tests pass.

--- a/src/cell/advicedispatcher.cpp
+++ b/src/cell/advicedispatcher.cpp
@@ -10,6 +10,9 @@
 constexpr int maxCallsPerDaemon = 2; // The service handles one call while the next is in transit.
 constexpr Duration longCallThreshold{150}; // Calls of at least this duration would delay urgent steps on the same daemon.
 constexpr Duration answerTimeoutMargin{1500}; // Allows for the network, a busy daemon and the service's own queue.
+constexpr Duration failurePause{300}; // Pause of a daemon after a call that was not answered; doubled for each further one in a row.
+constexpr Duration maxFailurePause{2000};
+constexpr int maxFailureDoublings = 3; // Reaches maxFailurePause.
 constexpr Duration dispatchLead{20}; // A daemon expected to be free within this time may get its next call.
 
 } // namespace
@@ -35,9 +38,17 @@
     return daemon.inFlight == 0 || (daemon.inFlight < maxCallsPerDaemon && daemon.busyUntil <= now + dispatchLead);
 }
 
+bool AdviceDispatcher::areAllPaused(TimePoint now) const
+{
+    return std::all_of(m_daemonStates.begin(), m_daemonStates.end(), [now](const auto &daemon) { return daemon.second.pausedUntil > now; });
+}
+
 bool AdviceDispatcher::hasFreeDaemon(TimePoint now) const
 {
-    return std::any_of(m_daemonStates.begin(), m_daemonStates.end(), [now](const auto &daemon) { return isFree(daemon.second, now); });
+    const bool isPauseIgnored = areAllPaused(now);
+    return std::any_of(m_daemonStates.begin(), m_daemonStates.end(), [now, isPauseIgnored](const auto &daemon) {
+        return isFree(daemon.second, now) && (isPauseIgnored || daemon.second.pausedUntil <= now);
+    });
 }
 
 std::map<DaemonId, AdviceDispatcher::DaemonState>::iterator AdviceDispatcher::selectDaemon(const AdviceCall &call, TimePoint now)
@@ -46,9 +57,13 @@
     const auto longBusyDaemons =
         std::count_if(m_daemonStates.begin(), m_daemonStates.end(), [now](const auto &daemon) { return daemon.second.busyUntil >= now + longCallThreshold; });
     const auto maxLongBusyDaemons = std::max<std::ptrdiff_t>(1, static_cast<std::ptrdiff_t>(m_daemonStates.size()) * 2 / 3);
+    const bool isPauseIgnored = areAllPaused(now);
+    // If all daemons are paused, the one whose pause ends first is the best.
+    const auto rank = [now](const DaemonState &daemon) { return std::make_pair(std::max(daemon.pausedUntil, now), daemon.busyUntil); };
     auto best = m_daemonStates.end();
     for (auto daemon = m_daemonStates.begin(); daemon != m_daemonStates.end(); ++daemon) {
-        if (isFree(daemon->second, now) && (best == m_daemonStates.end() || daemon->second.busyUntil < best->second.busyUntil)) {
+        const bool mayCall = isFree(daemon->second, now) && (isPauseIgnored || daemon->second.pausedUntil <= now);
+        if (mayCall && (best == m_daemonStates.end() || rank(daemon->second) < rank(best->second))) {
             best = daemon;
         }
     }
@@ -113,7 +128,7 @@
     return calls;
 }
 
-std::optional<AdviceCall> AdviceDispatcher::finish(std::uint64_t id)
+std::optional<AdviceCall> AdviceDispatcher::finish(std::uint64_t id, bool answered, TimePoint now)
 {
     const auto found = m_inFlight.find(id);
     if (found == m_inFlight.end()) {
@@ -122,8 +137,20 @@
     AdviceCall call = std::move(found->second.call);
     m_inFlight.erase(found);
     const auto daemon = m_daemonStates.find(call.daemon);
-    if (daemon != m_daemonStates.end() && --daemon->second.inFlight <= 0) {
-        daemon->second = DaemonState{};
+    if (daemon == m_daemonStates.end()) {
+        return call;
+    }
+    DaemonState &state = daemon->second;
+    if (--state.inFlight <= 0) {
+        state.inFlight = 0;
+        state.busyUntil = TimePoint();
+    }
+    if (answered) {
+        state.failures = 0;
+        state.pausedUntil = TimePoint();
+    } else {
+        const int doublings = std::min(state.failures++, maxFailureDoublings);
+        state.pausedUntil = now + std::min(failurePause * (1 << doublings), maxFailurePause);
     }
     return call;
 }
@@ -138,7 +165,7 @@
         }
     }
     for (const std::uint64_t id : ids) {
-        if (auto call = finish(id)) {
+        if (auto call = finish(id, false, now)) {
             expired.push_back(std::move(*call));
         }
     }
--- a/src/cell/advicedispatcher.h
+++ b/src/cell/advicedispatcher.h
@@ -1,6 +1,6 @@
 // Distributes calls to the policy service over the daemons. The service handles one call at a time per calling VM, so each daemon
 // has its own queue there. Long calls may occupy only two thirds of the daemons (at least one), so that short calls for
-// urgent steps find a free one.
+// urgent steps find a free one. A daemon whose calls fail is left out for a while, since it would always be the first to be free again.
 //
 // What a call asks, and for which step, is decided only when a daemon is free for it: the service can be the bottleneck of the cell, and
 // tickets for workers that were chosen long before would be useless.
@@ -49,9 +49,10 @@
     /// Assigns waiting calls to free daemons and returns them for sending. Appends calls that are dropped because they are no longer
     /// needed or useful to @p dropped.
     [[nodiscard]] std::vector<AdviceCall> dispatch(const AdviceCallHooks &hooks, TimePoint now, std::vector<AdviceCall> &dropped);
-    /// Ends a call that was answered or lost. Empty if the call is unknown or has already ended.
-    [[nodiscard]] std::optional<AdviceCall> finish(std::uint64_t id);
-    /// Removes and returns calls whose deadline has passed or whose daemon is gone.
+    /// Ends a call. Empty if the call is unknown or has already ended. If it was not @p answered, its daemon gets no further call for a while
+    /// unless all others have failed as well.
+    [[nodiscard]] std::optional<AdviceCall> finish(std::uint64_t id, bool answered, TimePoint now);
+    /// Removes and returns calls whose deadline has passed or whose daemon is gone; they count as not answered.
     [[nodiscard]] std::vector<AdviceCall> expire(TimePoint now);
     void clear();
     [[nodiscard]] bool hasFreeDaemon(TimePoint now) const;
@@ -64,6 +65,8 @@
     struct DaemonState {
         int inFlight = 0;
         TimePoint busyUntil;
+        int failures = 0; ///< Calls in a row that were not answered.
+        TimePoint pausedUntil; ///< The daemon gets no call before, unless all daemons are paused.
     };
     struct InFlightCall {
         AdviceCall call;
@@ -72,6 +75,7 @@
 
     using WaitingCall = std::map<std::uint64_t, AdviceCall>::iterator;
 
+    [[nodiscard]] bool areAllPaused(TimePoint now) const;
     [[nodiscard]] static bool isFree(const DaemonState &daemon, TimePoint now);
     [[nodiscard]] std::map<DaemonId, DaemonState>::iterator selectDaemon(const AdviceCall &call, TimePoint now);
     /// Prepares the call, and sends it if a daemon is free for it. A useless call is dropped.
--- a/src/cell/celladvice.cpp
+++ b/src/cell/celladvice.cpp
@@ -217,7 +217,7 @@
 
 void CellScheduler::onAdvice(std::uint64_t callId, const AdviceAnswer &answer, TimePoint sent, TimePoint now)
 {
-    const auto call = m_advice.finish(callId);
+    const auto call = m_advice.finish(callId, answer.answered, now);
     StepInstance *step = call ? m_jobs.findStep(call->step) : nullptr;
     if (step == nullptr) {
         return;
--- a/test/cell/teststalledsteps.cpp
+++ b/test/cell/teststalledsteps.cpp
@@ -457,4 +457,59 @@
     CHECK_NO_VIOLATION(cell);
 }
 
+namespace {
+
+/// Runs the scheduler for @p span with a step whose calls to the policy service all fail at once if made by the daemons @p failing, and are not
+/// answered otherwise. Returns the number of calls by daemon.
+std::map<DaemonId, int> callsByDaemon(FakeCell &cell, const std::set<DaemonId> &failing, Duration span)
+{
+    cell.addRoute("slow", 1, AdviceSettings{60, 1, Duration(2500)});
+    cell.startLeadership();
+    cell.run(Duration(1000));
+    cell.submit(cellJob("job", 1, smallTask, Duration(1000), "slow"));
+    std::map<DaemonId, int> calls;
+    for (const TimePoint until = cell.now + span; cell.now < until; cell.now += Duration(5)) {
+        cell.scheduler->onLeadershipRenewed(cell.now);
+        for (const AdviceCall &call : cell.scheduler->tick(cell.time()).advice) {
+            ++calls[call.daemon];
+            if (failing.count(call.daemon) > 0) {
+                cell.scheduler->onAdvice(call.id, AdviceAnswer{}, cell.now, cell.now);
+            }
+        }
+    }
+    return calls;
+}
+
+// Shorter than the time after which the workers count as unresponsive, since their lease renewals are not answered in callsByDaemon().
+constexpr Duration callSpan{1200};
+
+} // namespace
+
+// Guards against a daemon that cannot reach the policy service, and whose calls fail at once, being chosen for every call because it is
+// always free.
+TEST(StalledSteps, MakeACallByAnotherDaemonAfterAFailure)
+{
+    FakeCell cell(4, wholeWorker);
+    const auto calls = callsByDaemon(cell, {DaemonId("d1")}, callSpan);
+    CHECK_EQUAL(1, calls.count(DaemonId("d2")));
+}
+
+// Guards against a pause of all daemons, each of which has failed, during which no step can ask.
+TEST(StalledSteps, ShareTheCallsAmongDaemonsThatAllFail)
+{
+    FakeCell cell(4, wholeWorker);
+    auto calls = callsByDaemon(cell, {DaemonId("d1"), DaemonId("d2")}, callSpan);
+    CHECK_TRUE(calls[DaemonId("d1")] > 3);
+    CHECK_TRUE(calls[DaemonId("d2")] > 0);
+}
+
+// Guards against a pause of the only daemon after a failure: nobody else can ask meanwhile.
+TEST(StalledSteps, KeepAskingByTheOnlyDaemonAfterFailures)
+{
+    FakeCell cell(4, wholeWorker);
+    cell.daemonCount = 1;
+    auto calls = callsByDaemon(cell, {DaemonId("d1")}, callSpan);
+    CHECK_TRUE(calls[DaemonId("d1")] > 6);
+}
+
 } // namespace KingCupLadder
