Start jobs of a previous leader once its leases have expired, whatever restarts

Callers saw jobs of a previous leader that were not started for as long as some worker kept restarting without answering the new leader.

Cause: if a start of the new leader may have reached a restarted worker, its runs count as possible for twice the longest lease. While that time had not passed, the leader also took runs of previous leaders on the worker for possible.

Change: when all leases of previous leaders have expired, no job counts as unreconciled any more. The later bound concerns only runs that this leader has started or found itself: each of them is in its table and blocks its own task until it is known to be gone.

--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -362,7 +362,11 @@
 
 void CellScheduler::finishReconciliation(TimePoint now)
 {
-    const auto jobs = m_leasesExpiredBy == TimePoint() ? std::nullopt : m_workers.jobsWithUnreportedRuns(now);
+    if (m_leasesExpiredBy == TimePoint()) {
+        return;
+    }
+    // Once the leases of previous leaders have expired, workers that have not answered can only have runs of this leader.
+    const auto jobs = m_leasesExpiredBy <= now ? std::set<JobId>() : m_workers.jobsWithUnreportedRuns(now);
     if (!jobs) {
         return;
     }
--- a/test/cell/testcellfaults.cpp
+++ b/test/cell/testcellfaults.cpp
@@ -342,6 +342,36 @@
     CHECK_NO_VIOLATION(cell);
 }
 
+// Guards against a worker that restarts without ever answering and keeps the jobs of the previous leader from starting after all leases of that
+// leader have expired.
+TEST(CellSchedulerTakeover, StartsPreviousJobsWhileAWorkerRestartsWithoutAnswering)
+{
+    FakeCell cell(8);
+    cell.startLeadership();
+    cell.run(Duration(500));
+    CellJob old = cellJob("old", 1, 500);
+    old.steps[0].requiredLabel = "late"; // Of no worker yet.
+    cell.submit(old);
+    cell.run(Duration(500));
+    cell.worker(7).reachable = false; // Keeps the reconciliation from ending at once.
+    cell.startLeadership(2);
+    cell.worker(5).info.labels.emplace_back("late");
+    cell.worker(0).info.labels.emplace_back("cut");
+    cell.neverStarted.insert(JobId("new"));
+    cell.run(Duration(1600));
+    cell.onStart = [](const StartOrder &order) { return order.worker != WorkerId("w0"); };
+    CellJob fresh = cellJob("new", 1, 500); // Its start may have reached any of the next incarnations of w0.
+    fresh.steps[0].requiredLabel = "cut";
+    cell.submit(fresh);
+    cell.run(Duration(100));
+    cell.worker(0).reachable = false;
+    for (int i = 0; i < 8; ++i) {
+        cell.worker(0).restart();
+        cell.run(Duration(3000));
+    }
+    CHECK_TRUE(cell.state("old") == CellJobState::Succeeded);
+}
+
 // Guards against every older job waiting for the longest lease after a change of leader, because some workers had crashed before it. Only
 // jobs that had runs on these workers have to wait.
 TEST(CellSchedulerTakeover, HoldsBackOnlyTheJobsThatASilentWorkerMayRun)
