Make dropped calls to the policy service cost their step nothing

Callers saw steps that started seconds after they had room, although the policy service was free.

Cause: a renewal that is dropped because its workers have filled was counted like one that was made, so the pause before the next one grew to 3.2 s. A gang with answers asked about further workers even if none of them had room; the call was queued, and dropped and queued again in every tick once a daemon was free.

Change: a dropped renewal gives back its count and its pause, and after any dropped call the step queues none for 50 ms. A gang with answers asks only if an unknown worker has room. The prefetch assumes at most maxWorkersPerCall workers; no test covers that.

The two tests failed before: StalledSteps.RenewSoonAfterRenewalsThatWereNotSent: CHECK_TRUE(cell.state("waiting") == CellJobState::Succeeded) failed StalledSteps.QueueNoQuestionAboutWorkersWithoutRoom: actual "1 advice calls in flight, 1 queued for up to 990 ms" did not contain "1 advice calls in flight, 0 queued" test-cell: 94 tests pass.

--- a/src/cell/celladvice.cpp
+++ b/src/cell/celladvice.cpp
@@ -19,6 +19,7 @@
 constexpr std::int64_t freeCpuBucketMilliCores = 2000; // Workers in the same bucket of free CPU are treated as equally free.
 constexpr std::uint64_t shuffleModulus = 1000003; // Prime, so that different workers get different positions in the shuffled order.
 constexpr Duration adviceRetryInterval{150};
+constexpr Duration droppedCallPause{50}; // A step whose call turned out to be useless may need another one once the room has changed.
 constexpr Duration renewalBackoff{400}; // Pause between two ticket renewals of a step; doubled each time until the step starts a task.
 constexpr int maxRenewalDoublings = 3;
 constexpr Duration shortQueueTime{300}; // A gang that fits reserves capacity while its renewal is expected to be queued for at most this time.
@@ -134,8 +135,12 @@
 
 void CellScheduler::requestAdvice(StepInstance &step, TimePoint now)
 {
+    // The same workers as in prepareAdviceCall(), which would drop a call without any.
+    const bool needsRoom = step.spec->gang && !step.advice.evaluated.empty();
     const bool hasUnknownWorker = std::any_of(m_workers.all().begin(), m_workers.all().end(), [&](const auto &entry) {
-        return entry.second.wasUsable && step.advice.evaluated.count(entry.second.index) == 0 && isEligible(step, entry.second);
+        const Worker &worker = entry.second;
+        return worker.wasUsable && step.advice.evaluated.count(worker.index) == 0 && isEligible(step, worker)
+            && (!needsRoom || step.spec->demand.fitsIn(worker.free()));
     });
     if (!step.advice.questionInFlight && hasUnknownWorker) {
         queueAdviceCall(step, false, now);
@@ -208,8 +213,15 @@
         }
     }
     for (const AdviceCall &call : dropped) {
-        if (StepInstance *step = m_jobs.findStep(call.step)) {
-            (call.isRenewal ? step->advice.renewalInFlight : step->advice.questionInFlight) = false;
+        StepInstance *step = m_jobs.findStep(call.step);
+        if (step == nullptr) {
+            continue;
+        }
+        (call.isRenewal ? step->advice.renewalInFlight : step->advice.questionInFlight) = false;
+        step->advice.nextCall = now + droppedCallPause;
+        if (call.isRenewal) {
+            step->advice.renewals = std::max(step->advice.renewals - 1, 0);
+            step->advice.nextRenewal = now;
         }
     }
     return calls;
@@ -259,7 +271,7 @@
             const bool soon = std::all_of(step->spec->after.begin(), step->spec->after.end(), [&](int before) {
                 const StepInstance *earlier = m_jobs.findStep(StepRef{step->ref.job, step->ref.occurrence, before});
                 // An upper bound: a call never names more than all workers, nor more than maxWorkersPerCall.
-                const Duration ahead = settings->callDuration(m_workers.all().size()) + prefetchMargin;
+                const Duration ahead = settings->callDuration(std::min(m_workers.all().size(), maxWorkersPerCall)) + prefetchMargin;
                 return earlier == nullptr || earlier->isDone() || (earlier->waiting == 0 && earlier->expectedEnd <= now + ahead);
             });
             if (soon) {
--- a/test/cell/teststalledsteps.cpp
+++ b/test/cell/teststalledsteps.cpp
@@ -512,4 +512,67 @@
     CHECK_TRUE(calls[DaemonId("d1")] > 6);
 }
 
+// Guards against a long pause between renewals of a step after its renewals were dropped, because the room had been taken when they would have
+// been sent.
+TEST(StalledSteps, RenewSoonAfterRenewalsThatWereNotSent)
+{
+    FakeCell cell(4, wholeWorker);
+    addLabel(cell, "first", 0, 0);
+    addLabel(cell, "others", 1, 3);
+    cell.daemonCount = 1;
+    cell.ticketValidity = Duration(1000);
+    cell.addRoute("slow", 1, AdviceSettings{300, 0, Duration(1000)});
+    cell.isAllowed = [](const StepRef &step, const WorkerId &worker) { return step.job == JobId("waiting") && worker == WorkerId("w0"); };
+    cell.startLeadership();
+    cell.run(Duration(500));
+    cell.submit(fillingJob("others", "others", 3, longTime));
+    cell.submit(fillingJob("full0", "first", 1, longTime));
+    cell.run(Duration(100));
+    cell.submit(cellJob("waiting", 1, wholeWorker, Duration(1000), "slow"));
+    const auto releaseFirst = [&cell] {
+        while (!cell.worker(0).running.empty()) {
+            cell.worker(0).end(cell.worker(0).running.begin()->first, RunEnd::Succeeded);
+        }
+    };
+    // Three times the room is free only while the daemon is busy with the question of another step.
+    for (int i = 1; i <= 3; ++i) {
+        cell.run(Duration(3000));
+        cell.submit(cellJob("asking" + std::to_string(i), 1, smallTask, Duration(1000), "slow"));
+        cell.run(Duration(20));
+        releaseFirst();
+        cell.run(Duration(100));
+        cell.submit(fillingJob("full" + std::to_string(i), "first", 1, longTime));
+    }
+    cell.run(Duration(500));
+    releaseFirst();
+    // One call of 300 ms, and a run of 1 s.
+    cell.run(Duration(1800));
+    CHECK_TRUE(cell.state("waiting") == CellJobState::Succeeded);
+}
+
+// Guards against questions of a gang that are queued although no worker that it has not asked about has room; they would name no worker.
+TEST(StalledSteps, QueueNoQuestionAboutWorkersWithoutRoom)
+{
+    FakeCell cell(24, wholeWorker);
+    addLabel(cell, "first", 0, 15); // As many as a call names.
+    addLabel(cell, "last", 16, 23);
+    cell.daemonCount = 1;
+    cell.addRoute("gangs", 1, AdviceSettings{100, 0, Duration(2500)});
+    cell.addRoute("slow", 1, AdviceSettings{3000, 0, Duration(2500)});
+    cell.startLeadership();
+    cell.run(Duration(500));
+    cell.submit(fillingJob("last", "last", 8, longTime));
+    cell.run(Duration(100));
+    CellJob gang = cellJob("gang", 4, wholeWorker, Duration(1000), "gangs");
+    gang.steps[0].gang = true;
+    cell.submit(gang);
+    cell.run(Duration(10));
+    cell.submit(fillingJob("first", "first", 16, longTime));
+    cell.run(Duration(500));
+    CHECK_EQUAL(1, cell.adviceCalls);
+    cell.submit(cellJob("asking", 1, smallTask, Duration(1000), "slow"));
+    cell.run(Duration(1000));
+    STRCMP_CONTAINS("1 advice calls in flight, 0 queued", cell.scheduler->describeLoad(cell.now).c_str());
+}
+
 } // namespace KingCupLadder
