Demand the end of the waiting step in two tests of stalled steps

StalledSteps.StartALateStepBesideAnOlderWideStepThatHasNoRoom and StartALateStepBesideAnOlderGangThatHasNoRoom only demanded a start in time.

--- a/test/cell/teststalledsteps.cpp
+++ b/test/cell/teststalledsteps.cpp
@@ -339,6 +339,7 @@
     FakeCell cell = streamCell();
     runWaitingJobBesideABlockedOne(cell, false);
     CHECK_NO_VIOLATION(cell);
+    CHECK_TRUE(cell.state("waiting") == CellJobState::Succeeded);
 }
 
 // Guards against an older gang, wider than the workers that it may use, that uses up the room by which starving steps are counted.
@@ -347,6 +348,7 @@
     FakeCell cell = streamCell();
     runWaitingJobBesideABlockedOne(cell, true);
     CHECK_NO_VIOLATION(cell);
+    CHECK_TRUE(cell.state("waiting") == CellJobState::Succeeded);
 }
 
 namespace {
