Decode the VM of a worker's registry entry

A crashed VM may come back as a worker with another id, so that the id alone doesn't show that a worker has crashed. WorkerInfo::vm names the VM; it stays empty if the entry has no such field or one of another type, and the entry remains valid. Nothing uses it yet.

--- a/src/cell/cellids.h
+++ b/src/cell/cellids.h
@@ -12,6 +12,7 @@
 using UpstreamName = Id<struct UpstreamNameTag>; ///< Name of an upstream: a group of workers that runs the tasks of some routes.
 using RunNumber = Counter<struct RunNumberTag>; ///< Numbers the runs of one task; each new run gets a higher number.
 using WorkerIncarnation = Counter<struct WorkerIncarnationTag>; ///< Incarnation of a worker: distinguishes successive processes with the same worker id.
+using VmId = Id<struct VmIdTag>; ///< The VM of a worker. After a crash its next worker may have another WorkerId.
 using EndNumber = Counter<struct EndNumberTag>; ///< Sequence number of an ended run on its worker; starts at 1 in each incarnation.
 
 /// One step of one occurrence of a job.
--- a/src/cell/workerprotocol.h
+++ b/src/cell/workerprotocol.h
@@ -18,6 +18,7 @@
 /// A worker's entry in the registry.
 struct WorkerInfo {
     WorkerId id;
+    VmId vm; ///< The VM on which the worker runs; successive workers on one VM may have different ids. Empty: unknown.
     std::string address; ///< As "ip:port".
     UpstreamName upstream;
     FailureDomain domain;
--- a/test/platform/testdecoders.cpp
+++ b/test/platform/testdecoders.cpp
@@ -68,6 +68,28 @@
     CHECK_FALSE(decodeWorkerRow("w", unknownState).has_value());
 }
 
+// Guards against treating successive workers on one VM as workers on different VMs.
+TEST(PlatformDecoders, ReadsTheVmOfAWorker)
+{
+    std::string withVm = workerEntry;
+    withVm.replace(0, 1, R"({"machine":"m-64080",)");
+    const auto worker = decodeWorkerRow("w", withVm);
+    CHECK_TRUE(worker.has_value());
+    STRCMP_EQUAL("m-64080", worker->vm.value().c_str());
+}
+
+// Guards against losing a worker whose registry entry names no VM.
+TEST(PlatformDecoders, AcceptsAWorkerWithoutAVm)
+{
+    for (const char *unnamed : {"{", R"({"machine":null,)", R"({"machine":7,)"}) {
+        std::string entry = workerEntry;
+        entry.replace(0, 1, unnamed);
+        const auto worker = decodeWorkerRow("w", entry);
+        CHECK_TRUE(worker.has_value());
+        CHECK_TRUE(worker->vm.isEmpty());
+    }
+}
+
 // Guards against attributing a run to the wrong task, because fields of its name are confused or a malformed name is accepted.
 TEST(PlatformDecoders, ReadsTaskNames)
 {
