Give up tasks that crash their workers

Callers saw up to half of all work unserved while a handful of tasks crashed worker after worker: "21 of 83 workers usable".

Cause: a run that was lost with its worker left no mark on its task; only runs that ended as failed counted. A crash showed only when the lease had run out, 6 s later, and the task then started beside other work again.

Change: when a worker is back with a new incarnation, or another worker answers on its VM, the worker has crashed, and its runs are lost at once. Each run that it may have had counts as one under which a worker crashed, with its timing: at the start (the worker had confirmed the run less than 0.2 s before), soon after it, or long after it. The latest runs are suspects. A suspect starts only on a worker without runs, or with other suspects that have survived their start, and nothing else starts there until it has survived its own; a task with two early crashes keeps its worker for itself. A task is given up, and its job fails, if it crashed two workers at its start, the last time without another possible cause, or four workers early. Proven crashes are stored with the job's progress. A worker that is only silent makes its latest runs suspects; the suspicion is withdrawn if the worker answers again.

--- a/src/cell/celljob.h
+++ b/src/cell/celljob.h
@@ -5,6 +5,7 @@
 #include "core/error.h"
 #include "core/resources.h"
 #include "core/units.h"
+#include "crashhistory.h"
 
 #include <cstdint>
 #include <map>
@@ -80,6 +81,7 @@
 struct StepProgress {
     std::vector<bool> succeeded; ///< By task.
     std::map<int, std::set<RunNumber>> failedRuns; ///< By task; failed runs of a gang are kept under task 0.
+    std::map<int, std::map<RunNumber, WorkerCrash>> crashes; ///< By task; those of a gang are kept under task 0.
     std::string gangCheckpoint;
 };
 
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -32,6 +32,8 @@
 constexpr Duration gangRepairTimeout{1200}; // How long a gang member whose start was rejected may be moved to another worker; then the gang restarts.
 constexpr Duration minStableMaximumTime{15000}; // Longer than a lease: if a maximum has not changed for this time, previous leaders enforced the same value.
 constexpr Duration longWaitThreshold{3000}; // A ready step that waits longer is logged.
+constexpr Duration maxIsolationWait{10000}; // A suspect that has found no idle worker for this time starts beside other runs.
+constexpr int maxIdleReservations = 6; // Workers per pass that are kept free for suspects.
 constexpr int maxLongWaitsLogged = 5; // Per second, longest wait first.
 
 /// Order of the workers that a single task may start on; the lowest rank is the best.
@@ -90,6 +92,8 @@
     Resources gangTaskDemand; ///< Mean demand of the tasks of the waiting gangs.
     int reservingGangs = 0; ///< Gangs that have reserved capacity for a later start.
     int startingGangs = 0; ///< Gangs that have reserved capacity while their tickets are renewed.
+    int idleReservations = 0; ///< Workers that are reserved for a suspect as soon as they have no runs.
+    std::map<WorkerIndex, std::vector<TimedResources>> idleReleases; ///< Like releases, with one entry: the whole worker after its last run.
     std::map<WorkerIndex, std::vector<TimedResources>> releases; ///< Filled on demand. Candidates point to the entries, whose addresses are stable.
 
     const std::vector<TimedResources> &releasesOf(const Worker &worker)
@@ -110,6 +114,17 @@
         }
         return entry->second;
     }
+
+    const std::vector<TimedResources> &idleReleaseOf(const Worker &worker)
+    {
+        std::vector<TimedResources> &release = idleReleases[worker.index];
+        if (release.empty()) {
+            const bool isNeverIdle = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto &entry) { return entry.second.isLongRunning; });
+            const std::vector<TimedResources> &all = releasesOf(worker);
+            release.push_back(TimedResources{isNeverIdle ? TimePoint::max() : all.empty() ? time.now : all.back().at, worker.info.capacity});
+        }
+        return release;
+    }
 };
 
 bool CellScheduler::shouldReconsider(const StepInstance &step) const
@@ -219,6 +234,12 @@
         return;
     }
     CandidateWorker candidate{worker.index, worker.free(), maxFurtherTasks(step, worker), nullptr};
+    if (step.spec->gang && !worker.isFitForIsolation() && needsIdleWorker(step, 0, pass.time.now)) {
+        candidate.free = Resources{};
+        candidate.releases = &pass.idleReleaseOf(worker);
+        candidates.push_back(candidate);
+        return;
+    }
     // Only where needed, since sorting the runs of every worker would take longer than the rest of a pass.
     if (withReleases || pass.reservations.hasReservation(worker.index)) {
         candidate.releases = &pass.releasesOf(worker);
@@ -254,7 +275,7 @@
     rankStarvingStepsFirst(ordered, time.now);
     std::sort(ordered.begin(), ordered.end(), isMoreUrgent);
     limitToTurns(ordered, isFullPass, time.now);
-    PlacementPass pass{orders, time, {}, meanGangTaskDemand(ordered), 0, 0, {}};
+    PlacementPass pass{orders, time, {}, meanGangTaskDemand(ordered), 0, 0, 0, {}, {}};
     for (const auto &[key, step] : ordered) {
         const bool hasChanges = shouldReconsider(*step);
         step->consideredAtGeneration = m_workers.generation();
@@ -329,7 +350,13 @@
 int CellScheduler::startableTasks(const StepInstance &step, const std::vector<FreeRoom> &rooms, int limit) const
 {
     int fitting = 0;
+    const bool needsIdle = std::any_of(step.tasks.begin(), step.tasks.end(), [](const CellTask &task) {
+        return task.phase == CellTaskPhase::Waiting && task.crashes.isolation() != RunIsolation::None;
+    });
     for (auto room = rooms.begin(); room != rooms.end() && fitting < limit; ++room) {
+        if (needsIdle && !room->worker->isFitForIsolation()) {
+            continue;
+        }
         const int tasks = tasksThatFit(step.spec->demand, room->free, std::min(limit, maxFurtherTasks(step, *room->worker)));
         if (tasks > 0) {
             const bool isRefused = step.advice.evaluated.count(room->worker->index) > 0 && step.advice.find(room->worker->index) == nullptr;
@@ -457,6 +484,8 @@
     added.demand = step.spec->demand;
     added.workspace = step.job->job.workspace;
     added.isLongRunning = step.spec->longRunning;
+    added.isGangMember = step.spec->gang;
+    added.isolation = step.crashesOf(index).isolation();
     added.expectedEnd = pass.time.now + step.spec->estimate;
     StartOrder order;
     order.payload = step.job->job.payload;
@@ -472,6 +501,34 @@
     ++m_counters.starts;
 }
 
+bool CellScheduler::needsIdleWorker(const StepInstance &step, int index, TimePoint now) const
+{
+    const TimePoint since = step.tasks.at(step.spec->gang ? 0 : static_cast<std::size_t>(index)).lastRunEnded;
+    const bool hasWaitedTooLong = since != TimePoint() && now - since > maxIsolationWait;
+    return step.crashesOf(index).isolation() != RunIsolation::None && !hasWaitedTooLong;
+}
+
+void CellScheduler::reserveIdleWorker(const StepInstance &step, const std::vector<CandidateWorker> &candidates, PlacementPass &pass) const
+{
+    const Worker *first = nullptr;
+    TimePoint idleAt;
+    for (const CandidateWorker &candidate : candidates) {
+        const Worker &worker = *m_workers.at(candidate.worker);
+        if (candidate.maxTasks < 1 || pass.reservations.hasReservation(worker.index) || !step.spec->demand.fitsIn(worker.info.capacity)) {
+            continue;
+        }
+        const TimePoint at = pass.idleReleaseOf(worker).front().at;
+        if (at != TimePoint::max() && (first == nullptr || at < idleAt)) {
+            first = &worker;
+            idleAt = at;
+        }
+    }
+    if (first != nullptr) {
+        pass.reservations.add(first->index, idleAt, first->info.capacity);
+        ++pass.idleReservations;
+    }
+}
+
 void CellScheduler::placeTasks(StepInstance &step, PlacementPass &pass)
 {
     const TimePoint now = pass.time.now;
@@ -489,8 +546,10 @@
         CandidateWorker *best = nullptr;
         PlacementRank bestRank;
         bool isWithheld = false;
+        const bool isSuspect = step.crashesOf(index).isolation() != RunIsolation::None;
+        const bool needsIdle = needsIdleWorker(step, index, now);
         for (CandidateWorker &candidate : candidates) {
-            if (candidate.maxTasks < 1 || !step.spec->demand.fitsIn(candidate.free)) {
+            if (candidate.maxTasks < 1 || !step.spec->demand.fitsIn(candidate.free) || (needsIdle && !m_workers.at(candidate.worker)->isFitForIsolation())) {
                 continue;
             }
             if (!pass.reservations.allows(candidate, step.spec->demand, now + step.spec->estimate)) {
@@ -520,10 +579,13 @@
         if (best == nullptr) {
             hasUnplacedTasks = true;
             step.withheldTasks += isWithheld ? 1 : 0;
+            if (needsIdle && pass.idleReservations < maxIdleReservations) {
+                reserveIdleWorker(step, candidates, pass);
+            }
             continue;
         }
         startTask(step, index, *m_workers.at(best->worker), nextRun(task), pass);
-        best->free -= step.spec->demand;
+        best->free = isSuspect ? Resources{} : best->free - step.spec->demand;
         --best->maxTasks;
     }
     if (!hasUnplacedTasks || !advised) {
@@ -639,8 +701,10 @@
         }
         ++pass.startingGangs;
     }
+    const bool needsIdle = needsIdleWorker(step, 0, now);
     for (const TaskAllocation &allocation : forecast->allocations) {
-        pass.reservations.add(allocation.worker, forecast->start, step.spec->demand * allocation.tasks);
+        const Resources reserved = needsIdle ? m_workers.at(allocation.worker)->info.capacity : step.spec->demand * allocation.tasks;
+        pass.reservations.add(allocation.worker, forecast->start, reserved);
     }
 }
 
@@ -722,8 +786,11 @@
         }
     }
     int live = 0;
-    for (const CellTask &task : step.tasks) {
+    int suspects = 0;
+    for (int i = 0; i < static_cast<int>(step.tasks.size()); ++i) {
+        const CellTask &task = step.tasks[static_cast<std::size_t>(i)];
         live += task.liveRuns;
+        suspects += task.phase == CellTaskPhase::Waiting && step.crashesOf(i).isolation() != RunIsolation::None ? 1 : 0;
     }
     return "step " + TaskRef{step.ref, 0}.text() + " waits for " + std::to_string((now - step.readySince).count()) + " ms: " + std::to_string(step.waiting)
         + " of " + std::to_string(step.spec->count) + " tasks of " + std::to_string(step.spec->demand.cpu.value()) + " millicores, "
@@ -732,6 +799,7 @@
         + std::to_string(valid) + " tickets valid, room for " + std::to_string(fitting) + " tasks"
         + (isWithinWorkspaceMaximum(step, step.spec->gang ? step.spec->count : 1) ? "" : ", workspace at its maximum")
         + (step.withheldTasks > 0 ? ", room for " + std::to_string(step.withheldTasks) + " reserved by other steps" : "")
+        + (suspects > 0 ? ", " + std::to_string(suspects) + " suspected of crashing workers" : "")
         + (step.job->unreconciled ? ", runs of an earlier leader not ruled out" : "")
         + (step.advice.questionInFlight ? ", asking about further workers for " + std::to_string((now - step.advice.questionSince).count()) + " ms" : "")
         + (step.advice.renewalInFlight ? ", renewing tickets for " + std::to_string((now - step.advice.renewalSince).count()) + " ms" : "")
--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -14,6 +14,7 @@
 constexpr Duration minHoldInterval{6}; // Pause between two holds of a worker, so that ends at nearly the same time are read together.
 constexpr Duration pendingEndsHoldInterval{100}; // Pause while ends are unacknowledged, unless the store confirms them earlier.
 constexpr Duration unresponsiveHoldInterval{250}; // Pause between holds of a worker after one of them got no answer.
+constexpr Duration isolatedRunPollTimeout{100}; // Long-poll timeout of a hold on a worker with an isolated run.
 constexpr Duration startRetryInterval{350}; // A start without an answer is retried on a new connection after this time.
 constexpr int maxStartsPerRun = 3; // After this many starts without an answer the run is stopped, which determines whether it exists.
 constexpr Duration unhealthyBackoff{700}; // A worker that reports itself unhealthy gets no new work for this time.
@@ -86,8 +87,41 @@
     }
 }
 
+void CellScheduler::onWorkersCrashed(const CellTime &time)
+{
+    for (const RunOnCrashedWorker &crashed : m_workers.takeRunsOnCrashedWorkers()) {
+        StepInstance *step = m_jobs.findStep(crashed.task.step);
+        if (step == nullptr || crashed.task.index >= static_cast<int>(step->tasks.size())) {
+            continue;
+        }
+        CrashHistory &history = step->crashesOf(crashed.task.index);
+        if (crashed.isRetracted) {
+            history.retract(crashed.number);
+            continue;
+        }
+        if (crashed.mayBeCause) {
+            history.markSuspect();
+        }
+        const bool isGivenUp = m_jobs.onWorkerCrashed(*step, crashed.task.index, crashed.number, crashed.crash, time.now);
+        m_counters.crashSuspicions += crashed.crash.isProven && crashed.mayBeCause ? 1 : 0;
+        log("task " + crashed.task.text() + " run " + std::to_string(crashed.number.value()) + " was on " + crashed.worker.value()
+            + (crashed.crash.isProven ? ", which crashed" : ", which is silent") + " with " + std::to_string(crashed.runsOnWorker) + " runs, "
+            + toString(crashed.crash.timing) + (crashed.crash.wasAlone ? " and without another possible cause" : "")
+            + "; crashes under the task: " + std::to_string(history.crashes().size()) + "; "
+            + (isGivenUp                                       ? "job given up"
+                   : history.isolation() == RunIsolation::None ? "not suspected"
+                                                               : "suspect, next run isolated"));
+        if (isGivenUp) {
+            ++m_counters.givenUp;
+            stopRuns(crashed.task.step.job, time.now);
+            stopGang(*step, time.now);
+        }
+    }
+}
+
 void CellScheduler::onRunEvents(const std::vector<RunEvent> &events, const CellTime &time)
 {
+    onWorkersCrashed(time);
     for (const RunEvent &event : events) {
         m_usage[event.run.workspace] -= event.run.demand;
         JobEntry *entry = m_jobs.find(event.run.task.step.job);
@@ -224,6 +258,7 @@
         return;
     }
     run.isLongRunning = step->spec->longRunning;
+    run.isGangMember = step->spec->gang;
     run.expectedEnd = time.now + step->spec->estimate / 2; // The start time is unknown, so the run is assumed to be halfway through its estimate.
     const CellTask &task = step->tasks[static_cast<std::size_t>(discovered.entry.task.index)];
     const bool wanted = task.phase == CellTaskPhase::Waiting && task.liveRuns == 0 && entry->outcome == CellJobState::Unknown;
@@ -325,7 +360,9 @@
         }
         if (!worker.holdInFlight && worker.nextHold <= time.now) {
             const bool isResponsive = worker.listsRead && worker.unresponsiveSince == TimePoint();
-            orders.holds.push_back(m_workers.createHold(worker, isResponsive ? m_settings.holdPollTimeout : Duration(0), time.now));
+            // Others wait for a worker with an isolated run, so its lists are read as soon as the run can have survived its start.
+            const Duration wait = worker.isolatedRuns > 0 ? isolatedRunPollTimeout : m_settings.holdPollTimeout;
+            orders.holds.push_back(m_workers.createHold(worker, isResponsive ? wait : Duration(0), time.now));
             ++m_counters.holds;
         }
         if (checkRuns) {
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -75,6 +75,8 @@
     std::uint64_t starts = 0;
     std::uint64_t succeeded = 0;
     std::uint64_t failed = 0;
+    std::uint64_t crashSuspicions = 0; ///< Runs that may have caused the crash of their worker.
+    std::uint64_t givenUp = 0; ///< Jobs that failed because one of their tasks crashed its workers.
     std::uint64_t lost = 0;
     std::uint64_t neverRan = 0;
     std::uint64_t otherEnds = 0;
@@ -176,6 +178,8 @@
     [[nodiscard]] bool mayStart(const JobEntry &entry) const;
     [[nodiscard]] RouteRules rulesOf(const RouteName &route) const;
     void onRunEvents(const std::vector<RunEvent> &events, const CellTime &time);
+    /// Counts crashes of workers under the tasks that ran there, and gives up the tasks that have caused them.
+    void onWorkersCrashed(const CellTime &time);
     void onRunEnded(const RunEvent &event, JobEntry &entry, StepInstance *step, const CellTime &time);
     void onDiscoveredRun(const DiscoveredRun &discovered, const CellTime &time);
     void onUnmatchedEnd(const WorkerId &worker, const EndedEntry &end, const CellTime &time);
@@ -215,6 +219,10 @@
     void placeMissingMembers(StepInstance &step, PlacementPass &pass);
     void reserveForGang(StepInstance &step, const std::vector<CandidateWorker> &candidates, PlacementPass &pass);
     void startTask(StepInstance &step, int index, Worker &worker, RunNumber run, PlacementPass &pass);
+    /// Whether the next run of the task may start only on a worker whose other runs, if any, are suspects as well.
+    [[nodiscard]] bool needsIdleWorker(const StepInstance &step, int index, TimePoint now) const;
+    /// Reserves the worker that is the first to have no runs for a task that needs one, so that other tasks do not keep it in use.
+    void reserveIdleWorker(const StepInstance &step, const std::vector<CandidateWorker> &candidates, PlacementPass &pass) const;
     void estimateUnreportedUsage(TimePoint now);
     [[nodiscard]] RunNumber nextRun(const CellTask &task) const;
     [[nodiscard]] std::vector<CandidateWorker> candidatesFor(StepInstance &step, PlacementPass &pass, CandidateSet candidateSet);
--- /dev/null
+++ b/src/cell/crashhistory.cpp
@@ -0,0 +1,84 @@
+// Suspicion and verdict from the crashes under a task.
+#include "crashhistory.h"
+
+#include <algorithm>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr std::ptrdiff_t provenCrashesForVerdict = 2; // A task under which only one worker has crashed is never given up.
+constexpr std::ptrdiff_t crashesForVerdict = 3; // If some of the workers only fell silent.
+// After so many early crashes a task is given up in any case. A crash that happened while no leader watched is not counted, and no task may
+// crash more than five workers.
+constexpr std::size_t maxEarlyCrashes = 4;
+constexpr std::size_t earlyCrashesForIsolation = 2;
+
+} // namespace
+
+const char *toString(CrashTiming timing)
+{
+    switch (timing) {
+    case CrashTiming::AtStart:
+        return "at its start";
+    case CrashTiming::Soon:
+        return "soon after its start";
+    default:
+        return "long after its start";
+    }
+}
+
+bool CrashHistory::add(RunNumber run, const WorkerCrash &crash)
+{
+    const auto [known, isNew] = m_crashes.emplace(run, crash);
+    const bool isProvenNow = !isNew && crash.isProven && !known->second.isProven;
+    known->second.isProven = known->second.isProven || isProvenNow;
+    return isNew || isProvenNow;
+}
+
+void CrashHistory::retract(RunNumber run)
+{
+    const auto known = m_crashes.find(run);
+    if (known != m_crashes.end() && !known->second.isProven) {
+        m_crashes.erase(known);
+    }
+}
+
+void CrashHistory::markSuspect()
+{
+    m_isMarked = true;
+}
+
+std::size_t CrashHistory::earlyCrashes() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_crashes.begin(), m_crashes.end(), [](const auto &entry) { return entry.second.timing != CrashTiming::Late; }));
+}
+
+RunIsolation CrashHistory::isolation() const
+{
+    if (earlyCrashes() >= earlyCrashesForIsolation) {
+        return RunIsolation::UntilEnd;
+    }
+    const bool isAnyAtStart = std::any_of(m_crashes.begin(), m_crashes.end(), [](const auto &entry) { return entry.second.timing == CrashTiming::AtStart; });
+    return m_isMarked || isAnyAtStart ? RunIsolation::UntilSurvived : RunIsolation::None;
+}
+
+bool CrashHistory::isCause() const
+{
+    if (earlyCrashes() >= maxEarlyCrashes) {
+        return true;
+    }
+    const auto isAtStart = [](const auto &entry) { return entry.second.timing == CrashTiming::AtStart; };
+    const auto isProvenAtStart = [&](const auto &entry) { return isAtStart(entry) && entry.second.isProven; };
+    const bool isOften = std::count_if(m_crashes.begin(), m_crashes.end(), isProvenAtStart) >= provenCrashesForVerdict
+        || std::count_if(m_crashes.begin(), m_crashes.end(), isAtStart) >= crashesForVerdict;
+    return isOften && isAtStart(*m_crashes.rbegin()) && m_crashes.rbegin()->second.wasAlone;
+}
+
+const std::map<RunNumber, WorkerCrash> &CrashHistory::crashes() const
+{
+    return m_crashes;
+}
+
+} // namespace KingCupLadder
--- a/src/cell/jobtable.cpp
+++ b/src/cell/jobtable.cpp
@@ -95,6 +95,14 @@
                 entry.anyStarted = true;
             }
         }
+        for (const auto &[index, crashes] : stored.crashes) {
+            if (index >= 0 && index < static_cast<int>(step->tasks.size())) {
+                for (const auto &[run, crash] : crashes) {
+                    step->tasks[static_cast<std::size_t>(index)].crashes.add(run, crash);
+                }
+                entry.anyStarted = true;
+            }
+        }
         for (const auto &[index, runs] : stored.failedRuns) {
             if (index >= 0 && index < static_cast<int>(step->tasks.size())) {
                 step->tasks[static_cast<std::size_t>(index)].failedRuns = runs;
@@ -333,6 +341,22 @@
     }
 }
 
+bool JobTable::onWorkerCrashed(StepInstance &step, int index, RunNumber run, const WorkerCrash &crash, TimePoint now)
+{
+    CrashHistory &crashes = step.crashesOf(index);
+    if (!crashes.add(run, crash)) {
+        return false;
+    }
+    if (crash.isProven) {
+        markDirty(*step.job); // Other crashes are not stored, see progressOf().
+    }
+    if (crashes.isCause() && step.job->outcome == CellJobState::Unknown && !step.isDone()) {
+        finish(*step.job, CellJobState::Failed, now);
+        return true;
+    }
+    return false;
+}
+
 void JobTable::onRunGone(JobEntry &entry, StepInstance *step, int index)
 {
     // A run that was discovered before its job or task was known has not been counted.
@@ -389,7 +413,16 @@
         for (std::size_t i = 0; i < step->tasks.size(); ++i) {
             const CellTask &task = step->tasks[i];
             stored.succeeded.push_back(task.phase == CellTaskPhase::Succeeded);
-            hasProgress = hasProgress || task.phase == CellTaskPhase::Succeeded || !task.failedRuns.empty();
+            std::map<RunNumber, WorkerCrash> crashes;
+            for (const auto &[run, crash] : task.crashes.crashes()) {
+                if (crash.isProven) {
+                    crashes.emplace(run, crash);
+                }
+            }
+            hasProgress = hasProgress || task.phase == CellTaskPhase::Succeeded || !task.failedRuns.empty() || !crashes.empty();
+            if (!crashes.empty()) {
+                stored.crashes[static_cast<int>(i)] = crashes;
+            }
             if (!task.failedRuns.empty()) {
                 stored.failedRuns[static_cast<int>(i)] = task.failedRuns;
             }
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -50,6 +50,7 @@
 struct CellTask {
     CellTaskPhase phase = CellTaskPhase::Waiting;
     std::set<RunNumber> failedRuns; ///< Failed runs of a gang are kept at its first task.
+    CrashHistory crashes; ///< Those of a gang are kept at its first task.
     int liveRuns = 0; ///< Runs that may exist, including obsolete ones. A new run requires zero.
     RunNumber lastRun;
     std::string checkpoint;
@@ -89,6 +90,16 @@
     {
         return succeeded == static_cast<int>(tasks.size());
     }
+
+    /// Crashes under the task, or under the gang to which it belongs.
+    [[nodiscard]] CrashHistory &crashesOf(int index)
+    {
+        return tasks.at(spec->gang ? 0 : static_cast<std::size_t>(index)).crashes;
+    }
+    [[nodiscard]] const CrashHistory &crashesOf(int index) const
+    {
+        return tasks.at(spec->gang ? 0 : static_cast<std::size_t>(index)).crashes;
+    }
 };
 
 /// A job and its scheduling state.
@@ -154,6 +165,8 @@
     void onSucceeded(StepInstance &step, int index, TimePoint now, std::int64_t unixNowMs);
     /// Counts a run that failed; repeated reports of one run have no effect. Returns true if the job fails as a result.
     [[nodiscard]] bool onFailed(StepInstance &step, const EndedEntry &end, const WorkerId &worker, int attempts, TimePoint now);
+    /// Counts a crash of a worker under a run; repeated reports of one run have no effect. Returns true if the job fails as a result.
+    [[nodiscard]] bool onWorkerCrashed(StepInstance &step, int index, RunNumber run, const WorkerCrash &crash, TimePoint now);
     /// A run ended without success or was lost. Keeps its checkpoint for the next run of the task.
     void onInterrupted(StepInstance &step, int index, const std::string &checkpoint, TimePoint now);
     /// A run is known not to exist any more. Called once per run, in addition to one of the functions above. The task waits again
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -2,6 +2,7 @@
 #include "workertable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace KingCupLadder {
 
@@ -11,6 +12,7 @@
 constexpr Duration minRecordedSilence{300}; // A shorter silence is not recorded, since a hold that one connection lost is repeated after 250 ms.
 constexpr std::size_t maxRecordedJobs = 2000; // Keeps the row below the store's 64 KiB; further closed workers are recorded as if any job could run there.
 constexpr Duration registryDelay{500}; // Delay until a change of the registry is read here.
+constexpr Duration maxTimeToExplain{60000}; // A VM that takes longer to come back than this does not prove a crash under the runs that were lost.
 constexpr Duration leaseExpiryMargin{150}; // Allows for timer and scheduling delays with which a worker ends runs whose lease has expired.
 
 /// Extrapolates the progress between the previous report and this one. Estimates of task durations are rough, progress is not.
@@ -24,6 +26,12 @@
     run.expectedEnd = now + passed * (completePercent - percent) / (percent - run.percent);
 }
 
+/// Whether the run has ended with its worker's incarnation: that one listed it, and no start of it can reach the next one.
+bool isLostWithIncarnation(const Run &run)
+{
+    return run.listed && run.startsInFlight == 0 && !run.startUnanswered;
+}
+
 } // namespace
 
 WorkerClock::WorkerClock(double maxDrift) : m_maxDrift(maxDrift) { }
@@ -97,9 +105,22 @@
 {
     std::vector<RunEvent> events;
     std::set<WorkerId> listed;
+    std::map<VmId, WorkerId> latestOnVm;
+    std::map<VmId, WorkerIncarnation> latestIncarnations;
+    for (const WorkerInfo &info : workers) {
+        WorkerIncarnation &latest = latestIncarnations[info.vm];
+        if (!info.vm.isEmpty() && latest < info.incarnation) {
+            latest = info.incarnation;
+            latestOnVm[info.vm] = info.id;
+        }
+    }
+    explainExpiredLeases(workers, now);
     for (const WorkerInfo &info : workers) {
-        listed.insert(info.id);
         Worker &worker = findOrAdd(info.id);
+        if (isReplaced(worker, latestOnVm)) {
+            continue; // Its registry entry has not expired yet.
+        }
+        listed.insert(info.id);
         const bool isNew = worker.info.id.isEmpty();
         if (isNew || worker.info.incarnation < info.incarnation) {
             beginIncarnation(worker, info.incarnation, now, events);
@@ -126,8 +147,13 @@
         // Registry entries expire after three missed heartbeats. If the entry of a draining worker disappears within two heartbeats of its
         // last change, the worker has removed it and left.
         const bool left = worker.registered && worker.info.draining && now - worker.sequenceChangedAt < 2 * m_settings.heartbeat;
+        const bool isDead = isReplaced(worker, latestOnVm);
         worker.registered = false;
-        if (left) {
+        if (isDead) {
+            reportCrash(worker, true);
+            worker.presumedDeadAt = TimePoint();
+        }
+        if (left || isDead) {
             worker.departed = true;
             markRunsLost(worker, events);
         }
@@ -277,9 +303,113 @@
     return m_generation;
 }
 
+bool WorkerTable::isReplaced(const Worker &worker, const std::map<VmId, WorkerId> &latestOnVm) const
+{
+    const auto latest = latestOnVm.find(worker.info.vm);
+    const Worker *successor = latest != latestOnVm.end() && latest->second != worker.info.id ? find(latest->second) : nullptr;
+    const bool isSilent = !worker.listsRead || worker.unresponsiveSince != TimePoint();
+    // The successor has to answer, because the start times of two workers are not reliable if the VM's clock has jumped.
+    return isSilent && successor != nullptr && successor->listsRead && successor->unresponsiveSince == TimePoint();
+}
+
+CrashTiming WorkerTable::timingOf(const Run &run) const
+{
+    if (run.listedFor >= m_settings.soonAfterStart) {
+        return CrashTiming::Late;
+    }
+    return run.confirmedClock != 0 && !run.hasSurvivedStart ? CrashTiming::AtStart : CrashTiming::Soon;
+}
+
+std::vector<RunOnCrashedWorker> WorkerTable::runsOnCrashed(const Worker &worker) const
+{
+    std::vector<RunOnCrashedWorker> crashed;
+    CrashTiming latest = CrashTiming::Late;
+    std::set<std::pair<StepRef, int>> startedLatest; // Tasks, or gangs, with a run of the latest timing.
+    for (const auto &[key, run] : worker.runs) {
+        if (run.phase == RunPhase::Stopping && run.stopConfirmed) {
+            continue;
+        }
+        const CrashTiming timing = timingOf(run);
+        if (latest < timing) {
+            latest = timing;
+            startedLatest.clear();
+        }
+        if (timing == latest) {
+            startedLatest.emplace(run.task.step, run.isGangMember ? 0 : run.task.index);
+        }
+        RunOnCrashedWorker entry;
+        entry.task = run.task;
+        entry.number = run.number;
+        entry.worker = worker.info.id;
+        entry.crash.timing = timing;
+        crashed.push_back(std::move(entry));
+    }
+    for (RunOnCrashedWorker &entry : crashed) {
+        const bool hadOthers =
+            std::any_of(crashed.begin(), crashed.end(), [&](const RunOnCrashedWorker &other) { return !(other.task.step == entry.task.step); });
+        const Run &run = worker.runs.at({entry.task, entry.number});
+        entry.mayBeCause = entry.crash.timing == latest;
+        // An isolated run was started beside runs that had survived their start.
+        const bool isOnlyRun = crashed.size() == 1 || (run.isGangMember && !hadOthers);
+        entry.crash.wasAlone = entry.mayBeCause && startedLatest.size() == 1 && (isOnlyRun || run.isolation != RunIsolation::None);
+        entry.runsOnWorker = crashed.size();
+    }
+    return crashed;
+}
+
+void WorkerTable::reportCrash(const Worker &worker, bool isProven)
+{
+    if (worker.info.draining) {
+        return;
+    }
+    for (RunOnCrashedWorker &entry : runsOnCrashed(worker)) {
+        entry.crash.isProven = isProven;
+        m_runsOnCrashedWorkers.push_back(std::move(entry));
+    }
+}
+
+void WorkerTable::reportRestart(Worker &worker)
+{
+    if (worker.info.draining) {
+        return;
+    }
+    for (RunOnCrashedWorker &entry : runsOnCrashed(worker)) {
+        Run &run = worker.runs.at({entry.task, entry.number});
+        if (isLostWithIncarnation(run)) {
+            m_runsOnCrashedWorkers.push_back(std::move(entry));
+        } else if (!run.pendingCrash) {
+            run.pendingCrash = std::move(entry);
+        }
+    }
+}
+
+void WorkerTable::explainExpiredLeases(const std::vector<WorkerInfo> &workers, TimePoint now)
+{
+    for (const WorkerInfo &info : workers) {
+        for (auto expired = m_expiredLeases.begin(); expired != m_expiredLeases.end();) {
+            const bool isSameVm = expired->first == info.id || (!info.vm.isEmpty() && expired->second.vm == info.vm);
+            const bool isExplained = isSameVm && expired->second.incarnation < info.incarnation;
+            if (isExplained) {
+                for (RunOnCrashedWorker &entry : expired->second.runs) {
+                    entry.crash.isProven = true;
+                    m_runsOnCrashedWorkers.push_back(std::move(entry));
+                }
+            }
+            const bool isOver = isExplained || now - expired->second.at > maxTimeToExplain;
+            expired = isOver ? m_expiredLeases.erase(expired) : std::next(expired);
+        }
+    }
+}
+
+std::vector<RunOnCrashedWorker> WorkerTable::takeRunsOnCrashedWorkers()
+{
+    return std::exchange(m_runsOnCrashedWorkers, {});
+}
+
 void WorkerTable::beginIncarnation(Worker &worker, WorkerIncarnation incarnation, TimePoint now, std::vector<RunEvent> &events)
 {
     if (worker.info.incarnation != WorkerIncarnation()) {
+        reportRestart(worker);
         worker.presumedDeadAt = TimePoint(); // Runs of previous leaders ended with the previous incarnation.
     }
     // A run that the previous incarnation listed, and of which no start is unanswered, is lost. Any other run may exist in the new
@@ -287,7 +417,7 @@
     // a stop order determines whether it exists.
     for (auto run = worker.runs.begin(); run != worker.runs.end();) {
         const auto next = std::next(run);
-        if (run->second.listed && run->second.startsInFlight == 0 && !run->second.startUnanswered) {
+        if (isLostWithIncarnation(run->second)) {
             events.push_back(removeRun(worker, run, RunEvent::Kind::Lost));
         } else {
             run->second.phase = RunPhase::Stopping;
@@ -313,12 +443,16 @@
 
 RunEvent WorkerTable::removeRun(Worker &worker, std::map<RunKey, Run>::iterator run, RunEvent::Kind kind)
 {
+    if (run->second.pendingCrash && kind != RunEvent::Kind::Ended) {
+        m_runsOnCrashedWorkers.push_back(std::move(*run->second.pendingCrash));
+    }
     RunEvent event;
     event.kind = kind;
     event.run = std::move(run->second);
     event.worker = worker.info.id;
     worker.allocated -= event.run.demand;
     worker.runsOfUnknownDemand -= event.run.isDemandKnown ? 0 : 1;
+    worker.isolatedRuns -= event.run.isIsolated() ? 1 : 0;
     decrementRunCount(worker, event.run.task.step.job);
     worker.availabilityGeneration = ++m_generation;
     worker.runs.erase(run);
@@ -348,6 +482,7 @@
     added.startsInFlight = 1;
     added.order = order;
     worker.allocated += added.demand;
+    worker.isolatedRuns += added.isIsolated() ? 1 : 0;
     incrementRunCount(worker, run.task.step.job);
     worker.runs[{run.task, run.number}] = added;
     return order;
@@ -393,6 +528,9 @@
         return events;
     }
     if (answer.outcome == OrderOutcome::Done) {
+        if (run.confirmedClock == 0) {
+            run.confirmedClock = answer.clock;
+        }
         if (run.phase == RunPhase::Starting) {
             run.phase = RunPhase::Running;
             run.confirmedAt = now;
@@ -499,6 +637,15 @@
     if (worker->info.incarnation < reply->incarnation) {
         beginIncarnation(*worker, reply->incarnation, now, events);
     }
+    const auto expired = m_expiredLeases.find(order.worker);
+    if (expired != m_expiredLeases.end() && expired->second.incarnation == reply->incarnation) {
+        // The worker was cut off; it has not crashed.
+        for (RunOnCrashedWorker &entry : expired->second.runs) {
+            entry.isRetracted = true;
+            m_runsOnCrashedWorkers.push_back(std::move(entry));
+        }
+        m_expiredLeases.erase(expired);
+    }
     worker->clock.observe(reply->clock, now);
     worker->lastAnswer = now;
     worker->unresponsiveSince = TimePoint();
@@ -554,6 +701,19 @@
             run.percentChangedAt = now;
         }
         run.listed = true;
+        run.pendingCrash.reset();
+        if (run.confirmedClock == 0) {
+            run.confirmedClock = reply.clock;
+        }
+        run.listedFor = Duration(reply.clock - run.confirmedClock);
+        if (!run.hasSurvivedStart && run.listedFor >= m_settings.startSurvival) {
+            worker.isolatedRuns -= run.isIsolated() ? 1 : 0;
+            run.hasSurvivedStart = true;
+            worker.isolatedRuns += run.isIsolated() ? 1 : 0;
+            if (run.isolation == RunIsolation::UntilSurvived) {
+                worker.availabilityGeneration = ++m_generation;
+            }
+        }
         run.percent = entry.percent;
         run.load = entry.load;
         run.checkpoint = entry.checkpoint;
@@ -585,6 +745,10 @@
     std::vector<RunEvent> events;
     for (auto &[id, worker] : m_workers) {
         if (!worker.runs.empty() && now - worker.lastAnswer > m_settings.unresponsiveAfter && haveLeasesExpired(worker, now)) {
+            if (!worker.info.draining) {
+                m_expiredLeases[id] = ExpiredLeases{worker.info.vm, worker.info.incarnation, now, runsOnCrashed(worker)};
+            }
+            reportCrash(worker, false);
             markRunsLost(worker, events);
         }
     }
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "celljob.h"
+#include "crashhistory.h"
 #include "workerprotocol.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -24,6 +26,9 @@
     Duration startValidity{2000}; ///< A start order that arrives later than this after it was sent has no effect.
     Duration unresponsiveAfter{1500}; ///< A worker gets no new work after this time without an answer.
     Duration heartbeat{1500}; ///< Interval at which workers renew their registry entries.
+    /// A run that is still listed so long after its start has not crashed its worker by starting.
+    Duration startSurvival{200};
+    Duration soonAfterStart{1000}; ///< A crash within this time after the start of a run counts against its task.
 };
 
 /// Estimates the clock of one incarnation of a worker from its answers. The estimate is never ahead of the worker's clock.
@@ -50,18 +55,36 @@
     Stopping, ///< A stop is due or sent. The run is kept until its end is reported or it is known not to exist.
 };
 
+/// A run that may have existed on a worker when the worker crashed or fell silent.
+struct RunOnCrashedWorker {
+    TaskRef task;
+    RunNumber number;
+    WorkerId worker;
+    WorkerCrash crash;
+    bool isRetracted = false; ///< The worker has answered again: it was cut off.
+    bool mayBeCause = false; ///< None of the worker's runs had been started later.
+    std::size_t runsOnWorker = 0;
+};
+
 /// One run of one task on one worker.
 struct Run {
     TaskRef task;
     RunNumber number;
     Resources demand; ///< Zero if unknown.
     bool isDemandKnown = true;
+    bool isGangMember = false;
     WorkspaceId workspace;
     RunPhase phase = RunPhase::Starting;
     StartOrder order; ///< Kept for retries; empty for a run that was discovered on the worker.
     int startsSent = 0;
     int startsInFlight = 0; ///< Starts that have neither been answered nor timed out; at most startsSent.
     bool listed = false; ///< The worker has listed the run in this incarnation.
+    WorkerClockMs confirmedClock = 0; ///< The worker's clock when it confirmed or first listed the run; 0: not yet.
+    Duration listedFor{0}; ///< Time on the worker's clock from the confirmation of the run until the worker last listed it.
+    bool hasSurvivedStart = false; ///< listedFor has reached WorkerTableSettings::startSurvival.
+    RunIsolation isolation = RunIsolation::None;
+    /// The run may have existed in an earlier incarnation, which crashed. Reported unless the present incarnation turns out to have the run.
+    std::optional<RunOnCrashedWorker> pendingCrash;
     bool startUnanswered = false; ///< A start got no answer and may still take effect.
     TimePoint sentAt;
     TimePoint confirmedAt; ///< When the worker confirmed the start or, while stopping, the stop.
@@ -74,6 +97,12 @@
     int load = 0;
     std::string checkpoint;
     TimePoint percentChangedAt; ///< When percent last changed.
+
+    /// Whether no other run may be started on the worker now.
+    [[nodiscard]] bool isIsolated() const
+    {
+        return isolation == RunIsolation::UntilEnd || (isolation == RunIsolation::UntilSurvived && !hasSurvivedStart);
+    }
 };
 
 using RunKey = std::pair<TaskRef, RunNumber>;
@@ -120,6 +149,7 @@
     std::map<RunKey, Run> runs;
     Resources allocated; ///< Total demand of the runs.
     int runsOfUnknownDemand = 0; ///< The worker gets no new work while there are any.
+    int isolatedRuns = 0; ///< Runs for which Run::isIsolated(). The worker gets no new work while there are any.
     TimePoint sequenceChangedAt; ///< When the sequence number in the registry last changed.
     TimePoint expectedDeparture; ///< While draining: the worker may be gone from then on.
     TimePoint blockedUntil; ///< The worker gets no new work until then.
@@ -129,9 +159,15 @@
     std::uint64_t availabilityGeneration = 1; ///< WorkerTable::generation() when free capacity last grew or the worker last became usable.
     bool wasUsable = false; ///< Result of isUsable() at the last call of updateUsability().
 
+    /// Whether a run that needs isolation may start: the other runs, if any, are suspects too and have survived their start.
+    [[nodiscard]] bool isFitForIsolation() const
+    {
+        return isolatedRuns == 0 && std::all_of(runs.begin(), runs.end(), [](const auto &entry) { return entry.second.isolation != RunIsolation::None; });
+    }
+
     [[nodiscard]] Resources free() const
     {
-        return runsOfUnknownDemand > 0 ? Resources{} : info.capacity - allocated;
+        return runsOfUnknownDemand > 0 || isolatedRuns > 0 ? Resources{} : info.capacity - allocated;
     }
 };
 
@@ -217,6 +253,8 @@
     Run &adopt(Worker &worker, const RunningEntry &entry, const std::optional<Resources> &demand, const WorkspaceId &workspace, TimePoint now);
     /// Removes a run that is proven not to run and returns its outcome.
     [[nodiscard]] RunEvent removeRun(Worker &worker, std::map<RunKey, Run>::iterator run, RunEvent::Kind kind);
+    /// Returns the runs on workers that have crashed since the last call. The runs themselves are settled by other events.
+    [[nodiscard]] std::vector<RunOnCrashedWorker> takeRunsOnCrashedWorkers();
     /// Advances Worker::acknowledged past the ends whose effects are stored.
     void advanceAcknowledged(Worker &worker, const std::function<bool(const UnacknowledgedEnd &)> &isStored);
     /// The jobs of previous leaders of which runs may exist on workers that have not answered this leader; empty: any job.
@@ -228,6 +266,16 @@
 private:
     void beginIncarnation(Worker &worker, WorkerIncarnation incarnation, TimePoint now, std::vector<RunEvent> &events);
     void markRunsLost(Worker &worker, std::vector<RunEvent> &events);
+    /// Whether another worker has started on the worker's VM and answers, and the worker itself does not.
+    [[nodiscard]] bool isReplaced(const Worker &worker, const std::map<VmId, WorkerId> &latestOnVm) const;
+    /// Reports the worker's runs as runs under which it has crashed, unless it was about to leave anyway.
+    void reportCrash(const Worker &worker, bool isProven);
+    /// As reportCrash(), for a worker that is back under its id. A run that may exist in the new incarnation is reported once it is settled.
+    void reportRestart(Worker &worker);
+    /// Reports the runs of workers whose leases have expired as soon as their VM runs a new worker process.
+    void explainExpiredLeases(const std::vector<WorkerInfo> &workers, TimePoint now);
+    [[nodiscard]] std::vector<RunOnCrashedWorker> runsOnCrashed(const Worker &worker) const;
+    [[nodiscard]] CrashTiming timingOf(const Run &run) const;
     void readEnds(Worker &worker, const HoldReply &reply, std::vector<RunEvent> &events, std::vector<EndedEntry> &unmatchedEnds);
     void
     readRunning(Worker &worker, const HoldReply &reply, TimePoint sent, TimePoint now, std::vector<RunEvent> &events, std::vector<DiscoveredRun> &discovered);
@@ -250,6 +298,15 @@
     std::vector<Worker *> m_byIndex; ///< Points into m_workers; null for removed workers.
     std::uint64_t m_generation = 1;
     bool m_forgotWorker = false; ///< A worker was removed since records were last made.
+    std::vector<RunOnCrashedWorker> m_runsOnCrashedWorkers; ///< Not yet taken.
+    /// Runs that were lost by the expiry of their leases.
+    struct ExpiredLeases {
+        VmId vm;
+        WorkerIncarnation incarnation;
+        TimePoint at;
+        std::vector<RunOnCrashedWorker> runs;
+    };
+    std::map<WorkerId, ExpiredLeases> m_expiredLeases; ///< Of workers that have been silent since.
 };
 
 } // namespace KingCupLadder
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -412,6 +412,8 @@
     add("task_ends_total", "end=\"lost\"", cell.lost);
     add("task_ends_total", "end=\"never ran\"", cell.neverRan);
     add("task_ends_total", "end=\"other\"", cell.otherEnds);
+    add("crash_suspicions_total", "", cell.crashSuspicions);
+    add("jobs_given_up_total", "", cell.givenUp);
     add("worker_stops_total", "", cell.stops);
     add("worker_holds_total", "", cell.holds);
     add("advice_calls_total", "", cell.adviceCalls);
--- a/src/node/rowcodec.cpp
+++ b/src/node/rowcodec.cpp
@@ -145,6 +145,15 @@
         stored->set_step(static_cast<std::uint32_t>(key.second));
         stored->set_succeeded(packBits(step.succeeded));
         stored->set_gang_checkpoint(step.gangCheckpoint);
+        for (const auto &[task, crashes] : step.crashes) {
+            CellWire::TaskCrashes *taskCrashes = stored->add_crashes();
+            taskCrashes->set_task(static_cast<std::uint32_t>(task));
+            for (const auto &[run, crash] : crashes) {
+                taskCrashes->add_runs(run.value());
+                taskCrashes->add_timings(static_cast<std::uint32_t>(crash.timing));
+                taskCrashes->add_alone(crash.wasAlone);
+            }
+        }
         for (const auto &[task, runs] : step.failedRuns) {
             CellWire::TaskFailures *failures = stored->add_failures();
             failures->set_task(static_cast<std::uint32_t>(task));
@@ -183,6 +192,12 @@
                 step.failedRuns[static_cast<int>(failures.task())].insert(RunNumber(run));
             }
         }
+        for (const CellWire::TaskCrashes &taskCrashes : stored.crashes()) {
+            for (int i = 0; i < std::min({taskCrashes.runs_size(), taskCrashes.timings_size(), taskCrashes.alone_size()}); ++i) {
+                const auto timing = static_cast<CrashTiming>(std::min(taskCrashes.timings(i), static_cast<std::uint32_t>(CrashTiming::AtStart)));
+                step.crashes[static_cast<int>(taskCrashes.task())][RunNumber(taskCrashes.runs(i))] = WorkerCrash{timing, taskCrashes.alone(i), true};
+            }
+        }
         progress.steps[{static_cast<int>(stored.occurrence()), static_cast<int>(stored.step())}] = std::move(step);
     }
     return progress;
