Add a soak test with tasks that crash their workers

CrashSoak plays one seed with deadly tasks and shrinking capacities; LADDER_SOAK_CRASHES=1 adds them to FaultSoak, which is otherwise as it was. A run in which no worker crashed under a task counts as failed.

--- a/test/platform/soak/testsoak.cpp
+++ b/test/platform/soak/testsoak.cpp
@@ -20,23 +20,26 @@
 }
 
 /// Runs one soak. Returns an empty text on success, otherwise the violations and the faults that were injected.
-std::string runSoak(std::uint64_t seed)
+std::string runSoak(std::uint64_t seed, bool playsCrashes)
 {
     const char *build = std::getenv("LADDER_BUILD_DIR");
     SoakSettings settings;
     settings.seed = seed;
     settings.workers = seed % 4 == 3 ? 110 : 12; // In a large cell, some members relay the leader's calls.
     settings.programPath = std::string(build != nullptr ? build : "build") + "/platform/kingcupladder-node";
-    settings.directory = std::string(build != nullptr ? build : "build") + "/soak-" + std::to_string(seed);
+    settings.directory = std::string(build != nullptr ? build : "build") + (playsCrashes ? "/soak-crashes-" : "/soak-") + std::to_string(seed);
+    settings.playsCrashes = playsCrashes;
     std::filesystem::remove_all(settings.directory);
     const SoakReport report = Soak(settings).run();
     std::cout << "seed " << seed << ": " << report.admitted << " jobs admitted, " << report.succeeded << " succeeded, " << report.starts << " starts, "
-              << report.faults.size() << " faults, " << report.violations.size() << " violations\n";
-    if (report.violations.empty() && report.admitted > 0) {
+              << report.faults.size() << " faults, " << report.crashes << " crashes under tasks, " << report.violations.size() << " violations\n";
+    const bool isVacuous = report.admitted == 0 || (playsCrashes && report.crashes == 0);
+    if (report.violations.empty() && !isVacuous) {
         std::filesystem::remove_all(settings.directory);
         return {};
     }
-    std::string text = "seed " + std::to_string(seed) + ", logs in " + settings.directory + (report.admitted == 0 ? ": no job was admitted" : "") + "\n";
+    std::string text =
+        "seed " + std::to_string(seed) + ", logs in " + settings.directory + (isVacuous ? ": no job was admitted or no worker crashed" : "") + "\n";
     for (const std::string &violation : report.violations) {
         text += "  " + violation + "\n";
     }
@@ -46,6 +49,17 @@
     return text;
 }
 
+/// Runs the seeds that the environment names.
+std::string runSeeds(bool playsCrashes)
+{
+    const std::uint64_t first = numberFromEnvironment("LADDER_SOAK_SEED", 1);
+    std::string failures;
+    for (std::uint64_t seed = first; seed < first + numberFromEnvironment("LADDER_SOAK_RUNS", 1); ++seed) {
+        failures += runSoak(seed, playsCrashes);
+    }
+    return failures;
+}
+
 } // namespace
 
 TEST_GROUP(FaultSoak){};
@@ -53,10 +67,14 @@
 // Guards against guarantees that are violated only by certain sequences of faults in several processes.
 TEST(FaultSoak, KeepsItsGuaranteesWhileProcessesLinksAndStoreFail)
 {
-    const std::uint64_t first = numberFromEnvironment("LADDER_SOAK_SEED", 1);
-    std::string failures;
-    for (std::uint64_t seed = first; seed < first + numberFromEnvironment("LADDER_SOAK_RUNS", 1); ++seed) {
-        failures += runSoak(seed);
-    }
-    STRCMP_EQUAL("", failures.c_str());
+    STRCMP_EQUAL("", runSeeds(numberFromEnvironment("LADDER_SOAK_CRASHES", 0) != 0).c_str());
+}
+
+TEST_GROUP(CrashSoak){};
+
+// Guards against a scheduler that starts a task which crashes its workers again and again, gives up other jobs instead, or fills a worker
+// beyond a capacity that has shrunk.
+TEST(CrashSoak, KeepsItsGuaranteesWhileTasksCrashTheirWorkersAndCapacitiesShrink)
+{
+    STRCMP_EQUAL("", runSeeds(true).c_str());
 }
