Repeat cancellations in the fault soak until they are confirmed

Callers now repeat a cancellation until they get 2xx or 410, and the limit of 6 s counts from that answer. So each cancellation is still checked, and those that a link loses are now checked too; jobs ended in the soak within a few seconds, which had hidden the false alarm.

--- a/test/platform/soak/guaranteechecker.cpp
+++ b/test/platform/soak/guaranteechecker.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr Duration maxStartDelayAfterCancel{6000}; // Afterwards, no task of a cancelled job may start.
+constexpr Duration maxStartDelayAfterCancel{6000}; // This long after the confirmation of a cancellation, no task of the job may start.
 constexpr Duration maxVisibilityDelay{3000}; // By then, every daemon must report an admitted job.
 constexpr Duration shrinkGrace = soakContact + soakHeartbeat; // Until then, the capacity before a worker's shrinking counts.
 constexpr int crashesToGiveUp = 2; // A job may be given up after this many crashes under one of its tasks.
@@ -44,7 +44,13 @@
 
 void GuaranteeChecker::recordCancelled(const JobId &id)
 {
-    m_jobs.at(id).cancelledAt = m_loop.now();
+    JobRecord &record = m_jobs.at(id);
+    record.cancelledAt = record.cancelledAt == TimePoint() ? m_loop.now() : record.cancelledAt;
+}
+
+void GuaranteeChecker::recordCancelAcknowledged(const JobId &id)
+{
+    m_jobs.at(id).cancelAcknowledgedAt = m_loop.now();
 }
 
 void GuaranteeChecker::recordObservedState(const JobId &id, const std::string &state, TimePoint requestedAt)
@@ -135,7 +141,7 @@
     if (m_acknowledgedTasks.count(order.task) > 0) {
         reportViolation(task + " started after its success was acknowledged");
     }
-    if (record.cancelledAt != TimePoint() && m_loop.now() - record.cancelledAt > maxStartDelayAfterCancel) {
+    if (record.cancelAcknowledgedAt != TimePoint() && m_loop.now() - record.cancelAcknowledgedAt > maxStartDelayAfterCancel) {
         reportViolation(task + " started too long after the job's cancellation");
     }
     for (const int dependency : step->after) {
--- a/test/platform/soak/guaranteechecker.h
+++ b/test/platform/soak/guaranteechecker.h
@@ -30,7 +30,10 @@
     /// Records the outcome of one attempt. @p refused: the response said that the job was not admitted.
     void recordAttemptOutcome(const JobId &id, bool refused);
     void recordAdmitted(const JobId &id);
+    /// Called before a caller sends the cancellation: from now on, the job may be cancelled.
     void recordCancelled(const JobId &id);
+    /// Called when a caller has got the confirmation: from now on, the job must be cancelled.
+    void recordCancelAcknowledged(const JobId &id);
     /// Records a state that a caller got in response to a request sent at @p requestedAt.
     void recordObservedState(const JobId &id, const std::string &state, TimePoint requestedAt);
     /// @p inTouch: the daemon that sent the order was not disturbed lately.
@@ -64,7 +67,8 @@
         TimePoint firstAdmittedAt; ///< When a caller first got the confirmation.
         bool hasAttemptWithUnknownOutcome = false; ///< After at least one attempt, the job may have been stored or not.
         int pendingAttempts = 0;
-        TimePoint cancelledAt;
+        TimePoint cancelledAt; ///< When a caller first sent the cancellation.
+        TimePoint cancelAcknowledgedAt; ///< Not before cancelledAt.
         bool isEnded = false; ///< A caller got a final state.
         TimePoint endFirstObservedAt; ///< When a caller first got a final state.
         std::map<int, std::set<int>> succeededTasks; ///< Tasks that ended successfully, by step.
--- a/test/platform/soak/soak.cpp
+++ b/test/platform/soak/soak.cpp
@@ -19,9 +19,11 @@
 constexpr Duration queryInterval{25};
 constexpr Duration startupTime{2500}; // Time to elect a leader and read the configuration.
 constexpr int maxSubmitAttempts = 5;
+constexpr Duration cancelRetryInterval{500}; // Callers repeat a cancellation until it is confirmed.
 constexpr std::uint64_t jobsPerDeadlyJob = 50; // Two crashes per deadly job take about a fifth of twelve workers away.
 constexpr std::size_t minWorkersForRelays = 100; // In such a cell, any daemon may send the orders of the leader.
 const char storeMachine[] = "store"; // Name of the store among the disturbed machines.
+constexpr int httpGone = 410;
 const char host[] = "desk.example";
 const char key[] = "soak-key";
 
@@ -189,7 +191,7 @@
         }
         if (result.response.status == httpOk) {
             m_checker.recordObservedState(id, textOf(member(parseJson(result.response.body).value_or(nlohmann::json()), "state")), requestedAt);
-        } else if (result.response.status == 410) {
+        } else if (result.response.status == httpGone) {
             m_checker.recordObservedState(id, std::string(), requestedAt);
         }
     });
@@ -203,7 +205,14 @@
     request.headers = {{"Authorization", std::string("Bearer ") + key}, {"Host", host}};
     request.timeout = callerTimeout;
     m_checker.recordCancelled(id); // Recorded first, since the cancellation may take effect without a response.
-    (void)m_clients->pool(randomCallerAddress()).send(request, [](const ClientResult &) {});
+    (void)m_clients->pool(randomCallerAddress()).send(request, [this, id](const ClientResult &result) {
+        const int status = result.kind == ClientResult::Kind::Answered ? result.response.status : 0;
+        if ((status >= httpOk && status < 300) || status == httpGone) {
+            m_checker.recordCancelAcknowledged(id);
+        } else {
+            m_delayedCalls->after(cancelRetryInterval, [this, id] { cancelJob(id); });
+        }
+    });
 }
 
 void Soak::recordDisturbance(const std::string &machine, Duration length)
