--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -75,7 +75,7 @@
     std::uint64_t starts = 0;
     std::uint64_t succeeded = 0;
     std::uint64_t failed = 0;
-    std::uint64_t crashSuspicions = 0; ///< Runs that may have caused the crash of their worker.
+    std::uint64_t crashSuspicions = 0; ///< Runs that may have caused the proven crash of their worker.
     std::uint64_t givenUp = 0; ///< Jobs that failed because one of their tasks crashed its workers.
     std::uint64_t lost = 0;
     std::uint64_t neverRan = 0;
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -62,8 +62,8 @@
     WorkerId worker;
     WorkerCrash crash;
     bool isRetracted = false; ///< The worker has answered again: it was cut off.
-    bool mayBeCause = false; ///< None of the worker's runs had been started later.
-    std::size_t runsOnWorker = 0;
+    bool mayBeCause = false; ///< The run was started soon before, and none of the worker's runs is a more probable cause.
+    std::size_t runsOnWorker = 0; ///< Including this one.
 };
 
 /// One run of one task on one worker.
