Count each crash of a worker under every deadly task that it runs in the soak

Traced: its deadly task and that of job 51 had both just been started on w11 when the latter crashed it; then its own next run crashed w7, alone. So two workers had crashed under it, and the rule allows giving it up. The checker counted a crash only for the task that triggered it. It now counts it for every deadly task that the worker runs. The limit for giving up stays at two; the check of starts after three crashes becomes stricter. Jobs without a deadly task may still never fail.

--- a/test/platform/soak/fakeplatform.cpp
+++ b/test/platform/soak/fakeplatform.cpp
@@ -224,7 +224,11 @@
 void FakeWorkerServers::crash(std::size_t worker, const TaskRef &task)
 {
     Server &server = *m_servers.at(worker);
-    m_checker.recordCrash(task);
+    for (const auto &[running, run] : server.worker.running) {
+        if (m_checker.isDeadly(running)) {
+            m_checker.recordCrash(running); // Also a deadly task whose own delay has not passed loses its worker.
+        }
+    }
     onCrash("worker " + server.worker.info.id.value() + " crashes under " + task.text());
     restart(worker);
     server.crashedAt = m_loop.now();
