--- a/src/cell/cellscheduler_p.h
+++ b/src/cell/cellscheduler_p.h
@@ -19,6 +19,8 @@
 
 /// Remaining ticket validity required for a start, which must reach the worker before the ticket expires.
 constexpr Duration ticketMargin{60};
+/// Interval at which steps are reconsidered even if nothing changed on their workers.
+constexpr Duration fullPassInterval{50};
 /// Sort key of starving steps: before every route's priority.
 constexpr int starvingTier = -1;
 /// Maximum number of workers in one call to the policy service.
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -2,7 +2,6 @@
 #include "workertable.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace KingCupLadder {
 
@@ -12,7 +11,6 @@
 constexpr Duration minRecordedSilence{300}; // A shorter silence is not recorded, since a hold that one connection lost is repeated after 250 ms.
 constexpr std::size_t maxRecordedJobs = 2000; // Keeps the row below the store's 64 KiB; further closed workers are recorded as if any job could run there.
 constexpr Duration registryDelay{500}; // Delay until a change of the registry is read here.
-constexpr Duration maxTimeToExplain{60000}; // A VM that takes longer to come back than this does not prove a crash under the runs that were lost.
 constexpr Duration leaseExpiryMargin{150}; // Allows for timer and scheduling delays with which a worker ends runs whose lease has expired.
 
 /// Extrapolates the progress between the previous report and this one. Estimates of task durations are rough, progress is not.
@@ -26,12 +24,6 @@
     run.expectedEnd = now + passed * (completePercent - percent) / (percent - run.percent);
 }
 
-/// Whether the run has ended with its worker's incarnation: that one listed it, and no start of it can reach the next one.
-bool isLostWithIncarnation(const Run &run)
-{
-    return run.listed && run.startsInFlight == 0 && !run.startUnanswered;
-}
-
 } // namespace
 
 WorkerClock::WorkerClock(double maxDrift) : m_maxDrift(maxDrift) { }
@@ -310,110 +302,6 @@
     return m_generation;
 }
 
-bool WorkerTable::isReplaced(const Worker &worker, const std::map<VmId, WorkerId> &latestOnVm) const
-{
-    const auto latest = latestOnVm.find(worker.info.vm);
-    const bool isSilent = !worker.listsRead || worker.unresponsiveSince != TimePoint();
-    // The successor has to answer, because the start times of two workers are not reliable if the VM's clock has jumped.
-    return isSilent && latest != latestOnVm.end() && latest->second != worker.info.id && isAnswering(latest->second);
-}
-
-bool WorkerTable::isAnswering(const WorkerId &id) const
-{
-    const Worker *worker = find(id);
-    return worker != nullptr && worker->listsRead && worker->unresponsiveSince == TimePoint();
-}
-
-CrashTiming WorkerTable::timingOf(const Worker &worker, const Run &run) const
-{
-    const Duration survived = run.confirmedClock == 0 ? Duration(0) : Duration(worker.latestClock - run.confirmedClock);
-    if (survived >= m_settings.soonAfterStart) {
-        return CrashTiming::Late;
-    }
-    return run.confirmedClock != 0 && survived < m_settings.startSurvival ? CrashTiming::AtStart : CrashTiming::Soon;
-}
-
-std::vector<RunOnCrashedWorker> WorkerTable::runsOnCrashed(const Worker &worker) const
-{
-    std::vector<RunOnCrashedWorker> crashed;
-    CrashTiming latest = CrashTiming::Late;
-    for (const auto &[key, run] : worker.runs) {
-        // Only a stop of an unconfirmed run shows that the run did not exist: others may be confirmed by the next incarnation.
-        if (run.phase == RunPhase::Stopping && run.stopConfirmed && run.confirmedClock == 0) {
-            continue;
-        }
-        const CrashTiming timing = timingOf(worker, run);
-        latest = std::max(latest, timing);
-        RunOnCrashedWorker entry;
-        entry.task = run.task;
-        entry.number = run.number;
-        entry.worker = worker.info.id;
-        entry.crash.timing = timing;
-        crashed.push_back(std::move(entry));
-    }
-    for (RunOnCrashedWorker &entry : crashed) {
-        const bool hadOthers =
-            std::any_of(crashed.begin(), crashed.end(), [&](const RunOnCrashedWorker &other) { return !(other.task.step == entry.task.step); });
-        const Run &run = worker.runs.at({entry.task, entry.number});
-        entry.mayBeCause = entry.crash.timing == latest && latest != CrashTiming::Late;
-        if (entry.crash.timing == CrashTiming::Soon && latest == CrashTiming::AtStart && run.confirmedClock != 0) {
-            entry.crash.timing = CrashTiming::Late; // Beside a run that had just been started it is not the cause.
-        }
-        entry.crash.wasAlone = crashed.size() == 1 || (run.isGangMember && !hadOthers);
-        entry.runsOnWorker = crashed.size();
-    }
-    return crashed;
-}
-
-void WorkerTable::reportCrash(const Worker &worker, bool isProven)
-{
-    if (worker.info.draining) {
-        return;
-    }
-    for (RunOnCrashedWorker &entry : runsOnCrashed(worker)) {
-        entry.crash.isProven = isProven;
-        m_runsOnCrashedWorkers.push_back(std::move(entry));
-    }
-}
-
-void WorkerTable::reportRestart(Worker &worker)
-{
-    if (worker.info.draining) {
-        return;
-    }
-    for (RunOnCrashedWorker &entry : runsOnCrashed(worker)) {
-        Run &run = worker.runs.at({entry.task, entry.number});
-        if (isLostWithIncarnation(run)) {
-            m_runsOnCrashedWorkers.push_back(std::move(entry));
-        } else if (!run.pendingCrash) {
-            run.pendingCrash = std::move(entry);
-        }
-    }
-}
-
-void WorkerTable::explainExpiredLeases(const std::vector<WorkerInfo> &workers, TimePoint now)
-{
-    for (const WorkerInfo &info : workers) {
-        for (auto expired = m_expiredLeases.begin(); expired != m_expiredLeases.end();) {
-            const bool isSameVm = expired->first == info.id || (!info.vm.isEmpty() && expired->second.vm == info.vm);
-            const bool isExplained = isSameVm && expired->second.incarnation < info.incarnation;
-            if (isExplained) {
-                for (RunOnCrashedWorker &entry : expired->second.runs) {
-                    entry.crash.isProven = true;
-                    m_runsOnCrashedWorkers.push_back(std::move(entry));
-                }
-            }
-            const bool isOver = isExplained || now - expired->second.at > maxTimeToExplain;
-            expired = isOver ? m_expiredLeases.erase(expired) : std::next(expired);
-        }
-    }
-}
-
-std::vector<RunOnCrashedWorker> WorkerTable::takeRunsOnCrashedWorkers()
-{
-    return std::exchange(m_runsOnCrashedWorkers, {});
-}
-
 void WorkerTable::beginIncarnation(Worker &worker, WorkerIncarnation incarnation, TimePoint now, std::vector<RunEvent> &events)
 {
     if (worker.info.incarnation != WorkerIncarnation()) {
@@ -425,7 +313,7 @@
     // a stop order determines whether it exists.
     for (auto run = worker.runs.begin(); run != worker.runs.end();) {
         const auto next = std::next(run);
-        if (isLostWithIncarnation(run->second)) {
+        if (run->second.isLostWithIncarnation()) {
             events.push_back(removeRun(worker, run, RunEvent::Kind::Lost));
         } else {
             run->second.phase = RunPhase::Stopping;
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -96,6 +96,12 @@
     int load = 0;
     std::string checkpoint;
     TimePoint percentChangedAt; ///< When percent last changed.
+
+    /// Whether the run has ended with its worker's incarnation: that one listed it, and no start of it can reach the next one.
+    [[nodiscard]] bool isLostWithIncarnation() const
+    {
+        return listed && startsInFlight == 0 && !startUnanswered;
+    }
 };
 
 using RunKey = std::pair<TaskRef, RunNumber>;
