--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -1,6 +1,5 @@
 // Jobs, admission and housekeeping of CellScheduler. Workers' answers are handled in cellruns.cpp, placement in cellplacement.cpp, steps that
-// wait for long in cellstarvation.cpp and
-// calls to the policy service in celladvice.cpp.
+// wait for long in cellstarvation.cpp and calls to the policy service in celladvice.cpp.
 #include "cellscheduler_p.h"
 
 #include <algorithm>
