--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -28,8 +28,8 @@
                                                                                {"clock-step", playClockStep},
                                                                                {"removed-route", playRemovedRoute},
                                                                                {"crashes", playCrashes},
-                                                                               {"late-config", playLateConfig},
-                                                                               {"recurring", playRecurring}};
+                                                                               {"recurring", playRecurring},
+                                                                               {"backlog", playBacklog}};
     if (argc != 4 || scenarios.count(argv[1]) == 0) {
         std::fprintf(stderr, "usage: world SCENARIO DIRECTORY RECORD\n");
         return 2;
--- a/review/standins/world.cpp
+++ b/review/standins/world.cpp
@@ -884,6 +884,17 @@
     return false;
 }
 
+int Node::leaderships() const
+{
+    std::ifstream log(logPath());
+    std::string line;
+    int count = 0;
+    while (std::getline(log, line)) {
+        count += line.find("] leads the cell in epoch ") != std::string::npos ? 1 : 0;
+    }
+    return count;
+}
+
 // Calls
 
 namespace {
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -286,6 +286,8 @@
     int port() const { return m_callerPort; }
     int storePort() const { return m_storePort; }
     const std::string &name() const { return m_name; }
+    /// How often the daemon has begun to lead, by its log.
+    int leaderships() const;
     std::string logPath() const { return m_directory + "/" + m_name + ".log"; }
 
 private:
