--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# A recurring job with eight hours of due occurrences: each daemon that leads hangs and loses the lead, and no job is started any more.
+exec "$(dirname "$0")/../play.sh" backlog "$(dirname "$0")"
