--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-g++ -std=c++17 -O2 -Wall -Wextra -o target/review/world review/standins/*.cpp -levent
+${CXX:-g++} -std=c++17 -O2 -Wall -Wextra -o target/review/world review/standins/*.cpp -levent
--- a/review/standins/backlog.cpp
+++ b/review/standins/backlog.cpp
@@ -97,13 +97,13 @@
         if (longestIdle[id] >= 3000) {
             if (lost++ < 5) {
                 world.loop.record("LOST: accepted job " + id + " had nothing running for " + std::to_string(longestIdle[id])
-                                  + " ms, from finish_s after the end of the traffic on, while a task of it waited; shown as '" + states[id] + "', starts: "
-                                  + std::to_string(world.history.startsOf(id)));
+                                  + " ms, from finish_s after the end of the traffic on, while a task of it waited; shown as '" + states[id]
+                                  + "', starts: " + std::to_string(world.history.startsOf(id)));
             }
         }
     }
-    world.loop.record(std::to_string(lost) + " of " + std::to_string(accepted.size()) + " accepted jobs lost; most tasks running at a time meanwhile: "
-                      + std::to_string(mostRunning) + ", room: 64 cores");
+    world.loop.record(std::to_string(lost) + " of " + std::to_string(accepted.size())
+                      + " accepted jobs lost; most tasks running at a time meanwhile: " + std::to_string(mostRunning) + ", room: 64 cores");
     int changes = 0;
     for (const auto &node : world.nodes) {
         changes += node->leaderships();
--- a/review/standins/crashes.cpp
+++ b/review/standins/crashes.cpp
@@ -91,8 +91,8 @@
                     if (state == "failed" && states[id] != "failed") {
                         // No task of the job lost its worker more than once, and no run ended `failed`.
                         failedWithoutCause += world.history.ends(id, "failed") == 0 && mostLost(world, id) <= 1 ? 1 : 0;
-                        world.loop.record("LOST: job " + id + " is shown as failed; its runs: " + std::to_string(world.history.startsOf(id)) + ", ended failed: "
-                                          + std::to_string(world.history.ends(id, "failed")) + ", lost with a crashed worker: "
+                        world.loop.record("LOST: job " + id + " is shown as failed; its runs: " + std::to_string(world.history.startsOf(id))
+                                          + ", ended failed: " + std::to_string(world.history.ends(id, "failed")) + ", lost with a crashed worker: "
                                           + std::to_string(world.history.ends(id, "crash")) + ", of one task at most " + std::to_string(mostLost(world, id)));
                     }
                     states[id] = state;
@@ -115,8 +115,8 @@
     for (const auto &[task, list] : world.history.starts) {
         failedEnds += static_cast<int>(std::count_if(list.begin(), list.end(), [](const History::Start &start) { return start.how == "failed"; }));
     }
-    world.loop.record("ends `failed` of all tasks: " + std::to_string(failedEnds) + "; jobs shown as failed of which no task lost its worker more than once: "
-                      + std::to_string(failedWithoutCause));
+    world.loop.record("ends `failed` of all tasks: " + std::to_string(failedEnds)
+                      + "; jobs shown as failed of which no task lost its worker more than once: " + std::to_string(failedWithoutCause));
     return accepted.empty() || failedEnds > 0 ? 2 : failedWithoutCause > 0 ? 1 : 0;
 }
 
--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -24,11 +24,8 @@
 
 int main(int argc, char **argv)
 {
-    const std::map<std::string, std::function<int(World &, bool)>> scenarios{{"many-ends", playManyEnds},
-                                                                               {"removed-route", playRemovedRoute},
-                                                                               {"crashes", playCrashes},
-                                                                               {"backlog", playBacklog},
-                                                                               {"old-rows", playOldRows}};
+    const std::map<std::string, std::function<int(World &, bool)>> scenarios{
+        {"many-ends", playManyEnds}, {"removed-route", playRemovedRoute}, {"crashes", playCrashes}, {"backlog", playBacklog}, {"old-rows", playOldRows}};
     if (argc != 4 || scenarios.count(argv[1]) == 0) {
         std::fprintf(stderr, "usage: world SCENARIO DIRECTORY RECORD\n");
         return 2;
--- a/review/standins/oldrows.cpp
+++ b/review/standins/oldrows.cpp
@@ -32,7 +32,8 @@
         isTraffic = true;
         world.loop.after(killAtMs - 2000, [&] {
             const int rows = world.store.repeatRows("progress", oldJobs);
-            world.loop.record("store: holds the final rows of " + std::to_string(rows) + " jobs that ended before, each like one that the daemons wrote just now");
+            world.loop.record("store: holds the final rows of " + std::to_string(rows)
+                              + " jobs that ended before, each like one that the daemons wrote just now");
         });
         if (trouble) {
             world.loop.after(killAtMs, [&] {
@@ -105,7 +106,8 @@
                               + " ms, from finish_s after the end of the traffic on, while its only task waited; shown as '" + states[id] + "'");
         }
     }
-    world.loop.record(std::to_string(lost) + " of " + std::to_string(accepted.size()) + " accepted jobs lost; daemons ended by their memory: " + std::to_string(ends));
+    world.loop.record(std::to_string(lost) + " of " + std::to_string(accepted.size())
+                      + " accepted jobs lost; daemons ended by their memory: " + std::to_string(ends));
     return accepted.size() < 20 ? 2 : lost > 0 ? 1 : 0;
 }
 
--- a/review/standins/world.cpp
+++ b/review/standins/world.cpp
@@ -520,16 +520,17 @@
 
 // Worker
 
-Worker::Worker(Loop &loop,
-               Store &store,
-               History &history,
-               std::map<std::string, Gang> &gangs,
-               std::string id,
-               std::string machine,
-               Planner planner,
-               std::int64_t ahead)
-    : clockAhead(ahead), m_loop(loop), m_store(store), m_history(history), m_gangs(gangs), m_id(std::move(id)), m_machine(std::move(machine)), m_planner(std::move(planner)),
-      m_server(loop, [this](const HttpRequest &request) { handle(request); })
+Worker::Worker(
+    Loop &loop, Store &store, History &history, std::map<std::string, Gang> &gangs, std::string id, std::string machine, Planner planner, std::int64_t ahead)
+    : clockAhead(ahead)
+    , m_loop(loop)
+    , m_store(store)
+    , m_history(history)
+    , m_gangs(gangs)
+    , m_id(std::move(id))
+    , m_machine(std::move(machine))
+    , m_planner(std::move(planner))
+    , m_server(loop, [this](const HttpRequest &request) { handle(request); })
 {
     m_born = unixMs() + clockAhead;
     m_clockStart = nowMs();
@@ -862,16 +863,40 @@
         {"contracts", {"base", "drain", "config", "cost", "recover", "sched", "tenants", "quota", "platform", "advice", "upkeep", "sharing"}},
         {"fault_tolerance", {{"machines", 2}, {"zones", 1}, {"regions", 0}}},
         {"bounds",
-         {{"contact_ms", 3000},     {"ack_timeout_ms", 4000}, {"drain_ms", 2000},   {"grace_s", 6},          {"loss_slack_ms", 200},
-          {"config_apply_ms", 2000}, {"max_stretch_ms", 5000}, {"revoke_ms", 5000},  {"recovery_s", 12},      {"max_hold_ms", 6000},
-          {"stop_timeout_ms", 200}, {"gang_timeout_ms", 3000}, {"cancel_ms", 3000}, {"visible_ms", 3000},    {"early_ms", 250},
-          {"finish_s", 14},         {"status_s", 120},        {"lease_ms", 3000},   {"strict_revocation", true}}},
+         {{"contact_ms", 3000},
+          {"ack_timeout_ms", 4000},
+          {"drain_ms", 2000},
+          {"grace_s", 6},
+          {"loss_slack_ms", 200},
+          {"config_apply_ms", 2000},
+          {"max_stretch_ms", 5000},
+          {"revoke_ms", 5000},
+          {"recovery_s", 12},
+          {"max_hold_ms", 6000},
+          {"stop_timeout_ms", 200},
+          {"gang_timeout_ms", 3000},
+          {"cancel_ms", 3000},
+          {"visible_ms", 3000},
+          {"early_ms", 250},
+          {"finish_s", 14},
+          {"status_s", 120},
+          {"lease_ms", 3000},
+          {"strict_revocation", true}}},
         {"orders", "invocation"},
         {"advice", address(m_storePort)},
         {"platform",
-         {{"address", address(m_storePort)}, {"form", "table"},           {"writes_per_s", 600}, {"reads_per_s", 2000},      {"tx_ms", 5.0},
-          {"part_writes_per_s", 200},        {"row_bytes", Store::maxRowBytes}, {"across", false},     {"history_s", 20},          {"blob_bytes", 8388608},
-          {"blob_ms", 25.0},                 {"blob_mb_per_s", 80.0}}},
+         {{"address", address(m_storePort)},
+          {"form", "table"},
+          {"writes_per_s", 600},
+          {"reads_per_s", 2000},
+          {"tx_ms", 5.0},
+          {"part_writes_per_s", 200},
+          {"row_bytes", Store::maxRowBytes},
+          {"across", false},
+          {"history_s", 20},
+          {"blob_bytes", 8388608},
+          {"blob_ms", 25.0},
+          {"blob_mb_per_s", 80.0}}},
         {"cloud_api", {{"address", address(m_storePort)}, {"rate_per_s", 60.0}, {"duties", json::array()}, {"duty_per_s", 60.0}}}};
     const std::string path = m_directory + "/" + m_name + ".json";
     std::ofstream(path) << settings.dump(2);
@@ -995,7 +1020,14 @@
     for (int i = 0; i < count; ++i) {
         const std::string number = std::to_string(workers.size() + 1);
         workers.push_back(std::make_unique<Worker>(
-            loop, store, history, gangs, "i-worker" + number, "m-" + number, [this](const std::string &task, std::uint64_t run) { return planner(task, run); }, clockAhead));
+            loop,
+            store,
+            history,
+            gangs,
+            "i-worker" + number,
+            "m-" + number,
+            [this](const std::string &task, std::uint64_t run) { return planner(task, run); },
+            clockAhead));
         workers.back()->beat();
     }
 }
@@ -1029,25 +1061,21 @@
     if (withRoute) {
         routes.push_back(queue);
     }
-    store.put("op",
-              "config",
-              {{"version", m_configVersion},
-               {"routes", routes},
-               {"services",
-                {{{"name", backend},
-                  {"health_path", "/health"},
-                  {"max_connections", 64},
-                  {"protocol", "h1"},
-                  {"tls", false},
-                  {"enforces_capacity", false},
-                  {"headroom", false}}}},
-               {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 262144}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}},
-               {"tenants",
-                {{{"name", "tenant"},
-                  {"api_keys", {apiKey}},
-                  {"priority", 1},
-                  {"weight", 1000},
-                  {"maximum", {{"cpu", 0}, {"mem_mb", 0}, {"gpu", 0}}}}}}});
+    store.put(
+        "op",
+        "config",
+        {{"version", m_configVersion},
+         {"routes", routes},
+         {"services",
+          {{{"name", backend},
+            {"health_path", "/health"},
+            {"max_connections", 64},
+            {"protocol", "h1"},
+            {"tls", false},
+            {"enforces_capacity", false},
+            {"headroom", false}}}},
+         {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 262144}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}},
+         {"tenants", {{{"name", "tenant"}, {"api_keys", {apiKey}}, {"priority", 1}, {"weight", 1000}, {"maximum", {{"cpu", 0}, {"mem_mb", 0}, {"gpu", 0}}}}}}});
     loop.record("operator: configuration " + std::to_string(m_configVersion) + " acknowledged, " + (withRoute ? "with" : "without") + " the route r-queue");
 }
 
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -32,14 +32,20 @@
 public:
     explicit Loop(const std::string &recordPath);
     ~Loop();
-    event_base *base() const { return m_base; }
+    event_base *base() const
+    {
+        return m_base;
+    }
     void after(std::int64_t ms, std::function<void()> function);
     void every(std::int64_t ms, std::function<void()> function);
     /// Runs until stop() is called.
     void run();
     void stop();
     /// Milliseconds since the loop was created.
-    std::int64_t elapsed() const { return nowMs() - m_start; }
+    std::int64_t elapsed() const
+    {
+        return nowMs() - m_start;
+    }
     void record(const std::string &line);
 
 private:
@@ -67,10 +73,19 @@
     ~HttpServer();
     void open();
     void close();
-    bool isOpen() const { return m_http != nullptr; }
-    int port() const { return m_port; }
+    bool isOpen() const
+    {
+        return m_http != nullptr;
+    }
+    int port() const
+    {
+        return m_port;
+    }
     /// Changes with each close(); a reply to a request of an earlier generation must not be sent.
-    int generation() const { return m_generation; }
+    int generation() const
+    {
+        return m_generation;
+    }
     static void reply(evhttp_request *request, int status, const json &body);
 
 private:
@@ -93,15 +108,24 @@
     explicit Store(Loop &loop);
     /// Opens one more port; each daemon gets its own, so that a fault can hit the connections of one daemon.
     int addPort();
-    void setFault(StoreFault fault) { m_fault = fault; }
+    void setFault(StoreFault fault)
+    {
+        m_fault = fault;
+    }
     /// The connection on which the port next gets a read of the table goes silent: requests on it are never answered.
-    void silenceConnection(int port, const std::string &table) { m_silenceNext[port] = table; }
+    void silenceConnection(int port, const std::string &table)
+    {
+        m_silenceNext[port] = table;
+    }
     /// A write by the operator or a worker. Returns false while the store is faulty.
     bool put(const std::string &table, const std::string &key, const json &value);
     void remove(const std::string &table, const std::string &key);
     /// Repeats rows of the table under other keys until there are @p count more, as the daemons leave them behind in the course of time.
     int repeatRows(const std::string &table, int count);
-    std::size_t refusedRows() const { return m_refusedRows; }
+    std::size_t refusedRows() const
+    {
+        return m_refusedRows;
+    }
 
     static constexpr std::size_t maxRowBytes = 65536;
 
@@ -201,15 +225,34 @@
 class Worker
 {
 public:
-    Worker(Loop &loop, Store &store, History &history, std::map<std::string, Gang> &gangs, std::string id, std::string machine, Planner planner, std::int64_t ahead = 0);
+    Worker(Loop &loop,
+           Store &store,
+           History &history,
+           std::map<std::string, Gang> &gangs,
+           std::string id,
+           std::string machine,
+           Planner planner,
+           std::int64_t ahead = 0);
     /// The process ends at once; what runs on it is lost.
     void crash();
     /// The process starts again under the same id.
     void restart();
-    bool isUp() const { return m_server.isOpen(); }
-    const std::string &id() const { return m_id; }
-    std::size_t running() const { return m_running.size(); }
-    std::size_t unacknowledged() const { return m_ended.size(); }
+    bool isUp() const
+    {
+        return m_server.isOpen();
+    }
+    const std::string &id() const
+    {
+        return m_id;
+    }
+    std::size_t running() const
+    {
+        return m_running.size();
+    }
+    std::size_t unacknowledged() const
+    {
+        return m_ended.size();
+    }
     void beat();
 
     std::int64_t cpu = 16000;
@@ -239,7 +282,10 @@
         std::int64_t deadline;
     };
 
-    std::int64_t clock() const { return nowMs() - m_clockStart; }
+    std::int64_t clock() const
+    {
+        return nowMs() - m_clockStart;
+    }
     void handle(const HttpRequest &request);
     void start(const HttpRequest &request, const json &body);
     void stop(const HttpRequest &request, const json &body);
@@ -283,17 +329,32 @@
     void choosePorts();
     void start(bool isBootstrap);
     void kill();
-    bool isRunning() const { return m_pid > 0; }
+    bool isRunning() const
+    {
+        return m_pid > 0;
+    }
     /// Returns true once, when the process has ended by itself.
     bool hasEnded();
-    int port() const { return m_callerPort; }
-    int storePort() const { return m_storePort; }
-    const std::string &name() const { return m_name; }
+    int port() const
+    {
+        return m_callerPort;
+    }
+    int storePort() const
+    {
+        return m_storePort;
+    }
+    const std::string &name() const
+    {
+        return m_name;
+    }
     /// Memory of the process; 0 if it does not run.
     std::size_t residentKb() const;
     /// How often the daemon has begun to lead, by its log.
     int leaderships() const;
-    std::string logPath() const { return m_directory + "/" + m_name + ".log"; }
+    std::string logPath() const
+    {
+        return m_directory + "/" + m_name + ".log";
+    }
 
 private:
     Loop &m_loop;
