Keep runs whose end a worker may not have listed

Cause: a worker lists its first 500 unacknowledged ends. While the store is down no end can be acknowledged, and the leader took a run that was listed neither as running nor as ended for lost, although its end was beyond the list. A new leader likewise took a first list of ends that was cut for a complete one and started the tasks of the former leader again.

Change: HoldReply tells whether the list of ends may be incomplete, through relays too. Meanwhile a run that is not listed keeps its state and its capacity, which limits how many ends can pile up, and the jobs of earlier leaders that may have ended there are not started. A run is settled by its end, or as before by a restart, departure or expired leases of its worker.

Ruled out: acknowledging ends without storing their effects, since these would be lost with the leader.

--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -67,7 +67,7 @@
     if (worker == nullptr) {
         return;
     }
-    const bool hadListsRead = worker->listsRead && worker->info.incarnation == order.incarnation;
+    const bool hadAnswered = worker->hasAnswered() && worker->info.incarnation == order.incarnation;
     std::vector<DiscoveredRun> discovered;
     std::vector<EndedEntry> unmatchedEnds;
     onRunEvents(m_workers.onHoldAnswer(order, reply, sent, time.now, discovered, unmatchedEnds), time);
@@ -79,7 +79,7 @@
     }
     if (reply == nullptr) {
         worker->nextHold = time.now + unresponsiveHoldInterval;
-    } else if (!hadListsRead) {
+    } else if (!hadAnswered) {
         worker->nextHold = time.now; // The first hold of an incarnation renews no leases, since the worker's clock is unknown, so the next one is due at once.
     } else {
         // A worker with unacknowledged ends replies immediately, so the next hold waits until they are stored.
--- a/src/cell/workercrashes.cpp
+++ b/src/cell/workercrashes.cpp
@@ -15,7 +15,7 @@
 bool WorkerTable::isReplaced(const Worker &worker, const std::map<VmId, WorkerId> &latestOnVm) const
 {
     const auto latest = latestOnVm.find(worker.info.vm);
-    const bool isSilent = !worker.listsRead || worker.unresponsiveSince != TimePoint();
+    const bool isSilent = !worker.hasAnswered() || worker.unresponsiveSince != TimePoint();
     // The successor has to answer, because the start times of two workers are not reliable if the VM's clock has jumped.
     return isSilent && latest != latestOnVm.end() && latest->second != worker.info.id && isAnswering(latest->second);
 }
@@ -23,7 +23,7 @@
 bool WorkerTable::isAnswering(const WorkerId &id) const
 {
     const Worker *worker = find(id);
-    return worker != nullptr && worker->listsRead && worker->unresponsiveSince == TimePoint();
+    return worker != nullptr && worker->hasAnswered() && worker->unresponsiveSince == TimePoint();
 }
 
 CrashTiming WorkerTable::timingOf(const Worker &worker, const Run &run) const
--- a/src/cell/workerprotocol.h
+++ b/src/cell/workerprotocol.h
@@ -5,6 +5,7 @@
 #include "core/resources.h"
 #include "core/units.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -58,12 +59,16 @@
     std::string checkpoint;
 };
 
-/// A worker's reply to a hold order: complete lists of its runs at the time of the reply.
+/// A worker lists at most this many ends in one reply, the earliest ones first.
+constexpr std::size_t maxEndsPerReply = 500;
+
+/// A worker's reply to a hold order: lists of its runs at the time of the reply.
 struct HoldReply {
     WorkerIncarnation incarnation;
     WorkerClockMs clock = 0;
-    std::vector<RunningEntry> running;
-    std::vector<EndedEntry> ended; ///< Unacknowledged ends, ordered by number.
+    std::vector<RunningEntry> running; ///< Complete.
+    std::vector<EndedEntry> ended; ///< Unacknowledged ends, ordered by number. Complete unless mayOmitEnds.
+    bool mayOmitEnds = false; ///< The list of ends is full: the worker may have later ones, which it lists once these are acknowledged.
 };
 
 enum class OrderOutcome {
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -331,6 +331,7 @@
     worker.latestDeadline = 0;
     worker.latestClock = 0;
     worker.listsRead = false;
+    worker.mayHaveUnreadEnds = false;
     worker.lastSeenEnd = EndNumber();
     worker.acknowledged = EndNumber();
     worker.ends.clear();
@@ -555,9 +556,10 @@
         // token is newer.
         worker->latestDeadline = std::max(worker->latestDeadline, reply->clock + m_settings.maxLease.count());
     }
+    worker->mayHaveUnreadEnds = reply->mayOmitEnds;
+    worker->listsRead = worker->listsRead || !reply->mayOmitEnds;
     readEnds(*worker, *reply, events, unmatchedEnds);
     readRunning(*worker, *reply, sent, now, events, discovered);
-    worker->listsRead = true;
     return events;
 }
 
@@ -619,8 +621,10 @@
         const Run &known = run->second;
         const bool confirmed = known.phase == RunPhase::Running || (known.phase == RunPhase::Stopping && known.stopConfirmed);
         const auto next = std::next(run);
-        // The lists were taken after the hold was sent, so a run that was confirmed earlier and is not listed does not exist.
-        if (confirmed && known.confirmedAt < sent && listed.count(run->first) == 0) {
+        // The lists were taken after the hold was sent, so a run that was confirmed earlier and is not listed does not exist. If the list of
+        // ends is incomplete, the run may have succeeded. It is kept until its end is listed and occupies its capacity meanwhile, which
+        // limits how many ends can pile up on the worker.
+        if (confirmed && known.confirmedAt < sent && listed.count(run->first) == 0 && !reply.mayOmitEnds) {
             // Runs whose end the worker has listed were removed by readEnds(), so the stop came before this run's start.
             const bool preventedByStop = known.phase == RunPhase::Stopping;
             events.push_back(removeRun(worker, run, preventedByStop ? RunEvent::Kind::NeverRan : RunEvent::Kind::Lost));
@@ -703,11 +707,22 @@
     return sum;
 }
 
-std::optional<std::set<JobId>> WorkerTable::jobsWithUnreportedRuns(TimePoint now) const
+bool WorkerTable::mayHaveUnreportedRuns(const Worker &worker, bool haveAllLeasesExpired, TimePoint now) const
+{
+    if (worker.listsRead || worker.departed) {
+        return false;
+    }
+    if (worker.mayHaveUnreadEnds) {
+        return !haveLeasesExpired(worker, now);
+    }
+    return !haveAllLeasesExpired && worker.presumedDeadAt > now;
+}
+
+std::optional<std::set<JobId>> WorkerTable::jobsWithUnreportedRuns(bool haveLeasesExpired, TimePoint now) const
 {
     std::set<JobId> jobs;
     for (const auto &[id, worker] : m_workers) {
-        if (worker.listsRead || worker.presumedDeadAt <= now) {
+        if (!mayHaveUnreportedRuns(worker, haveLeasesExpired, now)) {
             continue;
         }
         if (!worker.previousJobs) {
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -134,7 +134,8 @@
     bool idStored = false; ///< The stored record allows any run, so that the next leader waits for the worker.
     bool recordedAsClosed = false; ///< The worker was closed when records were last made.
     std::optional<std::set<JobId>> previousJobs; ///< Jobs of previous leaders that may run there, if the worker was recorded as closed.
-    bool listsRead = false; ///< This leader has read the lists of this incarnation.
+    bool listsRead = false; ///< This leader has read the complete lists of this incarnation.
+    bool mayHaveUnreadEnds = false; ///< The last reply of this incarnation may have omitted ends, so a run that is not listed may have ended in any way.
     WorkerClock clock{0};
     WorkerClockMs latestClock = 0; ///< Latest time on the worker's clock in an answer that names this incarnation.
     WorkerIncarnation registeredIncarnation; ///< That of the registry entry from which capacity and labels were read.
@@ -160,6 +161,12 @@
     std::uint64_t availabilityGeneration = 1; ///< WorkerTable::generation() when free capacity last grew or the worker last became usable.
     bool wasUsable = false; ///< Result of isUsable() at the last call of updateUsability().
 
+    /// Whether this incarnation has answered a hold of this leader.
+    [[nodiscard]] bool hasAnswered() const
+    {
+        return listsRead || mayHaveUnreadEnds;
+    }
+
     /// Whether a run that needs isolation may start: the other runs, if any, are suspects too and have survived their start.
     [[nodiscard]] bool isFitForIsolation() const
     {
@@ -258,8 +265,9 @@
     [[nodiscard]] std::vector<RunOnCrashedWorker> takeRunsOnCrashedWorkers();
     /// Advances Worker::acknowledged past the ends whose effects are stored.
     void advanceAcknowledged(Worker &worker, const std::function<bool(const UnacknowledgedEnd &)> &isStored);
-    /// The jobs of previous leaders of which runs may exist on workers that have not answered this leader; empty: any job.
-    [[nodiscard]] std::optional<std::set<JobId>> jobsWithUnreportedRuns(TimePoint now) const;
+    /// The jobs of previous leaders of which runs may exist, or may have ended, on workers whose lists this leader has not read completely;
+    /// empty: any job. @p haveLeasesExpired: a worker that has not answered has no runs of previous leaders any more.
+    [[nodiscard]] std::optional<std::set<JobId>> jobsWithUnreportedRuns(bool haveLeasesExpired, TimePoint now) const;
     /// Upper bound on the resources of runs on workers that have not answered this leader: the capacity of these workers. For workers
     /// of unknown capacity the largest known capacity is assumed.
     [[nodiscard]] Resources unreportedCapacity(TimePoint now) const;
@@ -282,6 +290,8 @@
     void
     readRunning(Worker &worker, const HoldReply &reply, TimePoint sent, TimePoint now, std::vector<RunEvent> &events, std::vector<DiscoveredRun> &discovered);
     [[nodiscard]] bool haveLeasesExpired(const Worker &worker, TimePoint now) const;
+    /// Whether runs of previous leaders may exist on the worker, or may have ended there, without being listed in a reply to this leader.
+    [[nodiscard]] bool mayHaveUnreportedRuns(const Worker &worker, bool haveAllLeasesExpired, TimePoint now) const;
     /// Whether a worker whose runs are all known gets no new work, because it drains or has not answered for some time.
     [[nodiscard]] static bool isClosed(const Worker &worker, TimePoint now);
     /// Whether all that is known of the worker's runs is the record of a previous leader.
--- a/src/node/relayingworkergateway.cpp
+++ b/src/node/relayingworkergateway.cpp
@@ -60,6 +60,7 @@
         row->set_end(static_cast<std::uint32_t>(entry.end));
         row->set_checkpoint(entry.checkpoint);
     }
+    message.set_may_omit_ends(holdReply.mayOmitEnds);
     return message;
 }
 
@@ -78,6 +79,8 @@
         holdReply.ended.push_back(
             EndedEntry{EndNumber(row.number()), taskFromWire(row), RunNumber(row.run()), static_cast<RunEnd>(row.end()), row.checkpoint()});
     }
+    // A relay that runs an earlier version of the daemon does not set the field.
+    holdReply.mayOmitEnds = message.may_omit_ends() || holdReply.ended.size() >= maxEndsPerReply;
     return holdReply;
 }
 
--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -281,6 +281,7 @@
     int adviceCalls = 0;
     int workersNamed = 0; ///< Total number of workers named in advice calls.
     int starts = 0;
+    std::size_t endsPerReply = maxEndsPerReply; ///< Ends that a worker lists at most in a reply to a hold.
     Duration stopDuration{0}; ///< Time that a stopped run still needs to end. Until then it is listed and uses its demand.
     Duration capacityGrace{4500}; ///< Time after which starts have to respect a capacity that has shrunk.
     /// Called for each run that was started, before the scheduler receives the answer.
@@ -430,7 +431,7 @@
             reply.running.push_back(RunningEntry{task, run.number, {}, std::min(percent, 99), 0});
         }
         for (const EndedEntry &end : worker.ended) {
-            if (worker.acknowledged < end.number) {
+            if (worker.acknowledged < end.number && reply.ended.size() < endsPerReply) {
                 reply.ended.push_back(end);
             }
             if (end.end == RunEnd::Failed) {
@@ -438,6 +439,7 @@
                 m_failedRuns[isGang ? TaskRef{end.task.step, 0} : end.task].insert(end.run);
             }
         }
+        reply.mayOmitEnds = reply.ended.size() >= endsPerReply;
         scheduler->onHoldAnswer(order, &reply, sent, time());
     }
 
--- a/test/node/testrelayingworkergateway.cpp
+++ b/test/node/testrelayingworkergateway.cpp
@@ -123,6 +123,7 @@
     relay->directWorkers.holdReply.clock = 99;
     relay->directWorkers.holdReply.running.push_back(RunningEntry{task, RunNumber(5), "saved", 40, 7});
     relay->directWorkers.holdReply.ended.push_back(EndedEntry{EndNumber(18), task, RunNumber(4), RunEnd::Failed, "point"});
+    relay->directWorkers.holdReply.mayOmitEnds = true;
     std::optional<HoldReply> holdReply;
     leader.workers->hold(holdOrder(), Epoch(2), [&holdReply](const std::optional<HoldReply> &answer) { holdReply = answer; });
     runUntil([&holdReply] { return holdReply.has_value(); });
@@ -133,6 +134,7 @@
     CHECK_EQUAL(5U, holdReply->running.at(0).run.value());
     CHECK_TRUE(holdReply->ended.at(0).end == RunEnd::Failed);
     CHECK_EQUAL(18U, holdReply->ended.at(0).number.value());
+    CHECK_TRUE(holdReply->mayOmitEnds);
 }
 
 // Guards against ends that stay unacknowledged for ever because renewals are relayed.
--- a/test/platform/testdecoders.cpp
+++ b/test/platform/testdecoders.cpp
@@ -154,6 +154,20 @@
     CHECK_TRUE(holdReply->ended[1].end == RunEnd::Succeeded);
 }
 
+// Guards against taking a full list of ends for a complete one. The worker keeps later ends to itself until these are acknowledged.
+TEST(PlatformDecoders, TellsThatAFullListMayOmitEnds)
+{
+    const auto repliesWith = [](std::size_t ends) {
+        std::string rows;
+        for (std::size_t i = 1; i <= ends; ++i) {
+            rows += (i > 1 ? ",[" : "[") + std::to_string(i) + R"(,"a.0.0.1",1,"done",""])";
+        }
+        return decodeHoldAnswer(answered(200, R"({"clock_ms":9,"running":[],"finished":[)" + rows + "]}"), WorkerIncarnation(1));
+    };
+    CHECK_FALSE(repliesWith(maxEndsPerReply - 1)->mayOmitEnds);
+    CHECK_TRUE(repliesWith(maxEndsPerReply)->mayOmitEnds);
+}
+
 // Guards against a daemon that starts with settings that lack a required address or are not JSON.
 TEST(PlatformDecoders, ChecksTheBootFile)
 {
