Record the jobs whose ends on a closed worker are not stored

A task that had succeeded could start again after a change of leader (TWICE). A leader records for a draining or silent worker which jobs may have runs there; the next leader starts all others at once. A job whose only run had ended was left out, even if its success was not stored yet, so the next leader started the task again before it had read the worker's list of ends.

The record now includes the jobs of unacknowledged ends. Same class as the ends beyond a worker's list: an absence from an incomplete list was taken for the end of a run. RunSafety.RecordsTheJobsOfEndsThatAreNotStored fails without the change (two starts).

--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -223,6 +223,9 @@
             for (const auto &[key, run] : worker.runs) {
                 jobs.insert(key.first.step.job);
             }
+            for (const UnacknowledgedEnd &end : worker.ends) {
+                jobs.insert(end.job);
+            }
             if (isKnownFromRecord(worker)) {
                 jobs.insert(worker.previousJobs->begin(), worker.previousJobs->end());
             }
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -119,7 +119,7 @@
     /// The worker was draining or did not answer when the record was made, and gets no new work before a record without this flag is
     /// stored. Until then only the jobs below can have runs on it.
     bool isClosed = false;
-    std::vector<JobId> jobs; ///< Only for a closed worker.
+    std::vector<JobId> jobs; ///< Only for a closed worker: jobs with runs that may exist there, or with ends whose effects may not be stored.
 };
 
 /// Identifies a worker within one WorkerTable; never reused.
--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -268,6 +268,7 @@
     Duration leaseExpiry{6500}; ///< Time until all leases of previous leaders have expired.
     TimePoint nextRegistry;
     bool storeReachable = true; ///< Writes of progress and of the worker list succeed.
+    bool progressIsStored = true; ///< Writes of progress succeed while the store is reachable.
     /// Returns the duration of the run started by an order; the step's estimate if not set.
     std::function<Duration(const StartOrder &)> duration;
     /// Called for each start, which is delivered if the function returns true. May schedule a late delivery with deliverStartAt().
@@ -538,7 +539,7 @@
             scheduler->onLeadershipRenewed(now);
         }
         executeOrders(scheduler->tick(time()));
-        if (storeReachable) {
+        if (storeReachable && progressIsStored) {
             for (const ProgressWrite &write : scheduler->takeProgress(100)) {
                 storedProgress[write.job] = write.progress;
                 if (write.progress.finalState == CellJobState::Failed) {
--- a/test/cell/testrunsafety.cpp
+++ b/test/cell/testrunsafety.cpp
@@ -132,3 +132,29 @@
     }
     CHECK_EQUAL(600, scenariosRun);
 }
+
+// Guards against a second start of a task whose success was known to the former leader but not stored: the record of its draining worker listed
+// only the jobs that still had runs there.
+TEST(RunSafety, RecordsTheJobsOfEndsThatAreNotStored)
+{
+    FakeCell cell(2);
+    cell.startLeadership();
+    cell.progressIsStored = false;
+    cell.submit(cellJob("job", 1, 1000, Duration(300)));
+    cell.run(Duration(1000));
+    CHECK_EQUAL(1, cell.starts);
+    FakeCellWorker &worker = cell.worker(0).ended.empty() ? cell.worker(1) : cell.worker(0);
+    worker.info.draining = true;
+    worker.info.remaining = Duration(20000);
+    cell.run(Duration(1500));
+    worker.reachable = false;
+    cell.startLeadership(2);
+    cell.run(Duration(2000));
+    CHECK_EQUAL(1, cell.starts);
+    worker.reachable = true;
+    cell.progressIsStored = true;
+    cell.run(Duration(3000));
+    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
+    CHECK_EQUAL(1, cell.starts);
+    CHECK_NO_VIOLATION(cell);
+}
