Read the worker records of former leaders page by page

A new leader waits for the workers that former leaders recorded, one row for each of these. It read the first 100 rows and took them for all, so it could start tasks that still ran on a worker of a later row (TWICE). A write that removed the rows of more than 98 former leaders exceeded the entries of one transaction and was refused each time, so that the leader could use no worker. A row that can't be decoded was skipped without a log line.

The rows are read to the end, a write removes as many rows as fit and leaves the others to the next one, and a damaged row is logged. Both tests fail without the change.

--- a/src/node/cellstorage.cpp
+++ b/src/node/cellstorage.cpp
@@ -22,9 +22,16 @@
 constexpr Duration readTimeout{1000};
 constexpr Duration retryInterval{60};
 constexpr std::size_t maxTransactionEntries = 100; // Conditions, writes and removals together.
+constexpr int maxRowsPerRead = 500; // Of the store.
 constexpr std::size_t maxEntriesPerJob = 4; // A condition, a write and two removals.
 constexpr std::size_t maxTransactionBytes = 700000; // The store accepts 1 MB per transaction, and Base64 enlarges values by a third.
 
+/// Returns the smallest key after @p key.
+std::string keyAfter(const std::string &key)
+{
+    return key + '\0';
+}
+
 /// Returns the job of a cancellation row's key; empty for other keys.
 std::optional<JobId> cancelledJobOfKey(const std::string &key)
 {
@@ -222,7 +229,7 @@
 
 void CellStorage::loadNextPage(const LoadCursor &cursor)
 {
-    const RangeRead range{cursor.readsProgress ? progressTable : jobTable, cursor.partition, cursor.from, {}, 500};
+    const RangeRead range{cursor.readsProgress ? progressTable : jobTable, cursor.partition, cursor.from, {}, maxRowsPerRead};
     m_store.read(range, readTimeout, [this, cursor](const StoreAnswer &answer) { onPageLoaded(cursor, answer); });
 }
 
@@ -256,7 +263,7 @@
         }
     }
     if (answer.truncated && !answer.rows.empty()) {
-        cursor.from = answer.rows.back().key.key + '\0'; // Continues at the smallest key after the last one.
+        cursor.from = keyAfter(answer.rows.back().key.key);
     } else if (!cursor.readsProgress) {
         cursor.readsProgress = true;
         cursor.from.clear();
@@ -368,23 +375,45 @@
     }
 }
 
+struct CellStorage::WorkersRead {
+    std::map<WorkerId, WorkerRecord> records;
+    std::function<void(bool, const std::vector<WorkerRecord> &)> callback;
+};
+
 void CellStorage::readWorkers(const std::function<void(bool, const std::vector<WorkerRecord> &)> &callback)
 {
-    m_store.read(RangeRead{cellTable, {}, workersKey, std::string(workersKey) + rangeEndSuffix, 100}, readTimeout, [this, callback](const StoreAnswer &answer) {
-        std::map<WorkerId, WorkerRecord> records;
-        m_formerWorkerRowKeys.clear();
+    m_formerWorkerRowKeys.clear();
+    auto read = std::make_shared<WorkersRead>();
+    read->callback = callback;
+    readWorkersPage(read, workersKey);
+}
+
+void CellStorage::readWorkersPage(const std::shared_ptr<WorkersRead> &read, const std::string &from)
+{
+    const RangeRead range{cellTable, {}, from, std::string(workersKey) + rangeEndSuffix, maxRowsPerRead};
+    m_store.read(range, readTimeout, [this, read](const StoreAnswer &answer) {
+        if (answer.outcome != StoreOutcome::Done) {
+            read->callback(false, {});
+            return;
+        }
         for (const TableRow &stored : answer.rows) {
             m_formerWorkerRowKeys.push_back(stored.key.key);
             if (const auto row = decodeRow<CellWire::WorkersRow>(stored.value)) {
-                mergeWorkerRecords(*row, records);
+                mergeWorkerRecords(*row, read->records);
+            } else {
+                logRateLimited(LogComponent::Platform, LogLevel::Error, "worker row", "worker row " + stored.key.key + " can't be decoded and is skipped");
             }
         }
+        if (answer.truncated && !answer.rows.empty()) {
+            readWorkersPage(read, keyAfter(answer.rows.back().key.key));
+            return;
+        }
         std::vector<WorkerRecord> merged;
-        merged.reserve(records.size());
-        for (auto &[id, record] : records) {
+        merged.reserve(read->records.size());
+        for (auto &[id, record] : read->records) {
             merged.push_back(std::move(record));
         }
-        callback(answer.outcome == StoreOutcome::Done, merged);
+        read->callback(true, merged);
     });
 }
 
@@ -398,14 +427,18 @@
     Transaction transaction;
     transaction.conditions.push_back(RowCondition{key, m_workerRowVersion});
     transaction.writes.push_back(TableWrite{key, encodeRow(toWire(records))});
+    // Further rows are removed by later writes.
+    std::vector<std::string> remainingKeys;
     for (const std::string &formerKey : m_formerWorkerRowKeys) {
-        if (formerKey != key.key) {
+        if (formerKey != key.key && transaction.removals.size() + 2 < maxTransactionEntries) {
             transaction.removals.push_back(RowKey{cellTable, {}, formerKey});
+        } else if (formerKey != key.key) {
+            remainingKeys.push_back(formerKey);
         }
     }
-    m_store.transact(transaction, transactTimeout, [this, key, callback](const StoreAnswer &answer) {
+    m_store.transact(transaction, transactTimeout, [this, key, remainingKeys, callback](const StoreAnswer &answer) {
         if (answer.outcome == StoreOutcome::Done) {
-            m_formerWorkerRowKeys.clear();
+            m_formerWorkerRowKeys = remainingKeys;
             m_workerRowVersion = answer.version;
         } else if (answer.outcome == StoreOutcome::Conflict) {
             // An earlier write without an answer took effect. The caller repeats its write with the version that is known now.
--- a/src/node/cellstorage.h
+++ b/src/node/cellstorage.h
@@ -88,6 +88,7 @@
 private:
     struct LoadOperation; ///< State of one call of loadAll(), shared by its reads.
     struct LoadCursor;
+    struct WorkersRead; ///< State of one call of readWorkers().
 
     [[nodiscard]] RowKey jobRowKey(const JobId &id) const;
     [[nodiscard]] RowKey cancelRowKey(const JobId &id) const;
@@ -97,6 +98,7 @@
     void attemptCancellation(const JobId &id, TimePoint deadline, const std::function<void(bool)> &callback);
     void loadNextPage(const LoadCursor &cursor);
     void onPageLoaded(LoadCursor cursor, const StoreAnswer &answer);
+    void readWorkersPage(const std::shared_ptr<WorkersRead> &read, const std::string &from);
     void writeProgressBatch(const std::string &partition,
                             const std::vector<ProgressWrite> &writes,
                             std::int64_t currentUnixTimeMs,
@@ -107,8 +109,8 @@
     TableStore &m_store;
     int m_partitionCount;
     std::map<JobId, RowVersion> m_progressVersions; ///< Versions of progress rows; a missing entry means that there is no row.
-    /// Keys of the rows in which earlier leaderships stored their workers. The next writeWorkers() removes these rows, since its list contains
-    /// their workers too.
+    /// Keys of the rows in which earlier leaderships stored their workers. writeWorkers() removes these rows, since its list contains their
+    /// workers too; those beyond one transaction are left to its next calls.
     std::vector<std::string> m_formerWorkerRowKeys;
     std::string m_workerRowKey; ///< Key of the row that writeWorkers() last wrote.
     RowVersion m_workerRowVersion; ///< Last known version of that row.
--- a/test/node/memorytablestore.h
+++ b/test/node/memorytablestore.h
@@ -4,6 +4,7 @@
 #include "daemon/eventloop.h"
 #include "node/tablestore.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -22,6 +23,8 @@
     /// Outcomes of the next transactions. Unknown applies the transaction and loses its answer.
     std::vector<StoreOutcome> writeOutcomes;
     int calls = 0;
+    int maxRowsPerRead = 500;
+    std::size_t maxTransactionEntries = 100; ///< Larger transactions are refused.
     std::map<std::tuple<std::string, std::string, std::string>, TableRow> rows;
 
     void put(const RowKey &key, const std::string &value)
@@ -43,7 +46,8 @@
 
     void transact(const Transaction &transaction, Duration, Callback callback) override
     {
-        const StoreOutcome planned = nextOutcome(writeOutcomes);
+        const bool isTooLarge = transaction.conditions.size() + transaction.writes.size() + transaction.removals.size() > maxTransactionEntries;
+        const StoreOutcome planned = isTooLarge ? StoreOutcome::NotApplied : nextOutcome(writeOutcomes);
         StoreAnswer answer;
         answer.outcome = planned;
         if (planned == StoreOutcome::Done || planned == StoreOutcome::Unknown) {
@@ -64,7 +68,7 @@
             if (answer.outcome != StoreOutcome::Done || !inRange) {
                 continue;
             }
-            if (static_cast<int>(answer.rows.size()) == range.limit) {
+            if (static_cast<int>(answer.rows.size()) == std::min(range.limit, maxRowsPerRead)) {
                 answer.truncated = true;
                 break;
             }
--- a/test/node/testcellstorage.cpp
+++ b/test/node/testcellstorage.cpp
@@ -61,6 +61,18 @@
         return records;
     }
 
+    bool writeWorkers(std::uint64_t epoch, const std::string &id)
+    {
+        bool stored = false;
+        bool done = false;
+        storage.writeWorkers(Epoch(epoch), {WorkerRecord{WorkerId(id), false, {}}}, [&](bool wasStored) {
+            stored = wasStored;
+            done = true;
+        });
+        runUntil(done);
+        return stored;
+    }
+
     StoredState readState(const std::string &id)
     {
         StoredState result;
@@ -232,3 +244,26 @@
     write("w3");
     CHECK_TRUE(stored == (std::vector<bool>{false, false, true}));
 }
+
+// Guards against a new leader that does not wait for workers whose records are beyond the first page of a read.
+TEST(CellStorage, ReadsWorkersBeyondOnePage)
+{
+    for (std::uint64_t epoch = 1; epoch <= 7; ++epoch) {
+        CHECK_TRUE(writeWorkers(epoch, "w" + std::to_string(epoch)));
+    }
+    store.maxRowsPerRead = 3;
+    CHECK_EQUAL(7U, readWorkers().size());
+}
+
+// Guards against a leader that can't store its workers, and so can't use them, because the rows of more former leaders have to be removed than
+// one transaction can hold.
+TEST(CellStorage, RemovesTheRowsOfManyFormerLeadersInSeveralWrites)
+{
+    for (std::uint64_t epoch = 1; epoch <= 150; ++epoch) {
+        CHECK_TRUE(writeWorkers(epoch, "w"));
+    }
+    (void)readWorkers();
+    CHECK_TRUE(writeWorkers(200, "w"));
+    CHECK_TRUE(writeWorkers(200, "w"));
+    CHECK_EQUAL(1U, store.rows.size());
+}
