Open only a few occurrences of a recurring job at a time

Cause: all due occurrences were created in one turn of the event loop, in time that grows with the square of their number. Every scheduling pass would then have gone through all of their steps, and the row of the job's progress kept all steps that had ever run until the store refused it.

Change: at most 128 steps or 2,000 tasks of due occurrences of a job are open at a time, and at least one occurrence. An occurrence that has ended is dropped once its end is stored, and is kept and stored as part of a range. Rows of the former version are read, and few ended occurrences are also stored as that version expects them. Runs and ends of occurrences that are not open here open them, since a former leader may have started them. Failed runs and crashes of tasks that have succeeded are not stored any more, and a late failure of such a task does not count.

--- a/src/cell/celljob.h
+++ b/src/cell/celljob.h
@@ -90,6 +90,7 @@
     CellJobState finalState = CellJobState::Unknown; ///< Unknown until the job has ended.
     RouteName route;
     WorkspaceId workspace;
+    std::vector<std::pair<int, int>> doneOccurrences; ///< First and last of each range of occurrences that have ended.
     std::map<std::pair<int, int>, StepProgress> steps; ///< By occurrence and step.
 };
 
--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -209,7 +209,7 @@
         return;
     }
     JobEntry *entry = m_jobs.find(end.task.step.job);
-    StepInstance *step = m_jobs.findStep(end.task.step);
+    StepInstance *step = m_jobs.findReportedStep(end.task.step);
     if (entry != nullptr && step != nullptr && end.task.index < static_cast<int>(step->tasks.size())) {
         RunEvent event;
         event.kind = RunEvent::Kind::Ended;
@@ -243,7 +243,7 @@
         return;
     }
     JobEntry *entry = m_jobs.find(discovered.entry.task.step.job);
-    StepInstance *step = m_jobs.findStep(discovered.entry.task.step);
+    StepInstance *step = m_jobs.findReportedStep(discovered.entry.task.step);
     const bool known = entry != nullptr && step != nullptr && discovered.entry.task.index < static_cast<int>(step->tasks.size());
     step = known ? step : nullptr;
     // The demands of the steps are no longer stored once the job has ended.
--- a/src/cell/jobtable.cpp
+++ b/src/cell/jobtable.cpp
@@ -10,9 +10,47 @@
 // Delay per failure of a task, so that a worker that fails every task is detected before it gets the task again.
 constexpr Duration taskFailureBackoff{50};
 constexpr Duration maxTaskFailureBackoff{2000};
+// Steps and tasks of the due occurrences of one job that are open at a time.
+constexpr int maxOpenSteps = 128;
+constexpr int maxOpenTasks = 2000;
+constexpr std::size_t maxReportedOccurrences = 4000; // Open occurrences of one job, with those that only a worker has reported.
+constexpr std::size_t maxDoneStepsForEarlierVersions = 256; // Bounds the row of the job's progress.
+
+bool isStepDone(const StepSpec &spec, const StepProgress &stored)
+{
+    const auto count = static_cast<std::size_t>(spec.count);
+    return stored.succeeded.size() >= count
+        && std::all_of(stored.succeeded.begin(), stored.succeeded.begin() + static_cast<std::ptrdiff_t>(count), [](bool succeeded) { return succeeded; });
+}
+
+/// Adds the steps of the occurrences that have ended, if they are few. A daemon of an earlier version, which may lead while the daemons are
+/// replaced, ignores JobProgress::doneOccurrences and would run these steps again.
+void addDoneStepsForEarlierVersions(const JobEntry &entry, JobProgress &progress)
+{
+    if (static_cast<std::size_t>(entry.doneOccurrences.size()) * entry.job.steps.size() > maxDoneStepsForEarlierVersions) {
+        return;
+    }
+    for (const auto &[first, last] : entry.doneOccurrences.ranges()) {
+        for (int occurrence = first; occurrence <= last; ++occurrence) {
+            for (std::size_t step = 0; step < entry.job.steps.size(); ++step) {
+                progress.steps[{occurrence, static_cast<int>(step)}].succeeded.assign(static_cast<std::size_t>(entry.job.steps[step].count), true);
+            }
+        }
+    }
+}
 
 } // namespace
 
+int maxOpenOccurrences(const CellJob &job)
+{
+    int tasks = 0;
+    for (const StepSpec &step : job.steps) {
+        tasks += step.count;
+    }
+    const int bySteps = maxOpenSteps / std::max(static_cast<int>(job.steps.size()), 1);
+    return std::max(std::min(bySteps, maxOpenTasks / std::max(tasks, 1)), 1);
+}
+
 Ticket *StepAdvice::find(WorkerIndex worker)
 {
     const auto found = std::lower_bound(tickets.begin(), tickets.end(), worker, [](const Ticket &ticket, WorkerIndex index) { return ticket.worker < index; });
@@ -77,39 +115,43 @@
 
 void JobTable::restore(JobEntry &entry, const JobProgress &progress)
 {
+    const int count = entry.job.occurrenceCount();
+    for (const auto &[first, last] : progress.doneOccurrences) {
+        if (first >= 0 && first <= last && last < count) {
+            entry.doneOccurrences.insert(first, last);
+        }
+    }
+    // An earlier version of the daemon stores the steps of all occurrences that have ended, and no ranges.
+    std::map<int, std::size_t> doneSteps;
     for (const auto &[key, stored] : progress.steps) {
-        while (entry.nextOccurrence <= key.first) {
-            createOccurrence(entry, entry.nextOccurrence);
+        const auto &[occurrence, step] = key;
+        const bool isKnown = occurrence >= 0 && occurrence < count && step >= 0 && static_cast<std::size_t>(step) < entry.job.steps.size();
+        if (isKnown && isStepDone(entry.job.steps[static_cast<std::size_t>(step)], stored) && ++doneSteps[occurrence] == entry.job.steps.size()) {
+            entry.doneOccurrences.insert(occurrence, occurrence);
         }
-        StepInstance *step = findStep(StepRef{entry.job.id, key.first, key.second});
-        if (step == nullptr) {
+    }
+    for (const auto &[key, stored] : progress.steps) {
+        const auto &[occurrence, step] = key;
+        if (occurrence < 0 || occurrence >= count || entry.doneOccurrences.contains(occurrence)) {
             continue;
         }
-        step->gangCheckpoint = stored.gangCheckpoint;
-        for (std::size_t i = 0; i < step->tasks.size() && i < stored.succeeded.size(); ++i) {
-            CellTask &task = step->tasks[i];
-            if (stored.succeeded[i] && task.phase == CellTaskPhase::Waiting) {
-                task.phase = CellTaskPhase::Succeeded;
-                --step->waiting;
-                ++step->succeeded;
-                entry.anyStarted = true;
-            }
+        if (entry.openOccurrences.count(occurrence) == 0) {
+            createOccurrence(entry, occurrence);
         }
-        for (const auto &[index, crashes] : stored.crashes) {
-            if (index >= 0 && index < static_cast<int>(step->tasks.size())) {
-                for (const auto &[run, crash] : crashes) {
-                    step->tasks[static_cast<std::size_t>(index)].crashes.add(run, crash);
-                }
-                entry.anyStarted = true;
-            }
+        if (StepInstance *instance = findStep(StepRef{entry.job.id, occurrence, step})) {
+            restoreStep(entry, *instance, stored);
         }
-        for (const auto &[index, runs] : stored.failedRuns) {
-            if (index >= 0 && index < static_cast<int>(step->tasks.size())) {
-                step->tasks[static_cast<std::size_t>(index)].failedRuns = runs;
-                entry.anyStarted = true;
-            }
+    }
+    std::vector<int> done;
+    for (const auto &[occurrence, open] : entry.openOccurrences) {
+        if (entry.doneOccurrences.contains(occurrence)) {
+            done.push_back(occurrence);
         }
     }
+    for (const int occurrence : done) {
+        closeOccurrence(entry, occurrence);
+    }
+    entry.anyStarted = entry.anyStarted || entry.doneOccurrences.size() > 0;
     if (entry.anyStarted) {
         entry.state = CellJobState::Active;
     }
@@ -117,17 +159,42 @@
     for (const auto &step : entry.steps) {
         step->readySince = TimePoint();
     }
-    for (int occurrence = 0; occurrence < entry.nextOccurrence; ++occurrence) {
+    for (const auto &[occurrence, open] : entry.openOccurrences) {
         markReady(entry, occurrence, entry.addedAt);
-        const bool done = std::all_of(
-            entry.steps.begin(), entry.steps.end(), [occurrence](const auto &step) { return step->ref.occurrence != occurrence || step->isDone(); });
-        entry.doneOccurrences += done ? 1 : 0;
     }
-    if (entry.doneOccurrences >= entry.job.occurrenceCount()) {
+    if (entry.doneOccurrences.size() >= count) {
         finish(entry, CellJobState::Succeeded, entry.addedAt);
     }
 }
 
+void JobTable::restoreStep(JobEntry &entry, StepInstance &step, const StepProgress &stored)
+{
+    step.gangCheckpoint = stored.gangCheckpoint;
+    for (std::size_t i = 0; i < step.tasks.size() && i < stored.succeeded.size(); ++i) {
+        CellTask &task = step.tasks[i];
+        if (stored.succeeded[i] && task.phase == CellTaskPhase::Waiting) {
+            task.phase = CellTaskPhase::Succeeded;
+            --step.waiting;
+            ++step.succeeded;
+            entry.anyStarted = true;
+        }
+    }
+    for (const auto &[index, crashes] : stored.crashes) {
+        if (index >= 0 && index < static_cast<int>(step.tasks.size())) {
+            for (const auto &[run, crash] : crashes) {
+                step.tasks[static_cast<std::size_t>(index)].crashes.add(run, crash);
+            }
+            entry.anyStarted = true;
+        }
+    }
+    for (const auto &[index, runs] : stored.failedRuns) {
+        if (index >= 0 && index < static_cast<int>(step.tasks.size())) {
+            step.tasks[static_cast<std::size_t>(index)].failedRuns = runs;
+            entry.anyStarted = true;
+        }
+    }
+}
+
 void JobTable::drop(const JobId &id)
 {
     JobEntry *entry = find(id);
@@ -177,22 +244,83 @@
         m_steps[step->ref] = step.get();
         entry.steps.push_back(std::move(step));
     }
-    entry.nextOccurrence = std::max(entry.nextOccurrence, occurrence + 1);
+    entry.openOccurrences[occurrence] = OpenOccurrence();
+}
+
+void JobTable::closeOccurrence(JobEntry &entry, int occurrence)
+{
+    const auto open = entry.openOccurrences.find(occurrence);
+    if (open == entry.openOccurrences.end()) {
+        return;
+    }
+    entry.dueOpenOccurrences -= open->second.isDue ? 1 : 0;
+    entry.openOccurrences.erase(open);
+    const auto removed = std::remove_if(entry.steps.begin(), entry.steps.end(), [this, occurrence](const std::unique_ptr<StepInstance> &step) {
+        if (step->ref.occurrence == occurrence) {
+            m_steps.erase(step->ref);
+        }
+        return step->ref.occurrence == occurrence;
+    });
+    entry.steps.erase(removed, entry.steps.end());
+}
+
+void JobTable::closeStoredOccurrences(JobEntry &entry)
+{
+    std::vector<int> closable;
+    for (const auto &[occurrence, open] : entry.openOccurrences) {
+        if (open.doneRevision > 0 && open.doneRevision <= entry.storedRevision) {
+            closable.push_back(occurrence);
+        }
+    }
+    for (const int occurrence : closable) {
+        const bool hasRuns = std::any_of(entry.steps.begin(), entry.steps.end(), [occurrence](const auto &step) {
+            return step->ref.occurrence == occurrence
+                && std::any_of(step->tasks.begin(), step->tasks.end(), [](const CellTask &task) { return task.liveRuns > 0; });
+        });
+        if (!hasRuns) {
+            closeOccurrence(entry, occurrence);
+        }
+    }
 }
 
 void JobTable::createDueOccurrences(JobEntry &entry, TimePoint now, std::int64_t unixNowMs)
 {
-    while (entry.nextOccurrence < entry.job.occurrenceCount()) {
-        const std::int64_t due = entry.job.firstRunUnixMs + entry.nextOccurrence * entry.job.interval.count();
-        if (entry.job.occurrences > 0 && unixNowMs < due) {
+    const int limit = maxOpenOccurrences(entry.job);
+    while (entry.dueOpenOccurrences < limit) {
+        const int occurrence = entry.doneOccurrences.firstMissingFrom(entry.nextOccurrence);
+        const std::int64_t due = entry.job.firstRunUnixMs + occurrence * entry.job.interval.count();
+        entry.nextOccurrence = occurrence;
+        if (occurrence >= entry.job.occurrenceCount() || (entry.job.occurrences > 0 && unixNowMs < due)) {
             return;
         }
-        const int occurrence = entry.nextOccurrence;
-        createOccurrence(entry, occurrence);
+        if (entry.openOccurrences.count(occurrence) == 0) {
+            createOccurrence(entry, occurrence);
+        }
+        entry.openOccurrences[occurrence].isDue = true;
+        ++entry.dueOpenOccurrences;
+        ++entry.nextOccurrence;
         markReady(entry, occurrence, now);
     }
 }
 
+StepInstance *JobTable::findReportedStep(const StepRef &ref)
+{
+    StepInstance *known = findStep(ref);
+    JobEntry *entry = find(ref.job);
+    if (known != nullptr || entry == nullptr || entry->outcome != CellJobState::Unknown) {
+        return known;
+    }
+    const bool isStepOfJob = ref.step >= 0 && static_cast<std::size_t>(ref.step) < entry->job.steps.size();
+    const bool mayExist = isStepOfJob && ref.occurrence >= 0 && ref.occurrence < entry->job.occurrenceCount()
+        && !entry->doneOccurrences.contains(ref.occurrence) && entry->openOccurrences.count(ref.occurrence) == 0
+        && entry->openOccurrences.size() < maxReportedOccurrences;
+    if (!mayExist) {
+        return nullptr;
+    }
+    createOccurrence(*entry, ref.occurrence);
+    return findStep(ref);
+}
+
 void JobTable::createAllDueOccurrences(TimePoint now, std::int64_t unixNowMs)
 {
     for (const auto &[id, open] : m_unfinished) {
@@ -205,6 +333,10 @@
 
 void JobTable::markReady(JobEntry &entry, int occurrence, TimePoint now)
 {
+    const auto open = entry.openOccurrences.find(occurrence);
+    if (open == entry.openOccurrences.end() || !open->second.isDue) {
+        return;
+    }
     for (const auto &step : entry.steps) {
         if (step->ref.occurrence != occurrence || step->readySince != TimePoint()) {
             continue;
@@ -293,16 +425,20 @@
     }
 }
 
+bool JobTable::isOccurrenceDone(const JobEntry &entry, int occurrence)
+{
+    return std::all_of(entry.steps.begin(), entry.steps.end(), [occurrence](const auto &step) { return step->ref.occurrence != occurrence || step->isDone(); });
+}
+
 void JobTable::completeOccurrenceIfDone(JobEntry &entry, int occurrence, TimePoint now, std::int64_t unixNowMs)
 {
-    const bool done =
-        std::all_of(entry.steps.begin(), entry.steps.end(), [occurrence](const auto &step) { return step->ref.occurrence != occurrence || step->isDone(); });
-    if (!done) {
+    if (!isOccurrenceDone(entry, occurrence)) {
         return;
     }
-    ++entry.doneOccurrences;
+    entry.doneOccurrences.insert(occurrence, occurrence);
+    entry.openOccurrences[occurrence].doneRevision = entry.revision;
     createDueOccurrences(entry, now, unixNowMs);
-    if (entry.doneOccurrences >= entry.job.occurrenceCount()) {
+    if (entry.doneOccurrences.size() >= entry.job.occurrenceCount()) {
         finish(entry, CellJobState::Succeeded, now);
     }
 }
@@ -310,6 +446,9 @@
 bool JobTable::onFailed(StepInstance &step, const EndedEntry &end, const WorkerId &worker, int attempts, TimePoint now)
 {
     CellTask &task = step.tasks.at(static_cast<std::size_t>(end.task.index));
+    if (task.phase == CellTaskPhase::Succeeded) {
+        return false; // An earlier run of the task, or a copy.
+    }
     task.failedOn.insert(worker);
     std::set<RunNumber> &failedRuns = step.spec->gang ? step.tasks[0].failedRuns : task.failedRuns;
     if (!failedRuns.insert(end.run).second) {
@@ -381,6 +520,7 @@
     if (step->active == 0) {
         step->gangStopping = false;
     }
+    closeStoredOccurrences(entry);
     discardStepsIfEnded(entry);
 }
 
@@ -414,19 +554,25 @@
     if (isFinal(entry.outcome)) {
         return progress;
     }
+    progress.doneOccurrences = entry.doneOccurrences.ranges();
+    addDoneStepsForEarlierVersions(entry, progress);
     for (const auto &step : entry.steps) {
         StepProgress stored;
         bool hasProgress = !step->gangCheckpoint.empty();
         for (std::size_t i = 0; i < step->tasks.size(); ++i) {
             const CellTask &task = step->tasks[i];
             stored.succeeded.push_back(task.phase == CellTaskPhase::Succeeded);
+            if (task.phase == CellTaskPhase::Succeeded) {
+                hasProgress = true;
+                continue; // What happened before the success is not needed any more.
+            }
             std::map<RunNumber, WorkerCrash> crashes;
             for (const auto &[run, crash] : task.crashes.crashes()) {
                 if (crash.timing != CrashTiming::Late) {
                     crashes.emplace(run, crash);
                 }
             }
-            hasProgress = hasProgress || task.phase == CellTaskPhase::Succeeded || !task.failedRuns.empty() || !crashes.empty();
+            hasProgress = hasProgress || !task.failedRuns.empty() || !crashes.empty();
             if (!crashes.empty()) {
                 stored.crashes[static_cast<int>(i)] = crashes;
             }
@@ -449,6 +595,7 @@
         return;
     }
     entry->storedRevision = std::max(entry->storedRevision, revision);
+    closeStoredOccurrences(*entry);
     if (isFinal(entry->outcome) && entry->storedRevision >= entry->revision) {
         entry->state = entry->outcome;
         discardStepsIfEnded(*entry);
@@ -465,6 +612,7 @@
         m_steps.erase(step->ref);
     }
     entry.steps.clear();
+    entry.openOccurrences.clear();
     entry.job.payload = std::string();
     entry.job.steps.clear();
 }
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -3,6 +3,7 @@
 
 #include "cellconfig.h"
 #include "celljob.h"
+#include "occurrenceset.h"
 #include "workertable.h"
 
 #include <map>
@@ -102,6 +103,12 @@
     }
 };
 
+/// An occurrence of a job whose steps exist.
+struct OpenOccurrence {
+    bool isDue = false; ///< Its steps may start once their dependencies are met.
+    std::uint64_t doneRevision = 0; ///< Revision of the job that contains the end of the occurrence; 0: it has not ended.
+};
+
 /// A job and its scheduling state.
 struct JobEntry {
     CellJob job;
@@ -113,10 +120,11 @@
     bool unreconciled = false; ///< Admitted by a previous leader: tasks may run on workers that have not answered this leader.
     std::uint64_t revision = 0; ///< Incremented by each change that has to be stored.
     std::uint64_t storedRevision = 0;
-    std::vector<std::unique_ptr<StepInstance>> steps; ///< Steps of all occurrences created so far.
-    int nextOccurrence = 0; ///< The first occurrence without steps.
-    int doneOccurrences = 0;
-    std::map<std::pair<int, int>, StepProgress> finishedSteps; ///< Not used; completed occurrences stay in steps.
+    std::vector<std::unique_ptr<StepInstance>> steps; ///< Steps of the open occurrences.
+    std::map<int, OpenOccurrence> openOccurrences; ///< An occurrence stays open until its end is stored and it has no runs left.
+    int dueOpenOccurrences = 0; ///< Open occurrences for which OpenOccurrence::isDue.
+    int nextOccurrence = 0; ///< All earlier occurrences are due, and are open or done.
+    OccurrenceSet doneOccurrences; ///< Occurrences of which all tasks have succeeded.
     TimePoint submittedAt;
     TimePoint softDeadline; ///< Objective of the first occurrence; the occurrence is late afterwards.
     TimePoint firmDeadline; ///< The result of the first occurrence is worthless afterwards.
@@ -133,6 +141,9 @@
     Duration targetLatency{0};
 };
 
+/// Returns how many due occurrences of the job may be open at a time; at least one.
+[[nodiscard]] int maxOpenOccurrences(const CellJob &job);
+
 /// All jobs known to the leader, with their steps and tasks.
 class JobTable
 {
@@ -152,8 +163,12 @@
     /// Jobs that have no outcome yet.
     [[nodiscard]] const std::map<JobId, JobEntry *> &unfinishedEntries() const;
 
-    /// Creates the steps of the job's due occurrences and marks those without unfinished dependencies as ready.
+    /// Creates the steps of the job's due occurrences, in order, and marks those without unfinished dependencies as ready. At most
+    /// maxOpenOccurrences() are open at a time, so that the time and the memory that a job takes do not grow with its backlog.
     void createDueOccurrences(JobEntry &entry, TimePoint now, std::int64_t unixNowMs);
+    /// Returns the step of a run that a worker has reported. Creates the steps of its occurrence if it is not open and has not ended: a previous
+    /// leader may have opened more occurrences. Null if the job or the step is unknown or the occurrence has ended.
+    [[nodiscard]] StepInstance *findReportedStep(const StepRef &ref);
     /// Calls createDueOccurrences() for all recurring jobs.
     void createAllDueOccurrences(TimePoint now, std::int64_t unixNowMs);
     /// Ready steps with waiting tasks, of stored jobs.
@@ -193,7 +208,14 @@
     void discardStepsIfEnded(JobEntry &entry);
     void markDirty(JobEntry &entry);
     void createOccurrence(JobEntry &entry, int occurrence);
+    /// Removes the steps of an open occurrence.
+    void closeOccurrence(JobEntry &entry, int occurrence);
+    /// Closes the occurrences whose end is stored and that have no runs left.
+    void closeStoredOccurrences(JobEntry &entry);
+    void restoreStep(JobEntry &entry, StepInstance &step, const StepProgress &stored);
+    /// Marks the steps of a due occurrence as ready of which all dependencies are done.
     void markReady(JobEntry &entry, int occurrence, TimePoint now);
+    [[nodiscard]] static bool isOccurrenceDone(const JobEntry &entry, int occurrence);
     /// Counts the occurrence as done if all of its steps are, and finishes the job with its last occurrence.
     void completeOccurrenceIfDone(JobEntry &entry, int occurrence, TimePoint now, std::int64_t unixNowMs);
 
--- a/src/node/rowcodec.cpp
+++ b/src/node/rowcodec.cpp
@@ -139,6 +139,11 @@
     if (isFinal(progress.finalState)) {
         row.set_ended_unix_ms(currentUnixTimeMs); // Approximates the time of the end by the time of this write.
     }
+    for (const auto &[first, last] : progress.doneOccurrences) {
+        CellWire::OccurrenceRange *range = row.add_done();
+        range->set_first(static_cast<std::uint32_t>(first));
+        range->set_last(static_cast<std::uint32_t>(last));
+    }
     for (const auto &[key, step] : progress.steps) {
         CellWire::StepProgress *stored = row.add_steps();
         stored->set_occurrence(static_cast<std::uint32_t>(key.first));
@@ -184,6 +189,9 @@
     default:
         break;
     }
+    for (const CellWire::OccurrenceRange &range : row.done()) {
+        progress.doneOccurrences.emplace_back(static_cast<int>(range.first()), static_cast<int>(range.last()));
+    }
     for (const CellWire::StepProgress &stored : row.steps()) {
         StepProgress step;
         step.succeeded = unpackBits(stored.succeeded());
--- a/test/node/testrowcodec.cpp
+++ b/test/node/testrowcodec.cpp
@@ -20,4 +20,12 @@
     CHECK_TRUE(restored.steps.at({0, 1}).crashes == step.crashes);
 }
 
+// Guards against occurrences that run again after a change of leader, because their ends were not stored.
+TEST(RowCodec, KeepsTheOccurrencesThatHaveEnded)
+{
+    JobProgress progress;
+    progress.doneOccurrences = {{0, 28000}, {28003, 28003}};
+    CHECK_TRUE(fromWire(toWire(progress, 1)).doneOccurrences == progress.doneOccurrences);
+}
+
 } // namespace KingCupLadder
