--- a/src/cell/celladvice.cpp
+++ b/src/cell/celladvice.cpp
@@ -30,8 +30,8 @@
 
 const AdviceSettings *CellScheduler::adviceSettings(const StepInstance &step) const
 {
-    const CellRoute *route = m_config->route(step.job->job.route);
-    return route != nullptr && route->advice ? &*route->advice : nullptr;
+    const RouteRules *rules = rulesOf(step.job->job);
+    return rules != nullptr && rules->advice ? &*rules->advice : nullptr;
 }
 
 void CellScheduler::renewTicketsForGang(StepInstance &step, const GangForecast &forecast, const std::vector<CandidateWorker> &candidates, TimePoint now)
--- a/src/cell/cellconfig.h
+++ b/src/cell/cellconfig.h
@@ -4,40 +4,21 @@
 #include "cellids.h"
 #include "core/resources.h"
 #include "core/units.h"
+#include "routerules.h"
 
 #include <map>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace KingCupLadder {
 
-/// Settings of a route whose steps may only run on workers that the policy service allows.
-struct AdviceSettings {
-    double decisionMs = 0; ///< Fixed part of the duration of one call to the policy service.
-    double perWorkerMs = 0; ///< Added for each worker named in the call.
-    Duration validity{0}; ///< How long a ticket is valid.
-
-    /// Returns an upper bound on the duration of a call that names @p workers workers, in whole milliseconds.
-    [[nodiscard]] Duration callDuration(std::size_t workers) const
-    {
-        return Duration(static_cast<std::int64_t>(decisionMs + perWorkerMs * static_cast<double>(workers)) + 1);
-    }
-};
-
 /// A job queue: the requests that are routed to it and how its jobs run.
-struct CellRoute {
+struct CellRoute : RouteRules {
     RouteName name;
     std::string host;
     std::string pathPrefix;
-    UpstreamName upstream;
-    int priority = 0; ///< 0 is the highest.
-    int attempts = 1; ///< Number of failed runs of one task after which the job fails.
-    double stretch = 1; ///< The objective is stretch times the critical path, plus targetLatency.
-    Duration targetLatency{0};
     bool isPublic = false; ///< Requests need no API key.
-    std::optional<AdviceSettings> advice; ///< Empty: any eligible worker may run the steps.
 };
 
 /// A group of workers that runs the tasks of some routes.
--- a/src/cell/celljob.cpp
+++ b/src/cell/celljob.cpp
@@ -53,6 +53,12 @@
     return longest;
 }
 
+Duration objectiveOf(const std::vector<StepSpec> &steps, const RouteRules &rules)
+{
+    const auto criticalPath = static_cast<double>(criticalPathLength(steps).count());
+    return Duration(static_cast<std::int64_t>(criticalPath * rules.stretch)) + rules.targetLatency;
+}
+
 std::int64_t totalWork(const std::vector<StepSpec> &steps)
 {
     std::int64_t sum = 0;
--- a/src/cell/celljob.h
+++ b/src/cell/celljob.h
@@ -6,9 +6,11 @@
 #include "core/resources.h"
 #include "core/units.h"
 #include "crashhistory.h"
+#include "routerules.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -50,6 +52,7 @@
     Duration interval{0};
     std::int64_t firstRunUnixMs = 0;
     std::int64_t submittedUnixMs = 0;
+    std::optional<AdmittedRules> admitted; ///< Empty for a job that was admitted by an earlier version of the daemon.
 
     [[nodiscard]] int occurrenceCount() const
     {
@@ -63,6 +66,9 @@
 /// Sum of the estimates along the critical path of the steps.
 [[nodiscard]] Duration criticalPathLength(const std::vector<StepSpec> &steps);
 
+/// The time within which an occurrence of the steps should end after it is due.
+[[nodiscard]] Duration objectiveOf(const std::vector<StepSpec> &steps, const RouteRules &rules);
+
 /// CPU time of one occurrence in core milliseconds.
 [[nodiscard]] std::int64_t totalWork(const std::vector<StepSpec> &steps);
 
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -134,8 +134,8 @@
 
 std::pair<int, TimePoint> CellScheduler::priorityKey(const StepInstance &step, TimePoint now) const
 {
-    const CellRoute *route = m_config->route(step.job->job.route);
     const JobEntry &entry = *step.job;
+    const RouteRules *rules = rulesOf(entry.job);
     const TimePoint softDeadline = entry.softDeadline + entry.job.interval * step.ref.occurrence;
     // Approximates the remaining critical path by the step and the steps that depend on it directly.
     Duration remaining = step.spec->estimate;
@@ -146,7 +146,7 @@
         }
     }
     const TimePoint latestStart = softDeadline - remaining;
-    int tier = route != nullptr ? route->priority : 0;
+    int tier = rules != nullptr ? rules->priority : 0;
     if (now > latestStart && !step.spec->longRunning) {
         tier += now + remaining > entry.firmDeadline + entry.job.interval * step.ref.occurrence ? missedFirmDeadlineTierOffset : missedSoftDeadlineTierOffset;
     }
@@ -156,8 +156,8 @@
 
 bool CellScheduler::isEligible(const StepInstance &step, const Worker &worker) const
 {
-    const CellRoute *route = m_config->route(step.job->job.route);
-    if (route == nullptr || worker.info.upstream != route->upstream) {
+    const RouteRules *rules = rulesOf(step.job->job);
+    if (rules == nullptr || worker.info.upstream != rules->upstream) {
         return false;
     }
     const std::vector<std::string> &labels = worker.info.labels;
@@ -167,17 +167,13 @@
 
 bool CellScheduler::isWithinWorkspaceMaximum(const StepInstance &step, int tasks) const
 {
-    const Workspace *workspace = m_config->workspace(step.job->job.workspace);
-    if (workspace == nullptr) {
-        return true;
-    }
     const auto used = m_usage.find(step.job->job.workspace);
     Resources after = (used == m_usage.end() ? Resources{} : used->second) + step.spec->demand * tasks;
     const auto unreported = m_unreportedUsage.find(step.job->job.workspace);
     if (unreported != m_unreportedUsage.end()) {
         after += unreported->second;
     }
-    const Resources &limit = workspace->maximum;
+    const Resources limit = workspaceMaximum(step.job->job);
     const bool cpu = limit.cpu.value() <= 0 || after.cpu <= limit.cpu;
     const bool memory = limit.memory.value() <= 0 || after.memory <= limit.memory;
     const bool accelerators = limit.accelerators.value() <= 0 || after.accelerators <= limit.accelerators;
@@ -239,7 +235,7 @@
 
 bool CellScheduler::isSchedulable(const StepInstance &step) const
 {
-    return m_config->route(step.job->job.route) != nullptr && !step.job->unreconciled;
+    return rulesOf(step.job->job) != nullptr && !step.job->unreconciled;
 }
 
 void CellScheduler::runPlacementPass(CellOrders &orders, const CellTime &time)
--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -184,7 +184,7 @@
             recordHealth(*worker, entry.job.id, false, time.now);
         }
         m_jobs.onInterrupted(*step, end.task.index, std::string(), time.now); // Keeps the checkpoint of an earlier run, if any.
-        const bool jobFailed = m_jobs.onFailed(*step, end, event.worker, rulesOf(entry.job.route).attempts, time.now);
+        const bool jobFailed = m_jobs.onFailed(*step, end, event.worker, rulesOf(entry.job), time.now);
         log("task " + end.task.text() + " run " + std::to_string(end.run.value()) + " failed on " + event.worker.value()
             + (jobFailed ? ": attempts used up, the job has failed" : ""));
         if (jobFailed) {
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -39,14 +39,40 @@
 
 void CellScheduler::setConfig(std::shared_ptr<const CellConfig> config, TimePoint now)
 {
-    m_config = std::move(config);
     std::map<WorkspaceId, TrackedMaximum> maxima;
-    for (const Workspace &workspace : m_config->workspaces) {
+    std::map<RouteName, RouteRules> formerRoutes;
+    for (const auto &[id, entry] : m_jobs.unfinishedEntries()) {
+        const RouteRules *rules = config->route(entry->job.route) == nullptr ? rulesOf(entry->job) : nullptr;
+        if (rules != nullptr) {
+            formerRoutes.emplace(entry->job.route, *rules);
+        }
+        const auto maximum = m_workspaceMaxima.find(entry->job.workspace);
+        if (maximum != m_workspaceMaxima.end()) {
+            maxima.insert(*maximum);
+        }
+    }
+    for (const Workspace &workspace : config->workspaces) {
         const auto known = m_workspaceMaxima.find(workspace.name);
         const bool same = known != m_workspaceMaxima.end() && known->second.maximum == workspace.maximum;
         maxima[workspace.name] = TrackedMaximum{workspace.maximum, same ? known->second.since : now};
     }
+    for (const auto &[route, rules] : formerRoutes) {
+        if (m_formerRoutes.count(route) == 0) {
+            log("route " + route.value() + " is not in configuration " + std::to_string(config->version.value()) + "; its unfinished jobs keep its last rules");
+        }
+    }
+    m_config = std::move(config);
     m_workspaceMaxima = std::move(maxima);
+    m_formerRoutes = std::move(formerRoutes);
+    for (const JobId &id : std::exchange(m_jobsWithoutRules, {})) {
+        JobEntry *entry = m_jobs.find(id);
+        const RouteRules *rules = entry != nullptr ? rulesOf(entry->job) : nullptr;
+        if (rules != nullptr) {
+            applyRules(*entry, *rules, now);
+        } else if (entry != nullptr) {
+            m_jobsWithoutRules.insert(id);
+        }
+    }
 }
 
 void CellScheduler::beginEpoch(Epoch epoch, TimePoint leasesExpiredBy)
@@ -62,6 +88,8 @@
     m_usage.clear();
     m_discoveredUsage.clear();
     m_tokenBuckets.clear();
+    m_formerRoutes.clear();
+    m_jobsWithoutRules.clear();
     m_progressWritesInFlight.clear();
     m_discoveredBeforeLoad.clear();
     m_unmatchedEndsBeforeLoad.clear();
@@ -76,16 +104,45 @@
     m_workers.addPrevious(records, m_leasesExpiredBy);
 }
 
-RouteRules CellScheduler::rulesOf(const RouteName &name) const
+const RouteRules *CellScheduler::rulesOf(const CellJob &job) const
 {
-    RouteRules rules;
-    const CellRoute *route = m_config ? m_config->route(name) : nullptr;
+    const CellRoute *route = m_config ? m_config->route(job.route) : nullptr;
     if (route != nullptr) {
-        rules.attempts = route->attempts;
-        rules.stretch = route->stretch;
-        rules.targetLatency = route->targetLatency;
+        return route;
+    }
+    const auto former = m_formerRoutes.find(job.route);
+    if (former != m_formerRoutes.end()) {
+        return &former->second;
+    }
+    return job.admitted ? &job.admitted->route : nullptr;
+}
+
+Resources CellScheduler::workspaceMaximum(const CellJob &job) const
+{
+    const auto known = m_workspaceMaxima.find(job.workspace);
+    if (known != m_workspaceMaxima.end()) {
+        return known->second.maximum;
+    }
+    return job.admitted ? job.admitted->workspaceMaximum : Resources{};
+}
+
+JobEntry &CellScheduler::addJob(const CellJob &job, const CellTime &time)
+{
+    const RouteRules *rules = rulesOf(job);
+    JobEntry &entry = m_jobs.add(job, rules, time.now, time.unixMs);
+    if (rules == nullptr) {
+        m_jobsWithoutRules.insert(job.id);
+    }
+    return entry;
+}
+
+void CellScheduler::applyRules(JobEntry &entry, const RouteRules &rules, TimePoint now)
+{
+    JobTable::setObjective(entry, rules);
+    if (m_jobs.failIfAttemptsUsedUp(entry, rules, now)) {
+        log("job " + entry.job.id.value() + " has used up its attempts, as its rules are known now");
+        stopRuns(entry.job.id, now);
     }
-    return rules;
 }
 
 void CellScheduler::markStored(JobEntry &entry, TimePoint now)
@@ -114,11 +171,15 @@
 
 void CellScheduler::load(const CellJob &job, const JobProgress *progress, bool cancelled, bool mayHaveStarted, const CellTime &time)
 {
-    JobEntry &entry = m_jobs.add(job, rulesOf(job.route), time.now, time.unixMs);
+    JobEntry &entry = addJob(job, time);
     markStored(entry, time.now);
     entry.unreconciled = mayHaveStarted;
     if (progress != nullptr) {
         m_jobs.restore(entry, *progress);
+        // The previous leader may not have known the rules.
+        if (const RouteRules *rules = rulesOf(job)) {
+            applyRules(entry, *rules, time.now);
+        }
     }
     if (cancelled) {
         m_jobs.finish(entry, CellJobState::Cancelled, time.now);
@@ -155,7 +216,8 @@
         decision.stored = known->stored;
         return decision;
     }
-    const CellRoute *route = m_config ? m_config->route(job.route) : nullptr;
+    const RouteRules *knownRules = rulesOf(job);
+    const RouteRules rules = knownRules != nullptr ? *knownRules : RouteRules{};
     const Workspace *workspace = m_config ? m_config->workspace(job.workspace) : nullptr;
     bool overRate = false;
     if (workspace != nullptr && workspace->weight > 0) {
@@ -169,13 +231,9 @@
             bucket.tokens -= 1;
         }
     }
-    const int priority = route != nullptr ? route->priority : 0;
     // A job above its workspace's rate is served last, so it waits for the work of all priorities.
-    const Duration wait = predictedWait(overRate ? INT_MAX : priority, time.now);
-    const RouteRules rules = rulesOf(job.route);
-    const auto criticalPath = static_cast<double>(criticalPathLength(job.steps).count());
-    const auto objective = Duration(static_cast<std::int64_t>(criticalPath * rules.stretch)) + rules.targetLatency;
-    const Duration maxWait = objective * firmDeadlineFactor - Duration(static_cast<std::int64_t>(criticalPath));
+    const Duration wait = predictedWait(overRate ? INT_MAX : rules.priority, time.now);
+    const Duration maxWait = objectiveOf(job.steps, rules) * firmDeadlineFactor - criticalPathLength(job.steps);
     if (overRate && wait > busyWaitThreshold) {
         decision.verdict = AdmissionVerdict::OverRate;
     } else if (wait > Duration(static_cast<std::int64_t>(static_cast<double>(maxWait.count()) * admissionSafetyFactor))) {
@@ -190,10 +248,10 @@
         return decision;
     }
     ++m_counters.admitted;
-    JobEntry &entry = m_jobs.add(job, rules, time.now, time.unixMs);
+    JobEntry &entry = addJob(job, time);
     entry.overRate = overRate;
     // Counted here until predictedWait() computes the waiting work again. The waiting tasks are not updated in between.
-    m_waitingWork[priority] += totalWork(job.steps) * milliCoresPerCore;
+    m_waitingWork[rules.priority] += totalWork(job.steps) * milliCoresPerCore;
     log("job " + job.id.value() + " admitted: route " + job.route.value() + ", predicted wait " + std::to_string(wait.count()) + " ms");
     return decision;
 }
@@ -209,9 +267,9 @@
             m_capacity += worker.registered && !worker.info.draining ? worker.info.capacity.cpu.value() : 0;
         }
         for (const auto &[id, entry] : m_jobs.unfinishedEntries()) {
-            const CellRoute *route = m_config ? m_config->route(entry->job.route) : nullptr;
+            const RouteRules *rules = rulesOf(entry->job);
             for (const auto &step : entry->steps) {
-                const int level = route != nullptr ? route->priority : 0;
+                const int level = rules != nullptr ? rules->priority : 0;
                 if (now >= entry->firmDeadline) {
                     continue; // Does not delay a new job: it ranks after other work, see missedFirmDeadlineTierOffset.
                 }
@@ -249,8 +307,7 @@
 
 void CellScheduler::onJobStored(const CellJob &job, const CellTime &time)
 {
-    JobEntry &entry = m_jobs.add(job, rulesOf(job.route), time.now, time.unixMs);
-    markStored(entry, time.now);
+    markStored(addJob(job, time), time.now);
 }
 
 bool CellScheduler::onKnownJobStored(const JobId &id, TimePoint now)
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -176,7 +176,14 @@
     void log(const std::string &line) const;
     void markStored(JobEntry &entry, TimePoint now);
     [[nodiscard]] bool mayStart(const JobEntry &entry) const;
-    [[nodiscard]] RouteRules rulesOf(const RouteName &route) const;
+    /// Returns the rules of the job's route in the configuration in force, else the last known ones; null if none are known.
+    [[nodiscard]] const RouteRules *rulesOf(const CellJob &job) const;
+    /// Returns the maximum of the job's workspace; see rulesOf(). Without any limit if none is known.
+    [[nodiscard]] Resources workspaceMaximum(const CellJob &job) const;
+    /// Adds the job if it is unknown.
+    JobEntry &addJob(const CellJob &job, const CellTime &time);
+    /// Decides what had to wait for the rules of a job: its deadlines, and whether it has failed.
+    void applyRules(JobEntry &entry, const RouteRules &rules, TimePoint now);
     void onRunEvents(const std::vector<RunEvent> &events, const CellTime &time);
     /// Counts crashes of workers under the tasks that ran there, and gives up the tasks that have caused them.
     void onWorkersCrashed(const CellTime &time);
@@ -278,7 +285,10 @@
         Resources maximum;
         TimePoint since;
     };
-    std::map<WorkspaceId, TrackedMaximum> m_workspaceMaxima; ///< Current maximum of each workspace and since when it has had this value.
+    /// Maximum of each workspace and since when it has had this value. Includes workspaces with unfinished jobs that the configuration lacks.
+    std::map<WorkspaceId, TrackedMaximum> m_workspaceMaxima;
+    std::map<RouteName, RouteRules> m_formerRoutes; ///< Last rules of the routes with unfinished jobs that the configuration lacks.
+    std::set<JobId> m_jobsWithoutRules; ///< Jobs for which rulesOf() was null.
     std::map<WorkspaceId, Resources> m_discoveredUsage; ///< Demand of previous leaders' runs discovered in this term, including runs that have ended.
     std::map<WorkspaceId, Resources> m_unreportedUsage; ///< Upper bound on the usage on workers that have not answered this leader yet.
     std::map<WorkspaceId, Resources> m_usage; ///< Total demand of all known runs, by workspace.
--- a/src/cell/jobtable.cpp
+++ b/src/cell/jobtable.cpp
@@ -73,7 +73,7 @@
     }
 }
 
-JobEntry &JobTable::add(const CellJob &job, const RouteRules &rules, TimePoint now, std::int64_t unixNowMs)
+JobEntry &JobTable::add(const CellJob &job, const RouteRules *rules, TimePoint now, std::int64_t unixNowMs)
 {
     const auto known = m_jobs.find(job.id);
     if (known != m_jobs.end()) {
@@ -85,11 +85,8 @@
     // Limits the effect of wrong wall clocks: a job counts as submitted at most one hour ago and never in the future.
     const std::int64_t age = std::clamp<std::int64_t>(unixNowMs - job.submittedUnixMs, 0, 3600000);
     entry->submittedAt = now - Duration(age);
-    const auto criticalPath = static_cast<double>(criticalPathLength(job.steps).count());
-    const TimePoint due = job.occurrences > 0 ? now + Duration(job.firstRunUnixMs - unixNowMs) : entry->submittedAt;
-    const Duration objective = Duration(static_cast<std::int64_t>(criticalPath * rules.stretch)) + rules.targetLatency;
-    entry->softDeadline = due + objective;
-    entry->firmDeadline = due + objective * firmDeadlineFactor;
+    entry->dueAt = job.occurrences > 0 ? now + Duration(job.firstRunUnixMs - unixNowMs) : entry->submittedAt;
+    setObjective(*entry, rules != nullptr ? *rules : RouteRules{});
     JobEntry &added = *entry;
     m_jobs.emplace(job.id, std::move(entry));
     m_unfinished.emplace(job.id, &added);
@@ -97,6 +94,13 @@
     return added;
 }
 
+void JobTable::setObjective(JobEntry &entry, const RouteRules &rules)
+{
+    const Duration objective = objectiveOf(entry.job.steps, rules);
+    entry.softDeadline = entry.dueAt + objective;
+    entry.firmDeadline = entry.dueAt + objective * firmDeadlineFactor;
+}
+
 void JobTable::addFinal(const JobId &id, const RouteName &route, const WorkspaceId &workspace, CellJobState state, TimePoint now)
 {
     std::unique_ptr<JobEntry> &entry = m_jobs[id];
@@ -443,7 +447,7 @@
     }
 }
 
-bool JobTable::onFailed(StepInstance &step, const EndedEntry &end, const WorkerId &worker, int attempts, TimePoint now)
+bool JobTable::onFailed(StepInstance &step, const EndedEntry &end, const WorkerId &worker, const RouteRules *rules, TimePoint now)
 {
     CellTask &task = step.tasks.at(static_cast<std::size_t>(end.task.index));
     if (task.phase == CellTaskPhase::Succeeded) {
@@ -462,13 +466,27 @@
         }
     }
     markDirty(*step.job);
-    if (!step.spec->longRunning && failures >= attempts && step.job->outcome == CellJobState::Unknown && !step.isDone()) {
+    if (rules != nullptr && !step.spec->longRunning && failures >= rules->attempts && step.job->outcome == CellJobState::Unknown && !step.isDone()) {
         finish(*step.job, CellJobState::Failed, now);
         return true;
     }
     return false;
 }
 
+bool JobTable::failIfAttemptsUsedUp(JobEntry &entry, const RouteRules &rules, TimePoint now)
+{
+    const bool isUsedUp = std::any_of(entry.steps.begin(), entry.steps.end(), [&rules](const auto &step) {
+        return !step->spec->longRunning && std::any_of(step->tasks.begin(), step->tasks.end(), [&rules](const CellTask &task) {
+            return task.phase != CellTaskPhase::Succeeded && static_cast<int>(task.failedRuns.size()) >= rules.attempts;
+        });
+    });
+    if (!isUsedUp || entry.outcome != CellJobState::Unknown) {
+        return false;
+    }
+    finish(entry, CellJobState::Failed, now);
+    return true;
+}
+
 void JobTable::onInterrupted(StepInstance &step, int index, const std::string &checkpoint, TimePoint /*now*/)
 {
     CellTask &task = step.tasks.at(static_cast<std::size_t>(index));
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -126,6 +126,7 @@
     int nextOccurrence = 0; ///< All earlier occurrences are due, and are open or done.
     OccurrenceSet doneOccurrences; ///< Occurrences of which all tasks have succeeded.
     TimePoint submittedAt;
+    TimePoint dueAt; ///< When the first occurrence is due.
     TimePoint softDeadline; ///< Objective of the first occurrence; the occurrence is late afterwards.
     TimePoint firmDeadline; ///< The result of the first occurrence is worthless afterwards.
     bool overRate = false; ///< The job exceeded the workspace's rate when it was admitted and is scheduled after other jobs.
@@ -134,13 +135,6 @@
     int liveRuns = 0; ///< Runs of any task of the job that may exist.
 };
 
-/// The settings of a route that apply to its jobs.
-struct RouteRules {
-    int attempts = 1;
-    double stretch = 1;
-    Duration targetLatency{0};
-};
-
 /// Returns how many due occurrences of the job may be open at a time; at least one.
 [[nodiscard]] int maxOpenOccurrences(const CellJob &job);
 
@@ -148,8 +142,11 @@
 class JobTable
 {
 public:
-    /// Adds a job, or returns the existing entry. @p now and @p unixNowMs denote the same time.
-    JobEntry &add(const CellJob &job, const RouteRules &rules, TimePoint now, std::int64_t unixNowMs);
+    /// Adds a job, or returns the existing entry. @p rules is null if they are not known; see setObjective(). @p now and @p unixNowMs denote
+    /// the same time.
+    JobEntry &add(const CellJob &job, const RouteRules *rules, TimePoint now, std::int64_t unixNowMs);
+    /// Sets the deadlines of the job.
+    static void setObjective(JobEntry &entry, const RouteRules &rules);
     /// Adds a job that has ended, so that its state can be queried.
     void addFinal(const JobId &id, const RouteName &route, const WorkspaceId &workspace, CellJobState state, TimePoint now);
     /// Applies stored progress to a newly added job.
@@ -178,8 +175,11 @@
     /// Counts a run that was discovered in a worker's list.
     void onDiscovered(StepInstance &step, int index, RunNumber run);
     void onSucceeded(StepInstance &step, int index, TimePoint now, std::int64_t unixNowMs);
-    /// Counts a run that failed; repeated reports of one run have no effect. Returns true if the job fails as a result.
-    [[nodiscard]] bool onFailed(StepInstance &step, const EndedEntry &end, const WorkerId &worker, int attempts, TimePoint now);
+    /// Counts a run that failed; repeated reports of one run have no effect. Returns true if the job fails as a result. @p rules is null if they
+    /// are not known; the job doesn't fail then, see failIfAttemptsUsedUp().
+    [[nodiscard]] bool onFailed(StepInstance &step, const EndedEntry &end, const WorkerId &worker, const RouteRules *rules, TimePoint now);
+    /// Fails the job if one of its tasks has failed as often as @p rules allow. Returns true if so.
+    [[nodiscard]] bool failIfAttemptsUsedUp(JobEntry &entry, const RouteRules &rules, TimePoint now);
     /// Counts a crash of a worker under a run; repeated reports of one run have no effect. Returns true if the job fails as a result.
     [[nodiscard]] bool onWorkerCrashed(StepInstance &step, int index, RunNumber run, const WorkerCrash &crash, TimePoint now);
     /// The worker of the run was cut off and has not crashed.
--- a/src/node/jobapi.cpp
+++ b/src/node/jobapi.cpp
@@ -154,6 +154,10 @@
     job.route = request->routeName;
     job.workspace = request->workspace;
     job.submittedUnixMs = currentUnixTimeMs();
+    if (const CellRoute *route = m_configWatcher.config()->route(request->routeName)) {
+        const Workspace *workspace = m_configWatcher.config()->workspace(request->workspace);
+        job.admitted = AdmittedRules{*route, workspace != nullptr ? workspace->maximum : Resources{}};
+    }
     const auto checked = checkJob(job);
     if (!checked) {
         respondWithError(request, httpBadRequest, checked.reason());
--- a/src/node/rowcodec.cpp
+++ b/src/node/rowcodec.cpp
@@ -30,13 +30,60 @@
     return bits;
 }
 
+CellWire::Resources toWire(const Resources &resources)
+{
+    CellWire::Resources wire;
+    wire.set_milli_cores(resources.cpu.value());
+    wire.set_memory_mib(resources.memory.value());
+    wire.set_accelerators(resources.accelerators.value());
+    return wire;
+}
+
+Resources fromWire(const CellWire::Resources &wire)
+{
+    Resources resources;
+    resources.cpu = MilliCores(wire.milli_cores());
+    resources.memory = MebiBytes(wire.memory_mib());
+    resources.accelerators = Accelerators(wire.accelerators());
+    return resources;
+}
+
+CellWire::RouteRules toWire(const RouteRules &rules)
+{
+    CellWire::RouteRules wire;
+    wire.set_upstream(rules.upstream.value());
+    wire.set_priority(rules.priority);
+    wire.set_attempts(static_cast<std::uint32_t>(rules.attempts));
+    wire.set_stretch(rules.stretch);
+    wire.set_target_latency_ms(rules.targetLatency.count());
+    wire.set_needs_advice(rules.advice.has_value());
+    if (rules.advice) {
+        wire.set_decision_ms(rules.advice->decisionMs);
+        wire.set_per_worker_ms(rules.advice->perWorkerMs);
+        wire.set_ticket_validity_ms(rules.advice->validity.count());
+    }
+    return wire;
+}
+
+RouteRules fromWire(const CellWire::RouteRules &wire)
+{
+    RouteRules rules;
+    rules.upstream = UpstreamName(wire.upstream());
+    rules.priority = wire.priority();
+    rules.attempts = static_cast<int>(wire.attempts());
+    rules.stretch = wire.stretch();
+    rules.targetLatency = Duration(wire.target_latency_ms());
+    if (wire.needs_advice()) {
+        rules.advice = AdviceSettings{wire.decision_ms(), wire.per_worker_ms(), Duration(wire.ticket_validity_ms())};
+    }
+    return rules;
+}
+
 CellWire::Step toWire(const StepSpec &spec)
 {
     CellWire::Step step;
     step.set_count(static_cast<std::uint32_t>(spec.count));
-    step.mutable_demand()->set_milli_cores(spec.demand.cpu.value());
-    step.mutable_demand()->set_memory_mib(spec.demand.memory.value());
-    step.mutable_demand()->set_accelerators(spec.demand.accelerators.value());
+    *step.mutable_demand() = toWire(spec.demand);
     step.set_estimate_ms(spec.estimate.count());
     for (const int dependency : spec.after) {
         step.add_after(static_cast<std::uint32_t>(dependency));
@@ -60,9 +107,7 @@
 {
     StepSpec spec;
     spec.count = static_cast<int>(step.count());
-    spec.demand.cpu = MilliCores(step.demand().milli_cores());
-    spec.demand.memory = MebiBytes(step.demand().memory_mib());
-    spec.demand.accelerators = Accelerators(step.demand().accelerators());
+    spec.demand = fromWire(step.demand());
     spec.estimate = Duration(step.estimate_ms());
     for (const std::uint32_t dependency : step.after()) {
         spec.after.push_back(static_cast<int>(dependency));
@@ -98,6 +143,10 @@
     row.set_interval_ms(job.interval.count());
     row.set_first_run_unix_ms(job.firstRunUnixMs);
     row.set_submitted_unix_ms(job.submittedUnixMs);
+    if (job.admitted) {
+        *row.mutable_rules() = toWire(job.admitted->route);
+        *row.mutable_workspace_maximum() = toWire(job.admitted->workspaceMaximum);
+    }
     return row;
 }
 
@@ -115,6 +164,9 @@
     job.interval = Duration(row.interval_ms());
     job.firstRunUnixMs = row.first_run_unix_ms();
     job.submittedUnixMs = row.submitted_unix_ms();
+    if (row.has_rules()) {
+        job.admitted = AdmittedRules{fromWire(row.rules()), fromWire(row.workspace_maximum())};
+    }
     return checkJob(job) ? std::optional<CellJob>(std::move(job)) : std::nullopt;
 }
 
--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -172,7 +172,9 @@
         epoch = Epoch(epochValue);
         config->buildIndexes();
         scheduler = std::make_unique<CellScheduler>(settings, log);
-        scheduler->setConfig(config, configSince == TimePoint() ? now : configSince);
+        if (isConfigKnown) {
+            scheduler->setConfig(config, configSince == TimePoint() ? now : configSince);
+        }
         std::vector<DaemonId> daemons;
         for (int i = 1; i <= daemonCount; ++i) {
             daemons.emplace_back("d" + std::to_string(i));
@@ -202,6 +204,10 @@
     AdmissionVerdict submit(CellJob job)
     {
         job.submittedUnixMs = time().unixMs;
+        const CellRoute *route = config->route(job.route);
+        if (admitsWithRules && route != nullptr) {
+            job.admitted = AdmittedRules{*route, config->workspace(job.workspace)->maximum};
+        }
         const AdmissionVerdict verdict = scheduler->submit(job, time()).verdict;
         if (verdict == AdmissionVerdict::Admitted) {
             storedJobs[job.id] = job;
@@ -259,6 +265,7 @@
     std::map<JobId, JobProgress> storedProgress;
     std::set<JobId> cancelled;
     std::set<JobId> neverStarted; ///< Jobs that no previous leader can have started: they were stored after its last write of the leader's row.
+    bool isConfigKnown = true; ///< A new leader knows the configuration.
     TimePoint configSince; ///< Since when the configuration is known; zero: since the start of the leadership.
     bool renewalsSucceed = true; ///< Renewals of the leader's row succeed.
     std::set<TaskRef> acknowledgedSuccesses;
@@ -267,6 +274,7 @@
     TimePoint now{Duration(1000000)};
     Duration leaseExpiry{6500}; ///< Time until all leases of previous leaders have expired.
     TimePoint nextRegistry;
+    bool admitsWithRules = true; ///< Jobs are stored with the rules of their route, unlike those of the former version of the daemon.
     bool storeReachable = true; ///< Writes of progress and of the worker list succeed.
     bool progressIsStored = true; ///< Writes of progress succeed while the store is reachable.
     /// Returns the duration of the run started by an order; the step's estimate if not set.
@@ -368,7 +376,9 @@
     /// Records a violation unless a task of the failed job has used up its attempts or the job may be given up.
     void checkFailure(const JobId &id)
     {
-        const CellRoute *route = config->route(storedJobs.at(id).route);
+        const CellJob &job = storedJobs.at(id);
+        const CellRoute *inForce = config->route(job.route);
+        const RouteRules *route = inForce == nullptr && job.admitted ? &job.admitted->route : inForce;
         const bool usedUp = std::any_of(m_failedRuns.begin(), m_failedRuns.end(), [&](const auto &failed) {
             return failed.first.step.job == id && route != nullptr && static_cast<int>(failed.second.size()) >= route->attempts;
         });
--- a/test/cell/testrecurringjobs.cpp
+++ b/test/cell/testrecurringjobs.cpp
@@ -30,7 +30,7 @@
     JobEntry &addBacklog(int occurrences)
     {
         const std::int64_t unixNow = occurrencesOfEightHours * 1000LL;
-        JobEntry &entry = table.add(backlog("job", occurrences, unixNow), RouteRules{}, cell.now, unixNow);
+        JobEntry &entry = table.add(backlog("job", occurrences, unixNow), nullptr, cell.now, unixNow);
         entry.stored = true;
         return entry;
     }
