Refuse or limit odd values in what other programs write

Other operators reported that an odd entry among those of the workers ended the machines that read the list. It does not end these daemons, but the same class of input had effects here:

- Amounts beyond 64 bits counted as zero, so that a job with such a demand was accepted and placed as if it needed nothing.
- Times, clocks and ratios near the limits of their types overflowed in later sums, such as the predicted wait of all later jobs.
- Each level of nested JSON takes some 80 bytes, so a caller's body of 1 MiB could take a large part of a VM's memory.
- A registry key with a line break lost the header that names the intended worker; a job's id with a dot made task names that no daemon recognizes.
- Ends of tasks with unknown names were never acknowledged, and a job too large for a row was tried until its deadline.

Ruled out: a limit on the size of bodies instead of their depth, since a job of many steps is larger than a harmful nested text.

--- a/src/cell/celljob.cpp
+++ b/src/cell/celljob.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+constexpr Duration maxInterval{std::chrono::hours(30 * 365 * 24)};
+constexpr std::int64_t maxUnixMs = 100000000000000; // In the year 5138.
+
 Error stepError(std::size_t step, const std::string &what, const std::string &remedy)
 {
     return {ErrorKind::InvalidInput, "step " + std::to_string(step) + " " + what, remedy};
@@ -14,6 +17,17 @@
 
 } // namespace
 
+void limitTimes(CellJob &job)
+{
+    for (StepSpec &step : job.steps) {
+        step.estimate = std::clamp(step.estimate, Duration(1), maxEstimate);
+        step.serviceTarget = std::clamp(step.serviceTarget, Duration(0), maxEstimate);
+    }
+    job.interval = std::clamp(job.interval, Duration(0), maxInterval);
+    job.firstRunUnixMs = std::clamp<std::int64_t>(job.firstRunUnixMs, 0, maxUnixMs);
+    job.submittedUnixMs = std::clamp<std::int64_t>(job.submittedUnixMs, 0, maxUnixMs);
+}
+
 Result<bool> checkJob(const CellJob &job)
 {
     if (job.id.isEmpty()) {
@@ -22,8 +36,14 @@
     if (job.steps.empty() || job.steps.size() > maxStepsPerJob) {
         return Error{ErrorKind::InvalidInput, "the job has no steps or too many", "send 1 to " + std::to_string(maxStepsPerJob) + " steps"};
     }
+    if (job.occurrences > maxOccurrencesPerJob) {
+        return Error{ErrorKind::InvalidInput, "the job has too many occurrences", "send at most " + std::to_string(maxOccurrencesPerJob)};
+    }
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
         const StepSpec &step = job.steps[i];
+        if (step.after.size() > maxStepsPerJob) {
+            return stepError(i, "lists too many steps", "list each earlier step once");
+        }
         if (step.count < 1 || step.count > maxTasksPerStep) {
             return stepError(i, "has no tasks or too many", "send a count of 1 to " + std::to_string(maxTasksPerStep));
         }
@@ -34,6 +54,9 @@
         if (step.demand.cpu.value() < 0 || step.demand.memory.value() < 0 || step.demand.accelerators.value() < 0) {
             return stepError(i, "has a negative demand", "send amounts of zero or more");
         }
+        if (std::max({step.demand.cpu.value(), step.demand.memory.value(), step.demand.accelerators.value()}) > maxResourceAmount) {
+            return stepError(i, "demands more than any worker has", "send amounts of up to " + std::to_string(maxResourceAmount));
+        }
     }
     return true;
 }
@@ -59,15 +82,20 @@
     return Duration(static_cast<std::int64_t>(criticalPath * rules.stretch)) + rules.targetLatency;
 }
 
-std::int64_t totalWork(const std::vector<StepSpec> &steps)
+double totalWork(const std::vector<StepSpec> &steps)
 {
-    std::int64_t sum = 0;
+    double sum = 0;
     for (const StepSpec &step : steps) {
-        sum += step.count * step.demand.cpu.value() * step.estimate.count() / 1000;
+        sum += step.count * workOfOneTask(step);
     }
     return sum;
 }
 
+double workOfOneTask(const StepSpec &step)
+{
+    return static_cast<double>(step.demand.cpu.value()) * static_cast<double>(step.estimate.count());
+}
+
 const char *toString(CellJobState state)
 {
     switch (state) {
--- a/src/cell/celljob.h
+++ b/src/cell/celljob.h
@@ -20,6 +20,9 @@
 
 constexpr int maxTasksPerStep = 2000; ///< Bounds the memory used by one job.
 constexpr int maxStepsPerJob = 64;
+constexpr int maxOccurrencesPerJob = 1000000;
+constexpr std::int64_t maxResourceAmount = 1000000000; ///< Largest component of a demand or a capacity, in its unit.
+constexpr Duration maxEstimate{std::chrono::hours(30 * 24)};
 constexpr int firmDeadlineFactor = 3; ///< Firm deadline of a job as a multiple of its objective; its result is worthless afterwards.
 
 /// Demands and constraints shared by all tasks of a step.
@@ -60,6 +63,9 @@
     }
 };
 
+/// Limits the times of the job to ranges in which sums and products of them can't overflow.
+void limitTimes(CellJob &job);
+
 /// Validates the job's limits and the dependencies between its steps. The error names the step.
 [[nodiscard]] Result<bool> checkJob(const CellJob &job);
 
@@ -69,8 +75,11 @@
 /// The time within which an occurrence of the steps should end after it is due.
 [[nodiscard]] Duration objectiveOf(const std::vector<StepSpec> &steps, const RouteRules &rules);
 
-/// CPU time of one occurrence in core milliseconds.
-[[nodiscard]] std::int64_t totalWork(const std::vector<StepSpec> &steps);
+/// CPU time of one task in millicore milliseconds.
+[[nodiscard]] double workOfOneTask(const StepSpec &step);
+
+/// CPU time of one occurrence in millicore milliseconds.
+[[nodiscard]] double totalWork(const std::vector<StepSpec> &steps);
 
 enum class CellJobState {
     Unknown, ///< Not known to this scheduler; the job may still exist.
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -13,7 +13,7 @@
 constexpr double fragmentationFactor = 1.15; // Gangs and label requirements leave part of the capacity unused.
 constexpr Duration minRetryAfter{1000};
 constexpr Duration maxRetryAfter{15000};
-constexpr std::int64_t milliCoresPerCore = 1000; // totalWork() returns core milliseconds; m_waitingWork is in millicore milliseconds.
+constexpr double maxPredictedWaitMs = 1e12; // Keeps the prediction within the range of a duration.
 constexpr Duration waitingWorkInterval{50}; // Minimum interval between two computations of the waiting work.
 constexpr Duration workerRecordsInterval{200}; // Minimum interval between two writes of the worker records, which are several KiB long.
 constexpr Duration runCheckInterval{20}; // Interval of the checks for start retries, due stops and expired leases.
@@ -251,7 +251,7 @@
     JobEntry &entry = addJob(job, time);
     entry.overRate = overRate;
     // Counted here until predictedWait() computes the waiting work again. The waiting tasks are not updated in between.
-    m_waitingWork[rules.priority] += totalWork(job.steps) * milliCoresPerCore;
+    m_waitingWork[rules.priority] += totalWork(job.steps);
     log("job " + job.id.value() + " admitted: route " + job.route.value() + ", predicted wait " + std::to_string(wait.count()) + " ms");
     return decision;
 }
@@ -273,12 +273,12 @@
                 if (now >= entry->firmDeadline) {
                     continue; // Does not delay a new job: it ranks after other work, see missedFirmDeadlineTierOffset.
                 }
-                m_waitingWork[level] += step->waiting * step->spec->demand.cpu.value() * step->spec->estimate.count();
+                m_waitingWork[level] += step->waiting * workOfOneTask(*step->spec);
                 m_waitingTasks[level] += step->readySince != TimePoint() ? step->waiting : 0;
             }
         }
     }
-    std::int64_t work = 0;
+    double work = 0;
     for (const auto &[level, waiting] : m_waitingWork) {
         work += level <= priority ? waiting : 0;
     }
@@ -286,10 +286,10 @@
     for (const auto &[level, waiting] : m_waitingTasks) {
         tasks += level <= priority ? waiting : 0;
     }
-    const double waitForCapacity = m_capacity > 0 ? static_cast<double>(work) / static_cast<double>(m_capacity) * fragmentationFactor : 0;
+    const double waitForCapacity = m_capacity > 0 ? work / static_cast<double>(m_capacity) * fragmentationFactor : 0;
     // Starts can also be limited by the leader itself or by the policy service.
     const double waitForStarts = tasks > minBacklogTasks ? static_cast<double>(tasks) / std::max(m_startRate, minStartRatePerSecond) * 1000 : 0;
-    return Duration(static_cast<std::int64_t>(std::max(waitForCapacity, waitForStarts)));
+    return Duration(static_cast<std::int64_t>(std::min(std::max(waitForCapacity, waitForStarts), maxPredictedWaitMs)));
 }
 
 void CellScheduler::measureStartRate(TimePoint now)
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -307,7 +307,7 @@
     TimePoint m_nextWorkerRecords; ///< Earliest time of the next write of the worker records.
     bool m_progressWasStored = false; ///< Progress was stored since ends were last acknowledged.
     std::uint64_t m_shuffleSeed = 0; ///< Varies the order of equally free workers between advice calls.
-    std::map<int, std::int64_t> m_waitingWork; ///< Waiting work in millicore milliseconds by priority, as of m_waitingWorkAt.
+    std::map<int, double> m_waitingWork; ///< Waiting work in millicore milliseconds by priority, as of m_waitingWorkAt.
     std::map<int, std::int64_t> m_waitingTasks; ///< Ready tasks before their firm deadline, by priority, as of m_waitingWorkAt.
     double m_startRate = 0; ///< Starts per second in the last time span, or the moving average if that is higher.
     TimePoint m_startRateSince; ///< Begin of the time span over which starts are counted.
--- a/src/daemon/jsonfields.cpp
+++ b/src/daemon/jsonfields.cpp
@@ -5,8 +5,38 @@
 
 namespace KingCupLadder {
 
+namespace {
+
+/// Whether arrays and objects are nested deeper than maxJsonDepth. The text need not be valid JSON.
+bool isNestedTooDeep(const std::string &text)
+{
+    int depth = 0;
+    bool isInString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (isInString) {
+            i += c == '\\' ? 1 : 0; // Skips the escaped character.
+            isInString = c != '"';
+        } else if (c == '"') {
+            isInString = true;
+        } else if (c == '[' || c == '{') {
+            if (++depth > maxJsonDepth) {
+                return true;
+            }
+        } else if (c == ']' || c == '}') {
+            --depth;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
 std::optional<nlohmann::json> parseJson(const std::string &text)
 {
+    if (isNestedTooDeep(text)) {
+        return std::nullopt;
+    }
     nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
     if (value.is_discarded()) {
         return std::nullopt;
--- a/src/daemon/jsonfields.h
+++ b/src/daemon/jsonfields.h
@@ -11,7 +11,10 @@
 
 namespace KingCupLadder {
 
-/// Returns nullopt if the text is not JSON.
+constexpr int maxJsonDepth = 64; ///< Far more than any message has.
+
+/// Returns nullopt if the text is not JSON or is nested deeper than maxJsonDepth. Each level of a deep document takes far more memory than the one or
+/// two characters that open it.
 [[nodiscard]] std::optional<nlohmann::json> parseJson(const std::string &text);
 
 /// Serializes a value; bytes that are not valid UTF-8 are replaced.
--- a/src/node/cellstorage.h
+++ b/src/node/cellstorage.h
@@ -47,6 +47,8 @@
     std::optional<JobId> cancelled;
 };
 
+constexpr std::size_t maxRowBytes = 65536; ///< Longest value of a row that the store accepts.
+
 class CellStorage
 {
 public:
--- a/src/node/jobapi.cpp
+++ b/src/node/jobapi.cpp
@@ -122,7 +122,7 @@
         request->workspace = workspace->name;
     }
     if (route->isPublic) {
-        return true;
+        return checkJobId(request);
     }
     if (!m_configWatcher.isFresh(m_loop.now())) {
         respondWithError(request,
@@ -135,7 +135,20 @@
         respondWithError(request, httpUnauthorized, {ErrorKind::Unauthorized, "unknown API key, not run", "send an API key of the workspace"});
         return false;
     }
-    return true;
+    return checkJobId(request);
+}
+
+bool JobApi::checkJobId(const RequestPtr &request)
+{
+    if (request->job.isEmpty() || m_codec.isJobId(request->job.value())) {
+        return true;
+    }
+    if (request->operation == std::string("submit")) {
+        respondWithError(request, httpBadRequest, {ErrorKind::InvalidInput, "not the id of a job, not run", "send an id of the documented form"});
+    } else {
+        respondWithError(request, httpGone, {ErrorKind::NotFound, "no such job", "check the id"});
+    }
+    return false;
 }
 
 void JobApi::submit(const RequestPtr &request)
@@ -163,8 +176,13 @@
         respondWithError(request, httpBadRequest, checked.reason());
         return;
     }
+    const CellWire::JobRow row = toWire(job);
+    if (encodeRow(row).size() > maxRowBytes) {
+        respondWithError(request, httpBadRequest, {ErrorKind::InvalidInput, "the job is too large to be stored, not run", "send a shorter payload"});
+        return;
+    }
     PeerMessaging::Envelope peerRequest;
-    *peerRequest.mutable_submit_job()->mutable_job() = toWire(job);
+    *peerRequest.mutable_submit_job()->mutable_job() = row;
     m_access.sendRequest(
         std::move(peerRequest), std::min(m_settings.leaderTimeout, remainingTime(request)), [this, request, job](const PeerMessaging::Envelope *reply) {
             const CellWire::SubmitReply decision = reply != nullptr ? reply->submit_reply() : CellWire::SubmitReply();
--- a/src/node/jobapi.h
+++ b/src/node/jobapi.h
@@ -77,6 +77,9 @@
     /// Checks the route, the API key and the age of the configuration, and sets the request's route name, job and workspace. Returns false after
     /// sending an error response.
     [[nodiscard]] bool checkRequest(const RequestPtr &request);
+    /// Responds and returns false if the request names a job by a text that is no job's id. Such a text could not be used in a task's name or as
+    /// the key of a row.
+    [[nodiscard]] bool checkJobId(const RequestPtr &request);
     void submit(const RequestPtr &request);
     void storeJob(const RequestPtr &request, const CellJob &job);
     void show(const RequestPtr &request);
--- a/src/node/leadercontroller.cpp
+++ b/src/node/leadercontroller.cpp
@@ -265,6 +265,11 @@
                          for (const TableRow &row : answer.rows) {
                              if (auto info = m_codec.decodeWorker(row.key.key, row.value)) {
                                  registeredWorkers->push_back(std::move(*info));
+                             } else {
+                                 logRateLimited(LogComponent::Platform,
+                                                LogLevel::Warning,
+                                                "worker entry",
+                                                "registry entry " + row.key.key + " describes no usable worker");
                              }
                          }
                          if (answer.truncated && !answer.rows.empty()) {
--- a/src/node/platforminterfaces.h
+++ b/src/node/platforminterfaces.h
@@ -59,6 +59,7 @@
 /// Encoders and decoders between the platform's formats and the node's types.
 struct PlatformCodec {
     std::function<CallerHeaders(const HttpRequest &)> parseHeaders;
+    std::function<bool(const std::string &)> isJobId; ///< Whether callers may use the text as a job's id.
     std::function<Result<CellJob>(const std::string &body)> decodeJob; ///< Decodes steps and payload; the node fills in the rest.
     std::function<std::string(CellJobState)> encodeState;
     std::function<std::string(int queued)> encodeQueued;
--- a/src/node/rowcodec.cpp
+++ b/src/node/rowcodec.cpp
@@ -167,6 +167,7 @@
     if (row.has_rules()) {
         job.admitted = AdmittedRules{fromWire(row.rules()), fromWire(row.workspace_maximum())};
     }
+    limitTimes(job);
     return checkJob(job) ? std::optional<CellJob>(std::move(job)) : std::nullopt;
 }
 
--- a/test/node/testjobapi.cpp
+++ b/test/node/testjobapi.cpp
@@ -53,6 +53,7 @@
             callerHeaders.callerTimeout = Duration(800);
             return callerHeaders;
         };
+        codec.isJobId = [](const std::string &text) { return text.find('.') == std::string::npos; };
         codec.decodeJob = [](const std::string &body) -> Result<CellJob> {
             if (body != "job") {
                 return Error{ErrorKind::InvalidInput, "not a job", "send one"};
@@ -254,3 +255,22 @@
     CHECK_TRUE(loop->now() - before < Duration(100));
     STRCMP_EQUAL("1", headerValue(answer.headers, "Retry-After").c_str());
 }
+
+// Guards against ids that can't be part of a task's name or of a row's key: workers' lists would name a task that no daemon recognizes.
+TEST(JobApi, RefusesATextThatIsNoJobId)
+{
+    readConfig();
+    CHECK_EQUAL(400, send("POST", "/a/b/j1.cancel", "good", "job").status);
+    CHECK_EQUAL(410, send("GET", "/a/b/j1.cancel", "good").status);
+    CHECK_EQUAL(410, send("DELETE", "/a/b/j1.cancel", "good").status);
+    CHECK_TRUE(store.rows.size() == 1); // The configuration.
+}
+
+// Guards against a job that is refused only at its deadline, because the store refuses its row again and again.
+TEST(JobApi, RefusesAJobThatDoesNotFitIntoARowAtOnce)
+{
+    readConfig();
+    const TimePoint sent = loop->now();
+    CHECK_EQUAL(400, send("POST", "/a/b/j1", "good", std::string(maxRowBytes, 'x')).status);
+    CHECK_TRUE(loop->now() - sent < Duration(200));
+}
