Store progress that is too long for a row in part

A job of which several thousand unfinished tasks have failed had a progress row longer than the store accepts.

Such a row is now stored without the crashes, then without the failed runs, then without the checkpoints of its tasks, with a log line. A later leader may then give a task more attempts than its route allows; without a row no end of the job could be acknowledged at all. Ruled out for now: progress in several rows.

StoresProgressThatIsTooLongForARowInPart fails without the change: neither job is stored.

--- a/src/node/cellstorage.cpp
+++ b/src/node/cellstorage.cpp
@@ -5,6 +5,7 @@
 #include "rowcodec.h"
 
 #include <algorithm>
+#include <array>
 
 namespace KingCupLadder {
 
@@ -77,6 +78,33 @@
     }
 }
 
+/// Encodes a job's progress. If it is longer than a row may be, leaves out what a later leader can do without: it may then give a task more attempts
+/// than its route allows, or start it without its checkpoint. Without a row, no end of the job could be acknowledged.
+std::string encodeProgress(const ProgressWrite &write, std::int64_t currentUnixTimeMs)
+{
+    std::string value = encodeRow(toWire(write.progress, currentUnixTimeMs));
+    JobProgress reduced = write.progress;
+    const std::array<std::pair<const char *, std::function<void(StepProgress &)>>, 3> reductions{{
+        {"crashes", [](StepProgress &step) { step.crashes.clear(); }},
+        {"failed runs", [](StepProgress &step) { step.failedRuns.clear(); }},
+        {"checkpoints", [](StepProgress &step) { step.gangCheckpoint.clear(); }},
+    }};
+    for (const auto &[name, reduce] : reductions) {
+        if (value.size() <= maxRowBytes) {
+            break;
+        }
+        for (auto &[key, step] : reduced.steps) {
+            reduce(step);
+        }
+        logRateLimited(LogComponent::Platform,
+                       LogLevel::Error,
+                       "progress too long",
+                       "the progress of job " + write.job.value() + " takes " + std::to_string(value.size()) + " bytes; it is stored without its " + name);
+        value = encodeRow(toWire(reduced, currentUnixTimeMs));
+    }
+    return value;
+}
+
 } // namespace
 
 CellStorage::CellStorage(EventLoop &loop, TableStore &store, int partitions)
@@ -331,7 +359,7 @@
     std::size_t bytes = 0;
     for (const ProgressWrite &write : writes) {
         const auto version = m_progressVersions.find(write.job);
-        std::string value = encodeRow(toWire(write.progress, currentUnixTimeMs));
+        std::string value = encodeProgress(write, currentUnixTimeMs);
         bytes += value.size();
         if (bytes > maxTransactionBytes) {
             // Reported as not stored, so that the scheduler includes it in a later write.
--- a/test/node/memorytablestore.h
+++ b/test/node/memorytablestore.h
@@ -25,6 +25,7 @@
     int calls = 0;
     int maxRowsPerRead = 500;
     std::size_t maxTransactionEntries = 100; ///< Larger transactions are refused.
+    std::size_t maxRowBytes = 65536; ///< Transactions with a longer value are refused.
     std::map<std::tuple<std::string, std::string, std::string>, TableRow> rows;
 
     void put(const RowKey &key, const std::string &value)
@@ -46,7 +47,9 @@
 
     void transact(const Transaction &transaction, Duration, Callback callback) override
     {
-        const bool isTooLarge = transaction.conditions.size() + transaction.writes.size() + transaction.removals.size() > maxTransactionEntries;
+        const bool hasLongRow =
+            std::any_of(transaction.writes.begin(), transaction.writes.end(), [this](const TableWrite &write) { return write.value.size() > maxRowBytes; });
+        const bool isTooLarge = hasLongRow || transaction.conditions.size() + transaction.writes.size() + transaction.removals.size() > maxTransactionEntries;
         const StoreOutcome planned = isTooLarge ? StoreOutcome::NotApplied : nextOutcome(writeOutcomes);
         StoreAnswer answer;
         answer.outcome = planned;
--- a/test/node/testcellstorage.cpp
+++ b/test/node/testcellstorage.cpp
@@ -267,3 +267,25 @@
     CHECK_TRUE(writeWorkers(200, "w"));
     CHECK_EQUAL(1U, store.rows.size());
 }
+
+// Guards against one job whose progress outgrows its row and with it holds back the final states of other jobs, whose ends are then never acknowledged.
+TEST(CellStorage, StoresProgressThatIsTooLongForARowInPart)
+{
+    ProgressWrite large;
+    large.job = JobId("large");
+    StepProgress &step = large.progress.steps[{0, 0}];
+    step.succeeded.assign(2000, true);
+    for (int task = 0; task < 7000; ++task) {
+        step.failedRuns[task] = {RunNumber(100001), RunNumber(100002)};
+    }
+    ProgressWrite other;
+    other.job = JobId("other");
+    other.progress.finalState = CellJobState::Succeeded;
+    CellStorage onePartition(*loop, store, 1);
+    std::map<JobId, bool> stored;
+    onePartition.writeProgress({large, other}, 1, [&](const ProgressWrite &write, bool ok, CellJobState) { stored[write.job] = ok; });
+    KingCupLadder::runUntil(
+        *loop, [&] { return stored.size() == 2; }, Duration(3000));
+    CHECK_TRUE(stored[JobId("large")]);
+    CHECK_TRUE(stored[JobId("other")]);
+}
