Log and count delays of the event loop

The periodic timer now measures how late it is, logs delays from 250 ms on, at most once in ten seconds, and the metric event_loop_longest_delay_ms has the longest one.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr Duration tickInterval{25};
 constexpr Duration heartbeatInterval{200};
 constexpr Duration memberListInterval{1000}; // New daemons learn their peers from heartbeats with a member list.
 constexpr Duration memberDiscoveryInterval{1500}; // How often the leader looks in the store for daemons that started after it.
@@ -21,6 +20,7 @@
 // ConfigWatcherSettings::maxConfigAge, which the platform's settings can change, while this limit is fixed.
 constexpr Duration maxReadyConfigAge{4000};
 const char memberTable[] = "daemons";
+constexpr Duration minLoggedLoopDelay{250}; // About a heartbeat: other daemons may notice it.
 
 } // namespace
 
@@ -112,7 +112,16 @@
         m_metricsServer = std::move(server).value();
     }
     m_configWatcher->start();
-    m_tickTimer = EventWatch::repeating(m_loop, tickInterval, [this] { tick(); });
+    m_tickTimer = EventWatch::repeating(m_loop, tickInterval, [this] {
+        const Duration delay = m_loopMonitor.observe(m_loop.now());
+        if (delay >= minLoggedLoopDelay) {
+            logRateLimited(LogComponent::Platform,
+                           LogLevel::Warning,
+                           "event loop",
+                           "the event loop was late by " + std::to_string(delay.count()) + " ms: a turn took long, or the VM was suspended");
+        }
+        tick();
+    });
     logLine(LogComponent::Daemon,
             LogLevel::Info,
             "started as " + m_settings.self.id.value() + " in " + m_settings.self.domain.value() + ", incarnation "
@@ -429,6 +438,7 @@
     add("store_calls_for_peers_total", "", m_store->counters().forPeers);
     add("store_calls_failed_total", "", m_store->counters().failed);
     add("peer_messages_dropped_total", "", m_peers->counters().dropped);
+    add("event_loop_longest_delay_ms", "", static_cast<std::uint64_t>(m_loopMonitor.longest().count()));
     add("members_live", "", m_leadership.isLeader() ? m_leadership.liveMembers(m_loop.now()).size() : 0);
     add("config_age_ms", "", static_cast<std::uint64_t>(std::max<std::int64_t>(m_configWatcher->age(m_loop.now()).count(), 0)));
     return text;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -4,6 +4,7 @@
 
 #include "jobapi.h"
 #include "leadercontroller.h"
+#include "loopmonitor.h"
 #include "relayingtablestore.h"
 
 #include "daemon/eventloop.h"
@@ -76,6 +77,8 @@
     std::unique_ptr<HttpFrontend> m_callerServer;
     std::unique_ptr<HttpFrontend> m_readinessServer;
     std::unique_ptr<HttpFrontend> m_metricsServer;
+    static constexpr Duration tickInterval{25};
+    LoopMonitor m_loopMonitor{tickInterval};
     std::unique_ptr<EventWatch> m_tickTimer;
     std::map<RouteName, int> m_queued; ///< Queued jobs by route, from the last leader heartbeat or from this daemon's own scheduler.
     TimePoint m_queuedReceivedAt;
