Count jobs as queued until a worker has started one of their tasks

A job left the queue length as soon as a start was sent, also if the start was lost or rejected, for as long as the lease of its silent worker lasted. It is now counted until a worker has confirmed, listed or ended a run of it.

The test of lost starts fails without the change.

--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -134,6 +134,9 @@
             step = nullptr; // The step has no task with the index of this run, which was discovered on a worker.
         }
         Worker *worker = m_workers.find(event.worker);
+        if (entry != nullptr && (event.kind == RunEvent::Kind::Ended || event.run.confirmedClock != 0)) {
+            entry->hasRun = true;
+        }
         if (event.kind == RunEvent::Kind::Ended) {
             if (entry != nullptr && step != nullptr) {
                 onRunEnded(event, *entry, step, time);
@@ -211,6 +214,7 @@
     JobEntry *entry = m_jobs.find(end.task.step.job);
     StepInstance *step = m_jobs.findReportedStep(end.task.step);
     if (entry != nullptr && step != nullptr && end.task.index < static_cast<int>(step->tasks.size())) {
+        entry->hasRun = true;
         RunEvent event;
         event.kind = RunEvent::Kind::Ended;
         event.worker = worker;
@@ -266,6 +270,7 @@
     run.expectedEnd = time.now + step->spec->estimate / 2; // The start time is unknown, so the run is assumed to be halfway through its estimate.
     const CellTask &task = step->tasks[static_cast<std::size_t>(discovered.entry.task.index)];
     const bool wanted = task.phase == CellTaskPhase::Waiting && task.liveRuns == 0 && entry->outcome == CellJobState::Unknown;
+    entry->hasRun = true;
     m_jobs.onDiscovered(*step, discovered.entry.task.index, discovered.entry.run);
     if (step->spec->gang && wanted) {
         if (step->gangRun < discovered.entry.run) {
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -174,6 +174,8 @@
     };
 
     void log(const std::string &line) const;
+    /// Whether a task of the job is known to have started on a worker.
+    [[nodiscard]] bool hasRun(const JobEntry &entry) const;
     void markStored(JobEntry &entry, TimePoint now);
     [[nodiscard]] bool mayStart(const JobEntry &entry) const;
     /// Returns the rules of the job's route in the configuration in force, else the last known ones; null if none are known.
--- a/src/cell/jobtable.cpp
+++ b/src/cell/jobtable.cpp
@@ -155,7 +155,8 @@
     for (const int occurrence : done) {
         closeOccurrence(entry, occurrence);
     }
-    entry.anyStarted = entry.anyStarted || entry.doneOccurrences.size() > 0;
+    entry.hasRun = entry.hasRun || entry.doneOccurrences.size() > 0;
+    entry.anyStarted = entry.anyStarted || entry.hasRun;
     if (entry.anyStarted) {
         entry.state = CellJobState::Active;
     }
@@ -180,7 +181,7 @@
             task.phase = CellTaskPhase::Succeeded;
             --step.waiting;
             ++step.succeeded;
-            entry.anyStarted = true;
+            entry.hasRun = true;
         }
     }
     for (const auto &[index, crashes] : stored.crashes) {
@@ -188,13 +189,13 @@
             for (const auto &[run, crash] : crashes) {
                 step.tasks[static_cast<std::size_t>(index)].crashes.add(run, crash);
             }
-            entry.anyStarted = true;
+            entry.hasRun = true;
         }
     }
     for (const auto &[index, runs] : stored.failedRuns) {
         if (index >= 0 && index < static_cast<int>(step.tasks.size())) {
             step.tasks[static_cast<std::size_t>(index)].failedRuns = runs;
-            entry.anyStarted = true;
+            entry.hasRun = true;
         }
     }
 }
@@ -635,12 +636,12 @@
     entry.job.steps.clear();
 }
 
-std::map<RouteName, int> JobTable::queuedByRoute() const
+std::map<RouteName, int> JobTable::queuedByRoute(const std::function<bool(const JobEntry &)> &hasRun) const
 {
     std::map<RouteName, int> queued;
     for (const auto &[id, open] : m_unfinished) {
         const JobEntry &entry = *open;
-        if (!entry.anyStarted && entry.stored) {
+        if (entry.stored && (!entry.anyStarted || !hasRun(entry))) {
             ++queued[entry.job.route];
         }
     }
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -6,6 +6,7 @@
 #include "occurrenceset.h"
 #include "workertable.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -116,7 +117,8 @@
     CellJobState outcome = CellJobState::Unknown; ///< Final state of the job, possibly not stored yet.
     bool stored = false; ///< The job's row is stored; a precondition for starts.
     TimePoint storedAt; ///< When stored was set. Starts also require a later renewal of the leader's row.
-    bool anyStarted = false;
+    bool anyStarted = false; ///< A start was sent, or a task is known to have run.
+    bool hasRun = false; ///< A task is known to have run.
     bool unreconciled = false; ///< Admitted by a previous leader: tasks may run on workers that have not answered this leader.
     std::uint64_t revision = 0; ///< Incremented by each change that has to be stored.
     std::uint64_t storedRevision = 0;
@@ -198,7 +200,8 @@
     /// The progress up to @p revision is stored. Makes a final outcome visible to callers.
     void onStored(const JobId &id, std::uint64_t revision);
 
-    [[nodiscard]] std::map<RouteName, int> queuedByRoute() const;
+    /// Stored jobs of each route of which no task has started. @p hasRun tells whether a task of a job, of which starts were sent, has started.
+    [[nodiscard]] std::map<RouteName, int> queuedByRoute(const std::function<bool(const JobEntry &)> &hasRun) const;
     /// Removes and returns the jobs that ended before @p before and have no runs left.
     [[nodiscard]] std::vector<JobId> removeEnded(TimePoint before);
     [[nodiscard]] std::size_t unfinishedCount() const;
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -253,7 +253,7 @@
     }
 }
 
-std::vector<Worker *> WorkerTable::workersRunning(const JobId &job)
+std::vector<Worker *> WorkerTable::workersRunning(const JobId &job) const
 {
     std::vector<Worker *> runningWorkers;
     const auto found = m_runCounts.find(job);
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -228,7 +228,7 @@
     [[nodiscard]] const std::map<WorkerId, Worker> &all() const;
 
     /// Workers on which runs of the job may exist.
-    [[nodiscard]] std::vector<Worker *> workersRunning(const JobId &job);
+    [[nodiscard]] std::vector<Worker *> workersRunning(const JobId &job) const;
 
     /// Updates Worker::wasUsable and counts a change for each worker that became usable. To be called before each placement pass.
     void updateUsability(TimePoint now);
--- a/test/cell/testcellfaults.cpp
+++ b/test/cell/testcellfaults.cpp
@@ -41,6 +41,34 @@
     CHECK_NO_VIOLATION(cell);
 }
 
+// Guards against a queue length that omits jobs whose starts were lost, as when their workers are cut off: no task of them has started.
+TEST(CellSchedulerLateOrders, CountsAJobAsQueuedUntilAWorkerHasStartedATask)
+{
+    FakeCell cell(2);
+    cell.startLeadership();
+    bool areStartsLost = true;
+    cell.onStart = [&](const StartOrder &) { return !areStartsLost; };
+    cell.submit(cellJob("job", 2, 1000, Duration(20000)));
+    cell.run(Duration(1500));
+    CHECK_EQUAL(1, cell.scheduler->queuedByRoute()[RouteName("batch")]);
+    areStartsLost = false;
+    cell.run(Duration(4000));
+    CHECK_TRUE(cell.runningTasks() > 0);
+    CHECK_EQUAL(0, cell.scheduler->queuedByRoute()[RouteName("batch")]);
+}
+
+// Guards against counting a started job as queued under the next leader.
+TEST(CellSchedulerLateOrders, CountsAJobOfAPreviousLeaderAsStarted)
+{
+    FakeCell cell(2);
+    cell.startLeadership();
+    cell.submit(cellJob("job", 2, 1000, Duration(6000)));
+    cell.run(Duration(1000));
+    cell.startLeadership(2);
+    cell.run(Duration(1000));
+    CHECK_EQUAL(0, cell.scheduler->queuedByRoute()[RouteName("batch")]);
+}
+
 TEST_GROUP(CellSchedulerWorkerFaults){};
 
 // Guards against tasks that wait forever for a crashed worker.
