--- a/test/platform/testoddinput.cpp
+++ b/test/platform/testoddinput.cpp
@@ -86,10 +86,10 @@
         }
         nlohmann::json marked = document;
         marked[field] = oddText;
-        const std::string template_ = marked.dump();
-        const std::size_t at = template_.find(std::string("\"") + oddText + "\"");
+        const std::string encoded = marked.dump();
+        const std::size_t at = encoded.find(std::string("\"") + oddText + "\"");
         for (const std::string &odd : oddValues()) {
-            variants.push_back(template_.substr(0, at) + odd + template_.substr(at + sizeof(oddText) + 1));
+            variants.push_back(encoded.substr(0, at) + odd + encoded.substr(at + sizeof(oddText) + 1));
         }
     }
     return variants;
@@ -166,10 +166,10 @@
     }
 
     /// Ticks for some time. The sound worker answers each call with @p answer, others do not answer. Returns the number of starts on the sound worker.
-    int run(const std::string &answer)
+    int runScheduler(const std::string &answer)
     {
         int starts = 0;
-        for (int i = 0; i < 100; ++i) {
+        for (std::int64_t i = 0; i < 100; ++i) {
             now += Duration(10);
             const CellTime time{now, unixNow + i * 10};
             if (i % 50 == 0) {
@@ -241,7 +241,7 @@
     lead();
     (void)scheduler->submit(*acceptedJob(jobBody), CellTime{now, unixNow});
     scheduler->onJobStored(*acceptedJob(jobBody), CellTime{now, unixNow});
-    CHECK_TRUE(run(R"({"clock_ms":9,"running":[],"finished":[]})") > 0);
+    CHECK_TRUE(runScheduler(R"({"clock_ms":9,"running":[],"finished":[]})") > 0);
 }
 
 // Guards against overflows in what is calculated from a worker's answers.
@@ -269,7 +269,7 @@
         addSoundWorker();
         lead();
         scheduler->onJobStored(*acceptedJob(jobBody), CellTime{now, unixNow});
-        (void)run(body);
+        (void)runScheduler(body);
     }
 }
 
@@ -301,7 +301,7 @@
         lead();
         (void)scheduler->submit(*job, CellTime{now, unixNow});
         scheduler->onJobStored(*job, CellTime{now, unixNow});
-        (void)run(R"({"clock_ms":9,"running":[],"finished":[]})");
+        (void)runScheduler(R"({"clock_ms":9,"running":[],"finished":[]})");
         const CellJob sound = *acceptedJob(jobBody, "000000000000000b");
         const AdmissionDecision decision = scheduler->submit(sound, CellTime{now, unixNow});
         CHECK_TRUE(decision.retryAfter >= Duration(0));
@@ -333,7 +333,7 @@
         addSoundWorker();
         lead(text);
         scheduler->onJobStored(*acceptedJob(jobBody), CellTime{now, unixNow});
-        (void)run(R"({"clock_ms":9,"running":[],"finished":[]})");
+        (void)runScheduler(R"({"clock_ms":9,"running":[],"finished":[]})");
     }
 }
 
