--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -49,6 +49,9 @@
         worker->blockedUntil = std::max(worker->blockedUntil, time.now + noRoomBackoff);
     }
     StepInstance *step = m_jobs.findStep(order.task.step);
+    if (step != nullptr && answer.outcome == OrderOutcome::Done) {
+        step->job->hasRun = true;
+    }
     Ticket *ticket = step != nullptr ? step->advice.find(worker->index) : nullptr;
     if (answer.outcome == OrderOutcome::InvalidTicket && ticket != nullptr) {
         ticket->validUntil = time.now;
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -508,13 +508,16 @@
 
 bool CellScheduler::hasRun(const JobEntry &entry) const
 {
-    // Starts that were lost, rejected or are still on their way leave runs that no worker has confirmed, or none.
+    if (entry.hasRun) {
+        return true;
+    }
+    // A run whose start got no answer may be listed by its worker.
     const auto workers = m_workers.workersRunning(entry.job.id);
-    return entry.hasRun || std::any_of(workers.begin(), workers.end(), [&entry](const Worker *worker) {
-               return std::any_of(worker->runs.begin(), worker->runs.end(), [&entry](const auto &run) {
-                   return run.second.task.step.job == entry.job.id && run.second.confirmedClock != 0;
-               });
-           });
+    return std::any_of(workers.begin(), workers.end(), [&entry](const Worker *worker) {
+        return std::any_of(worker->runs.begin(), worker->runs.end(), [&entry](const auto &run) {
+            return run.second.task.step.job == entry.job.id && run.second.confirmedClock != 0;
+        });
+    });
 }
 
 const CellCounters &CellScheduler::counters() const
--- a/src/cell/jobtable.cpp
+++ b/src/cell/jobtable.cpp
@@ -156,8 +156,7 @@
         closeOccurrence(entry, occurrence);
     }
     entry.hasRun = entry.hasRun || entry.doneOccurrences.size() > 0;
-    entry.anyStarted = entry.anyStarted || entry.hasRun;
-    if (entry.anyStarted) {
+    if (entry.hasRun) {
         entry.state = CellJobState::Active;
     }
     // Determines the ready steps again, now that the stored successes are known.
@@ -258,7 +257,6 @@
     if (open == entry.openOccurrences.end()) {
         return;
     }
-    entry.dueOpenOccurrences -= open->second.isDue ? 1 : 0;
     entry.openOccurrences.erase(open);
     const auto removed = std::remove_if(entry.steps.begin(), entry.steps.end(), [this, occurrence](const std::unique_ptr<StepInstance> &step) {
         if (step->ref.occurrence == occurrence) {
@@ -291,7 +289,8 @@
 void JobTable::createDueOccurrences(JobEntry &entry, TimePoint now, std::int64_t unixNowMs)
 {
     const int limit = maxOpenOccurrences(entry.job);
-    while (entry.dueOpenOccurrences < limit) {
+    auto open = std::count_if(entry.openOccurrences.begin(), entry.openOccurrences.end(), [](const auto &occurrence) { return occurrence.second.isDue; });
+    for (; open < limit; ++open) {
         const int occurrence = entry.doneOccurrences.firstMissingFrom(entry.nextOccurrence);
         const std::int64_t due = entry.job.firstRunUnixMs + occurrence * entry.job.interval.count();
         entry.nextOccurrence = occurrence;
@@ -302,7 +301,6 @@
             createOccurrence(entry, occurrence);
         }
         entry.openOccurrences[occurrence].isDue = true;
-        ++entry.dueOpenOccurrences;
         ++entry.nextOccurrence;
         markReady(entry, occurrence, now);
     }
@@ -387,7 +385,6 @@
     }
     ++task.liveRuns;
     ++step.job->liveRuns;
-    step.job->anyStarted = true;
     if (step.job->state == CellJobState::Pending) {
         step.job->state = CellJobState::Active;
     }
@@ -641,7 +638,7 @@
     std::map<RouteName, int> queued;
     for (const auto &[id, open] : m_unfinished) {
         const JobEntry &entry = *open;
-        if (entry.stored && (!entry.anyStarted || !hasRun(entry))) {
+        if (entry.stored && !hasRun(entry)) {
             ++queued[entry.job.route];
         }
     }
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -117,14 +117,12 @@
     CellJobState outcome = CellJobState::Unknown; ///< Final state of the job, possibly not stored yet.
     bool stored = false; ///< The job's row is stored; a precondition for starts.
     TimePoint storedAt; ///< When stored was set. Starts also require a later renewal of the leader's row.
-    bool anyStarted = false; ///< A start was sent, or a task is known to have run.
-    bool hasRun = false; ///< A task is known to have run.
+    bool hasRun = false; ///< A task is known to have run. A start that was sent may have been lost.
     bool unreconciled = false; ///< Admitted by a previous leader: tasks may run on workers that have not answered this leader.
     std::uint64_t revision = 0; ///< Incremented by each change that has to be stored.
     std::uint64_t storedRevision = 0;
     std::vector<std::unique_ptr<StepInstance>> steps; ///< Steps of the open occurrences.
     std::map<int, OpenOccurrence> openOccurrences; ///< An occurrence stays open until its end is stored and it has no runs left.
-    int dueOpenOccurrences = 0; ///< Open occurrences for which OpenOccurrence::isDue.
     int nextOccurrence = 0; ///< All earlier occurrences are due, and are open or done.
     OccurrenceSet doneOccurrences; ///< Occurrences of which all tasks have succeeded.
     TimePoint submittedAt;
@@ -200,7 +198,7 @@
     /// The progress up to @p revision is stored. Makes a final outcome visible to callers.
     void onStored(const JobId &id, std::uint64_t revision);
 
-    /// Stored jobs of each route of which no task has started. @p hasRun tells whether a task of a job, of which starts were sent, has started.
+    /// Stored jobs of each route of which no task has started, as @p hasRun tells.
     [[nodiscard]] std::map<RouteName, int> queuedByRoute(const std::function<bool(const JobEntry &)> &hasRun) const;
     /// Removes and returns the jobs that ended before @p before and have no runs left.
     [[nodiscard]] std::vector<JobId> removeEnded(TimePoint before);
--- a/src/cell/workerprotocol.h
+++ b/src/cell/workerprotocol.h
@@ -31,6 +31,8 @@
     std::uint64_t sequence = 0; ///< Increases with each heartbeat.
 };
 
+constexpr int completePercent = 100; ///< Highest progress of a run. A service reports it while it works.
+
 /// A run in a worker's list of running tasks.
 struct RunningEntry {
     TaskRef task;
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -16,7 +16,7 @@
 /// Extrapolates the progress between the previous report and this one. Estimates of task durations are rough, progress is not.
 void updateExpectedEnd(Run &run, int percent, TimePoint now)
 {
-    constexpr int completePercent = 100; // A service reports this while it works, and has no expected end.
+    // A service reports completePercent while it works, and has no expected end.
     if (percent >= completePercent || percent <= run.percent || run.percentChangedAt == TimePoint()) {
         return;
     }
--- a/src/node/cellstorage.cpp
+++ b/src/node/cellstorage.cpp
@@ -83,6 +83,9 @@
 std::string encodeProgress(const ProgressWrite &write, std::int64_t currentUnixTimeMs)
 {
     std::string value = encodeRow(toWire(write.progress, currentUnixTimeMs));
+    if (value.size() <= maxRowBytes) {
+        return value;
+    }
     JobProgress reduced = write.progress;
     const std::array<std::pair<const char *, std::function<void(StepProgress &)>>, 3> reductions{{
         {"crashes", [](StepProgress &step) { step.crashes.clear(); }},
--- a/src/node/jobapi.cpp
+++ b/src/node/jobapi.cpp
@@ -177,7 +177,7 @@
         return;
     }
     const CellWire::JobRow row = toWire(job);
-    if (encodeRow(row).size() > maxRowBytes) {
+    if (row.ByteSizeLong() > maxRowBytes) {
         respondWithError(request, httpBadRequest, {ErrorKind::InvalidInput, "the job is too large to be stored, not run", "send a shorter payload"});
         return;
     }
--- a/test/cell/testrecurringjobs.cpp
+++ b/test/cell/testrecurringjobs.cpp
@@ -26,6 +26,15 @@
     FakeCell cell{2};
     JobTable table;
 
+    /// Runs the job to its end, which takes at most @p time.
+    void checkThatEachOccurrenceStartsOnce(Duration time, int occurrences)
+    {
+        cell.run(time);
+        CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
+        CHECK_EQUAL(occurrences, cell.starts);
+        CHECK_NO_VIOLATION(cell);
+    }
+
     /// Adds a backlog to the table and marks it as stored.
     JobEntry &addBacklog(int occurrences)
     {
@@ -69,10 +78,7 @@
     const int occurrences = 600;
     cell.startLeadership();
     cell.submit(backlog("job", occurrences, cell.time().unixMs));
-    cell.run(Duration(8000));
-    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
-    CHECK_EQUAL(occurrences, cell.starts);
-    CHECK_NO_VIOLATION(cell);
+    checkThatEachOccurrenceStartsOnce(Duration(8000), occurrences);
 }
 
 // Guards against a backlog that holds up the jobs that come after it.
@@ -96,10 +102,7 @@
         cell.run(Duration(1700));
         cell.startLeadership(epoch);
     }
-    cell.run(Duration(10000));
-    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
-    CHECK_EQUAL(occurrences, cell.starts);
-    CHECK_NO_VIOLATION(cell);
+    checkThatEachOccurrenceStartsOnce(Duration(10000), occurrences);
 }
 
 // Guards against a number of occurrences known only to one leader that is larger than what the next leader opens: it would stop their runs, or
@@ -114,10 +117,7 @@
     CHECK_EQUAL(maxOpenOccurrences(job), cell.starts);
     cell.startLeadership(2);
     cell.progressIsStored = true;
-    cell.run(Duration(12000));
-    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
-    CHECK_EQUAL(900, cell.starts);
-    CHECK_NO_VIOLATION(cell);
+    checkThatEachOccurrenceStartsOnce(Duration(12000), 900);
 }
 
 // Guards against a progress row that grows with each occurrence, until the store refuses it and with it the progress of other jobs.
--- a/test/cell/testunreadends.cpp
+++ b/test/cell/testunreadends.cpp
@@ -31,6 +31,15 @@
         cell.run(Duration(4500));
     }
 
+    /// Runs the job to its end.
+    void checkThatEachTaskStartsOnce()
+    {
+        cell.run(Duration(20000));
+        CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
+        CHECK_EQUAL(tasks, cell.starts);
+        CHECK_NO_VIOLATION(cell);
+    }
+
     /// Returns the tasks that have succeeded more than once.
     std::set<std::string> succeededAgain()
     {
@@ -61,10 +70,7 @@
     endManyTasksDuringOutage();
     CHECK_TRUE(unacknowledged(0) > fewEndsPerReply);
     cell.storeReachable = true;
-    cell.run(Duration(20000));
-    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
-    CHECK_EQUAL(tasks, cell.starts);
-    CHECK_NO_VIOLATION(cell);
+    checkThatEachTaskStartsOnce();
 }
 
 // Guards against an unbounded number of unacknowledged ends while the store is down: a run whose end is not listed keeps its capacity.
@@ -85,10 +91,7 @@
     endManyTasksDuringOutage();
     cell.storeReachable = true;
     cell.startLeadership(2);
-    cell.run(Duration(20000));
-    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
-    CHECK_EQUAL(tasks, cell.starts);
-    CHECK_NO_VIOLATION(cell);
+    checkThatEachTaskStartsOnce();
 }
 
 // Guards against the same after the leases of the previous leader have expired, by which time only ends can be left of its runs.
@@ -100,10 +103,7 @@
     cell.startLeadership(2);
     cell.run(Duration(2000));
     cell.storeReachable = true;
-    cell.run(Duration(20000));
-    CHECK_TRUE(cell.state("job") == CellJobState::Succeeded);
-    CHECK_EQUAL(tasks, cell.starts);
-    CHECK_NO_VIOLATION(cell);
+    checkThatEachTaskStartsOnce();
 }
 
 // Guards against a second start of a task whose start got no answer: a stop shows that the run does not exist any more, not that it never did.
