--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -1,4 +1,5 @@
-// Determines when a run counts as started, ended or gone, and maintains the workers' clocks and leases.
+// Determines when a run counts as started, ended or gone, and maintains the workers' clocks and leases. What is stored about workers is in
+// workerrecords.cpp.
 #include "workertable.h"
 
 #include <algorithm>
@@ -8,8 +9,6 @@
 namespace {
 
 constexpr Duration stopRetryInterval{400}; // A stop takes effect within 200 ms.
-constexpr Duration minRecordedSilence{300}; // A shorter silence is not recorded, since a hold that one connection lost is repeated after 250 ms.
-constexpr std::size_t maxRecordedJobs = 2000; // Keeps the row below the store's 64 KiB; further closed workers are recorded as if any job could run there.
 constexpr Duration registryDelay{500}; // Delay until a change of the registry is read here.
 constexpr Duration leaseExpiryMargin{150}; // Allows for timer and scheduling delays with which a worker ends runs whose lease has expired.
 
@@ -165,94 +164,6 @@
     return events;
 }
 
-void WorkerTable::addPrevious(const std::vector<WorkerRecord> &records, TimePoint leasesExpiredBy)
-{
-    for (const WorkerRecord &record : records) {
-        Worker &worker = findOrAdd(record.id);
-        if (worker.info.id.isEmpty()) {
-            worker.info.id = record.id;
-            worker.clock = WorkerClock(m_settings.maxClockDrift);
-        }
-        worker.idStored = !record.isClosed;
-        worker.recordedAsClosed = record.isClosed;
-        if (record.isClosed) {
-            worker.previousJobs = std::set<JobId>(record.jobs.begin(), record.jobs.end());
-        }
-        if (!worker.listsRead) {
-            worker.presumedDeadAt = leasesExpiredBy;
-        }
-    }
-}
-
-bool WorkerTable::areRecordsOutdated(TimePoint now) const
-{
-    return m_forgotWorker || std::any_of(m_workers.begin(), m_workers.end(), [now](const auto &entry) {
-               const Worker &worker = entry.second;
-               if (isClosed(worker, now)) {
-                   return !worker.recordedAsClosed;
-               }
-               return worker.registered && !worker.idStored && !isKnownFromRecord(worker);
-           });
-}
-
-bool WorkerTable::isClosed(const Worker &worker, TimePoint now)
-{
-    const bool isSilent = worker.unresponsiveSince != TimePoint() && now - worker.unresponsiveSince >= minRecordedSilence;
-    return worker.listsRead && (worker.info.draining || isSilent);
-}
-
-bool WorkerTable::isKnownFromRecord(const Worker &worker)
-{
-    return !worker.listsRead && worker.previousJobs.has_value();
-}
-
-std::vector<WorkerRecord> WorkerTable::makeRecords(TimePoint now)
-{
-    std::vector<WorkerRecord> records;
-    records.reserve(m_workers.size());
-    std::size_t recordedJobs = 0;
-    for (auto &[id, worker] : m_workers) {
-        if (worker.departed) {
-            continue;
-        }
-        WorkerRecord record;
-        record.id = id;
-        worker.recordedAsClosed = isClosed(worker, now) || isKnownFromRecord(worker);
-        if (worker.recordedAsClosed) {
-            std::set<JobId> jobs;
-            for (const auto &[key, run] : worker.runs) {
-                jobs.insert(key.first.step.job);
-            }
-            for (const UnacknowledgedEnd &end : worker.ends) {
-                jobs.insert(end.job);
-            }
-            if (isKnownFromRecord(worker)) {
-                jobs.insert(worker.previousJobs->begin(), worker.previousJobs->end());
-            }
-            record.isClosed = recordedJobs + jobs.size() <= maxRecordedJobs;
-            if (record.isClosed) {
-                recordedJobs += jobs.size();
-                record.jobs.assign(jobs.begin(), jobs.end());
-            }
-        }
-        // The write may take effect even if its answer is lost, so from now on the worker may be recorded as closed.
-        worker.idStored = worker.idStored && !record.isClosed;
-        records.push_back(std::move(record));
-    }
-    m_forgotWorker = false;
-    return records;
-}
-
-void WorkerTable::onRecordsStored(const std::vector<WorkerRecord> &records)
-{
-    for (const WorkerRecord &record : records) {
-        Worker *worker = find(record.id);
-        if (worker != nullptr && !record.isClosed && !worker->recordedAsClosed) {
-            worker->idStored = true;
-        }
-    }
-}
-
 std::vector<Worker *> WorkerTable::workersRunning(const JobId &job) const
 {
     std::vector<Worker *> runningWorkers;
@@ -693,47 +604,4 @@
     }
 }
 
-Resources WorkerTable::unreportedCapacity(TimePoint now) const
-{
-    Resources largest;
-    for (const auto &[id, worker] : m_workers) {
-        largest.cpu = std::max(largest.cpu, worker.info.capacity.cpu);
-        largest.memory = std::max(largest.memory, worker.info.capacity.memory);
-        largest.accelerators = std::max(largest.accelerators, worker.info.capacity.accelerators);
-    }
-    Resources sum;
-    for (const auto &[id, worker] : m_workers) {
-        if (!worker.listsRead && worker.presumedDeadAt > now) {
-            sum += worker.info.capacity.isZero() ? largest : worker.info.capacity;
-        }
-    }
-    return sum;
-}
-
-bool WorkerTable::mayHaveUnreportedRuns(const Worker &worker, bool haveAllLeasesExpired, TimePoint now) const
-{
-    if (worker.listsRead || worker.departed) {
-        return false;
-    }
-    if (worker.mayHaveUnreadEnds) {
-        return !haveLeasesExpired(worker, now);
-    }
-    return !haveAllLeasesExpired && worker.presumedDeadAt > now;
-}
-
-std::optional<std::set<JobId>> WorkerTable::jobsWithUnreportedRuns(bool haveLeasesExpired, TimePoint now) const
-{
-    std::set<JobId> jobs;
-    for (const auto &[id, worker] : m_workers) {
-        if (!mayHaveUnreportedRuns(worker, haveLeasesExpired, now)) {
-            continue;
-        }
-        if (!worker.previousJobs) {
-            return std::nullopt;
-        }
-        jobs.insert(worker.previousJobs->begin(), worker.previousJobs->end());
-    }
-    return jobs;
-}
-
 } // namespace KingCupLadder
