--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -16,6 +16,7 @@
 #include <iostream>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <set>
 #include <sstream>
 #include <vector>
@@ -656,6 +657,7 @@
             daemon.name = "edge-" + std::to_string(i);
             const std::string ip = "127.0.0." + std::to_string(11 + i);
             daemon.caller = ip + ":" + std::to_string(freePort(ip));
+            daemon.readiness = ip + ":" + std::to_string(freePort(ip));
             const int peerPort = freePort(ip);
             Json settings = {{"node", daemon.name},
                              {"role", "node"},
@@ -665,7 +667,7 @@
                              {"zone", "z-a"},
                              {"region", "r"},
                              {"zones", {{"z-a", "r"}}},
-                             {"listen_addrs", {{"frontend_addr", daemon.caller}, {"readiness_addr", ip + ":" + std::to_string(freePort(ip))}}},
+                             {"listen_addrs", {{"frontend_addr", daemon.caller}, {"readiness_addr", daemon.readiness}}},
                              {"internal_ports", {peerPort, peerPort}},
                              {"seeds", Json::array()},
                              {"bootstrap", true},
@@ -696,6 +698,10 @@
     [[nodiscard]] std::size_t size() const { return m_daemons.size(); }
     [[nodiscard]] const std::string &caller(std::size_t index) const { return m_daemons[index].caller; }
     [[nodiscard]] const std::string &name(std::size_t index) const { return m_daemons[index].name; }
+    [[nodiscard]] bool isReady(std::size_t index) const
+    {
+        return callHttp(m_daemons[index].readiness, "GET", "/ready", "Host: balancer\r\n", "", 500).status == 200;
+    }
     [[nodiscard]] bool isRunning(std::size_t index) const { return m_daemons[index].pid > 0; }
 
     void start(std::size_t index)
@@ -759,6 +765,7 @@
     struct Daemon {
         std::string name;
         std::string caller;
+        std::string readiness;
         std::string settings;
         pid_t pid = 0;
     };
@@ -788,17 +795,21 @@
         return bytes;
     }
 
+    /// Returns a free port below those that the kernel gives to other sockets.
     static int freePort(const std::string &ip)
     {
-        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in address = loopbackAddress(ip + ":0");
-        socklen_t length = sizeof address;
-        if (bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0) {
-            throw std::runtime_error("no port is free");
+        static std::mt19937 random(static_cast<unsigned>(getpid()) * 7919U + static_cast<unsigned>(unixMs()));
+        for (int attempt = 0; attempt < 100; ++attempt) {
+            const int port = 12000 + static_cast<int>(random() % 18000);
+            const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            const sockaddr_in address = loopbackAddress(ip + ":" + std::to_string(port));
+            const bool isFree = bind(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+            close(fd);
+            if (isFree) {
+                return port;
+            }
         }
-        getsockname(fd, reinterpret_cast<sockaddr *>(&address), &length);
-        close(fd);
-        return ntohs(address.sin_port);
+        throw std::runtime_error("no port is free");
     }
 
     Record &m_record;
--- a/review/standins-2/drill.cpp
+++ b/review/standins-2/drill.cpp
@@ -9,6 +9,7 @@
 constexpr int exitBroken = 1;
 constexpr int exitNotPlayed = 2;
 
+constexpr std::int64_t longestPowerLossMs = 3500; // Largest time without power of a killed machine in the site file.
 constexpr std::int64_t longestCutMs = 5500; // Largest length of a cut of workers in the site file.
 
 const char host[] = "desk.example";
@@ -41,6 +42,14 @@
         return *workers.back();
     }
 
+    /// One of 16 workers is a share of 0.0625; in the site file, 0.065 of the workers drain and 0.17 are cut off at a time.
+    void addWorkers()
+    {
+        for (int i = 0; i < 16; ++i) {
+            addWorker("w" + std::to_string(10 + i), 4000);
+        }
+    }
+
     Worker *workerRunning(const std::string &task)
     {
         for (const auto &worker : workers) {
@@ -57,7 +66,10 @@
         for (std::size_t i = 0; i < daemons.size(); ++i) {
             daemons.start(i);
         }
-        waitFor("a leader", 20000, [&] { return daemons.leader(store) >= 0; });
+        for (std::size_t i = 0; i < daemons.size(); ++i) {
+            waitFor("readiness of " + daemons.name(i), 10000, [&] { return daemons.isReady(i); });
+        }
+        waitFor("a leader", 10000, [&] { return daemons.leader(store) >= 0; });
         sleepMs(3000); // Longer than the time from the start of the machines until the first new leader has settled.
     }
 
@@ -67,7 +79,7 @@
         const std::int64_t until = steadyMs() + timeoutMs;
         while (!condition()) {
             if (steadyMs() > until) {
-                throw NotPlayed("no " + what + " within " + std::to_string(timeoutMs) + " ms");
+                throw NotPlayed("missed: " + what + " within " + std::to_string(timeoutMs) + " ms");
             }
             sleepMs(5);
         }
@@ -112,9 +124,7 @@
 /// Registry entries expire while the store is down, also that of a worker that drains and works on.
 int playLapsedEntry(Deployment &cell, bool hasTrouble)
 {
-    for (const char *id : {"w1", "w2", "w3"}) {
-        cell.addWorker(id, 4000);
-    }
+    cell.addWorkers();
     cell.start();
     cell.submit(0, "00000000000000a1", 1, 1000, 5000);
     const std::string task = "00000000000000a1.0.0.0";
@@ -143,16 +153,14 @@
 /// A worker that drains is cut off while a task runs there, and the leader is killed.
 int playCutWorker(Deployment &cell, bool hasTrouble)
 {
-    for (const char *id : {"w1", "w2", "w3"}) {
-        cell.addWorker(id, 4000);
-    }
+    cell.addWorkers();
     cell.start();
-    cell.submit(0, "00000000000000a1", 1, 1000, 7000);
+    cell.submit(0, "00000000000000a1", 1, 1000, 8000);
     const std::string task = "00000000000000a1.0.0.0";
     cell.waitFor("start of the task", 5000, [&] { return cell.workerRunning(task) != nullptr; });
     Worker &worker = *cell.workerRunning(task);
     sleepMs(300);
-    worker.drain(12000);
+    worker.drain(10000);
     sleepMs(1200);
     if (hasTrouble) {
         worker.cut();
@@ -162,7 +170,9 @@
             throw NotPlayed("no leader");
         }
         cell.daemons.kill(static_cast<std::size_t>(leader));
-        sleepMs(longestCutMs - 600);
+        sleepMs(longestPowerLossMs);
+        cell.daemons.start(static_cast<std::size_t>(leader));
+        sleepMs(longestCutMs - 600 - longestPowerLossMs);
         worker.heal();
     }
     sleepMs(12000);
@@ -240,6 +250,112 @@
     return lost > 0 ? exitBroken : exitHeld;
 }
 
+/// A daemon that leads many workers is killed twice within a second and restarted at once each time.
+int playKilledTwice(Deployment &cell, bool hasTrouble)
+{
+    constexpr int kills = 8;
+    const int killIntervalMs = std::getenv("INTERVAL") != nullptr ? std::atoi(std::getenv("INTERVAL")) : 650;
+    constexpr int workers = 120; // From 100 workers on, other daemons relay the leader's calls to the workers.
+    for (int i = 0; i < workers; ++i) {
+        cell.addWorker("w" + std::to_string(100 + i), 4000);
+        sleepMs(2);
+    }
+    cell.start();
+    std::atomic<bool> isOver{false};
+    std::thread clients([&] {
+        for (int i = 0; !isOver; ++i) {
+            std::ostringstream id;
+            id << std::hex;
+            id.width(16);
+            id.fill('0');
+            id << 0xa000 + i;
+            const Json job = {{"spec", "1200"}, {"steps", {{{"count", 20}, {"cpu", 1000}, {"mem_mb", 100}, {"estimate_ms", 1200}}}}};
+            std::thread([&cell, daemon = static_cast<std::size_t>(i % 3), text = id.str(), body = job.dump()] { (void)cell.call(daemon, "POST", text, body); }).detach();
+            sleepMs(70);
+        }
+    });
+    sleepMs(3000);
+    for (int i = 0; i < kills && hasTrouble; ++i) {
+        const int leader = cell.daemons.leader(cell.store);
+        if (leader < 0) {
+            continue;
+        }
+        const std::size_t killed = static_cast<std::size_t>(leader);
+        cell.daemons.kill(killed);
+        cell.daemons.start(killed);
+        sleepMs(killIntervalMs);
+    }
+    sleepMs(5000);
+    isOver = true;
+    clients.join();
+    sleepMs(20000);
+    return cell.judgeDoubleRuns();
+}
+
+/// The leader is killed and restarted twice while a worker drains; before the second time, the worker is cut off.
+int playRecordedTooEarly(Deployment &cell, bool hasTrouble)
+{
+    cell.addWorkers();
+    cell.start();
+    cell.submit(0, "00000000000000a1", 1, 1000, 7000);
+    const std::string task = "00000000000000a1.0.0.0";
+    cell.waitFor("start of the task", 5000, [&] { return cell.workerRunning(task) != nullptr; });
+    Worker &worker = *cell.workerRunning(task);
+    sleepMs(300);
+    worker.drain(8000);
+    sleepMs(50);
+    if (hasTrouble) {
+        for (int round = 0; round < 2; ++round) {
+            const int leader = cell.daemons.leader(cell.store);
+            if (leader < 0) {
+                throw NotPlayed("no leader");
+            }
+            const std::size_t killed = static_cast<std::size_t>(leader);
+            if (round == 1) {
+                worker.cut();
+            }
+            cell.daemons.kill(killed);
+            sleepMs(300);
+            cell.daemons.start(killed);
+            sleepMs(1500);
+        }
+        sleepMs(longestCutMs - 1800);
+        worker.heal();
+    }
+    sleepMs(14000);
+    return cell.judgeDoubleRuns();
+}
+
+/// A task of a long-running step ends by itself.
+int playEndedService(Deployment &cell, bool hasTrouble)
+{
+    cell.addWorkers();
+    cell.start();
+    const std::string id = "00000000000000a1";
+    const Json step = {{"count", 2}, {"cpu", 1000}, {"mem_mb", 100}, {"estimate_ms", 1000}, {"long_running", true}};
+    const Json job = {{"spec", hasTrouble ? "2000" : "60000"}, {"steps", {step}}};
+    if (cell.call(0, "POST", id, job.dump()).status != 200) {
+        throw NotPlayed("the job was not accepted");
+    }
+    const std::string task = id + ".0.0.0";
+    cell.waitFor("start of the task", 5000, [&] { return cell.workerRunning(task) != nullptr; });
+    // The first runs end after 2 s. From 6 s after the last run, a task may be without a run for less than 3 s.
+    std::int64_t idleSince = 0;
+    std::int64_t longestIdle = 0;
+    const std::int64_t until = steadyMs() + 16000;
+    while (steadyMs() < until) {
+        const bool isRunning = cell.workerRunning(task) != nullptr;
+        idleSince = isRunning ? 0 : idleSince == 0 ? steadyMs() : idleSince;
+        longestIdle = std::max(longestIdle, idleSince == 0 ? 0 : steadyMs() - idleSince);
+        sleepMs(5);
+    }
+    const HttpAnswer state = cell.call(1, "GET", id, "");
+    cell.record.line("task " + task + " was without a run for " + std::to_string(longestIdle) + " ms at most; the job is shown as " + state.body);
+    const bool isLost = longestIdle >= 6000 + 3000;
+    cell.record.line(isLost ? "LOST broken: the task was not restarted, with room on all workers; the rule was broken" : "LOST held");
+    return isLost ? exitBroken : exitHeld;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -260,6 +376,12 @@
                 result = playCutWorker(*cell, hasTrouble);
             } else if (name == "foreign-reply") {
                 result = playForeignReply(*cell, hasTrouble);
+            } else if (name == "killed-twice") {
+                result = playKilledTwice(*cell, hasTrouble);
+            } else if (name == "recorded-too-early") {
+                result = playRecordedTooEarly(*cell, hasTrouble);
+            } else if (name == "ended-service") {
+                result = playEndedService(*cell, hasTrouble);
             }
         } catch (const std::exception &error) {
             cell->record.line(std::string("not played: ") + error.what());
