--- a/review/standins-2/drill.cpp
+++ b/review/standins-2/drill.cpp
@@ -253,7 +253,7 @@
 /// A daemon that leads many workers is killed again and again and restarted at once each time.
 int playKilledAgain(Deployment &cell, bool hasTrouble)
 {
-    constexpr int kills = 5;
+    constexpr int kills = 10;
     constexpr std::int64_t killIntervalMs = 950;
     constexpr std::int64_t restartDelayMs = 100;
     constexpr int workers = 120; // From 100 workers on, other daemons relay the leader's calls to the workers.
