Match replies between daemons by the process that asked and the daemon that answers

Cause: requests were numbered from 1 in each process, and a reply was matched by its number alone. A restarted daemon listens at the address of its former process, so it took the replies to that one's holds for its own and applied the lists of one worker to another.

Change: a reply names the incarnation that asked; it is used only if that and the daemon that answers fit a pending request. Numbers start from a random one, so that replies of earlier versions are told apart during a roll. The result of a relayed order names its worker. All requests go through PeerMessaging, so holds, starts, stops, store calls, policy calls, submissions, queries and notices are covered.

Ruled out by reading: heartbeats (they carry the epoch), run numbers and fencing tokens (raised by each claim), ends of workers (acknowledgement guard).

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -292,7 +292,7 @@
     } else if (message.call() != 0) {
         // A daemon that does not lead sends no reply; the request times out.
         if (m_leaderController->isActive()) {
-            m_peers->sendReply(message, m_leaderController->handleRequest(message));
+            m_peers->sendReply(PeerMessaging::returnAddressOf(message), m_leaderController->handleRequest(message));
         }
     }
 }
@@ -332,9 +332,7 @@
     for (const std::string &id : order.workers()) {
         workers.emplace_back(id);
     }
-    PeerMessaging::Envelope returnAddress;
-    returnAddress.set_call(message.call());
-    returnAddress.set_reply_address(message.reply_address());
+    const PeerMessaging::ReturnAddress returnAddress = PeerMessaging::returnAddressOf(message);
     const StepRef step{JobId(order.job()), static_cast<int>(order.occurrence()), static_cast<int>(order.step())};
     m_advice.ask(step, workers, Duration(order.timeout_ms()), [this, returnAddress](const AdviceAnswer &answer) {
         PeerMessaging::Envelope reply;
--- a/src/node/peermessaging.cpp
+++ b/src/node/peermessaging.cpp
@@ -1,6 +1,11 @@
 // Batches messages and matches replies to requests.
 #include "peermessaging.h"
 
+#include "daemon/log.h"
+
+#include <limits>
+#include <random>
+
 namespace KingCupLadder {
 
 namespace {
@@ -16,9 +21,16 @@
 // while a full queue blocks its input.
 constexpr int receiveQueueLength = 200000;
 
+std::uint64_t randomRequestId()
+{
+    std::random_device random;
+    return std::uniform_int_distribution<std::uint64_t>(1, std::numeric_limits<std::uint64_t>::max() / 2)(random);
+}
+
 } // namespace
 
-PeerMessaging::PeerMessaging(EventLoop &loop, const CellMember &self, Handler handler) : m_loop(loop), m_self(self), m_handler(std::move(handler))
+PeerMessaging::PeerMessaging(EventLoop &loop, const CellMember &self, Handler handler)
+    : m_loop(loop), m_self(self), m_handler(std::move(handler)), m_lastRequestId(randomRequestId())
 {
     m_flushTimer = EventWatch::timer(loop, [this] { flush(); });
 }
@@ -83,18 +95,24 @@
 void PeerMessaging::sendRequest(const std::string &address, Envelope peerRequest, Duration timeout, ReplyCallback callback)
 {
     peerRequest.set_call(++m_lastRequestId);
-    m_pending.emplace(m_lastRequestId, PendingRequest{m_loop.now() + timeout, std::move(callback)});
+    m_pending.emplace(m_lastRequestId, PendingRequest{address, m_loop.now() + timeout, std::move(callback)});
     send(address, std::move(peerRequest));
 }
 
-void PeerMessaging::sendReply(const Envelope &peerRequest, Envelope reply)
+PeerMessaging::ReturnAddress PeerMessaging::returnAddressOf(const Envelope &peerRequest)
+{
+    return ReturnAddress{peerRequest.reply_address(), peerRequest.call(), Incarnation(peerRequest.incarnation())};
+}
+
+void PeerMessaging::sendReply(const ReturnAddress &to, Envelope reply)
 {
-    if (peerRequest.call() == 0) {
+    if (to.call == 0) {
         return;
     }
-    reply.set_call(peerRequest.call());
+    reply.set_call(to.call);
+    reply.set_asker_incarnation(to.incarnation.value());
     reply.set_is_answer(true);
-    send(peerRequest.reply_address(), std::move(reply));
+    send(to.peerAddress, std::move(reply));
 }
 
 bool PeerMessaging::receive(std::string_view bytes)
@@ -122,11 +140,30 @@
         return;
     }
     const auto pending = m_pending.find(message.call());
-    if (pending != m_pending.end()) {
-        const ReplyCallback callback = std::move(pending->second.callback);
-        m_pending.erase(pending);
-        callback(&message);
+    if (pending == m_pending.end() || !isReplyTo(pending->second, message)) {
+        ++m_unmatchedReplies;
+        logRateLimited(LogComponent::Peers,
+                       LogLevel::Info,
+                       "unmatched reply",
+                       "dropped a reply of " + message.from() + " to request " + std::to_string(message.call()) + " of incarnation "
+                           + std::to_string(message.asker_incarnation()) + ": it came too late or is meant for a former process");
+        return;
     }
+    const ReplyCallback callback = std::move(pending->second.callback);
+    m_pending.erase(pending);
+    callback(&message);
+}
+
+bool PeerMessaging::isReplyTo(const PendingRequest &pending, const Envelope &reply) const
+{
+    // Earlier versions do not name the process that asked.
+    const bool isForThisProcess = reply.asker_incarnation() == 0 || reply.asker_incarnation() == m_self.incarnation.value();
+    return isForThisProcess && reply.reply_address() == pending.peerAddress;
+}
+
+std::uint64_t PeerMessaging::unmatchedReplies() const
+{
+    return m_unmatchedReplies;
 }
 
 void PeerMessaging::expire(TimePoint now)
--- a/src/node/relayingtablestore.cpp
+++ b/src/node/relayingtablestore.cpp
@@ -210,9 +210,7 @@
     ++m_counters.forPeers;
     const CellWire::StoreCall &message = peerRequest.store_call();
     const Duration timeout(message.timeout_ms());
-    PeerMessaging::Envelope returnAddress;
-    returnAddress.set_call(peerRequest.call());
-    returnAddress.set_reply_address(peerRequest.reply_address());
+    const PeerMessaging::ReturnAddress returnAddress = PeerMessaging::returnAddressOf(peerRequest);
     const auto done = [this, returnAddress](const StoreAnswer &answer) {
         recordDirectResult(answer);
         PeerMessaging::Envelope reply;
--- a/src/node/relayingworkergateway.cpp
+++ b/src/node/relayingworkergateway.cpp
@@ -1,6 +1,8 @@
 // Encoding of relayed calls and choice of the relay for each worker.
 #include "relayingworkergateway.h"
 
+#include "daemon/log.h"
+
 #include <algorithm>
 #include <functional>
 
@@ -84,6 +86,12 @@
     return holdReply;
 }
 
+/// Whether the result is about the worker to which the order was sent. Earlier versions do not name the worker.
+bool isAbout(const CellWire::WorkerResult &result, const std::string &worker)
+{
+    return result.worker().empty() || result.worker() == worker;
+}
+
 /// A missing result or an outcome of a newer version of the daemon yields OrderOutcome::NoAnswer, since the order may have taken effect.
 OrderAnswer decodeOrderResult(const CellWire::WorkerResult *result)
 {
@@ -156,16 +164,25 @@
     ++m_counters.relayed;
     const std::uint64_t id = ++m_lastCallId;
     m_pending.emplace(id, PendingCall{relay, std::move(callback)});
+    const std::string worker = order.worker();
     PeerMessaging::Envelope peerRequest;
     *peerRequest.mutable_worker_order() = std::move(order);
-    m_peers.sendRequest(relay, std::move(peerRequest), timeout, [this, id](const PeerMessaging::Envelope *reply) {
+    m_peers.sendRequest(relay, std::move(peerRequest), timeout, [this, id, worker](const PeerMessaging::Envelope *reply) {
         const auto pending = m_pending.find(id);
         if (pending == m_pending.end()) {
             return; // Already ended because the relay was replaced.
         }
         const Callback onResult = std::move(pending->second.callback);
         m_pending.erase(pending);
-        onResult(reply != nullptr && reply->has_worker_result() ? &reply->worker_result() : nullptr);
+        const bool isAnswered = reply != nullptr && reply->has_worker_result();
+        const bool isUsable = isAnswered && isAbout(reply->worker_result(), worker);
+        if (isAnswered && !isUsable) {
+            logRateLimited(LogComponent::Workers,
+                           LogLevel::Warning,
+                           "result of another worker",
+                           "dropped a result about worker " + reply->worker_result().worker() + " for an order to worker " + worker);
+        }
+        onResult(isUsable ? &reply->worker_result() : nullptr);
     });
 }
 
@@ -258,12 +275,11 @@
 {
     ++m_counters.forPeers;
     const CellWire::WorkerOrder &message = peerRequest.worker_order();
-    PeerMessaging::Envelope returnAddress;
-    returnAddress.set_call(peerRequest.call());
-    returnAddress.set_reply_address(peerRequest.reply_address());
+    const PeerMessaging::ReturnAddress returnAddress = PeerMessaging::returnAddressOf(peerRequest);
     const Epoch epoch(message.epoch());
-    const auto answerOrder = [this, returnAddress](const OrderAnswer &answer) {
+    const auto answerOrder = [this, returnAddress, worker = message.worker()](const OrderAnswer &answer) {
         PeerMessaging::Envelope reply;
+        reply.mutable_worker_result()->set_worker(worker);
         reply.mutable_worker_result()->set_outcome(static_cast<std::uint32_t>(answer.outcome));
         reply.mutable_worker_result()->set_clock(answer.clock);
         m_peers.sendReply(returnAddress, std::move(reply));
@@ -276,9 +292,10 @@
         order.acknowledged = EndNumber(message.acknowledged());
         order.deadline = message.deadline();
         order.wait = Duration(message.wait_ms());
-        holdDirectly(order, epoch, [this, returnAddress](const std::optional<HoldReply> &holdReply) {
+        holdDirectly(order, epoch, [this, returnAddress, worker = order.worker](const std::optional<HoldReply> &holdReply) {
             PeerMessaging::Envelope reply;
             CellWire::WorkerResult *result = reply.mutable_worker_result();
+            result->set_worker(worker.value());
             if (holdReply) {
                 *result->mutable_lists() = toWire(*holdReply);
             }
--- a/test/node/testrelayingworkergateway.cpp
+++ b/test/node/testrelayingworkergateway.cpp
@@ -137,6 +137,27 @@
     CHECK_TRUE(holdReply->mayOmitEnds);
 }
 
+// Guards against the lists of one worker being applied to another, whatever the reason for which a relay sends them.
+TEST(RelayingWorkerGateway, UsesNoListsOfAnotherWorker)
+{
+    connect();
+    relay.reset();
+    std::unique_ptr<PeerMessaging> confused;
+    confused = std::move(PeerMessaging::create(*loop, relayMember, [&confused](const PeerMessaging::Envelope &message) {
+                   PeerMessaging::Envelope reply;
+                   reply.mutable_worker_result()->set_worker("another");
+                   reply.mutable_worker_result()->mutable_lists()->set_life(9);
+                   confused->sendReply(PeerMessaging::returnAddressOf(message), std::move(reply));
+               })).value();
+    leader.directWorkers.holdReply.incarnation = WorkerIncarnation(3);
+    std::optional<HoldReply> holdReply;
+    leader.workers->hold(holdOrder(), Epoch(2), [&holdReply](const std::optional<HoldReply> &answer) { holdReply = answer; });
+    runUntil([&holdReply] { return holdReply.has_value(); });
+    CHECK_TRUE(holdReply.has_value());
+    CHECK_EQUAL(3U, holdReply->incarnation.value());
+    CHECK_EQUAL(1, leader.directWorkers.holds);
+}
+
 // Guards against ends that stay unacknowledged for ever because renewals are relayed.
 TEST(RelayingWorkerGateway, RelaysAnAcknowledgementOnceTheIncarnationHasAnswered)
 {
