Release runs only with a proof; a missing registry entry is none

Cause: WorkerTable::onRegistry() took an entry that disappears within two heartbeats of its last change for one that the worker had removed. Entries also expire with the store or with a cut, and for a new leader the last change is that of its first reading. The announced time is a minimum, so no time is known after which a draining worker is gone.

Change: the rule is gone, on both ways: a missing entry releases no run, ends no wait of a new leader and drops no record. Runs are released in one function, which takes a RunProof; its factories check the facts. A worker is replaced on its VM only by one that was started later.

Ruled out: leases counted too short (the second start comes long before the lease ends).

--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -149,7 +149,8 @@
             }
         } else if (event.kind == RunEvent::Kind::Lost) {
             ++m_counters.lost;
-            log("task " + event.run.task.text() + " run " + std::to_string(event.run.number.value()) + " lost on " + event.worker.value());
+            log("task " + event.run.task.text() + " run " + std::to_string(event.run.number.value()) + " lost on " + event.worker.value() + ": "
+                + toString(event.proof));
             if (step != nullptr) {
                 m_jobs.onInterrupted(*step, event.run.task.index, event.run.checkpoint, time.now);
                 stopGang(*step, time.now);
--- a/src/cell/workercrashes.cpp
+++ b/src/cell/workercrashes.cpp
@@ -12,18 +12,17 @@
 
 } // namespace
 
-bool WorkerTable::isReplaced(const Worker &worker, const std::map<VmId, WorkerId> &latestOnVm) const
+std::optional<RunProof> WorkerTable::proofOfReplacement(const Worker &worker, const std::map<VmId, WorkerId> &latestOnVm) const
 {
     const auto latest = latestOnVm.find(worker.info.vm);
-    const bool isSilent = !worker.hasAnswered() || worker.unresponsiveSince != TimePoint();
-    // The successor has to answer, because the start times of two workers are not reliable if the VM's clock has jumped.
-    return isSilent && latest != latestOnVm.end() && latest->second != worker.info.id && isAnswering(latest->second);
+    const Worker *successor = latest != latestOnVm.end() ? find(latest->second) : nullptr;
+    return successor != nullptr ? RunProof::fromSuccessor(worker, *successor) : std::nullopt;
 }
 
 bool WorkerTable::isAnswering(const WorkerId &id) const
 {
     const Worker *worker = find(id);
-    return worker != nullptr && worker->hasAnswered() && worker->unresponsiveSince == TimePoint();
+    return worker != nullptr && worker->isAnswering();
 }
 
 CrashTiming WorkerTable::timingOf(const Worker &worker, const Run &run) const
--- a/src/cell/workerrecords.cpp
+++ b/src/cell/workerrecords.cpp
@@ -59,7 +59,7 @@
     records.reserve(m_workers.size());
     std::size_t recordedJobs = 0;
     for (auto &[id, worker] : m_workers) {
-        if (worker.departed) {
+        if (worker.replaced) {
             continue;
         }
         WorkerRecord record;
@@ -119,11 +119,11 @@
 
 bool WorkerTable::mayHaveUnreportedRuns(const Worker &worker, bool haveAllLeasesExpired, TimePoint now) const
 {
-    if (worker.listsRead || worker.departed) {
+    if (worker.listsRead || worker.replaced) {
         return false;
     }
     if (worker.mayHaveUnreadEnds) {
-        return !haveLeasesExpired(worker, now);
+        return !worker.haveLeasesExpired(now);
     }
     return !haveAllLeasesExpired && worker.presumedDeadAt > now;
 }
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -23,6 +23,22 @@
     run.expectedEnd = now + passed * (completePercent - percent) / (percent - run.percent);
 }
 
+/// What became of a run that is released with the proof.
+RunEvent::Kind outcomeOf(const Run &run, RunProof proof)
+{
+    switch (proof.kind()) {
+    case RunProof::Kind::ListedEnd:
+        return RunEvent::Kind::Ended;
+    case RunProof::Kind::RejectedStart:
+        return RunEvent::Kind::NeverRan;
+    case RunProof::Kind::MissingInLists:
+        // The end of a run that existed would have been listed. If the run was to be stopped, the stop came before its start.
+        return run.phase == RunPhase::Stopping ? RunEvent::Kind::NeverRan : RunEvent::Kind::Lost;
+    default:
+        return RunEvent::Kind::Lost;
+    }
+}
+
 } // namespace
 
 WorkerClock::WorkerClock(double maxDrift) : m_maxDrift(maxDrift) { }
@@ -113,7 +129,7 @@
             continue; // The entry of a worker that was forgotten after its VM had run another one.
         }
         Worker &worker = findOrAdd(info.id);
-        if (isReplaced(worker, latestOnVm)) {
+        if (proofOfReplacement(worker, latestOnVm)) {
             continue; // Its registry entry has not expired yet.
         }
         listed.insert(info.id);
@@ -121,9 +137,6 @@
         if (isNew || worker.info.incarnation < info.incarnation) {
             beginIncarnation(worker, info.incarnation, now, events);
         }
-        if (isNew || worker.info.sequence != info.sequence || !worker.registered) {
-            worker.sequenceChangedAt = now;
-        }
         if (info.incarnation < worker.info.incarnation) {
             continue; // The registry is older than the worker's own answers.
         }
@@ -133,7 +146,7 @@
         worker.info = info;
         worker.registeredIncarnation = info.incarnation;
         worker.registered = true;
-        worker.departed = false;
+        worker.replaced = false;
     }
     for (auto entry = m_workers.begin(); entry != m_workers.end();) {
         Worker &worker = entry->second;
@@ -141,20 +154,14 @@
             ++entry;
             continue;
         }
-        // Registry entries expire after three missed heartbeats. If the entry of a draining worker disappears within two heartbeats of its
-        // last change, the worker has removed it and left.
-        const bool left = worker.registered && worker.info.draining && now - worker.sequenceChangedAt < 2 * m_settings.heartbeat;
-        const bool isDead = isReplaced(worker, latestOnVm);
         worker.registered = false;
-        if (isDead) {
-            reportCrash(worker, true);
+        if (const auto proof = proofOfReplacement(worker, latestOnVm)) {
+            worker.replaced = true;
             worker.presumedDeadAt = TimePoint();
+            reportCrash(worker, true);
+            releaseAll(worker, *proof, events);
         }
-        if (left || isDead) {
-            worker.departed = true;
-            markRunsLost(worker, events);
-        }
-        const bool forget = worker.runs.empty() && !worker.holdInFlight && (worker.departed || haveLeasesExpired(worker, now));
+        const bool forget = worker.runs.empty() && !worker.holdInFlight && (worker.replaced || worker.haveLeasesExpired(now));
         if (forget) {
             m_byIndex[worker.index] = nullptr;
             m_forgotWorker = true;
@@ -227,8 +234,8 @@
     // a stop order determines whether it exists.
     for (auto run = worker.runs.begin(); run != worker.runs.end();) {
         const auto next = std::next(run);
-        if (run->second.isLostWithIncarnation()) {
-            events.push_back(removeRun(worker, run, RunEvent::Kind::Lost));
+        if (const auto proof = RunProof::fromLaterIncarnation(run->second)) {
+            events.push_back(release(worker, run, *proof));
         } else {
             run->second.phase = RunPhase::Stopping;
             run->second.listed = false;
@@ -254,13 +261,14 @@
     worker.failureStreak = 0;
 }
 
-RunEvent WorkerTable::removeRun(Worker &worker, std::map<RunKey, Run>::iterator run, RunEvent::Kind kind)
+RunEvent WorkerTable::release(Worker &worker, std::map<RunKey, Run>::iterator run, RunProof proof)
 {
-    if (run->second.pendingCrash && kind != RunEvent::Kind::Ended) {
+    if (run->second.pendingCrash && proof.kind() != RunProof::Kind::ListedEnd) {
         m_runsOnCrashedWorkers.push_back(std::move(*run->second.pendingCrash));
     }
     RunEvent event;
-    event.kind = kind;
+    event.kind = outcomeOf(run->second, proof);
+    event.proof = proof.kind();
     event.run = std::move(run->second);
     event.worker = worker.info.id;
     worker.allocated -= event.run.demand;
@@ -272,10 +280,10 @@
     return event;
 }
 
-void WorkerTable::markRunsLost(Worker &worker, std::vector<RunEvent> &events)
+void WorkerTable::releaseAll(Worker &worker, RunProof proof, std::vector<RunEvent> &events)
 {
     while (!worker.runs.empty()) {
-        events.push_back(removeRun(worker, worker.runs.begin(), RunEvent::Kind::Lost));
+        events.push_back(release(worker, worker.runs.begin(), proof));
     }
 }
 
@@ -351,9 +359,8 @@
         }
         return events;
     }
-    // A rejected start proves that the run does not exist only if no other start of it can still take effect.
-    if (run.phase == RunPhase::Starting && !run.startUnanswered && run.startsInFlight == 0) {
-        events.push_back(removeRun(*worker, found, RunEvent::Kind::NeverRan));
+    if (const auto proof = RunProof::fromRejectedStart(run)) {
+        events.push_back(release(*worker, found, *proof));
         events.back().rejection = answer.outcome;
     } else if (run.phase == RunPhase::Starting) {
         requestStop(*worker, run, now);
@@ -490,7 +497,7 @@
             unmatchedEnds.push_back(entry);
             continue;
         }
-        events.push_back(removeRun(worker, run, RunEvent::Kind::Ended));
+        events.push_back(release(worker, run, RunProof::fromListedEnd()));
         events.back().entry = entry;
     }
 }
@@ -532,39 +539,37 @@
         run.checkpoint = entry.checkpoint;
     }
     for (auto run = worker.runs.begin(); run != worker.runs.end();) {
-        const Run &known = run->second;
-        const bool confirmed = known.phase == RunPhase::Running || (known.phase == RunPhase::Stopping && known.stopConfirmed);
         const auto next = std::next(run);
-        // The lists were taken after the hold was sent, so a run that was confirmed earlier and is not listed does not exist. If the list of
-        // ends is incomplete, the run may have succeeded. It is kept until its end is listed and occupies its capacity meanwhile, which
-        // limits how many ends can pile up on the worker.
-        if (confirmed && known.confirmedAt < sent && listed.count(run->first) == 0 && !reply.mayOmitEnds) {
-            // Runs whose end the worker has listed were removed by readEnds(), so the stop came before this run's start.
-            const bool preventedByStop = known.phase == RunPhase::Stopping;
-            events.push_back(removeRun(worker, run, preventedByStop ? RunEvent::Kind::NeverRan : RunEvent::Kind::Lost));
+        // A run that is not listed, and about which the lists prove nothing, keeps its capacity, which limits how many ends can pile up on
+        // the worker while the list of ends is incomplete.
+        const auto proof = listed.count(run->first) == 0 ? RunProof::fromMissingInLists(run->second, reply, sent) : std::nullopt;
+        if (proof) {
+            events.push_back(release(worker, run, *proof));
         }
         run = next;
     }
 }
 
-bool WorkerTable::haveLeasesExpired(const Worker &worker, TimePoint now) const
+bool Worker::haveLeasesExpired(TimePoint now) const
 {
-    if (worker.clock.isKnown()) {
-        return worker.clock.lowerBoundAt(now) > worker.latestDeadline + leaseExpiryMargin.count();
+    if (clock.isKnown()) {
+        return clock.lowerBoundAt(now) > latestDeadline + leaseExpiryMargin.count();
     }
-    return worker.presumedDeadAt <= now;
+    return presumedDeadAt <= now;
 }
 
 std::vector<RunEvent> WorkerTable::expireLeases(TimePoint now)
 {
     std::vector<RunEvent> events;
     for (auto &[id, worker] : m_workers) {
-        if (!worker.runs.empty() && now - worker.lastAnswer > m_settings.unresponsiveAfter && haveLeasesExpired(worker, now)) {
+        const bool isSilent = now - worker.lastAnswer > m_settings.unresponsiveAfter;
+        const auto proof = !worker.runs.empty() && isSilent ? RunProof::fromExpiredLeases(worker, now) : std::nullopt;
+        if (proof) {
             if (!worker.info.draining) {
                 m_expiredLeases[id] = ExpiredLeases{worker.info.vm, worker.info.incarnation, now, runsOnCrashed(worker)};
             }
             reportCrash(worker, false);
-            markRunsLost(worker, events);
+            releaseAll(worker, *proof, events);
         }
     }
     return events;
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -4,6 +4,7 @@
 
 #include "celljob.h"
 #include "crashhistory.h"
+#include "runproof.h"
 #include "workerprotocol.h"
 
 #include <algorithm>
@@ -25,7 +26,6 @@
     double maxClockDrift = 0.02; ///< Maximum fraction by which a worker's clock runs slower than real time.
     Duration startValidity{2000}; ///< A start order that arrives later than this after it was sent has no effect.
     Duration unresponsiveAfter{1500}; ///< A worker gets no new work after this time without an answer.
-    Duration heartbeat{1500}; ///< Interval at which workers renew their registry entries.
     /// A run that is still listed so long after its start has not crashed its worker by starting.
     Duration startSurvival{200};
     Duration soonAfterStart{1000}; ///< A crash within this time after the start of a run counts against its task.
@@ -130,7 +130,7 @@
     WorkerIndex index = 0;
     WorkerInfo info;
     bool registered = false; ///< Currently listed in the registry.
-    bool departed = false; ///< It has left after it had announced that, so nothing runs on it.
+    bool replaced = false; ///< Another worker has taken its place on its VM, so nothing runs on it.
     bool idStored = false; ///< The stored record allows any run, so that the next leader waits for the worker.
     bool recordedAsClosed = false; ///< The worker was closed when records were last made.
     std::optional<std::set<JobId>> previousJobs; ///< Jobs of previous leaders that may run there, if the worker was recorded as closed.
@@ -152,7 +152,6 @@
     Resources allocated; ///< Total demand of the runs.
     int runsOfUnknownDemand = 0; ///< The worker gets no new work while there are any.
     int isolatedRuns = 0; ///< Runs for which Run::isIsolated. The worker gets no new work while there are any.
-    TimePoint sequenceChangedAt; ///< When the sequence number in the registry last changed.
     TimePoint expectedDeparture; ///< While draining: the worker may be gone from then on.
     TimePoint blockedUntil; ///< The worker gets no new work until then.
     int failureStreak = 0; ///< Failed runs since the last success; consecutive ones of the same job count once.
@@ -167,6 +166,15 @@
         return listsRead || mayHaveUnreadEnds;
     }
 
+    /// Whether the last hold of this leader was answered.
+    [[nodiscard]] bool isAnswering() const
+    {
+        return hasAnswered() && unresponsiveSince == TimePoint();
+    }
+
+    /// Whether every lease that may have been granted on the worker has expired on its own clock, at its maximum drift.
+    [[nodiscard]] bool haveLeasesExpired(TimePoint now) const;
+
     /// Whether a run that needs isolation may start: the other runs, if any, are suspects too and have survived their start.
     [[nodiscard]] bool isFitForIsolation() const
     {
@@ -184,9 +192,10 @@
     enum class Kind {
         Ended, ///< In the worker's list of ended runs.
         NeverRan, ///< The start was rejected, or prevented by a stop.
-        Lost, ///< The worker restarted or left, or its lease expired.
+        Lost, ///< It is over, and how it ended is not known.
     };
     Kind kind = Kind::Lost;
+    RunProof::Kind proof = RunProof::Kind::ListedEnd;
     Run run;
     WorkerId worker;
     EndedEntry entry; ///< Only for Ended.
@@ -259,8 +268,6 @@
     [[nodiscard]] std::vector<RunEvent> expireLeases(TimePoint now);
     /// Adds a run that was discovered on a worker. An empty @p demand means that it is unknown.
     Run &adopt(Worker &worker, const RunningEntry &entry, const std::optional<Resources> &demand, const WorkspaceId &workspace, TimePoint now);
-    /// Removes a run that is proven not to run and returns its outcome.
-    [[nodiscard]] RunEvent removeRun(Worker &worker, std::map<RunKey, Run>::iterator run, RunEvent::Kind kind);
     /// Returns the runs on workers that have crashed since the last call. The runs themselves are settled by other events.
     [[nodiscard]] std::vector<RunOnCrashedWorker> takeRunsOnCrashedWorkers();
     /// Advances Worker::acknowledged past the ends whose effects are stored.
@@ -274,9 +281,11 @@
 
 private:
     void beginIncarnation(Worker &worker, WorkerIncarnation incarnation, TimePoint now, std::vector<RunEvent> &events);
-    void markRunsLost(Worker &worker, std::vector<RunEvent> &events);
+    /// Removes a run and returns its outcome. No run is removed in any other way.
+    [[nodiscard]] RunEvent release(Worker &worker, std::map<RunKey, Run>::iterator run, RunProof proof);
+    void releaseAll(Worker &worker, RunProof proof, std::vector<RunEvent> &events);
     /// Whether another worker has started on the worker's VM and answers, and the worker itself does not.
-    [[nodiscard]] bool isReplaced(const Worker &worker, const std::map<VmId, WorkerId> &latestOnVm) const;
+    [[nodiscard]] std::optional<RunProof> proofOfReplacement(const Worker &worker, const std::map<VmId, WorkerId> &latestOnVm) const;
     [[nodiscard]] bool isAnswering(const WorkerId &id) const;
     /// Reports the worker's runs as runs under which it has crashed, unless it was about to leave anyway.
     void reportCrash(const Worker &worker, bool isProven);
@@ -289,7 +298,6 @@
     void readEnds(Worker &worker, const HoldReply &reply, std::vector<RunEvent> &events, std::vector<EndedEntry> &unmatchedEnds);
     void
     readRunning(Worker &worker, const HoldReply &reply, TimePoint sent, TimePoint now, std::vector<RunEvent> &events, std::vector<DiscoveredRun> &discovered);
-    [[nodiscard]] bool haveLeasesExpired(const Worker &worker, TimePoint now) const;
     /// Whether runs of previous leaders may exist on the worker, or may have ended there, without being listed in a reply to this leader.
     [[nodiscard]] bool mayHaveUnreportedRuns(const Worker &worker, bool haveAllLeasesExpired, TimePoint now) const;
     /// Whether a worker whose runs are all known gets no new work, because it drains or has not answered for some time.
