Record workers only once the jobs are loaded, and correct records that lack a job

Cause: a leader that still loads the jobs keeps the runs that workers list aside, but stored records of these workers all the same: a draining one was recorded as closed without jobs. After the loading the record stayed, since only a change between open and closed counted. The next leader waited for the worker for no job.

Change: records are made only after the jobs are loaded; until then the rows of earlier leaders stay. A record that lacks a job which may run on its worker, or has ended there, is outdated and written again; one with a job too many is not.

Ruled out: a later record that left the job out (there was none). Other writes of a loading leader, by reading: progress and acknowledgements wait for the jobs; the row of an epoch and the removal of former rows are one transaction.

--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -402,7 +402,8 @@
         orders.advice = dispatchAdvice(time.now);
     }
     m_counters.adviceCalls += orders.advice.size();
-    if (!m_workerRecordsInFlight && m_nextWorkerRecords <= time.now && (m_workerRecordsFailed || m_workers.areRecordsOutdated(time.now))) {
+    // While jobs are being loaded, the runs that workers list are not in their table yet, so a record could leave out their jobs.
+    if (m_loaded && !m_workerRecordsInFlight && m_nextWorkerRecords <= time.now && (m_workerRecordsFailed || m_workers.areRecordsOutdated(time.now))) {
         orders.workersToStore = m_workers.makeRecords(time.now);
         m_nextWorkerRecords = time.now + workerRecordsInterval;
         m_workerRecordsInFlight = !orders.workersToStore.empty(); // An empty list is not written, so nothing ends its write.
--- a/src/cell/workerrecords.cpp
+++ b/src/cell/workerrecords.cpp
@@ -22,8 +22,10 @@
         }
         worker.idStored = !record.isClosed;
         worker.recordedAsClosed = record.isClosed;
+        worker.recordedJobs.reset();
         if (record.isClosed) {
-            worker.previousJobs = std::set<JobId>(record.jobs.begin(), record.jobs.end());
+            worker.recordedJobs = std::set<JobId>(record.jobs.begin(), record.jobs.end());
+            worker.previousJobs = worker.recordedJobs;
         }
         if (!worker.listsRead) {
             worker.presumedDeadAt = leasesExpiredBy;
@@ -35,6 +37,12 @@
 {
     return m_forgotWorker || std::any_of(m_workers.begin(), m_workers.end(), [now](const auto &entry) {
                const Worker &worker = entry.second;
+               if (worker.recordedJobs) {
+                   const std::set<JobId> jobs = knownJobs(worker);
+                   if (!std::includes(worker.recordedJobs->begin(), worker.recordedJobs->end(), jobs.begin(), jobs.end())) {
+                       return true;
+                   }
+               }
                if (isClosed(worker, now)) {
                    return !worker.recordedAsClosed;
                }
@@ -48,6 +56,18 @@
     return worker.listsRead && (worker.info.draining || isSilent);
 }
 
+std::set<JobId> WorkerTable::knownJobs(const Worker &worker)
+{
+    std::set<JobId> jobs;
+    for (const auto &[key, run] : worker.runs) {
+        jobs.insert(key.first.step.job);
+    }
+    for (const UnacknowledgedEnd &end : worker.ends) {
+        jobs.insert(end.job);
+    }
+    return jobs;
+}
+
 bool WorkerTable::isKnownFromRecord(const Worker &worker)
 {
     return !worker.listsRead && worker.previousJobs.has_value();
@@ -65,14 +85,9 @@
         WorkerRecord record;
         record.id = id;
         worker.recordedAsClosed = isClosed(worker, now) || isKnownFromRecord(worker);
+        worker.recordedJobs.reset();
         if (worker.recordedAsClosed) {
-            std::set<JobId> jobs;
-            for (const auto &[key, run] : worker.runs) {
-                jobs.insert(key.first.step.job);
-            }
-            for (const UnacknowledgedEnd &end : worker.ends) {
-                jobs.insert(end.job);
-            }
+            std::set<JobId> jobs = knownJobs(worker);
             if (isKnownFromRecord(worker)) {
                 jobs.insert(worker.previousJobs->begin(), worker.previousJobs->end());
             }
@@ -80,6 +95,7 @@
             if (record.isClosed) {
                 recordedJobs += jobs.size();
                 record.jobs.assign(jobs.begin(), jobs.end());
+                worker.recordedJobs = std::move(jobs);
             }
         }
         // The write may take effect even if its answer is lost, so from now on the worker may be recorded as closed.
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -133,6 +133,7 @@
     bool replaced = false; ///< Another worker has taken its place on its VM, so nothing runs on it.
     bool idStored = false; ///< The stored record allows any run, so that the next leader waits for the worker.
     bool recordedAsClosed = false; ///< The worker was closed when records were last made.
+    std::optional<std::set<JobId>> recordedJobs; ///< The only jobs that the last record allows on the worker; empty: any job.
     std::optional<std::set<JobId>> previousJobs; ///< Jobs of previous leaders that may run there, if the worker was recorded as closed.
     bool listsRead = false; ///< This leader has read the complete lists of this incarnation.
     bool mayHaveUnreadEnds = false; ///< The last reply of this incarnation may have omitted ends, so a run that is not listed may have ended in any way.
@@ -219,11 +220,12 @@
     [[nodiscard]] std::vector<RunEvent> onRegistry(const std::vector<WorkerInfo> &workers, TimePoint now);
     /// Adds workers of previous leaders. Unless they answer before, all their leases have expired at @p leasesExpiredBy.
     void addPrevious(const std::vector<WorkerRecord> &records, TimePoint leasesExpiredBy);
-    /// Whether the stored records differ from what records() would return now in a way that matters: a registered worker has no
-    /// record that allows runs, a worker has been closed, or a recorded worker has been forgotten.
+    /// Whether the stored records differ from what makeRecords() would return now in a way that matters: a registered worker has no
+    /// record that allows runs, a worker has been closed, a record lacks a job that may run on its worker, or a recorded worker has been
+    /// forgotten. A record that names a job too many is not outdated.
     [[nodiscard]] bool areRecordsOutdated(TimePoint now) const;
     /// Returns a record of every worker on which runs may exist. A worker that is recorded as closed gets no new work until another record of
-    /// it is stored.
+    /// it is stored. Must not be called before the runs that the workers list have been adopted, since a record names only runs in the table.
     [[nodiscard]] std::vector<WorkerRecord> makeRecords(TimePoint now);
     /// The records are stored.
     void onRecordsStored(const std::vector<WorkerRecord> &records);
@@ -302,6 +304,8 @@
     [[nodiscard]] bool mayHaveUnreportedRuns(const Worker &worker, bool haveAllLeasesExpired, TimePoint now) const;
     /// Whether a worker whose runs are all known gets no new work, because it drains or has not answered for some time.
     [[nodiscard]] static bool isClosed(const Worker &worker, TimePoint now);
+    /// Jobs of which runs are known on the worker, or of which it has reported ends whose effects may not be stored.
+    [[nodiscard]] static std::set<JobId> knownJobs(const Worker &worker);
     /// Whether all that is known of the worker's runs is the record of a previous leader.
     [[nodiscard]] static bool isKnownFromRecord(const Worker &worker);
 
--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -182,18 +182,13 @@
         scheduler->setAdviceDaemons(daemons);
         scheduler->beginEpoch(epoch, now + leaseExpiry);
         scheduler->addPreviousWorkers(previousWorkers);
-        for (const auto &[id, job] : storedJobs) {
-            const auto progress = storedProgress.find(id);
-            if (progress != storedProgress.end() && isFinal(progress->second.finalState)) {
-                scheduler->loadFinal(id, progress->second, now);
-            } else {
-                scheduler->load(
-                    job, progress == storedProgress.end() ? nullptr : &progress->second, cancelled.count(id) > 0, neverStarted.count(id) == 0, time());
-            }
-        }
-        scheduler->finishLoading(now);
         m_events.clear();
         nextRegistry = now;
+        if (loadDuration > Duration(0)) {
+            m_events.emplace(now + loadDuration, [this] { loadJobs(); });
+        } else {
+            loadJobs();
+        }
     }
 
     [[nodiscard]] CellTime time() const
@@ -291,6 +286,7 @@
     int workersNamed = 0; ///< Total number of workers named in advice calls.
     int starts = 0;
     std::size_t endsPerReply = maxEndsPerReply; ///< Ends that a worker lists at most in a reply to a hold.
+    Duration loadDuration{0}; ///< How long a new leader reads the rows of the jobs. Workers are called meanwhile.
     Duration stopDuration{0}; ///< Time that a stopped run still needs to end. Until then it is listed and uses its demand.
     Duration capacityGrace{4500}; ///< Time after which starts have to respect a capacity that has shrunk.
     /// Called for each run that was started, before the scheduler receives the answer.
@@ -340,6 +336,21 @@
     std::map<std::pair<TaskRef, RunNumber>, Epoch> orderEpochs;
 
 private:
+    /// Reads the rows of the jobs for the present leader.
+    void loadJobs()
+    {
+        for (const auto &[id, job] : storedJobs) {
+            const auto progress = storedProgress.find(id);
+            if (progress != storedProgress.end() && isFinal(progress->second.finalState)) {
+                scheduler->loadFinal(id, progress->second, now);
+            } else {
+                scheduler->load(
+                    job, progress == storedProgress.end() ? nullptr : &progress->second, cancelled.count(id) > 0, neverStarted.count(id) == 0, time());
+            }
+        }
+        scheduler->finishLoading(now);
+    }
+
     [[nodiscard]] Epoch epochOf(const StartOrder &order) const
     {
         const auto found = orderEpochs.find({order.task, order.run});
