Bound the leases of a restarted worker only once it has answered a hold

Cause: a new incarnation reset the latest deadline to 0 and the clock to unknown. 0 stood for 'no lease' where nothing was known yet: the answer to a stop made the clock known before a hold was answered, the clock lay above 0, and a run that was being stopped was released as lost. The leader had to be slow.

Change: WorkerLeases holds the bound on a worker's leases. Of a worker of which nothing is known they never count as expired; until its process has answered a hold, only passed time bounds them. Orders to a former process that may still reach the new one count as a longest lease from their arrival. What earlier leaders may have on a worker is kept apart. The fake workers of the tests start their clocks anew and grant leases to late orders.

Ruled out by reading: lists of a former process applied to the new one (lists name the incarnation), and starts confirmed by the new process that are lost with the former one (such a run was not listed).

--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -424,7 +424,7 @@
         return;
     }
     // Once the leases of previous leaders have expired, workers that have not answered can only have runs of this leader.
-    const auto jobs = m_workers.jobsWithUnreportedRuns(m_leasesExpiredBy <= now, now);
+    const auto jobs = m_workers.jobsWithUnreportedRuns(now);
     if (!jobs) {
         return;
     }
--- a/src/cell/runproof.cpp
+++ b/src/cell/runproof.cpp
@@ -47,7 +47,7 @@
 
 std::optional<RunProof> RunProof::fromExpiredLeases(const Worker &worker, TimePoint now)
 {
-    return worker.haveLeasesExpired(now) ? std::optional<RunProof>(RunProof(Kind::ExpiredLeases)) : std::nullopt;
+    return worker.leases.haveExpired(now) ? std::optional<RunProof>(RunProof(Kind::ExpiredLeases)) : std::nullopt;
 }
 
 const char *toString(RunProof::Kind kind)
--- a/src/cell/workerrecords.cpp
+++ b/src/cell/workerrecords.cpp
@@ -18,7 +18,6 @@
         Worker &worker = findOrAdd(record.id);
         if (worker.info.id.isEmpty()) {
             worker.info.id = record.id;
-            worker.clock = WorkerClock(m_settings.maxClockDrift);
         }
         worker.idStored = !record.isClosed;
         worker.recordedAsClosed = record.isClosed;
@@ -27,8 +26,9 @@
             worker.recordedJobs = std::set<JobId>(record.jobs.begin(), record.jobs.end());
             worker.previousJobs = worker.recordedJobs;
         }
-        if (!worker.listsRead) {
-            worker.presumedDeadAt = leasesExpiredBy;
+        if (!worker.hasAnswered()) {
+            worker.earlierRunsOverBy = leasesExpiredBy;
+            worker.leases.setExpiryWithoutAnswer(leasesExpiredBy);
         }
     }
 }
@@ -126,29 +126,29 @@
     }
     Resources sum;
     for (const auto &[id, worker] : m_workers) {
-        if (!worker.listsRead && worker.presumedDeadAt > now) {
+        if (isAwaited(worker, now)) {
             sum += worker.info.capacity.isZero() ? largest : worker.info.capacity;
         }
     }
     return sum;
 }
 
-bool WorkerTable::mayHaveUnreportedRuns(const Worker &worker, bool haveAllLeasesExpired, TimePoint now) const
+bool WorkerTable::isAwaited(const Worker &worker, TimePoint now)
 {
-    if (worker.listsRead || worker.replaced) {
-        return false;
-    }
-    if (worker.mayHaveUnreadEnds) {
-        return !worker.haveLeasesExpired(now);
-    }
-    return !haveAllLeasesExpired && worker.presumedDeadAt > now;
+    return !worker.hasAnswered() && !worker.replaced && worker.earlierRunsOverBy && now < *worker.earlierRunsOverBy;
+}
+
+bool WorkerTable::mayHaveUnreportedRuns(const Worker &worker, TimePoint now)
+{
+    const bool mayHaveUnlistedEnds = worker.mayHaveUnreadEnds && !worker.listsRead && !worker.replaced && !worker.leases.haveExpired(now);
+    return isAwaited(worker, now) || mayHaveUnlistedEnds;
 }
 
-std::optional<std::set<JobId>> WorkerTable::jobsWithUnreportedRuns(bool haveLeasesExpired, TimePoint now) const
+std::optional<std::set<JobId>> WorkerTable::jobsWithUnreportedRuns(TimePoint now) const
 {
     std::set<JobId> jobs;
     for (const auto &[id, worker] : m_workers) {
-        if (!mayHaveUnreportedRuns(worker, haveLeasesExpired, now)) {
+        if (!mayHaveUnreportedRuns(worker, now)) {
             continue;
         }
         if (!worker.previousJobs) {
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -10,7 +10,6 @@
 
 constexpr Duration stopRetryInterval{400}; // A stop takes effect within 200 ms.
 constexpr Duration registryDelay{500}; // Delay until a change of the registry is read here.
-constexpr Duration leaseExpiryMargin{150}; // Allows for timer and scheduling delays with which a worker ends runs whose lease has expired.
 
 /// Extrapolates the progress between the previous report and this one. Estimates of task durations are rough, progress is not.
 void updateExpectedEnd(Run &run, int percent, TimePoint now)
@@ -41,29 +40,6 @@
 
 } // namespace
 
-WorkerClock::WorkerClock(double maxDrift) : m_maxDrift(maxDrift) { }
-
-void WorkerClock::observe(WorkerClockMs clock, TimePoint receivedAt)
-{
-    if (m_known && lowerBoundAt(receivedAt) >= clock) {
-        return;
-    }
-    m_clock = clock;
-    m_receivedAt = receivedAt;
-    m_known = true;
-}
-
-bool WorkerClock::isKnown() const
-{
-    return m_known;
-}
-
-WorkerClockMs WorkerClock::lowerBoundAt(TimePoint now) const
-{
-    const double passed = static_cast<double>((now - m_receivedAt).count());
-    return m_clock + static_cast<WorkerClockMs>(passed * (1 - m_maxDrift));
-}
-
 WorkerTable::WorkerTable(const WorkerTableSettings &settings) : m_settings(settings) { }
 
 Worker *WorkerTable::find(const WorkerId &id)
@@ -92,6 +68,7 @@
 {
     const auto [entry, isNew] = m_workers.try_emplace(id);
     if (isNew) {
+        entry->second.leases = WorkerLeases(m_settings.leases);
         entry->second.index = m_byIndex.size();
         m_byIndex.push_back(&entry->second);
     }
@@ -157,11 +134,10 @@
         worker.registered = false;
         if (const auto proof = proofOfReplacement(worker, latestOnVm)) {
             worker.replaced = true;
-            worker.presumedDeadAt = TimePoint();
             reportCrash(worker, true);
             releaseAll(worker, *proof, events);
         }
-        const bool forget = worker.runs.empty() && !worker.holdInFlight && (worker.replaced || worker.haveLeasesExpired(now));
+        const bool forget = worker.runs.empty() && !worker.holdInFlight && (worker.replaced || (worker.leases.haveExpired(now) && !isAwaited(worker, now)));
         if (forget) {
             m_byIndex[worker.index] = nullptr;
             m_forgotWorker = true;
@@ -227,7 +203,8 @@
 {
     if (worker.info.incarnation != WorkerIncarnation()) {
         reportRestart(worker);
-        worker.presumedDeadAt = TimePoint(); // Runs of previous leaders ended with the previous incarnation.
+        // Runs of previous leaders ended with the previous incarnation, unless a start of them reaches the new one late.
+        worker.earlierRunsOverBy = isAwaited(worker, now) ? worker.earlierRunsOverBy : std::nullopt;
     }
     // A run that the previous incarnation listed, and of which no start is unanswered, is lost. Any other run may exist in the new
     // incarnation, because a start of it may have reached that one or may still do so. Such a run is set to Stopping, since the answer to
@@ -243,13 +220,11 @@
             run->second.stopConfirmed = false;
             run->second.stopInFlight = false;
             run->second.nextStop = now;
-            worker.presumedDeadAt = now + m_settings.maxLease * 2; // Applies only if the new incarnation never answers.
         }
         run = next;
     }
     worker.info.incarnation = incarnation;
-    worker.clock = WorkerClock(m_settings.maxClockDrift);
-    worker.latestDeadline = 0;
+    worker.leases.beginIncarnation(now, !worker.runs.empty());
     worker.latestClock = 0;
     worker.listsRead = false;
     worker.mayHaveUnreadEnds = false;
@@ -295,8 +270,7 @@
     order.incarnation = worker.info.incarnation;
     order.task = run.task;
     order.run = run.number;
-    order.deadline = worker.clock.lowerBoundAt(now) + m_settings.startValidity.count();
-    worker.latestDeadline = std::max(worker.latestDeadline, order.deadline);
+    order.deadline = worker.leases.beginOrder(m_settings.startValidity, now);
     added.phase = RunPhase::Starting;
     added.sentAt = now;
     added.startsSent = 1;
@@ -312,9 +286,10 @@
 
 std::optional<StartOrder> WorkerTable::retryStart(Worker &worker, Run &run, TimePoint now)
 {
-    if (worker.clock.lowerBoundAt(now) >= run.order.deadline) {
+    if (worker.leases.clockLowerBound(now) >= run.order.deadline) {
         return std::nullopt;
     }
+    worker.leases.repeatOrder();
     ++run.startsSent;
     ++run.startsInFlight;
     return run.order;
@@ -327,14 +302,22 @@
         return nullptr;
     }
     if (answer.clock > 0) {
-        worker->clock.observe(answer.clock, now);
+        worker->leases.observeClock(answer.clock, now);
     }
     return worker;
 }
 
+void WorkerTable::endOrder(const WorkerId &id, WorkerIncarnation incarnation, bool isAnswered, TimePoint now)
+{
+    if (Worker *worker = find(id)) {
+        worker->leases.endOrder(worker->info.incarnation == incarnation, isAnswered, now);
+    }
+}
+
 std::vector<RunEvent> WorkerTable::onStartAnswer(const StartOrder &order, const OrderAnswer &answer, TimePoint now)
 {
     std::vector<RunEvent> events;
+    endOrder(order.worker, order.incarnation, answer.outcome != OrderOutcome::NoAnswer, now);
     Worker *worker = findAnsweringWorker(order.worker, order.incarnation, answer, now);
     if (worker == nullptr) {
         return events;
@@ -425,9 +408,8 @@
     order.wait = wait;
     // A renewal without an answer may still take effect. An unresponsive worker's leases are therefore not renewed, since they could
     // otherwise never be proven to have expired.
-    if (worker.clock.isKnown() && worker.unresponsiveSince == TimePoint()) {
-        order.deadline = worker.clock.lowerBoundAt(now) + m_settings.maxLease.count();
-        worker.latestDeadline = std::max(worker.latestDeadline, order.deadline);
+    if (worker.leases.isBounded() && worker.unresponsiveSince == TimePoint()) {
+        order.deadline = worker.leases.beginOrder(m_settings.leases.maxLease, now);
     }
     worker.holdInFlight = true;
     return order;
@@ -446,6 +428,9 @@
         return events;
     }
     worker->holdInFlight = false;
+    if (order.deadline > 0) {
+        endOrder(order.worker, order.incarnation, reply != nullptr, now);
+    }
     if (reply == nullptr) {
         if (worker->unresponsiveSince == TimePoint()) {
             worker->unresponsiveSince = now;
@@ -467,16 +452,10 @@
         }
         m_expiredLeases.erase(expired);
     }
-    worker->clock.observe(reply->clock, now);
+    worker->leases.onHoldAnswered(reply->clock, !worker->listsRead, now);
     worker->latestClock = std::max(worker->latestClock, reply->clock);
     worker->lastAnswer = now;
     worker->unresponsiveSince = TimePoint();
-    worker->presumedDeadAt = TimePoint();
-    if (!worker->listsRead) {
-        // Upper bound on the leases renewed by previous leaders. Their later renewals are rejected, since this leader's fencing
-        // token is newer.
-        worker->latestDeadline = std::max(worker->latestDeadline, reply->clock + m_settings.maxLease.count());
-    }
     worker->mayHaveUnreadEnds = reply->mayOmitEnds;
     worker->listsRead = worker->listsRead || !reply->mayOmitEnds;
     readEnds(*worker, *reply, events, unmatchedEnds);
@@ -550,14 +529,6 @@
     }
 }
 
-bool Worker::haveLeasesExpired(TimePoint now) const
-{
-    if (clock.isKnown()) {
-        return clock.lowerBoundAt(now) > latestDeadline + leaseExpiryMargin.count();
-    }
-    return presumedDeadAt <= now;
-}
-
 std::vector<RunEvent> WorkerTable::expireLeases(TimePoint now)
 {
     std::vector<RunEvent> events;
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -5,6 +5,7 @@
 #include "celljob.h"
 #include "crashhistory.h"
 #include "runproof.h"
+#include "workerleases.h"
 #include "workerprotocol.h"
 
 #include <algorithm>
@@ -22,8 +23,7 @@
 
 /// Timeouts and margins of the worker protocol.
 struct WorkerTableSettings {
-    Duration maxLease{6000}; ///< Longest lease a worker grants; set from the platform's limits.
-    double maxClockDrift = 0.02; ///< Maximum fraction by which a worker's clock runs slower than real time.
+    LeaseSettings leases;
     Duration startValidity{2000}; ///< A start order that arrives later than this after it was sent has no effect.
     Duration unresponsiveAfter{1500}; ///< A worker gets no new work after this time without an answer.
     /// A run that is still listed so long after its start has not crashed its worker by starting.
@@ -31,24 +31,6 @@
     Duration soonAfterStart{1000}; ///< A crash within this time after the start of a run counts against its task.
 };
 
-/// Estimates the clock of one incarnation of a worker from its answers. The estimate is never ahead of the worker's clock.
-class WorkerClock
-{
-public:
-    explicit WorkerClock(double maxDrift);
-
-    void observe(WorkerClockMs clock, TimePoint receivedAt);
-    [[nodiscard]] bool isKnown() const;
-    /// Returns a lower bound on the worker's clock at @p now.
-    [[nodiscard]] WorkerClockMs lowerBoundAt(TimePoint now) const;
-
-private:
-    double m_maxDrift;
-    WorkerClockMs m_clock = 0;
-    TimePoint m_receivedAt;
-    bool m_known = false;
-};
-
 enum class RunPhase {
     Starting, ///< The start was sent and has not been confirmed.
     Running,
@@ -137,13 +119,13 @@
     std::optional<std::set<JobId>> previousJobs; ///< Jobs of previous leaders that may run there, if the worker was recorded as closed.
     bool listsRead = false; ///< This leader has read the complete lists of this incarnation.
     bool mayHaveUnreadEnds = false; ///< The last reply of this incarnation may have omitted ends, so a run that is not listed may have ended in any way.
-    WorkerClock clock{0};
+    WorkerLeases leases{LeaseSettings()}; ///< Of the runs in the table and of those that the worker has not listed.
     WorkerClockMs latestClock = 0; ///< Latest time on the worker's clock in an answer that names this incarnation.
     WorkerIncarnation registeredIncarnation; ///< That of the registry entry from which capacity and labels were read.
-    WorkerClockMs latestDeadline = 0; ///< Latest lease or start deadline sent to this incarnation.
     TimePoint lastAnswer;
     TimePoint unresponsiveSince; ///< When the first hold since the last answer failed; zero: none.
-    TimePoint presumedDeadAt; ///< By then all leases have expired if the current incarnation never answers this leader; see haveLeasesExpired().
+    /// By then the runs of earlier leaders are over if no incarnation answers this leader; empty: no record of an earlier leader names the worker.
+    std::optional<TimePoint> earlierRunsOverBy;
     bool holdInFlight = false;
     TimePoint nextHold;
     EndNumber lastSeenEnd; ///< Highest end that has been processed.
@@ -173,9 +155,6 @@
         return hasAnswered() && unresponsiveSince == TimePoint();
     }
 
-    /// Whether every lease that may have been granted on the worker has expired on its own clock, at its maximum drift.
-    [[nodiscard]] bool haveLeasesExpired(TimePoint now) const;
-
     /// Whether a run that needs isolation may start: the other runs, if any, are suspects too and have survived their start.
     [[nodiscard]] bool isFitForIsolation() const
     {
@@ -275,8 +254,8 @@
     /// Advances Worker::acknowledged past the ends whose effects are stored.
     void advanceAcknowledged(Worker &worker, const std::function<bool(const UnacknowledgedEnd &)> &isStored);
     /// The jobs of previous leaders of which runs may exist, or may have ended, on workers whose lists this leader has not read completely;
-    /// empty: any job. @p haveLeasesExpired: a worker that has not answered has no runs of previous leaders any more.
-    [[nodiscard]] std::optional<std::set<JobId>> jobsWithUnreportedRuns(bool haveLeasesExpired, TimePoint now) const;
+    /// empty: any job.
+    [[nodiscard]] std::optional<std::set<JobId>> jobsWithUnreportedRuns(TimePoint now) const;
     /// Upper bound on the resources of runs on workers that have not answered this leader: the capacity of these workers. For workers
     /// of unknown capacity the largest known capacity is assumed.
     [[nodiscard]] Resources unreportedCapacity(TimePoint now) const;
@@ -301,7 +280,9 @@
     void
     readRunning(Worker &worker, const HoldReply &reply, TimePoint sent, TimePoint now, std::vector<RunEvent> &events, std::vector<DiscoveredRun> &discovered);
     /// Whether runs of previous leaders may exist on the worker, or may have ended there, without being listed in a reply to this leader.
-    [[nodiscard]] bool mayHaveUnreportedRuns(const Worker &worker, bool haveAllLeasesExpired, TimePoint now) const;
+    [[nodiscard]] static bool mayHaveUnreportedRuns(const Worker &worker, TimePoint now);
+    /// Whether the worker may have runs of earlier leaders and has not answered this one.
+    [[nodiscard]] static bool isAwaited(const Worker &worker, TimePoint now);
     /// Whether a worker whose runs are all known gets no new work, because it drains or has not answered for some time.
     [[nodiscard]] static bool isClosed(const Worker &worker, TimePoint now);
     /// Jobs of which runs are known on the worker, or of which it has reported ends whose effects may not be stored.
@@ -312,6 +293,8 @@
     WorkerTableSettings m_settings;
     [[nodiscard]] Worker &findOrAdd(const WorkerId &id);
     /// Returns the worker that answered an order after updating its clock; null if it is gone or has another incarnation.
+    /// A start, or a hold that renews leases, was answered or timed out. Must be called once for each, also if the worker is another process by now.
+    void endOrder(const WorkerId &id, WorkerIncarnation incarnation, bool isAnswered, TimePoint now);
     [[nodiscard]] Worker *findAnsweringWorker(const WorkerId &id, WorkerIncarnation incarnation, const OrderAnswer &answer, TimePoint now);
 
     std::map<WorkerId, Worker> m_workers;
--- a/src/node/leadercontroller.cpp
+++ b/src/node/leadercontroller.cpp
@@ -189,7 +189,7 @@
     m_nextProgressWrite = TimePoint();
     m_nextFinalStateWrite = TimePoint();
     m_nextLoadAttempt = TimePoint();
-    const WorkerTableSettings &limits = m_settings.scheduler.workers;
+    const LeaseSettings &limits = m_settings.scheduler.workers.leases;
     // A worker's clock may run slower than real time by maxClockDrift, which lengthens its lease.
     const auto longestLease = Duration(static_cast<std::int64_t>(static_cast<double>(limits.maxLease.count()) / (1 - limits.maxClockDrift)));
     m_scheduler.beginEpoch(m_epoch, m_loop.now() + longestLease + leaseExpiryMargin);
--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -69,11 +69,20 @@
     std::vector<EndedEntry> ended;
     EndNumber lastEnd;
     EndNumber acknowledged;
+    TimePoint present; ///< Set by FakeCell in each step.
+    TimePoint startedAt{Duration(-5000000)}; ///< When the present incarnation started.
 
-    /// The worker's clock, which differs from the scheduler's clock by a fixed offset.
+    /// The worker's clock, which starts anew with each incarnation.
     [[nodiscard]] WorkerClockMs clock(TimePoint now) const
     {
-        return now.time_since_epoch().count() + 5000000;
+        return (now - startedAt).count();
+    }
+
+    /// Extends the lease of all runs, up to @p deadline on the worker's clock and at most to the longest lease from @p now. It is not known for
+    /// which incarnation the order was meant.
+    void extendLease(WorkerClockMs deadline, TimePoint now, Duration maxLease)
+    {
+        leaseEnd = std::max(leaseEnd, now + std::min(Duration(deadline - clock(now)), maxLease));
     }
 
     /// Changes the capacity while the worker runs. The registry shows the change when it is read the next time.
@@ -122,6 +131,8 @@
         highestFencingToken = Epoch();
         info.incarnation = info.incarnation.next();
         info.sequence = 1;
+        startedAt = present;
+        leaseEnd = TimePoint();
     }
 };
 
@@ -274,6 +285,8 @@
     bool progressIsStored = true; ///< Writes of progress succeed while the store is reachable.
     /// Returns the duration of the run started by an order; the step's estimate if not set.
     std::function<Duration(const StartOrder &)> duration;
+    /// Called for each hold, which is delivered if the function returns true. May schedule a late delivery with renewLateAt().
+    std::function<bool(const HoldOrder &)> onHold = [](const HoldOrder &) { return true; };
     /// Called for each start, which is delivered if the function returns true. May schedule a late delivery with deliverStartAt().
     std::function<bool(const StartOrder &)> onStart = [](const StartOrder &) { return true; };
     std::set<WorkerId> allowedWorkers; ///< Workers that the policy service allows; empty: all.
@@ -306,6 +319,18 @@
         m_events.emplace(at, [this, order] { (void)apply(order); });
     }
 
+    /// Delivers at @p at a hold whose answer the scheduler never receives.
+    void renewLateAt(const HoldOrder &order, TimePoint at)
+    {
+        callAt(at, [this, order, sender = epoch] {
+            FakeCellWorker &worker = workers.at(order.worker);
+            if (!worker.crashed && order.deadline > 0 && !(sender < worker.highestFencingToken)) {
+                worker.highestFencingToken = sender;
+                worker.extendLease(order.deadline, now, settings.workers.leases.maxLease);
+            }
+        });
+    }
+
     OrderAnswer apply(const StartOrder &order)
     {
         FakeCellWorker &worker = workers.at(order.worker);
@@ -321,6 +346,7 @@
         if (order.deadline <= clock) {
             return {OrderOutcome::DeadlineExceeded, clock};
         }
+        worker.extendLease(order.deadline, now, settings.workers.leases.maxLease);
         const auto present = worker.running.find(order.task);
         if (present != worker.running.end() && present->second.number == order.run) {
             return {OrderOutcome::Done, clock};
@@ -370,7 +396,6 @@
         const StepSpec &spec = storedJobs.at(order.task.step.job).steps.at(static_cast<std::size_t>(order.task.step.step));
         const Duration span = duration ? duration(order) : spec.estimate;
         worker.running[order.task] = FakeCellRun{order.run, now + span, order, spec.gang, now};
-        worker.leaseEnd = std::max(worker.leaseEnd, now + Duration(order.deadline - worker.clock(now)));
         ++starts;
         Resources used;
         for (const auto &[task, run] : worker.running) {
@@ -439,10 +464,9 @@
             if (worker.acknowledged < order.acknowledged) {
                 worker.acknowledged = order.acknowledged;
             }
-            if (order.deadline > 0) {
-                const Duration lease = std::min(Duration(order.deadline - worker.clock(now)), settings.workers.maxLease);
-                worker.leaseEnd = std::max(worker.leaseEnd, now + lease);
-            }
+        }
+        if (order.deadline > 0) {
+            worker.extendLease(order.deadline, now, settings.workers.leases.maxLease);
         }
         HoldReply reply;
         reply.incarnation = worker.info.incarnation;
@@ -478,7 +502,11 @@
         }
         // The lists are taken when the reply is due: a long poll ends after at most 20 ms, even if no run has ended.
         for (const HoldOrder &order : orders.holds) {
-            m_events.emplace(now + latency + std::min(order.wait, Duration(20)), [this, order, sent = now] { deliverHold(order, sent); });
+            if (onHold(order)) {
+                m_events.emplace(now + latency + std::min(order.wait, Duration(20)), [this, order, sent = now] { deliverHold(order, sent); });
+            } else {
+                m_events.emplace(now + answerTimeout, [this, order, sent = now] { scheduler->onHoldAnswer(order, nullptr, sent, time()); });
+            }
         }
         for (const AdviceCall &call : orders.advice) {
             ++adviceCalls;
@@ -533,6 +561,9 @@
     void advance()
     {
         now += Duration(5);
+        for (auto &[id, worker] : workers) {
+            worker.present = now;
+        }
         advanceWorkers();
         while (!m_workerEvents.empty() && m_workerEvents.begin()->first <= now) {
             const auto action = m_workerEvents.begin()->second;
--- a/test/platform/soak/fakeplatform.cpp
+++ b/test/platform/soak/fakeplatform.cpp
@@ -176,7 +176,7 @@
         Server *added = server.get();
         server->http = listenAt(loop, own, [this, added](const HttpCallPtr &call) { serve(*added, call); });
         server->link = std::make_unique<FaultProxy>(loop, freeAddress(), own);
-        server->clockRate = i % 3 == 0 ? 0.98 : 1.0; // 0.98 is the limit that WorkerTableSettings::maxClockDrift allows.
+        server->clockRate = i % 3 == 0 ? 0.98 : 1.0; // 0.98 is the limit that LeaseSettings::maxClockDrift allows.
         WorkerInfo &info = server->worker.info;
         info.id = WorkerId("w" + std::to_string(i));
         info.address = server->link->address();
