Restart long-running tasks however their runs end

Cause: an end without a failure counted as the success of the task, whatever the step is, and the last success ended the job.

Change: the end of a run of a long-running task leaves the task waiting; it starts again after 0.2 s, a gang as a whole. Successes of such tasks in rows of earlier versions are ignored.

Ruled out: a task that waits without being placed (the job was shown as completed).

--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -177,6 +177,16 @@
     switch (end.end) {
     case RunEnd::Succeeded:
         ++m_counters.succeeded;
+        if (step->spec->longRunning) {
+            // Such a task runs until its job is cancelled, however its runs end.
+            log("long-running task " + end.task.text() + " run " + std::to_string(end.run.value()) + " ended on " + event.worker.value() + ": restarted");
+            m_jobs.onLongRunningTaskEnded(*step, end.task.index, time.now);
+            if (worker != nullptr) {
+                recordHealth(*worker, entry.job.id, true, time.now);
+            }
+            stopGang(*step, time.now);
+            break;
+        }
         m_jobs.onSucceeded(*step, end.task.index, time.now, time.unixMs);
         if (worker != nullptr) {
             recordHealth(*worker, entry.job.id, true, time.now);
@@ -231,7 +241,7 @@
         if (end.end == RunEnd::Succeeded || end.end == RunEnd::Failed || !hasOtherRun) {
             onRunEnded(event, *entry, step, time);
         }
-        if (end.end == RunEnd::Succeeded && hasOtherRun) {
+        if (end.end == RunEnd::Succeeded && hasOtherRun && !step->spec->longRunning) {
             stopTask(*step, end.task.index, time.now);
         }
     }
--- a/src/cell/joboccurrences.cpp
+++ b/src/cell/joboccurrences.cpp
@@ -15,7 +15,7 @@
 bool isStepDone(const StepSpec &spec, const StepProgress &stored)
 {
     const auto count = static_cast<std::size_t>(spec.count);
-    return stored.succeeded.size() >= count
+    return !spec.longRunning && stored.succeeded.size() >= count
         && std::all_of(stored.succeeded.begin(), stored.succeeded.begin() + static_cast<std::ptrdiff_t>(count), [](bool succeeded) { return succeeded; });
 }
 
@@ -88,7 +88,9 @@
 void JobTable::restoreStep(JobEntry &entry, StepInstance &step, const StepProgress &stored)
 {
     step.gangCheckpoint = stored.gangCheckpoint;
-    for (std::size_t i = 0; i < step.tasks.size() && i < stored.succeeded.size(); ++i) {
+    // Earlier versions of the daemon stored successes of long-running tasks, which are to be restarted however they end.
+    const std::size_t successes = step.spec->longRunning ? 0 : std::min(step.tasks.size(), stored.succeeded.size());
+    for (std::size_t i = 0; i < successes; ++i) {
         CellTask &task = step.tasks[i];
         if (stored.succeeded[i] && task.phase == CellTaskPhase::Waiting) {
             task.phase = CellTaskPhase::Succeeded;
--- a/src/cell/jobtable.cpp
+++ b/src/cell/jobtable.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 // Delay per failure of a task, so that a worker that fails every task is detected before it gets the task again.
+constexpr Duration restartPause{200}; // Limits how often a long-running task is restarted that ends at once.
 constexpr Duration taskFailureBackoff{50};
 constexpr Duration maxTaskFailureBackoff{2000};
 
@@ -206,6 +207,15 @@
     }
 }
 
+void JobTable::onLongRunningTaskEnded(StepInstance &step, int index, TimePoint now)
+{
+    for (int i = 0; i < static_cast<int>(step.tasks.size()); ++i) {
+        if (i == index || step.spec->gang) {
+            step.tasks.at(static_cast<std::size_t>(i)).notBefore = now + restartPause;
+        }
+    }
+}
+
 bool JobTable::onFailed(StepInstance &step, const EndedEntry &end, const WorkerId &worker, const RouteRules *rules, TimePoint now)
 {
     CellTask &task = step.tasks.at(static_cast<std::size_t>(end.task.index));
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -175,6 +175,8 @@
     /// Counts a run that was discovered in a worker's list.
     void onDiscovered(StepInstance &step, int index, RunNumber run);
     void onSucceeded(StepInstance &step, int index, TimePoint now, std::int64_t unixNowMs);
+    /// A run of a long-running task ended by itself. The task is started again after a short pause.
+    static void onLongRunningTaskEnded(StepInstance &step, int index, TimePoint now);
     /// Counts a run that failed; repeated reports of one run have no effect. Returns true if the job fails as a result. @p rules is null if they
     /// are not known; the job doesn't fail then, see failIfAttemptsUsedUp().
     [[nodiscard]] bool onFailed(StepInstance &step, const EndedEntry &end, const WorkerId &worker, const RouteRules *rules, TimePoint now);
