--- a/test/cell/testrunsafetyseeds.cpp
+++ b/test/cell/testrunsafetyseeds.cpp
@@ -196,7 +196,7 @@
     {
         FakeCellWorker &worker = m_cell.workers.at(id);
         const Duration downTime = between(50, 2500);
-        hold(id, downTime + cutAfter + Duration(5));
+        keepBusy(id, downTime + cutAfter + Duration(5));
         worker.crashed = true;
         worker.listedUntil = m_cell.now + Duration(3000);
         m_restartsAt[id] = m_cell.now + downTime;
@@ -208,7 +208,7 @@
 
     void cutOff(const WorkerId &id, Duration span)
     {
-        hold(id, span);
+        keepBusy(id, span);
         m_cell.workers.at(id).reachable = false;
         const Duration expiry = between(1500, 4500);
         if (expiry < span) {
@@ -244,7 +244,7 @@
         if (isCutOff) {
             cutOff(id, between(300, static_cast<int>(span.count())));
         }
-        hold(id, span + Duration(2005));
+        keepBusy(id, span + Duration(2005));
         m_cell.callAt(m_cell.now + span, [this, id] {
             m_cell.workers.at(id).crashed = true;
             m_cell.workers.at(id).reachable = true;
@@ -253,7 +253,7 @@
         m_cell.callAt(m_cell.now + span + Duration(2000), [this, id] { replaceProcess(id); });
     }
 
-    void hold(const WorkerId &id, Duration span)
+    void keepBusy(const WorkerId &id, Duration span)
     {
         TimePoint &until = m_busyUntil[id];
         until = std::max(until, m_cell.now + span);
