--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -1,9 +1,9 @@
-// Placement of waiting tasks and gangs by CellScheduler.
-#include "cellscheduler_p.h"
+// Placement of waiting tasks by CellScheduler: order of the steps, candidates and single tasks. Gangs are placed in cellgangs.cpp.
+#include "placementpass.h"
+#include "placementrank.h"
 
 #include <algorithm>
 #include <climits>
-#include <tuple>
 
 namespace KingCupLadder {
 
@@ -16,30 +16,11 @@
 constexpr std::size_t stepsInEveryPass = 160; // The first steps by priority are considered in every pass; bounds the time of a pass.
 constexpr std::size_t rotatedStepsPerPass = 80; // The others take turns, this many per pass, so that a backlog does not slow down every pass.
 constexpr int overRateTierOffset = 100; // For work above its workspace's rate, which goes last.
-constexpr int minAllowedSlotsPerTask = 8; // A gang asks about further workers while its allowed workers fit fewer tasks than this factor when they are idle.
-constexpr int maxGangReservations = 8; // Gangs per pass that may reserve capacity for a later start; reservations withhold it from other steps.
-constexpr int maxStartingGangReservations = 16; // Gangs per pass, other than starving ones, that may reserve capacity while their tickets are renewed.
 constexpr std::size_t minTicketsToRenew = 8; // A non-gang step renews tickets for at least this many workers, if that many have capacity.
-constexpr Duration overrunEstimate{200}; // A run that is due or is being stopped is assumed to continue for at least this time.
-constexpr Duration gangRepairTimeout{1200}; // How long a gang member whose start was rejected may be moved to another worker; then the gang restarts.
 constexpr Duration minStableMaximumTime{15000}; // Longer than a lease: if a maximum has not changed for this time, previous leaders enforced the same value.
 constexpr Duration maxIsolationWait{5000}; // A suspect that has found no idle worker for this time starts beside other runs.
 constexpr int maxIdleReservations = 6; // Workers per pass that are kept free for suspects.
 
-/// Order of the workers that a single task may start on; the lowest rank is the best.
-struct PlacementRank {
-    bool hasFailedThere = false; ///< The task has failed on the worker.
-    bool isOtherRack = false; ///< The worker is in another rack than the preferred one.
-    int lostGangTasks = 0; ///< How many fewer tasks of an average gang fit on the worker afterwards.
-    MilliCores freeAfter; ///< Best fit: the fullest worker comes first.
-
-    friend bool operator<(const PlacementRank &a, const PlacementRank &b)
-    {
-        return std::tie(a.hasFailedThere, a.isOtherRack, a.lostGangTasks, a.freeAfter)
-            < std::tie(b.hasFailedThere, b.isOtherRack, b.lostGangTasks, b.freeAfter);
-    }
-};
-
 bool isMoreUrgent(const std::pair<std::pair<int, TimePoint>, StepInstance *> &a, const std::pair<std::pair<int, TimePoint>, StepInstance *> &b)
 {
     return a.first != b.first ? a.first < b.first : a.second->ref < b.second->ref;
@@ -74,49 +55,6 @@
 
 } // namespace
 
-/// State of one placement pass.
-struct CellScheduler::PlacementPass {
-    CellOrders &orders;
-    CellTime time;
-    Reservations reservations;
-    Resources gangTaskDemand; ///< Mean demand of the tasks of the waiting gangs.
-    int reservingGangs = 0; ///< Gangs that have reserved capacity for a later start.
-    int startingGangs = 0; ///< Gangs that have reserved capacity while their tickets are renewed.
-    int idleReservations = 0; ///< Workers that are reserved for a suspect as soon as they have no runs.
-    std::map<WorkerIndex, std::vector<TimedResources>> idleReleases; ///< Like releases, with one entry: the whole worker after its last run.
-    std::map<WorkerIndex, std::vector<TimedResources>> releases; ///< Filled on demand. Candidates point to the entries, whose addresses are stable.
-
-    const std::vector<TimedResources> &releasesOf(const Worker &worker)
-    {
-        const auto [entry, isNew] = releases.try_emplace(worker.index);
-        if (isNew) {
-            for (const auto &[key, run] : worker.runs) {
-                const TimePoint soon = time.now + overrunEstimate;
-                if (run.phase == RunPhase::Stopping) {
-                    entry->second.push_back(TimedResources{soon, run.demand});
-                } else if (!run.isLongRunning) {
-                    // An overrun run is expected to last as long again as it has overrun.
-                    const TimePoint expectedEnd = std::max(run.expectedEnd, time.now + (time.now - run.expectedEnd));
-                    entry->second.push_back(TimedResources{std::max(expectedEnd, soon), run.demand});
-                }
-            }
-            std::sort(entry->second.begin(), entry->second.end(), [](const TimedResources &a, const TimedResources &b) { return a.at < b.at; });
-        }
-        return entry->second;
-    }
-
-    const std::vector<TimedResources> &idleReleaseOf(const Worker &worker)
-    {
-        std::vector<TimedResources> &release = idleReleases[worker.index];
-        if (release.empty()) {
-            const bool isNeverIdle = std::any_of(worker.runs.begin(), worker.runs.end(), [](const auto &entry) { return entry.second.isLongRunning; });
-            const std::vector<TimedResources> &all = releasesOf(worker);
-            release.push_back(TimedResources{isNeverIdle ? TimePoint::max() : all.empty() ? time.now : all.back().at, worker.info.capacity});
-        }
-        return release;
-    }
-};
-
 bool CellScheduler::shouldReconsider(const StepInstance &step) const
 {
     if (step.consideredAtGeneration == 0 || (step.spec->gang && step.active > 0)) {
@@ -468,140 +406,4 @@
     }
 }
 
-void CellScheduler::limitToReservations(const StepInstance &step, std::vector<CandidateWorker> &candidates, const PlacementPass &pass) const
-{
-    for (CandidateWorker &candidate : candidates) {
-        candidate.maxTasks = pass.reservations.tasksAllowed(candidate, step.spec->demand, pass.time.now + step.spec->estimate);
-    }
-}
-
-void CellScheduler::placeGang(StepInstance &step, PlacementPass &pass)
-{
-    const TimePoint now = pass.time.now;
-    const int count = step.spec->count;
-    const bool areAllStartable = std::all_of(step.tasks.begin(), step.tasks.end(), [now](const CellTask &task) {
-        return task.phase == CellTaskPhase::Waiting && task.liveRuns == 0 && task.notBefore <= now;
-    });
-    if (!areAllStartable || !isWithinWorkspaceMaximum(step, count)) {
-        return;
-    }
-    std::vector<CandidateWorker> candidates = candidatesFor(step, pass, CandidateSet::WorkersWithValidTicket);
-    int fittingWithoutReservations = 0;
-    for (const CandidateWorker &candidate : candidates) {
-        fittingWithoutReservations += tasksThatFit(step.spec->demand, candidate.free, std::min(candidate.maxTasks, count));
-    }
-    limitToReservations(step, candidates, pass);
-    step.withheldTasks = fittingWithoutReservations;
-    for (const CandidateWorker &candidate : candidates) {
-        step.withheldTasks -= std::min(candidate.maxTasks, count);
-    }
-    const auto fit = fitGang(candidates, step.spec->demand, count);
-    if (!fit) {
-        reserveForGang(step, candidatesFor(step, pass, CandidateSet::AllowedWorkersWithReleases), pass);
-        return;
-    }
-    RunNumber run;
-    for (const CellTask &task : step.tasks) {
-        run = std::max(run, nextRun(task), [](RunNumber a, RunNumber b) { return a < b; });
-    }
-    step.gangRun = run;
-    step.gangStarted = now;
-    step.gangStopping = false;
-    int index = 0;
-    for (const TaskAllocation &allocation : *fit) {
-        for (int i = 0; i < allocation.tasks; ++i) {
-            startTask(step, index++, *m_workers.at(allocation.worker), run, pass);
-        }
-    }
-    log("gang " + TaskRef{step.ref, 0}.text() + " run " + std::to_string(run.value()) + " placed: " + std::to_string(count) + " tasks on "
-        + std::to_string(fit->size()) + " workers, " + std::to_string((now - step.readySince).count()) + " ms after it was ready, "
-        + std::to_string(step.advice.evaluated.size()) + " workers asked");
-}
-
-void CellScheduler::reserveForGang(StepInstance &step, const std::vector<CandidateWorker> &candidates, PlacementPass &pass)
-{
-    const TimePoint now = pass.time.now;
-    const AdviceSettings *settings = adviceSettings(step);
-    // For a later start: without the capacity that other gangs have reserved.
-    std::vector<CandidateWorker> unreservedCandidates;
-    unreservedCandidates.reserve(candidates.size());
-    for (const CandidateWorker &candidate : candidates) {
-        unreservedCandidates.push_back(pass.reservations.withoutReserved(candidate));
-    }
-    // For a start now: with the reserved capacity that the gang will release in time for the reservations.
-    std::vector<CandidateWorker> availableNow = candidates;
-    limitToReservations(step, availableNow, pass);
-    const auto fit = fitGang(availableNow, step.spec->demand, step.spec->count);
-    std::optional<GangForecast> forecast;
-    int fitting = 0;
-    int fittingWhenIdle = 0;
-    for (const CandidateWorker &candidate : availableNow) {
-        fitting += candidate.maxTasks;
-        fittingWhenIdle += tasksThatFit(step.spec->demand, m_workers.at(candidate.worker)->info.capacity, step.spec->count);
-    }
-    if (!fit && settings != nullptr && fittingWhenIdle < step.spec->count * minAllowedSlotsPerTask) {
-        // Workers that have not been asked about may have the capacity that the allowed ones lack now. With enough allowed workers, a call
-        // about further ones would only delay the renewal of tickets once there is room.
-        step.missingTasks = std::max(step.spec->count - fitting, 1);
-        requestAdvice(step, now);
-    }
-    if (fit) {
-        forecast = GangForecast{now, *fit}; // The gang only lacks valid tickets.
-    } else if (pass.reservingGangs < maxGangReservations) {
-        // The gang lacks capacity: at most maxGangReservations of these gangs reserve it for a later start.
-        forecast = forecastGang(unreservedCandidates, step.spec->demand, step.spec->count, now);
-        pass.reservingGangs += forecast ? 1 : 0;
-    }
-    if (!forecast) {
-        return;
-    }
-    if (settings != nullptr) {
-        renewTicketsForGang(step, *forecast, candidates, now);
-    }
-    if (fit) {
-        // Many gangs whose renewals are far back in the queue would withhold most of the free capacity although none of them can start soon.
-        const StepAdvice &advice = step.advice;
-        const bool isFarBack = advice.renewalInFlight && !advice.isRenewalSentSoon;
-        const bool startsSoon = !isFarBack && pass.startingGangs < maxStartingGangReservations;
-        if (!startsSoon && !step.isStarving) {
-            return;
-        }
-        ++pass.startingGangs;
-    }
-    const bool needsIdle = needsIdleWorker(step, 0, now);
-    for (const TaskAllocation &allocation : forecast->allocations) {
-        const Resources reserved = needsIdle ? m_workers.at(allocation.worker)->info.capacity : step.spec->demand * allocation.tasks;
-        pass.reservations.add(allocation.worker, forecast->start, reserved);
-    }
-}
-
-void CellScheduler::placeMissingMembers(StepInstance &step, PlacementPass &pass)
-{
-    const TimePoint now = pass.time.now;
-    if (step.gangStopping) {
-        return;
-    }
-    if (now > step.gangStarted + gangRepairTimeout) {
-        stopGang(step, now);
-        return;
-    }
-    // Unlike for a new gang, reservations, CellTask::notBefore and the workspace's maximum are not checked here.
-    std::vector<CandidateWorker> candidates = candidatesFor(step, pass, CandidateSet::WorkersWithValidTicket);
-    for (int index = 0; index < static_cast<int>(step.tasks.size()); ++index) {
-        const CellTask &task = step.tasks[static_cast<std::size_t>(index)];
-        if (task.phase != CellTaskPhase::Waiting || task.liveRuns > 0) {
-            continue;
-        }
-        const auto candidate = std::find_if(candidates.begin(), candidates.end(), [&step](const CandidateWorker &option) {
-            return option.maxTasks > 0 && step.spec->demand.fitsIn(option.free);
-        });
-        if (candidate == candidates.end()) {
-            return;
-        }
-        startTask(step, index, *m_workers.at(candidate->worker), step.gangRun, pass);
-        candidate->free -= step.spec->demand;
-        --candidate->maxTasks;
-    }
-}
-
 } // namespace KingCupLadder
