--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,5 +1,6 @@
 // ladder-bench: runs the scheduling core against seeded synthetic workloads and prints a table of results. The subcommands shard
-// and memory run a shard controller instead, and the subcommand daemons runs complete daemons.
+// and memory run a shard controller instead, daemons runs complete daemons, and backlog the leader of a cell.
+#include "backlogrun.h"
 #include "daemonrun.h"
 #include "measures.h"
 #include "policyrun.h"
@@ -88,6 +89,13 @@
     run->add_option("--vm-interval", settings.vmListIntervalMs, "interval of VM list reads in ms");
 }
 
+void addBacklogCommand(CLI::App &app, BacklogRunSettings &settings)
+{
+    CLI::App *run = app.add_subcommand("backlog", "measures the scheduling rounds of a cell's leader on a full cell");
+    run->add_option("--workers", settings.workers, "numbers of workers; one row for each combination");
+    run->add_option("--waiting", settings.waitingSteps, "numbers of waiting steps");
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -104,7 +112,13 @@
     DaemonRunSettings daemons;
     std::vector<std::uint32_t> daemonCounts{7, 35, 70};
     addDaemonCommand(app, daemons, daemonCounts);
+    BacklogRunSettings backlog;
+    addBacklogCommand(app, backlog);
     CLI11_PARSE(app, argc, argv);
+    if (app.got_subcommand("backlog")) {
+        printBacklogRuns(backlog);
+        return 0;
+    }
     if (app.got_subcommand("shard")) {
         printShardRuns(shard);
         return 0;
--- a/src/cell/placementplan.cpp
+++ b/src/cell/placementplan.cpp
@@ -51,38 +51,48 @@
 
 std::optional<GangForecast> forecastGang(const std::vector<CandidateWorker> &candidates, const Resources &demand, int count, TimePoint now)
 {
-    std::vector<TimePoint> moments{now};
-    static const std::vector<TimedResources> none;
-    const auto releasesOf = [](const CandidateWorker &candidate) -> const std::vector<TimedResources> & {
-        return candidate.releases != nullptr ? *candidate.releases : none;
-    };
-    for (const CandidateWorker &candidate : candidates) {
-        for (const TimedResources &release : releasesOf(candidate)) {
-            moments.push_back(std::max(release.at, now));
+    // Without new placements free capacity only grows, so the releases are applied in the order of their times until the gang fits. The
+    // candidates' lists are sorted, and only their next entries are compared, since the gang usually fits long before the last release.
+    struct NextRelease {
+        TimePoint at;
+        std::size_t candidate;
+        std::size_t index; ///< In CandidateWorker::releases.
+        bool operator<(const NextRelease &other) const
+        {
+            return other.at < at; // The standard heap has its largest element first, which is to be the earliest release.
         }
-    }
-    std::sort(moments.begin(), moments.end());
-    moments.erase(std::unique(moments.begin(), moments.end()), moments.end());
-    const auto candidatesAt = [&candidates, &releasesOf](TimePoint at) {
-        std::vector<CandidateWorker> later;
-        for (const CandidateWorker &candidate : candidates) {
-            CandidateWorker copy{candidate.worker, candidate.free, candidate.maxTasks, nullptr};
-            for (const TimedResources &release : releasesOf(candidate)) {
-                if (release.at <= at) {
-                    copy.free += release.amount;
-                }
-            }
-            later.push_back(copy);
+    };
+    std::vector<CandidateWorker> later = candidates;
+    std::vector<NextRelease> next;
+    int fitting = 0;
+    const auto fitsOf = [&](const CandidateWorker &candidate) { return tasksThatFit(demand, candidate.free, std::min(candidate.maxTasks, count)); };
+    const auto addNext = [&](std::size_t candidate, std::size_t index) {
+        const std::vector<TimedResources> *releases = candidates[candidate].releases;
+        if (releases != nullptr && index < releases->size()) {
+            next.push_back(NextRelease{std::max((*releases)[index].at, now), candidate, index});
+            std::push_heap(next.begin(), next.end());
         }
-        return later;
     };
-    // Without new placements free capacity only grows, so a binary search finds the first time at which the gang fits.
-    const auto first =
-        std::partition_point(moments.begin(), moments.end(), [&](TimePoint at) { return !fitGang(candidatesAt(at), demand, count).has_value(); });
-    if (first == moments.end()) {
+    for (std::size_t i = 0; i < later.size(); ++i) {
+        fitting += fitsOf(later[i]);
+        addNext(i, 0);
+    }
+    TimePoint start = now;
+    while (!next.empty() && (fitting < count || next.front().at <= start)) {
+        std::pop_heap(next.begin(), next.end());
+        const NextRelease release = next.back();
+        next.pop_back();
+        start = std::max(start, release.at);
+        CandidateWorker &candidate = later[release.candidate];
+        fitting -= fitsOf(candidate);
+        candidate.free += (*candidate.releases)[release.index].amount;
+        fitting += fitsOf(candidate);
+        addNext(release.candidate, release.index + 1);
+    }
+    if (fitting < count) {
         return std::nullopt;
     }
-    return GangForecast{*first, *fitGang(candidatesAt(*first), demand, count)};
+    return GangForecast{start, *fitGang(later, demand, count)};
 }
 
 void Reservations::add(std::size_t worker, TimePoint at, const Resources &amount)
