Evacuate a failure domain while the operator's row for it exists

Cause: the scheduler ignored the rows op/evacuate/ZONE, so tasks were still started in a failure domain that the operator had evacuated. Change: ConfigWatcher reads these rows in one range read with the configuration, page by page, and follows both by one feed. The set is reported before the configuration, so that a leader has it before its first placement, and is kept across leaderships. Workers of an evacuated failure domain are not usable, their capacity does not count in the predicted wait, and an unconfirmed start there is stopped when its retry would be due.

--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -398,7 +398,18 @@
 void CellScheduler::retryStarts(Worker &worker, CellOrders &orders, TimePoint now)
 {
     for (auto &[key, run] : worker.runs) {
-        if (run.phase != RunPhase::Starting || run.startsInFlight > 0 || now < run.sentAt + startRetryInterval * run.startsSent) {
+        if (run.phase != RunPhase::Starting || now < run.sentAt + startRetryInterval * run.startsSent) {
+            continue;
+        }
+        if (worker.isEvacuated) {
+            // Also while a start is in flight: once the worker has acknowledged the stop, it rejects a start that arrives late.
+            ++m_counters.startsStoppedInEvacuation;
+            log("task " + run.task.text() + " run " + std::to_string(run.number.value()) + " is not confirmed by " + worker.info.id.value()
+                + " in an evacuated failure domain: stopped");
+            m_workers.requestStop(worker, run, now);
+            continue;
+        }
+        if (run.startsInFlight > 0) {
             continue;
         }
         auto retry = run.startsSent < maxStartsPerRun ? m_workers.retryStart(worker, run, now) : std::nullopt;
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -75,6 +75,29 @@
     }
 }
 
+void CellScheduler::setEvacuatedDomains(const std::set<FailureDomain> &domains, TimePoint now)
+{
+    const DomainEvacuations::Changes changes = m_workers.setEvacuatedDomains(domains, now);
+    for (const FailureDomain &domain : changes.begun) {
+        ++m_counters.evacuationsBegun;
+        log("evacuation of failure domain " + domain.value() + " begins: no task is started there");
+    }
+    for (const FailureDomain &domain : changes.ended) {
+        ++m_counters.evacuationsEnded;
+        m_unknownDomainsLogged.erase(domain);
+        log("evacuation of failure domain " + domain.value() + " ends: its workers return within " + std::to_string(evacuationReturnTime.count()) + " ms");
+    }
+}
+
+void CellScheduler::logUnknownEvacuatedDomains()
+{
+    for (const FailureDomain &domain : m_workers.evacuatedDomainsWithoutWorkers()) {
+        if (m_unknownDomainsLogged.insert(domain).second) {
+            log("evacuation of failure domain " + domain.value() + " has no effect at present: no known worker is there");
+        }
+    }
+}
+
 void CellScheduler::beginEpoch(Epoch epoch, TimePoint leasesExpiredBy)
 {
     m_epoch = epoch;
@@ -83,7 +106,7 @@
     m_renewedAt = TimePoint();
     m_lastJobStored = TimePoint();
     m_jobs = JobTable();
-    m_workers = WorkerTable(m_settings.workers);
+    m_workers = WorkerTable(m_settings.workers, m_workers.evacuations());
     m_advice.clear();
     m_usage.clear();
     m_discoveredUsage.clear();
@@ -264,7 +287,7 @@
         m_waitingTasks.clear();
         m_capacity = 0;
         for (const auto &[id, worker] : m_workers.all()) {
-            m_capacity += worker.registered && !worker.info.draining ? worker.info.capacity.cpu.value() : 0;
+            m_capacity += worker.registered && !worker.info.draining && !worker.isEvacuated ? worker.info.capacity.cpu.value() : 0;
         }
         for (const auto &[id, entry] : m_jobs.unfinishedEntries()) {
             const RouteRules *rules = rulesOf(entry->job);
@@ -354,6 +377,7 @@
 void CellScheduler::onRegistry(const std::vector<WorkerInfo> &workers, const CellTime &time)
 {
     onRunEvents(m_workers.onRegistry(workers, time.now), time);
+    logUnknownEvacuatedDomains();
 }
 
 void CellScheduler::onWorkersStored(const std::vector<WorkerRecord> &records, bool stored)
@@ -562,7 +586,8 @@
         + std::to_string(stalled) + " stalled although there is room, " + std::to_string(m_advice.callsInFlight()) + " advice calls in flight, "
         + std::to_string(m_advice.waitingCalls()) + " queued for up to " + std::to_string(m_advice.longestQueueTime(now).count()) + " ms, "
         + std::to_string(usable) + " of " + std::to_string(m_workers.all().size()) + " workers usable, their CPU " + percentOfCapacity(allocated)
-        + " allocated, predicted wait " + std::to_string(predictedWait(INT_MAX, now).count()) + " ms";
+        + " allocated, predicted wait " + std::to_string(predictedWait(INT_MAX, now).count()) + " ms"
+        + (m_workers.evacuations().isActive(now) ? ", usable workers by failure domain: " + m_workers.describeDomains(now) : "");
 }
 
 std::size_t CellScheduler::unfinishedJobs() const
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -85,6 +85,9 @@
     std::uint64_t adviceCalls = 0;
     std::uint64_t admitted = 0;
     std::uint64_t refused = 0;
+    std::uint64_t evacuationsBegun = 0; ///< Also counted while this daemon does not lead.
+    std::uint64_t evacuationsEnded = 0; ///< Also counted while this daemon does not lead.
+    std::uint64_t startsStoppedInEvacuation = 0; ///< Unconfirmed starts in an evacuated failure domain that were stopped.
 };
 
 /// Schedules the jobs of a cell: the functions report events, and tick() returns the resulting orders.
@@ -94,6 +97,8 @@
     explicit CellScheduler(const CellSchedulerSettings &settings, DecisionLog log = nullptr);
 
     void setConfig(std::shared_ptr<const CellConfig> config, TimePoint now);
+    /// Replaces the set of evacuated failure domains, in which no task may start. Unlike the rest of the state, it is kept across leaderships.
+    void setEvacuatedDomains(const std::set<FailureDomain> &domains, TimePoint now);
     /// Starts a leadership with an empty state. Leases granted by previous leaders have expired by @p leasesExpiredBy.
     void beginEpoch(Epoch epoch, TimePoint leasesExpiredBy);
     /// Adds the stored workers of previous leaders. To be called before finishLoading().
@@ -204,6 +209,8 @@
     /// Adds due holds to the orders, retries unanswered starts and stops runs on draining workers.
     void sendHoldsAndRetries(CellOrders &orders, const CellTime &time, bool checkRuns);
     void retryStarts(Worker &worker, CellOrders &orders, TimePoint now);
+    /// Logs evacuated failure domains in which no worker is known, each once.
+    void logUnknownEvacuatedDomains();
     void evacuateDrainingWorker(Worker &worker, TimePoint now);
     void runPlacementPass(CellOrders &orders, const CellTime &time);
     /// Whether the step may be placed now, apart from room for it.
@@ -291,6 +298,7 @@
     std::map<WorkspaceId, TrackedMaximum> m_workspaceMaxima;
     std::map<RouteName, RouteRules> m_formerRoutes; ///< Last rules of the routes with unfinished jobs that the configuration lacks.
     std::set<JobId> m_jobsWithoutRules; ///< Jobs for which rulesOf() was null.
+    std::set<FailureDomain> m_unknownDomainsLogged; ///< Evacuated failure domains without a known worker that have been logged.
     std::map<WorkspaceId, Resources> m_discoveredUsage; ///< Demand of previous leaders' runs discovered in this term, including runs that have ended.
     std::map<WorkspaceId, Resources> m_unreportedUsage; ///< Upper bound on the usage on workers that have not answered this leader yet.
     std::map<WorkspaceId, Resources> m_usage; ///< Total demand of all known runs, by workspace.
@@ -314,7 +322,7 @@
     double m_startRate = 0; ///< Starts per second in the last time span, or the moving average if that is higher.
     TimePoint m_startRateSince; ///< Begin of the time span over which starts are counted.
     std::uint64_t m_startsAtSpanBegin = 0; ///< m_counters.starts at m_startRateSince.
-    std::int64_t m_capacity = 0; ///< Millicores of all registered workers that are not draining, as of m_waitingWorkAt.
+    std::int64_t m_capacity = 0; ///< Millicores of all registered workers that are neither draining nor evacuated, as of m_waitingWorkAt.
     TimePoint m_waitingWorkAt;
     TimePoint m_nextRunCheck;
     TimePoint m_nextFullPass;
--- a/src/cell/workerprotocol.h
+++ b/src/cell/workerprotocol.h
@@ -27,6 +27,7 @@
     Resources capacity;
     bool draining = false;
     Duration remaining{0}; ///< While draining: minimum time until the worker leaves.
+    Duration coldRemaining{0}; ///< How long the worker remains cold, so that tasks start slowly there; 0: warm.
     WorkerIncarnation incarnation;
     std::uint64_t sequence = 0; ///< Increases with each heartbeat.
 };
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -1,5 +1,5 @@
 // Determines when a run counts as started, ended or gone, and maintains the workers' clocks and leases. What is stored about workers is in
-// workerrecords.cpp.
+// workerrecords.cpp, evacuations of failure domains in workerevacuations.cpp.
 #include "workertable.h"
 
 #include <algorithm>
@@ -40,7 +40,7 @@
 
 } // namespace
 
-WorkerTable::WorkerTable(const WorkerTableSettings &settings) : m_settings(settings) { }
+WorkerTable::WorkerTable(const WorkerTableSettings &settings, DomainEvacuations evacuations) : m_settings(settings), m_evacuations(std::move(evacuations)) { }
 
 Worker *WorkerTable::find(const WorkerId &id)
 {
@@ -144,6 +144,9 @@
         }
         entry = forget ? m_workers.erase(entry) : std::next(entry);
     }
+    if (m_evacuations.isActive(now)) {
+        applyEvacuations(now);
+    }
     return events;
 }
 
@@ -180,7 +183,7 @@
 {
     const bool answers = worker.listsRead && now - worker.lastAnswer < m_settings.unresponsiveAfter && worker.unresponsiveSince == TimePoint();
     return worker.registered && worker.registeredIncarnation == worker.info.incarnation && !worker.info.draining && worker.idStored && answers
-        && worker.blockedUntil <= now;
+        && worker.blockedUntil <= now && !worker.isEvacuated && worker.returnsAt <= now;
 }
 
 void WorkerTable::updateUsability(TimePoint now)
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -4,6 +4,7 @@
 
 #include "celljob.h"
 #include "crashhistory.h"
+#include "domainevacuations.h"
 #include "runproof.h"
 #include "workerleases.h"
 #include "workerprotocol.h"
@@ -142,6 +143,9 @@
     int unansweredStarts = 0; ///< Consecutive starts without an answer.
     std::uint64_t availabilityGeneration = 1; ///< WorkerTable::generation() when free capacity last grew or the worker last became usable.
     bool wasUsable = false; ///< Result of isUsable() at the last call of updateUsability().
+    bool isEvacuated = false; ///< The operator has evacuated the failure domain: the worker gets no new work and no start again.
+    TimePoint returnsAt; ///< After an evacuation of its failure domain, the worker gets no new work until then.
+    TimePoint returnPlannedFor; ///< End of the evacuation for which returnsAt was planned.
 
     /// Whether this incarnation has answered a hold of this leader.
     [[nodiscard]] bool hasAnswered() const
@@ -192,7 +196,7 @@
 class WorkerTable
 {
 public:
-    explicit WorkerTable(const WorkerTableSettings &settings);
+    explicit WorkerTable(const WorkerTableSettings &settings, DomainEvacuations evacuations = {});
 
     /// Applies the complete registry, read by a request sent at @p now or later. Unlisted workers are kept while runs may exist
     /// on them.
@@ -227,6 +231,13 @@
     /// Whether new work may be sent to the worker.
     [[nodiscard]] bool isUsable(const Worker &worker, TimePoint now) const;
 
+    /// Replaces the set of evacuated failure domains and returns what has changed.
+    DomainEvacuations::Changes setEvacuatedDomains(const std::set<FailureDomain> &domains, TimePoint now);
+    [[nodiscard]] const DomainEvacuations &evacuations() const;
+    [[nodiscard]] std::vector<FailureDomain> evacuatedDomainsWithoutWorkers() const;
+    /// Returns the usable workers and the runs of each failure domain as text for a log line.
+    [[nodiscard]] std::string describeDomains(TimePoint now) const;
+
     /// Adds a new run and returns the order to send.
     [[nodiscard]] StartOrder addRun(Worker &worker, const Run &run, StartOrder order, TimePoint now);
     /// Returns the order of a run for a retry after a start without an answer; empty if the order's deadline has passed.
@@ -261,6 +272,8 @@
     [[nodiscard]] Resources unreportedCapacity(TimePoint now) const;
 
 private:
+    /// Updates Worker::isEvacuated, and plans the return of the workers whose evacuation has ended.
+    void applyEvacuations(TimePoint now);
     void beginIncarnation(Worker &worker, WorkerIncarnation incarnation, TimePoint now, std::vector<RunEvent> &events);
     /// Removes a run and returns its outcome. No run is removed in any other way.
     [[nodiscard]] RunEvent release(Worker &worker, std::map<RunKey, Run>::iterator run, RunProof proof);
@@ -304,6 +317,7 @@
     std::unordered_map<JobId, std::map<WorkerIndex, int>> m_runCounts; ///< Number of runs of each job on each worker; never zero.
     std::vector<Worker *> m_byIndex; ///< Points into m_workers; null for removed workers.
     std::uint64_t m_generation = 1;
+    DomainEvacuations m_evacuations;
     bool m_forgotWorker = false; ///< A worker was removed since records were last made.
     std::vector<RunOnCrashedWorker> m_runsOnCrashedWorkers; ///< Not yet taken.
     /// Runs that were lost by the expiry of their leases.
--- a/src/node/configwatcher.cpp
+++ b/src/node/configwatcher.cpp
@@ -1,4 +1,4 @@
-// Reads the configuration once, then watches the store's change feed.
+// Reads the operator's rows once, then watches the store's change feed.
 #include "configwatcher.h"
 
 #include "daemon/log.h"
@@ -7,8 +7,13 @@
 
 namespace KingCupLadder {
 
-ConfigWatcher::ConfigWatcher(EventLoop &loop, TableStore &store, const PlatformCodec &codec, const ConfigWatcherSettings &settings, ChangeHandler onChange)
-    : m_loop(loop), m_store(store), m_codec(codec), m_settings(settings), m_onChange(std::move(onChange))
+ConfigWatcher::ConfigWatcher(EventLoop &loop,
+                             TableStore &store,
+                             const PlatformCodec &codec,
+                             const ConfigWatcherSettings &settings,
+                             ChangeHandler onChange,
+                             EvacuationHandler onEvacuations)
+    : m_loop(loop), m_store(store), m_codec(codec), m_settings(settings), m_onChange(std::move(onChange)), m_onEvacuations(std::move(onEvacuations))
 {
     m_nextReadTimer = EventWatch::timer(loop, [this] { m_knownVersion == RowVersion() ? readAll() : watchChanges(); });
 }
@@ -40,21 +45,58 @@
 
 void ConfigWatcher::readAll()
 {
-    const TimePoint sent = m_loop.now();
-    const std::string key = m_codec.configKey;
-    // The end of the range is right after this key.
-    m_store.read(RangeRead{m_codec.configTable, {}, key, key + '\x01', 1}, m_settings.timeout, [this, sent](const StoreAnswer &answer) {
-        if (answer.outcome != StoreOutcome::Done || answer.rows.empty()) {
-            scheduleNextRead();
+    auto fullRead = std::make_shared<FullRead>();
+    fullRead->sent = m_loop.now();
+    readPage(fullRead, m_codec.evacuationPrefix.empty() ? m_codec.configKey : std::min(m_codec.configKey, m_codec.evacuationPrefix));
+}
+
+void ConfigWatcher::readPage(const std::shared_ptr<FullRead> &fullRead, const std::string &from)
+{
+    // One range covers the configuration and all evacuations. It ends right after the last of their keys.
+    std::string end = m_codec.configKey + '\x01';
+    if (!m_codec.evacuationPrefix.empty()) {
+        std::string afterPrefix = m_codec.evacuationPrefix;
+        ++afterPrefix.back();
+        end = std::max(end, afterPrefix);
+    }
+    m_store.read(RangeRead{m_codec.configTable, {}, from, end}, m_settings.timeout, [this, fullRead](const StoreAnswer &answer) {
+        if (answer.outcome != StoreOutcome::Done) {
+            scheduleNextRead(); // Starts with the first page again; the known rows are kept meanwhile.
             return;
         }
-        applyRow(answer.rows.front());
-        m_knownVersion = answer.version;
-        recordConfirmation(sent);
-        watchChanges();
+        fullRead->version = fullRead->version == RowVersion() ? answer.version : fullRead->version;
+        fullRead->rows.insert(fullRead->rows.end(), answer.rows.begin(), answer.rows.end());
+        if (answer.truncated && !answer.rows.empty()) {
+            readPage(fullRead, answer.rows.back().key.key + '\0'); // Continues at the smallest key after the last one.
+            return;
+        }
+        finishFullRead(*fullRead);
     });
 }
 
+void ConfigWatcher::finishFullRead(const FullRead &fullRead)
+{
+    m_evacuations.clear();
+    for (const TableRow &row : fullRead.rows) {
+        if (isEvacuationRow(row.key)) {
+            applyEvacuationRow(row);
+        }
+    }
+    for (auto key = m_loggedKeys.begin(); key != m_loggedKeys.end();) {
+        key = m_evacuations.count(*key) == 0 ? m_loggedKeys.erase(key) : std::next(key);
+    }
+    reportEvacuations();
+    const auto config = std::find_if(fullRead.rows.begin(), fullRead.rows.end(), [this](const TableRow &row) { return row.key.key == m_codec.configKey; });
+    if (config == fullRead.rows.end()) {
+        scheduleNextRead();
+        return;
+    }
+    applyRow(*config);
+    m_knownVersion = fullRead.version;
+    recordConfirmation(fullRead.sent);
+    watchChanges();
+}
+
 void ConfigWatcher::watchChanges()
 {
     const TimePoint sent = m_loop.now();
@@ -70,18 +112,72 @@
             scheduleNextRead();
             return;
         }
+        for (const TableRow &row : answer.rows) {
+            if (isEvacuationRow(row.key)) {
+                applyEvacuationRow(row);
+            }
+        }
+        reportEvacuations();
         for (const TableRow &row : answer.rows) {
             if (row.key.key == m_codec.configKey && !row.removed) {
                 applyRow(row);
             }
         }
-        m_knownVersion = std::max(m_knownVersion, answer.version, [](RowVersion a, RowVersion b) { return a < b; });
-        recordConfirmation(sent);
+        // A truncated answer lists the earliest changes.
+        const bool isPartial = answer.truncated && !answer.rows.empty();
+        const RowVersion known = isPartial ? answer.rows.back().version : answer.version;
+        m_knownVersion = std::max(m_knownVersion, known, [](RowVersion a, RowVersion b) { return a < b; });
+        if (!isPartial) {
+            recordConfirmation(sent);
+        }
         // The pause after changes limits the call rate while other rows of the table change often.
-        answer.rows.empty() ? watchChanges() : scheduleNextRead();
+        answer.rows.empty() || isPartial ? watchChanges() : scheduleNextRead();
     });
 }
 
+bool ConfigWatcher::isEvacuationRow(const RowKey &key) const
+{
+    return !m_codec.evacuationPrefix.empty() && key.partition.empty() && key.key.rfind(m_codec.evacuationPrefix, 0) == 0;
+}
+
+void ConfigWatcher::applyEvacuationRow(const TableRow &row)
+{
+    const auto known = m_evacuations.find(row.key.key);
+    if (known != m_evacuations.end() && row.version < known->second.version) {
+        return; // A later page of a full read has already shown a newer state of the row.
+    }
+    if (row.removed) {
+        m_evacuations.erase(row.key.key);
+        m_loggedKeys.erase(row.key.key);
+        return;
+    }
+    const auto decoded = m_codec.decodeEvacuation(row.key.key, row.value);
+    m_evacuations[row.key.key] = KnownEvacuation{row.version, decoded ? decoded->domain : FailureDomain()};
+    if ((!decoded || !decoded->isValueValid) && m_loggedKeys.insert(row.key.key).second) {
+        logLine(LogComponent::Platform,
+                LogLevel::Warning,
+                !decoded ? "an evacuation row whose key names no failure domain is ignored"
+                         : "the evacuation row of failure domain " + decoded->domain.value() + " has an unexpected value; the evacuation is in force");
+    }
+}
+
+void ConfigWatcher::reportEvacuations()
+{
+    std::set<FailureDomain> domains;
+    for (const auto &[key, evacuation] : m_evacuations) {
+        if (!evacuation.domain.isEmpty()) {
+            domains.insert(evacuation.domain);
+        }
+    }
+    if (m_reportedEvacuations == domains) {
+        return;
+    }
+    m_reportedEvacuations = domains;
+    if (m_onEvacuations) {
+        m_onEvacuations(domains);
+    }
+}
+
 void ConfigWatcher::scheduleNextRead()
 {
     m_nextReadTimer->start(m_settings.readPause);
--- a/src/node/leadercontroller.cpp
+++ b/src/node/leadercontroller.cpp
@@ -73,6 +73,16 @@
     scheduleRound();
 }
 
+void LeaderController::setEvacuatedDomains(const std::set<FailureDomain> &domains)
+{
+    const TimePoint now = m_loop.now();
+    m_scheduler.setEvacuatedDomains(domains, now);
+    if (m_active) {
+        logDecision("usable workers by failure domain: " + m_scheduler.workers().describeDomains(now));
+    }
+    scheduleRound();
+}
+
 bool LeaderController::isActive() const
 {
     return m_active;
--- a/src/node/leadercontroller.h
+++ b/src/node/leadercontroller.h
@@ -43,6 +43,8 @@
     /// Starts or stops the scheduler when the leadership has changed, and runs periodic work that is due.
     void tick();
     void setConfig(const std::shared_ptr<const CellConfig> &config);
+    /// To be called before setConfig() for sets that were read together with the configuration, since placement begins with that.
+    void setEvacuatedDomains(const std::set<FailureDomain> &domains);
     /// Handles a request from a peer or from this daemon itself and returns the reply.
     [[nodiscard]] PeerMessaging::Envelope handleRequest(const PeerMessaging::Envelope &peerRequest);
     /// Schedules a scheduling round shortly after the current events are handled.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -63,7 +63,12 @@
             updateLeadership();
         });
     m_configWatcher = std::make_unique<ConfigWatcher>(
-        m_loop, *m_store, m_codec, m_settings.config, [this](const std::shared_ptr<const CellConfig> &config) { m_leaderController->setConfig(config); });
+        m_loop,
+        *m_store,
+        m_codec,
+        m_settings.config,
+        [this](const std::shared_ptr<const CellConfig> &config) { m_leaderController->setConfig(config); },
+        [this](const std::set<FailureDomain> &domains) { m_leaderController->setEvacuatedDomains(domains); });
     LeaderAccess access;
     access.sendRequest = [this](PeerMessaging::Envelope peerRequest, Duration timeout, const PeerMessaging::ReplyCallback &callback) {
         sendRequestToLeader(std::move(peerRequest), timeout, callback);
@@ -426,6 +431,10 @@
     add("advice_calls_total", "", cell.adviceCalls);
     add("jobs_admitted_total", "", cell.admitted);
     add("jobs_refused_total", "", cell.refused);
+    add("evacuations_total", "change=\"begun\"", cell.evacuationsBegun);
+    add("evacuations_total", "change=\"ended\"", cell.evacuationsEnded);
+    add("evacuation_starts_stopped_total", "", cell.startsStoppedInEvacuation);
+    add("evacuated_domains", "", m_leaderController->scheduler().workers().evacuations().domains().size());
     add("jobs_unfinished", "", m_leaderController->isActive() ? m_leaderController->scheduler().unfinishedJobs() : 0);
     add("leader", "", m_leaderController->isActive() ? 1 : 0);
     add("worker_calls_total", "way=\"direct\"", m_workerGateway->counters().direct);
--- a/src/node/platforminterfaces.h
+++ b/src/node/platforminterfaces.h
@@ -6,6 +6,7 @@
 #include "cell/celljob.h"
 #include "cell/cellscheduler.h"
 #include "core/error.h"
+#include "core/ids.h"
 #include "daemon/httptypes.h"
 
 #include <functional>
@@ -56,6 +57,12 @@
     Duration callerTimeout{0}; ///< How long the caller waits for the response; 0: not specified.
 };
 
+/// A row by which the operator evacuates a failure domain.
+struct EvacuationRow {
+    FailureDomain domain;
+    bool isValueValid = true; ///< The row's existence counts even if its value is not as documented.
+};
+
 /// Encoders and decoders between the platform's formats and the node's types.
 struct PlatformCodec {
     std::function<CallerHeaders(const HttpRequest &)> parseHeaders;
@@ -67,8 +74,11 @@
     std::function<Result<CellConfig>(const std::string &bytes)> decodeConfig; ///< Decodes the value of the row configKey in configTable.
     /// Decodes a row of workerTable; returns an empty value for an entry that does not describe a usable worker.
     std::function<std::optional<WorkerInfo>(const std::string &key, const std::string &bytes)> decodeWorker;
+    /// Decodes a row of configTable whose key begins with evacuationPrefix; returns an empty value if the key names no failure domain.
+    std::function<std::optional<EvacuationRow>(const std::string &key, const std::string &bytes)> decodeEvacuation;
     std::string configTable;
     std::string configKey;
+    std::string evacuationPrefix; ///< Of the keys of the evacuation rows in configTable; empty: the platform has none.
     std::string workerTable;
 };
 
--- a/test/node/memorytablestore.h
+++ b/test/node/memorytablestore.h
@@ -1,4 +1,4 @@
-// In-memory TableStore that checks conditions, keeps a history of writes (without removals) for feeds and can simulate failures.
+// In-memory TableStore that checks conditions, keeps a history of writes and removals for feeds and can simulate failures.
 #pragma once
 
 #include "daemon/eventloop.h"
@@ -128,7 +128,9 @@
             m_history.push_back(row);
         }
         for (const RowKey &key : transaction.removals) {
-            rows.erase({key.table, key.partition, key.key});
+            if (rows.erase({key.table, key.partition, key.key}) > 0) {
+                m_history.push_back(TableRow{key, {}, RowVersion(m_version), true});
+            }
         }
         answer.version = RowVersion(m_version);
         return answer;
--- a/test/platform/testdecoders.cpp
+++ b/test/platform/testdecoders.cpp
@@ -68,6 +68,28 @@
     CHECK_FALSE(decodeWorkerRow("w", unknownState).has_value());
 }
 
+// Guards against a worker that is never used, or a crash, because of an odd time until it is warm.
+TEST(PlatformDecoders, ReadsHowLongAWorkerIsCold)
+{
+    const auto coldRemaining = [](const std::string &value) {
+        return decodeWorkerRow("w", R"({"cold_remaining_ms":)" + value + "," + std::string(workerEntry).substr(1)).value().coldRemaining;
+    };
+    CHECK_TRUE(coldRemaining("2400") == Duration(2400));
+    for (const char *odd : {"-1", "1e308", "18446744073709551615", "\"soon\"", "null", "[1]"}) {
+        CHECK_TRUE(coldRemaining(odd) == Duration(0));
+    }
+}
+
+// Guards against an evacuation that has no effect because of an odd value, and against a row that evacuates something else than its key says.
+TEST(PlatformDecoders, ReadsTheDomainOfAnEvacuationFromItsKey)
+{
+    STRCMP_EQUAL("z0", decodeEvacuationRow("evacuate/z0", "{}")->domain.value().c_str());
+    CHECK_FALSE(decodeEvacuationRow("evacuate/z0", "[").value().isValueValid);
+    for (const std::string &key : {std::string("evacuate/"), std::string("config"), std::string("evacuate/a\nb"), "evacuate/" + std::string(300, 'x')}) {
+        CHECK_FALSE(decodeEvacuationRow(key, "{}").has_value());
+    }
+}
+
 // Guards against treating successive workers on one VM as workers on different VMs.
 TEST(PlatformDecoders, ReadsTheVmOfAWorker)
 {
