--- a/src/cell/advicedispatcher.cpp
+++ b/src/cell/advicedispatcher.cpp
@@ -2,6 +2,7 @@
 #include "advicedispatcher.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace KingCupLadder {
 
@@ -13,6 +14,14 @@
 constexpr Duration failurePause{300}; // Pause of a daemon after a call that was not answered; doubled for each further one in a row.
 constexpr Duration maxFailurePause{2000};
 constexpr int maxFailureDoublings = 3; // Reaches maxFailurePause.
+// Of the daemons, for long calls. All others stay available for short ones: long calls that were about to end are counted as well, since a short
+// call does not wait behind them.
+constexpr double maxLongShare = 0.75;
+constexpr double maxLateShare = 1.0 / 3; // Of the daemons, for calls of late steps while calls of steps in time wait.
+constexpr Duration inTimeMemory{1000}; // Calls of steps in time count as waiting for this long, since they arrive at irregular intervals.
+constexpr double durationLearningRate = 0.1; // Weight of one answer; ten to twenty answers establish a change.
+constexpr double minDurationFactor = 0.5;
+constexpr double maxDurationFactor = 3; // Longer delays are caused by the network or the daemon and not by the service.
 constexpr Duration dispatchLead{20}; // A daemon expected to be free within this time may get its next call.
 
 } // namespace
@@ -30,7 +39,9 @@
 
 void AdviceDispatcher::add(AdviceCall call)
 {
-    m_waiting.emplace(++m_lastArrival, std::move(call));
+    AdviceRank rank;
+    rank.tier = call.tier;
+    m_waiting.emplace(++m_lastArrival, WaitingCall{std::move(call), rank});
 }
 
 bool AdviceDispatcher::isFree(const DaemonState &daemon, TimePoint now)
@@ -51,49 +62,74 @@
     });
 }
 
-std::map<DaemonId, AdviceDispatcher::DaemonState>::iterator AdviceDispatcher::selectDaemon(const AdviceCall &call, TimePoint now)
+bool AdviceDispatcher::mayUse(const DaemonState &daemon, bool isLong, bool isPauseIgnored, TimePoint now) const
 {
-    const bool isLong = call.duration >= longCallThreshold;
+    // A long call may take longer than expected, so that a short one behind it would wait although another daemon becomes free sooner.
+    const bool isBehindLongCall = daemon.inFlight > 0 && daemon.lastIsLong && !isLong;
+    return isFree(daemon, now) && !isBehindLongCall && (isPauseIgnored || daemon.pausedUntil <= now);
+}
+
+Duration AdviceDispatcher::expectedDuration(const AdviceCall &call) const
+{
+    return Duration(static_cast<std::int64_t>(static_cast<double>(call.duration.count()) * m_durationFactor));
+}
+
+bool AdviceDispatcher::isLateWorkLimited(TimePoint now) const
+{
+    const auto maxLate = std::max(1, static_cast<int>(static_cast<double>(m_daemonStates.size()) * maxLateShare));
+    return m_inTimeWaited != TimePoint() && now - m_inTimeWaited < inTimeMemory && m_lateInFlight >= maxLate;
+}
+
+std::map<DaemonId, AdviceDispatcher::DaemonState>::iterator AdviceDispatcher::selectDaemon(const AdviceCall &call, bool isLate, TimePoint now)
+{
+    const bool isLong = expectedDuration(call) >= longCallThreshold;
     const auto longBusyDaemons =
-        std::count_if(m_daemonStates.begin(), m_daemonStates.end(), [now](const auto &daemon) { return daemon.second.busyUntil >= now + longCallThreshold; });
-    const auto maxLongBusyDaemons = std::max<std::ptrdiff_t>(1, static_cast<std::ptrdiff_t>(m_daemonStates.size()) * 2 / 3);
+        std::count_if(m_daemonStates.begin(), m_daemonStates.end(), [](const auto &daemon) { return daemon.second.inFlight > 0 && daemon.second.lastIsLong; });
+    const auto maxLongBusyDaemons = std::max<std::ptrdiff_t>(1, static_cast<std::ptrdiff_t>(static_cast<double>(m_daemonStates.size()) * maxLongShare));
     const bool isPauseIgnored = areAllPaused(now);
-    // If all daemons are paused, the one whose pause ends first is the best.
-    const auto rank = [now](const DaemonState &daemon) { return std::make_pair(std::max(daemon.pausedUntil, now), daemon.busyUntil); };
+    // If all daemons are paused, the one whose pause ends first is the best. A daemon whose call is overdue is not the first to be free.
+    const auto rank = [now](const DaemonState &daemon) {
+        return std::make_tuple(std::max(daemon.pausedUntil, now), daemon.inFlight > 0, std::max(daemon.busyUntil, now));
+    };
     auto best = m_daemonStates.end();
     for (auto daemon = m_daemonStates.begin(); daemon != m_daemonStates.end(); ++daemon) {
-        const bool mayCall = isFree(daemon->second, now) && (isPauseIgnored || daemon->second.pausedUntil <= now);
-        if (mayCall && (best == m_daemonStates.end() || rank(daemon->second) < rank(best->second))) {
+        if (mayUse(daemon->second, isLong, isPauseIgnored, now) && (best == m_daemonStates.end() || rank(daemon->second) < rank(best->second))) {
             best = daemon;
         }
     }
-    return isLong && longBusyDaemons >= maxLongBusyDaemons ? m_daemonStates.end() : best;
+    const bool isExcluded = (isLong && longBusyDaemons >= maxLongBusyDaemons) || (isLate && isLateWorkLimited(now));
+    return isExcluded ? m_daemonStates.end() : best;
 }
 
 void AdviceDispatcher::tryDispatch(
-    WaitingCall waiting, const AdviceCallHooks &hooks, TimePoint now, std::vector<AdviceCall> &calls, std::vector<AdviceCall> &dropped)
+    WaitingIterator waiting, const AdviceCallHooks &hooks, TimePoint now, std::vector<AdviceCall> &calls, std::vector<AdviceCall> &dropped)
 {
     // The daemon is selected by the estimated duration first, since preparing a call is the more expensive step.
-    if (selectDaemon(waiting->second, now) == m_daemonStates.end()) {
+    const bool isLate = waiting->second.rank.isLate;
+    if (selectDaemon(waiting->second.call, isLate, now) == m_daemonStates.end()) {
         return;
     }
-    AdviceCall call = waiting->second;
+    AdviceCall call = waiting->second.call;
     if (!hooks.prepare(call)) {
         dropped.push_back(call);
         m_waiting.erase(waiting);
         return;
     }
-    const auto daemon = selectDaemon(call, now);
+    const auto daemon = selectDaemon(call, isLate, now);
     if (daemon == m_daemonStates.end()) {
-        waiting->second.duration = call.duration;
+        waiting->second.call.duration = call.duration;
         return;
     }
     m_waiting.erase(waiting);
     call.daemon = daemon->first;
     call.id = ++m_lastId;
-    ++daemon->second.inFlight;
-    daemon->second.busyUntil = std::max(daemon->second.busyUntil, now) + call.duration;
-    m_inFlight.emplace(call.id, InFlightCall{call, daemon->second.busyUntil + answerTimeoutMargin});
+    DaemonState &state = daemon->second;
+    ++state.inFlight;
+    state.lastIsLong = expectedDuration(call) >= longCallThreshold;
+    const TimePoint begin = std::max(state.busyUntil, now);
+    state.busyUntil = begin + expectedDuration(call);
+    m_lateInFlight += isLate ? 1 : 0;
+    m_inFlight.emplace(call.id, InFlightCall{call, begin, std::max(state.busyUntil, begin + call.duration) + answerTimeoutMargin, isLate});
     calls.push_back(std::move(call));
 }
 
@@ -103,39 +139,86 @@
     if (m_waiting.empty() || !hasFreeDaemon(now)) {
         return calls;
     }
-    std::vector<std::pair<int, std::uint64_t>> byTier; // With the arrival number, which keeps the order of arrival within a tier.
+    std::vector<std::pair<AdviceRank, std::uint64_t>> byRank; // With the arrival number, which decides between equal ranks.
     for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
-        if (const auto tier = hooks.tier(waiting->second)) {
-            byTier.emplace_back(*tier, waiting->first);
+        if (const auto rank = hooks.rank(waiting->second.call)) {
+            waiting->second.rank = *rank;
+            byRank.emplace_back(*rank, waiting->first);
             ++waiting;
         } else {
-            dropped.push_back(waiting->second);
+            dropped.push_back(waiting->second.call);
             waiting = m_waiting.erase(waiting);
         }
     }
-    std::sort(byTier.begin(), byTier.end());
-    for (auto next = byTier.begin(); next != byTier.end() && hasFreeDaemon(now); ++next) {
+    std::sort(byRank.begin(), byRank.end());
+    for (auto next = byRank.begin(); next != byRank.end() && hasFreeDaemon(now); ++next) {
         tryDispatch(m_waiting.find(next->second), hooks, now, calls, dropped);
     }
     Duration ahead{0};
-    for (auto next = byTier.begin(); hooks.delay && next != byTier.end(); ++next) {
-        const auto waiting = m_waiting.find(next->second);
-        if (waiting != m_waiting.end()) {
-            hooks.delay(waiting->second, now + ahead / static_cast<int>(m_daemonStates.size()));
-            ahead += waiting->second.duration;
+    for (const auto &[rank, arrival] : byRank) {
+        const auto waiting = m_waiting.find(arrival);
+        if (waiting == m_waiting.end()) {
+            continue;
+        }
+        m_inTimeWaited = rank.isLate ? m_inTimeWaited : now;
+        if (hooks.delay) {
+            hooks.delay(waiting->second.call, now + ahead / static_cast<int>(m_daemonStates.size()));
+            ahead += expectedDuration(waiting->second.call);
         }
     }
     return calls;
 }
 
+void AdviceDispatcher::learnDuration(Duration expected, TimePoint begin, TimePoint now)
+{
+    // The transit of the answer is part of the time, so only calls that take much longer are representative.
+    if (expected < longCallThreshold || now <= begin) {
+        return;
+    }
+    const double ratio = static_cast<double>((now - begin).count()) / static_cast<double>(expected.count());
+    m_durationFactor += durationLearningRate * (std::clamp(ratio, minDurationFactor, maxDurationFactor) - m_durationFactor);
+}
+
+std::size_t AdviceDispatcher::answeringDaemons(TimePoint now) const
+{
+    if (areAllPaused(now)) {
+        return m_daemonStates.size();
+    }
+    return static_cast<std::size_t>(
+        std::count_if(m_daemonStates.begin(), m_daemonStates.end(), [now](const auto &daemon) { return daemon.second.pausedUntil <= now; }));
+}
+
+Duration AdviceDispatcher::expectedDelay(int tier, TimePoint now) const
+{
+    if (m_daemonStates.empty()) {
+        return Duration(0);
+    }
+    Duration queued{0};
+    for (const auto &[arrival, waiting] : m_waiting) {
+        queued += waiting.rank.tier <= tier ? expectedDuration(waiting.call) : Duration(0);
+    }
+    Duration firstFree = Duration::max();
+    for (const auto &[id, daemon] : m_daemonStates) {
+        firstFree = std::min(firstFree, daemon.inFlight > 0 ? std::max(daemon.busyUntil - now, Duration(0)) : Duration(0));
+    }
+    return firstFree + queued / static_cast<int>(std::max<std::size_t>(answeringDaemons(now), 1));
+}
+
+double AdviceDispatcher::durationFactor() const
+{
+    return m_durationFactor;
+}
+
 std::optional<AdviceCall> AdviceDispatcher::finish(std::uint64_t id, bool answered, TimePoint now)
 {
     const auto found = m_inFlight.find(id);
     if (found == m_inFlight.end()) {
         return std::nullopt;
     }
-    AdviceCall call = std::move(found->second.call);
+    m_lateInFlight -= found->second.isLate ? 1 : 0;
+    InFlightCall ended = std::move(found->second);
     m_inFlight.erase(found);
+    AdviceCall call = std::move(ended.call);
     const auto daemon = m_daemonStates.find(call.daemon);
     if (daemon == m_daemonStates.end()) {
         return call;
@@ -146,6 +229,8 @@
         state.busyUntil = TimePoint();
     }
     if (answered) {
+        learnDuration(call.duration, std::max(ended.begin, state.lastAnswer), now);
+        state.lastAnswer = now;
         state.failures = 0;
         state.pausedUntil = TimePoint();
     } else {
@@ -179,7 +264,7 @@
 
 Duration AdviceDispatcher::longestQueueTime(TimePoint now) const
 {
-    return m_waiting.empty() ? Duration(0) : now - m_waiting.begin()->second.queuedAt;
+    return m_waiting.empty() ? Duration(0) : now - m_waiting.begin()->second.call.queuedAt;
 }
 
 std::size_t AdviceDispatcher::callsInFlight() const
@@ -191,6 +276,8 @@
 {
     m_waiting.clear();
     m_inFlight.clear();
+    m_lateInFlight = 0;
+    m_inTimeWaited = TimePoint();
     for (auto &[id, daemon] : m_daemonStates) {
         daemon = DaemonState{};
     }
--- a/src/cell/celladvice.cpp
+++ b/src/cell/celladvice.cpp
@@ -12,10 +12,8 @@
 constexpr double spareWorkersShare =
     0.5; // A renewal of a gang names this many more workers than the gang needs, since other steps may take capacity meanwhile.
 constexpr Duration gangRenewalLead{250}; // Tickets of a gang are renewed this much earlier than its start requires.
-constexpr std::size_t minWorkersPerCall = 16; // Even if the policy allows only a third of the workers, at least one is almost certainly allowed.
-// The workers named in a call have this many task slots per task: about a third of the workers is allowed, and other steps occupy some
-// slots meanwhile.
-constexpr int requestedSlotsPerTask = 4;
+constexpr Duration latestStartSpan{500}; // Steps whose latest starts are in the same span rank by their gain.
+constexpr int maxAdviceErrorsLogged = 5; // Per second.
 constexpr std::int64_t freeCpuBucketMilliCores = 2000; // Workers in the same bucket of free CPU are treated as equally free.
 constexpr std::uint64_t shuffleModulus = 1000003; // Prime, so that different workers get different positions in the shuffled order.
 constexpr Duration adviceRetryInterval{150};
@@ -91,10 +89,11 @@
         }
     }
     std::sort(workersByFit.begin(), workersByFit.end());
+    const int wanted = slotsToName(missing, step.spec->gang, m_allowedShares.share(step.job->job.route));
     std::vector<WorkerId> workers;
     int taskSlots = 0;
     for (const auto &[negatedFits, worker] : workersByFit) {
-        if (taskSlots >= missing * requestedSlotsPerTask || workers.size() >= maxWorkersPerCall) {
+        if (taskSlots >= wanted || workers.size() >= maxWorkersPerCall) {
             break;
         }
         taskSlots -= negatedFits;
@@ -122,10 +121,12 @@
     std::partial_sort(rankedWorkers.begin(), rankedWorkers.begin() + static_cast<std::ptrdiff_t>(callSize), rankedWorkers.end());
     // Each named worker costs processing time in the service. On a full cell nearly all candidates are named.
     const int perWorker = step.spec->maxPerWorker > 0 ? step.spec->maxPerWorker : step.spec->count;
-    const int wanted = step.spec->count * requestedSlotsPerTask;
+    const double share = m_allowedShares.share(step.job->job.route);
+    const int wanted = slotsToName(std::max(step.waiting, 1), step.spec->gang, share);
+    const std::size_t minWorkers = minWorkersToName(share);
     std::vector<WorkerId> workers;
     int taskSlots = 0;
-    for (std::size_t i = 0; i < callSize && (taskSlots < wanted || workers.size() < minWorkersPerCall); ++i) {
+    for (std::size_t i = 0; i < callSize && (taskSlots < wanted || workers.size() < minWorkers); ++i) {
         const Worker &worker = *std::get<const Worker *>(rankedWorkers[i]);
         taskSlots += tasksThatFit(step.spec->demand, worker.free(), perWorker);
         workers.push_back(worker.info.id);
@@ -155,7 +156,8 @@
     }
     AdviceCall call;
     call.step = step.ref;
-    call.duration = settings->callDuration(minWorkersPerCall);
+    call.duration = firstCallDuration(step.job->job.route, *settings);
+    call.tier = step.isStarving ? starvingTier : tierOf(step, now);
     call.isRenewal = isRenewal;
     call.queuedAt = now;
     (isRenewal ? step.advice.renewalInFlight : step.advice.questionInFlight) = true;
@@ -166,18 +168,40 @@
     m_advice.add(std::move(call));
 }
 
-std::optional<int> CellScheduler::adviceTier(const AdviceCall &call, TimePoint now)
+Duration CellScheduler::firstCallDuration(const RouteName &route, const AdviceSettings &settings) const
+{
+    return settings.callDuration(minWorkersToName(m_allowedShares.share(route)));
+}
+
+std::optional<AdviceRank> CellScheduler::adviceRank(const AdviceCall &call, TimePoint now) const
 {
     const StepInstance *step = m_jobs.findStep(call.step);
     if (step == nullptr || step->waiting == 0 || step->job->outcome != CellJobState::Unknown || adviceSettings(*step) == nullptr) {
         return std::nullopt;
     }
-    return step->isStarving ? starvingTier : priorityKey(*step, now).first;
+    AdviceRank rank;
+    if (step->isStarving) {
+        rank.tier = starvingTier;
+        rank.isDeferrable = false; // Its wait has to end, whatever the load of the service.
+        return rank;
+    }
+    const auto [tier, latestStart] = priorityKey(*step, now);
+    rank.tier = tier;
+    rank.isLate = tier >= missedSoftDeadlineTierOffset;
+    rank.isDeferrable = tier != 0 || call.isRenewal || !step->advice.evaluated.empty();
+    rank.latestStart = TimePoint(latestStart.time_since_epoch() / latestStartSpan * latestStartSpan);
+    rank.negatedGain = -step->waiting * workOfOneTask(*step->spec) / static_cast<double>(std::max<std::int64_t>(call.duration.count(), 1));
+    return rank;
 }
 
 bool CellScheduler::prepareAdviceCall(AdviceCall &call)
 {
     const StepInstance &step = *m_jobs.findStep(call.step);
+    const bool isBlocked = !isSchedulable(step) || !isWithinWorkspaceMaximum(step, step.spec->gang ? step.spec->count : 1);
+    if (isBlocked && !step.advice.evaluated.empty()) {
+        return false; // Its tickets would expire before they can be used.
+    }
+    call.purpose = call.isRenewal ? AdvicePurpose::Renewal : step.advice.evaluated.empty() ? AdvicePurpose::FirstAnswer : AdvicePurpose::FurtherWorkers;
     if (call.isRenewal) {
         // The room may have been taken since the call was queued. A gang's renewal may also be for room that becomes free soon.
         const auto isFull = [&](const WorkerId &id) {
@@ -198,7 +222,7 @@
 std::vector<AdviceCall> CellScheduler::dispatchAdvice(TimePoint now)
 {
     AdviceCallHooks hooks;
-    hooks.tier = [this, now](const AdviceCall &call) { return adviceTier(call, now); };
+    hooks.rank = [this, now](const AdviceCall &call) { return adviceRank(call, now); };
     hooks.prepare = [this](AdviceCall &call) { return prepareAdviceCall(call); };
     hooks.delay = [this, now](const AdviceCall &call, TimePoint expected) {
         if (call.isRenewal) {
@@ -208,9 +232,14 @@
     std::vector<AdviceCall> dropped;
     std::vector<AdviceCall> calls = m_advice.dispatch(hooks, now, dropped);
     for (const AdviceCall &call : calls) {
+        StepInstance &step = *m_jobs.findStep(call.step);
         if (call.isRenewal) {
-            m_jobs.findStep(call.step)->advice.isRenewalSentSoon = true;
+            step.advice.isRenewalSentSoon = true;
         }
+        AdviceUsage::Calls &usage = m_counters.advice.calls[{rulesOf(step.job->job)->priority, call.purpose}];
+        ++usage.calls;
+        usage.named += call.workers.size();
+        usage.serviceTime += call.duration;
     }
     for (const AdviceCall &call : dropped) {
         StepInstance *step = m_jobs.findStep(call.step);
@@ -227,21 +256,40 @@
     return calls;
 }
 
+void CellScheduler::logAdviceError(const std::string &fault)
+{
+    ++m_counters.advice.faultyAnswers;
+    if (m_adviceErrorsLogged++ < maxAdviceErrorsLogged) {
+        log("answer of the policy service: " + fault);
+    }
+}
+
 void CellScheduler::onAdvice(std::uint64_t callId, const AdviceAnswer &answer, TimePoint sent, TimePoint now)
 {
-    const auto call = m_advice.finish(callId, answer.answered, now);
-    StepInstance *step = call ? m_jobs.findStep(call->step) : nullptr;
+    const bool isUsable = answer.answered && (answer.allowed.empty() || answer.validity > Duration(0));
+    const auto call = m_advice.finish(callId, isUsable, now);
+    if (!call) {
+        logAdviceError("call " + std::to_string(callId) + " is unknown or has ended, ignored");
+        return;
+    }
+    StepInstance *step = m_jobs.findStep(call->step);
     if (step == nullptr) {
         return;
     }
     (call->isRenewal ? step->advice.renewalInFlight : step->advice.questionInFlight) = false;
     step->consideredAtGeneration = 0;
-    if (!answer.answered) {
+    if (!isUsable) {
         step->advice.nextCall = now + adviceRetryInterval;
         log("advice call for step " + TaskRef{call->step, 0}.text() + " failed, made by " + call->daemon.value()
-            + (answer.busy ? ": too many calls wait" : ": no answer"));
+            + (answer.answered   ? ": tickets without validity"
+                   : answer.busy ? ": too many calls wait"
+                                 : ": no answer"));
         return;
     }
+    const RouteRules *rules = rulesOf(step->job->job);
+    if (rules != nullptr && step->advice.evaluated.empty()) {
+        m_counters.advice.firstAnswers[rules->priority].add(step->readySince == TimePoint() ? Duration(0) : now - step->readySince);
+    }
     for (const WorkerId &id : call->workers) {
         if (const Worker *worker = m_workers.find(id)) {
             step->advice.evaluated.insert(worker->index);
@@ -249,11 +297,26 @@
     }
     // A ticket's validity starts when the service answers, which is between the sending of the call and now.
     const TimePoint validUntil = std::max(sent + answer.validity, now + answer.validity - maxAnswerTransit);
+    const std::set<WorkerId> named(call->workers.begin(), call->workers.end());
+    std::set<WorkerId> allowed;
+    std::size_t ignored = 0;
     for (const auto &[id, ticket] : answer.allowed) {
-        if (const Worker *worker = m_workers.find(id)) {
+        if (named.count(id) == 0 || !allowed.insert(id).second) {
+            ++ignored;
+        } else if (const Worker *worker = m_workers.find(id)) {
             step->advice.put(Ticket{worker->index, ticket, validUntil});
         }
     }
+    const std::string stepText = "step " + TaskRef{call->step, 0}.text();
+    if (ignored > 0) {
+        logAdviceError(stepText + ", " + std::to_string(ignored) + " workers named twice or not asked about, ignored");
+    }
+    if (answer.allowed.empty()) {
+        log(stepText + ": none of " + std::to_string(call->workers.size()) + " workers allowed by the policy service");
+    }
+    if (!call->isRenewal) {
+        m_allowedShares.onAnswer(step->job->job.route, named.size(), allowed.size());
+    }
 }
 
 void CellScheduler::prefetchAdvice(TimePoint now)
--- a/src/cell/cellgangs.cpp
+++ b/src/cell/cellgangs.cpp
@@ -7,7 +7,10 @@
 
 namespace {
 
-constexpr int minAllowedSlotsPerTask = 8; // A gang asks about further workers while its allowed workers fit fewer tasks than this factor when they are idle.
+// A gang asks about further workers while its allowed workers fit fewer tasks than this factor when they are idle. With 8, such calls took almost half
+// of the time of the policy service on the instalment lending workload, and no more gangs ended in time.
+constexpr int minAllowedSlotsPerTask = 4;
+constexpr int minAllowedSlotsOfStarving = 8; // A starving gang has room, possibly only on workers that it has not asked about.
 constexpr int maxStartingGangReservations = 16; // Gangs per pass, other than starving ones, that may reserve capacity while their tickets are renewed.
 constexpr Duration gangRepairTimeout{1200}; // How long a gang member whose start was rejected may be moved to another worker; then the gang restarts.
 
@@ -67,6 +70,7 @@
 {
     const TimePoint now = pass.time.now;
     const AdviceSettings *settings = adviceSettings(step);
+    step.advice.workersToRenew.clear(); // A queued renewal is dropped unless it is still useful.
     // For a later start: without the capacity that other gangs have reserved.
     std::vector<CandidateWorker> unreservedCandidates;
     unreservedCandidates.reserve(candidates.size());
@@ -84,7 +88,7 @@
         fitting += candidate.maxTasks;
         fittingWhenIdle += tasksThatFit(step.spec->demand, m_workers.at(candidate.worker)->info.capacity, step.spec->count);
     }
-    if (!fit && settings != nullptr && fittingWhenIdle < step.spec->count * minAllowedSlotsPerTask) {
+    if (!fit && settings != nullptr && fittingWhenIdle < step.spec->count * (step.isStarving ? minAllowedSlotsOfStarving : minAllowedSlotsPerTask)) {
         // Workers that have not been asked about may have the capacity that the allowed ones lack now. With enough allowed workers, a call
         // about further ones would only delay the renewal of tickets once there is room.
         step.missingTasks = std::max(step.spec->count - fitting, 1);
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -11,11 +11,9 @@
 
 // Offsets added to the priority of a route. The tiers do not overlap as long as route priorities are below 20. Work above its
 // workspace's rate that also misses a deadline gets both offsets.
-constexpr int missedSoftDeadlineTierOffset = 50; // For work that will miss its soft deadline, so that work that can meet it goes first.
 constexpr int missedFirmDeadlineTierOffset = 70; // For work that will miss its firm deadline and be worthless; it goes after late work.
 constexpr std::size_t stepsInEveryPass = 160; // The first steps by priority are considered in every pass; bounds the time of a pass.
 constexpr std::size_t rotatedStepsPerPass = 80; // The others take turns, this many per pass, so that a backlog does not slow down every pass.
-constexpr int overRateTierOffset = 100; // For work above its workspace's rate, which goes last.
 constexpr std::size_t minTicketsToRenew = 8; // A non-gang step renews tickets for at least this many workers, if that many have capacity.
 constexpr Duration minStableMaximumTime{15000}; // Longer than a lease: if a maximum has not changed for this time, previous leaders enforced the same value.
 constexpr Duration maxIsolationWait{5000}; // A suspect that has found no idle worker for this time starts beside other runs.
@@ -103,15 +101,25 @@
     return (required.empty() || std::find(labels.begin(), labels.end(), required) != labels.end()) && step.spec->demand.fitsIn(worker.info.capacity);
 }
 
+int CellScheduler::tierOf(const StepInstance &step, TimePoint now) const
+{
+    return priorityKey(step, now).first;
+}
+
 bool CellScheduler::isWithinWorkspaceMaximum(const StepInstance &step, int tasks) const
 {
-    const auto used = m_usage.find(step.job->job.workspace);
-    Resources after = (used == m_usage.end() ? Resources{} : used->second) + step.spec->demand * tasks;
-    const auto unreported = m_unreportedUsage.find(step.job->job.workspace);
+    return isWithinMaximum(step.job->job, step.spec->demand * tasks);
+}
+
+bool CellScheduler::isWithinMaximum(const CellJob &job, const Resources &further) const
+{
+    const auto used = m_usage.find(job.workspace);
+    Resources after = (used == m_usage.end() ? Resources{} : used->second) + further;
+    const auto unreported = m_unreportedUsage.find(job.workspace);
     if (unreported != m_unreportedUsage.end()) {
         after += unreported->second;
     }
-    const Resources limit = workspaceMaximum(step.job->job);
+    const Resources limit = workspaceMaximum(job);
     const bool cpu = limit.cpu.value() <= 0 || after.cpu <= limit.cpu;
     const bool memory = limit.memory.value() <= 0 || after.memory <= limit.memory;
     const bool accelerators = limit.accelerators.value() <= 0 || after.accelerators <= limit.accelerators;
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -10,17 +10,11 @@
 namespace {
 
 constexpr Duration housekeepingInterval{1000};
-constexpr double fragmentationFactor = 1.15; // Gangs and label requirements leave part of the capacity unused.
-constexpr Duration minRetryAfter{1000};
-constexpr Duration maxRetryAfter{15000};
-constexpr double maxPredictedWaitMs = 1e12; // Keeps the prediction within the range of a duration.
 constexpr Duration waitingWorkInterval{50}; // Minimum interval between two computations of the waiting work.
 constexpr Duration workerRecordsInterval{200}; // Minimum interval between two writes of the worker records, which are several KiB long.
 constexpr Duration runCheckInterval{20}; // Interval of the checks for start retries, due stops and expired leases.
 constexpr Duration startRateSpan{250}; // Length of the time spans over which starts are counted.
 constexpr double startRateDecay = 0.7; // Weight of the previous average when a new span is added.
-constexpr double minStartRatePerSecond = 100; // Lower bound of the rate that predictions assume; the measured one is near zero if little starts.
-constexpr int minBacklogTasks = 150; // Up to this number of waiting tasks, which predicts no wait for starts, only capacity is considered.
 constexpr double admissionSafetyFactor = 0.8; // Maximum predicted wait as a fraction of the longest useful wait, since predictions are rough.
 constexpr Duration busyWaitThreshold{400}; // Predicted wait above which workspaces are limited to their rate.
 
@@ -97,6 +91,7 @@
     m_workerRecordsInFlight = false;
     m_nextWorkerRecords = TimePoint();
     m_waitingWorkAt = TimePoint();
+    m_allowedShares.clear();
 }
 
 void CellScheduler::addPreviousWorkers(const std::vector<WorkerRecord> &records)
@@ -231,65 +226,127 @@
             bucket.tokens -= 1;
         }
     }
-    // A job above its workspace's rate is served last, so it waits for the work of all priorities.
-    const Duration wait = predictedWait(overRate ? INT_MAX : rules.priority, time.now);
-    const Duration maxWait = objectiveOf(job.steps, rules) * firmDeadlineFactor - criticalPathLength(job.steps);
-    if (overRate && wait > busyWaitThreshold) {
-        decision.verdict = AdmissionVerdict::OverRate;
-    } else if (wait > Duration(static_cast<std::int64_t>(static_cast<double>(maxWait.count()) * admissionSafetyFactor))) {
+    // Work that is not in time ranks after all work that is, so it has more work ahead of it.
+    const WaitingWork inTime = firstWorkOf(job, rules, overRate);
+    WaitingWork late = inTime;
+    late.tier += missedSoftDeadlineTierOffset;
+    Duration wait = predictedWait(inTime, time.now);
+    const Duration objective = objectiveOf(job.steps, rules);
+    if (wait > objective - criticalPathLength(job.steps)) {
+        wait = predictedWait(late, time.now);
+    }
+    const Duration maxWait = objective * firmDeadlineFactor - criticalPathLength(job.steps);
+    const Duration admissibleWait(static_cast<std::int64_t>(static_cast<double>(maxWait.count()) * admissionSafetyFactor));
+    if (overRate) {
+        // It may use what other work leaves free. Work in time of any priority comes before it.
+        WaitingWork amongInTime = inTime;
+        amongInTime.tier = missedSoftDeadlineTierOffset - 1;
+        const Duration waitForOthers = predictedWait(amongInTime, time.now);
+        if (waitForOthers > busyWaitThreshold) {
+            decision.verdict = AdmissionVerdict::OverRate;
+            const TokenBucket &bucket = m_tokenBuckets[job.workspace];
+            const Duration nextToken(static_cast<std::int64_t>((1 - bucket.tokens) / workspace->weight * 1000));
+            decision.retryAfter = retryAfter(job.id, std::min(waitForOthers - busyWaitThreshold, nextToken), maxWait);
+            wait = waitForOthers;
+        }
+    }
+    if (decision.verdict == AdmissionVerdict::Admitted && wait > admissibleWait) {
         decision.verdict = AdmissionVerdict::Busy;
+        decision.retryAfter = retryAfter(job.id, wait - admissibleWait, maxWait);
     }
     if (decision.verdict != AdmissionVerdict::Admitted) {
-        decision.retryAfter = std::clamp(wait, minRetryAfter, maxRetryAfter);
         ++m_counters.refused;
         // The logged limit is the longest useful wait; the limits above are busyWaitThreshold and a fraction of maxWait.
-        log("job " + job.id.value() + " refused: " + (overRate ? "workspace above its rate" : "predicted wait too long") + ", wait "
-            + std::to_string(wait.count()) + " ms, limit " + std::to_string(maxWait.count()) + " ms");
+        log("job " + job.id.value() + " refused: " + (decision.verdict == AdmissionVerdict::OverRate ? "workspace above its rate" : "predicted wait too long")
+            + ", wait " + std::to_string(wait.count()) + " ms, limit " + std::to_string(maxWait.count()) + " ms, retry after "
+            + std::to_string(decision.retryAfter.count()) + " ms");
         return decision;
     }
     ++m_counters.admitted;
     JobEntry &entry = addJob(job, time);
     entry.overRate = overRate;
-    // Counted here until predictedWait() computes the waiting work again. The waiting tasks are not updated in between.
-    m_waitingWork[rules.priority] += totalWork(job.steps);
+    // Counted here until predictedWait() computes the waiting work again.
+    WaitingWork admitted = inTime;
+    admitted.work = totalWork(job.steps);
+    m_forecast.add(admitted);
     log("job " + job.id.value() + " admitted: route " + job.route.value() + ", predicted wait " + std::to_string(wait.count()) + " ms");
     return decision;
 }
 
-Duration CellScheduler::predictedWait(int priority, TimePoint now)
+double CellScheduler::shareOfMaximum(const CellJob &job, const Resources &demand) const
+{
+    const Resources limit = workspaceMaximum(job);
+    const auto share = [](std::int64_t part, std::int64_t whole) { return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0; };
+    return std::max({share(demand.cpu.value(), limit.cpu.value()),
+                     share(demand.memory.value(), limit.memory.value()),
+                     share(demand.accelerators.value(), limit.accelerators.value())});
+}
+
+WaitingWork CellScheduler::waitingWorkOf(const StepInstance &step, TimePoint now) const
+{
+    const StepSpec &spec = *step.spec;
+    const AdviceSettings *settings = adviceSettings(step);
+    WaitingWork waiting;
+    waiting.tier = tierOf(step, now);
+    waiting.workspace = step.job->job.workspace;
+    waiting.tasks = step.waiting;
+    waiting.cpuPerTask = spec.demand.cpu.value();
+    waiting.work = step.waiting * workOfOneTask(spec);
+    waiting.shareOfMaximum = shareOfMaximum(step.job->job, spec.demand);
+    waiting.estimate = spec.estimate;
+    waiting.isReady = step.readySince != TimePoint();
+    waiting.isGang = spec.gang;
+    waiting.isAtMaximum = waiting.shareOfMaximum > 0 && !isWithinWorkspaceMaximum(step, spec.gang ? spec.count : 1);
+    const bool hasAnswer = settings == nullptr || !step.advice.evaluated.empty();
+    waiting.lacksOnlyStart = hasAnswer && !step.advice.renewalInFlight && !step.advice.questionInFlight;
+    if (!hasAnswer && waiting.isReady && !step.advice.questionInFlight) {
+        waiting.unqueuedCall = firstCallDuration(step.job->job.route, *settings);
+    }
+    return waiting;
+}
+
+WaitingWork CellScheduler::firstWorkOf(const CellJob &job, const RouteRules &rules, bool overRate) const
+{
+    WaitingWork first;
+    first.tier = rules.priority + (overRate ? overRateTierOffset : 0);
+    first.workspace = job.workspace;
+    const StepSpec &spec = job.steps.front(); // The first step never depends on another one.
+    first.tasks = spec.count;
+    first.cpuPerTask = spec.demand.cpu.value();
+    first.work = spec.count * workOfOneTask(spec);
+    first.shareOfMaximum = shareOfMaximum(job, spec.demand);
+    first.estimate = spec.estimate;
+    first.isReady = job.occurrences == 0;
+    first.isGang = spec.gang;
+    first.isAtMaximum = first.shareOfMaximum > 0 && !isWithinMaximum(job, spec.demand * (spec.gang ? spec.count : 1));
+    first.unqueuedCall = rules.advice ? firstCallDuration(job.route, *rules.advice) : Duration(0);
+    return first;
+}
+
+Duration CellScheduler::predictedWait(const WaitingWork &first, TimePoint now)
 {
     if (m_waitingWorkAt == TimePoint() || now - m_waitingWorkAt >= waitingWorkInterval) {
         m_waitingWorkAt = now;
-        m_waitingWork.clear();
-        m_waitingTasks.clear();
-        m_capacity = 0;
+        CellSupply supply;
         for (const auto &[id, worker] : m_workers.all()) {
-            m_capacity += worker.registered && !worker.info.draining ? worker.info.capacity.cpu.value() : 0;
+            supply.capacity += worker.registered && !worker.info.draining ? worker.info.capacity.cpu.value() : 0;
+            supply.freeCpu += worker.wasUsable ? std::max<std::int64_t>(worker.free().cpu.value(), 0) : 0;
         }
+        supply.daemons = static_cast<int>(m_advice.answeringDaemons(now));
+        supply.startsPerSecond = m_startRate;
+        m_forecast.reset(supply);
         for (const auto &[id, entry] : m_jobs.unfinishedEntries()) {
-            const RouteRules *rules = rulesOf(entry->job);
-            for (const auto &step : entry->steps) {
-                const int level = rules != nullptr ? rules->priority : 0;
-                if (now >= entry->firmDeadline) {
-                    continue; // Does not delay a new job: it ranks after other work, see missedFirmDeadlineTierOffset.
+            // A job past its firm deadline does not delay a new one: it ranks after other work, see missedFirmDeadlineTierOffset.
+            if (now < entry->firmDeadline) {
+                for (const auto &step : entry->steps) {
+                    if (step->waiting > 0) {
+                        m_forecast.add(waitingWorkOf(*step, now));
+                    }
                 }
-                m_waitingWork[level] += step->waiting * workOfOneTask(*step->spec);
-                m_waitingTasks[level] += step->readySince != TimePoint() ? step->waiting : 0;
             }
         }
     }
-    double work = 0;
-    for (const auto &[level, waiting] : m_waitingWork) {
-        work += level <= priority ? waiting : 0;
-    }
-    std::int64_t tasks = 0;
-    for (const auto &[level, waiting] : m_waitingTasks) {
-        tasks += level <= priority ? waiting : 0;
-    }
-    const double waitForCapacity = m_capacity > 0 ? work / static_cast<double>(m_capacity) * fragmentationFactor : 0;
-    // Starts can also be limited by the leader itself or by the policy service.
-    const double waitForStarts = tasks > minBacklogTasks ? static_cast<double>(tasks) / std::max(m_startRate, minStartRatePerSecond) * 1000 : 0;
-    return Duration(static_cast<std::int64_t>(std::min(std::max(waitForCapacity, waitForStarts), maxPredictedWaitMs)));
+    return m_forecast.wait(first, m_advice.expectedDelay(first.tier, now));
 }
 
 void CellScheduler::measureStartRate(TimePoint now)
@@ -411,6 +468,7 @@
     if (m_nextHousekeeping <= time.now) {
         m_nextHousekeeping = time.now + housekeepingInterval;
         (void)m_jobs.removeEnded(time.now - m_settings.statusRetention);
+        m_adviceErrorsLogged = 0;
         if (m_loaded && m_config) {
             logLongWaits(time.now);
         }
@@ -544,6 +602,10 @@
     const auto percentOfCapacity = [&capacity](const Resources &part) {
         return std::to_string(capacity.cpu.value() > 0 ? part.cpu.value() * 100 / capacity.cpu.value() : 0) + "%";
     };
+    WaitingWork anyWork; // Predicts the wait of a small job for room and starts behind all work in time.
+    anyWork.tier = missedSoftDeadlineTierOffset - 1;
+    anyWork.isGang = true;
+    anyWork.unqueuedCall = Duration(1);
     const std::vector<StepInstance *> steps = m_jobs.waitingSteps();
     std::size_t unadvised = 0;
     std::size_t unreconciled = 0;
@@ -562,7 +624,7 @@
         + std::to_string(stalled) + " stalled although there is room, " + std::to_string(m_advice.callsInFlight()) + " advice calls in flight, "
         + std::to_string(m_advice.waitingCalls()) + " queued for up to " + std::to_string(m_advice.longestQueueTime(now).count()) + " ms, "
         + std::to_string(usable) + " of " + std::to_string(m_workers.all().size()) + " workers usable, their CPU " + percentOfCapacity(allocated)
-        + " allocated, predicted wait " + std::to_string(predictedWait(INT_MAX, now).count()) + " ms";
+        + " allocated, predicted wait " + std::to_string(predictedWait(anyWork, now).count()) + " ms";
 }
 
 std::size_t CellScheduler::unfinishedJobs() const
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -3,7 +3,9 @@
 // and the workers.
 #pragma once
 
+#include "admissionforecast.h"
 #include "advicedispatcher.h"
+#include "advicequery.h"
 #include "cellconfig.h"
 #include "jobtable.h"
 #include "placementplan.h"
@@ -85,6 +87,7 @@
     std::uint64_t adviceCalls = 0;
     std::uint64_t admitted = 0;
     std::uint64_t refused = 0;
+    AdviceUsage advice;
 };
 
 /// Schedules the jobs of a cell: the functions report events, and tick() returns the resulting orders.
@@ -243,8 +246,10 @@
     void queueAdviceCall(StepInstance &step, bool isRenewal, TimePoint now);
     /// Sends queued calls to the policy service.
     [[nodiscard]] std::vector<AdviceCall> dispatchAdvice(TimePoint now);
-    /// The tier of the step's priority, as for placement; empty if the step waits for no start any more.
-    [[nodiscard]] std::optional<int> adviceTier(const AdviceCall &call, TimePoint now);
+    /// The place of the call in the order of the waiting calls; empty if the step waits for no start any more.
+    [[nodiscard]] std::optional<AdviceRank> adviceRank(const AdviceCall &call, TimePoint now) const;
+    /// Logs a fault of an answer of the policy service, a limited number per second.
+    void logAdviceError(const std::string &fault);
     /// Chooses the workers that a call names. Returns false if the call would be useless.
     [[nodiscard]] bool prepareAdviceCall(AdviceCall &call);
     void prefetchAdvice(TimePoint now);
@@ -266,11 +271,24 @@
     /// Workers to name in a question of a gang whose allowed workers lack room for @p missing tasks.
     [[nodiscard]] std::vector<WorkerId> furtherWorkersToAsk(const StepInstance &step, int missing) const;
     [[nodiscard]] const AdviceSettings *adviceSettings(const StepInstance &step) const;
+    /// Returns the expected duration of a step's first call to the policy service.
+    [[nodiscard]] Duration firstCallDuration(const RouteName &route, const AdviceSettings &settings) const;
     void finishReconciliation(TimePoint now);
     /// Sort key of the waiting steps, most urgent first: the route's priority plus an offset for late work and for work above the
     /// workspace's rate, then the latest start that meets the objective.
     [[nodiscard]] std::pair<int, TimePoint> priorityKey(const StepInstance &step, TimePoint now) const;
-    [[nodiscard]] Duration predictedWait(int priority, TimePoint now);
+    /// The tier of the step, see priorityKey().
+    [[nodiscard]] int tierOf(const StepInstance &step, TimePoint now) const;
+    /// Returns the tasks of the step that wait for a start, as input to the prediction.
+    [[nodiscard]] WaitingWork waitingWorkOf(const StepInstance &step, TimePoint now) const;
+    /// Returns the steps of a new job that need no earlier step, as input to the prediction.
+    [[nodiscard]] WaitingWork firstWorkOf(const CellJob &job, const RouteRules &rules, bool overRate) const;
+    /// Returns the predicted wait of a new job in the tier of @p first.
+    [[nodiscard]] Duration predictedWait(const WaitingWork &first, TimePoint now);
+    /// Whether the workspace's maximum allows @p further to be used in addition.
+    [[nodiscard]] bool isWithinMaximum(const CellJob &job, const Resources &further) const;
+    /// Returns the largest share of a resource of the workspace's maximum that @p demand takes; 0 without a maximum.
+    [[nodiscard]] double shareOfMaximum(const CellJob &job, const Resources &demand) const;
     void measureStartRate(TimePoint now);
     [[nodiscard]] bool shouldReconsider(const StepInstance &step) const;
 
@@ -309,12 +327,12 @@
     TimePoint m_nextWorkerRecords; ///< Earliest time of the next write of the worker records.
     bool m_progressWasStored = false; ///< Progress was stored since ends were last acknowledged.
     std::uint64_t m_shuffleSeed = 0; ///< Varies the order of equally free workers between advice calls.
-    std::map<int, double> m_waitingWork; ///< Waiting work in millicore milliseconds by priority, as of m_waitingWorkAt.
-    std::map<int, std::int64_t> m_waitingTasks; ///< Ready tasks before their firm deadline, by priority, as of m_waitingWorkAt.
+    AdmissionForecast m_forecast; ///< Of the waiting work as of m_waitingWorkAt, and of the jobs admitted since.
+    AllowedShares m_allowedShares;
+    int m_adviceErrorsLogged = 0; ///< Faulty answers of the policy service that were logged since the last housekeeping.
     double m_startRate = 0; ///< Starts per second in the last time span, or the moving average if that is higher.
     TimePoint m_startRateSince; ///< Begin of the time span over which starts are counted.
     std::uint64_t m_startsAtSpanBegin = 0; ///< m_counters.starts at m_startRateSince.
-    std::int64_t m_capacity = 0; ///< Millicores of all registered workers that are not draining, as of m_waitingWorkAt.
     TimePoint m_waitingWorkAt;
     TimePoint m_nextRunCheck;
     TimePoint m_nextFullPass;
--- a/src/cell/cellscheduler_p.h
+++ b/src/cell/cellscheduler_p.h
@@ -23,6 +23,10 @@
 constexpr Duration fullPassInterval{50};
 /// Sort key of starving steps: before every route's priority.
 constexpr int starvingTier = -1;
+/// Added to the tier of work that will miss its soft deadline, so that work that can meet it goes first.
+constexpr int missedSoftDeadlineTierOffset = 50;
+/// Added to the tier of work above its workspace's rate, which goes last.
+constexpr int overRateTierOffset = 100;
 /// Maximum number of workers in one call to the policy service.
 constexpr std::size_t maxWorkersPerCall = 100;
 
--- a/src/cell/jobtable.cpp
+++ b/src/cell/jobtable.cpp
@@ -130,6 +130,12 @@
     return found == m_steps.end() ? nullptr : found->second;
 }
 
+const StepInstance *JobTable::findStep(const StepRef &ref) const
+{
+    const auto found = m_steps.find(ref);
+    return found == m_steps.end() ? nullptr : found->second;
+}
+
 std::unordered_map<JobId, std::unique_ptr<JobEntry>> &JobTable::all()
 {
     return m_jobs;
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -156,6 +156,7 @@
     [[nodiscard]] JobEntry *find(const JobId &id);
     [[nodiscard]] const JobEntry *find(const JobId &id) const;
     [[nodiscard]] StepInstance *findStep(const StepRef &ref);
+    [[nodiscard]] const StepInstance *findStep(const StepRef &ref) const;
     [[nodiscard]] std::unordered_map<JobId, std::unique_ptr<JobEntry>> &all();
     /// Jobs that have no outcome yet.
     [[nodiscard]] const std::map<JobId, JobEntry *> &unfinishedEntries() const;
--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -298,6 +298,9 @@
     std::function<bool(const StepRef &, const WorkerId &)> isAllowed;
     int daemonCount = 2; ///< Daemons that call the policy service; set before startLeadership().
     Duration ticketValidity{2500};
+    int callDurationPercent = 100; ///< Real duration of calls to the policy service in percent of the configured one.
+    int answerCopies = 1; ///< How often the scheduler receives each answer of the policy service.
+    std::function<void(const AdviceCall &, AdviceAnswer &)> onAdviceAnswer; ///< May change the answers of the policy service; may be empty.
     std::function<void()> afterStep; ///< Called after each simulated step; may be empty.
     int adviceCalls = 0;
     int workersNamed = 0; ///< Total number of workers named in advice calls.
@@ -521,7 +524,7 @@
             workersNamed += static_cast<int>(call.workers.size());
             // A daemon's policy service handles one call at a time.
             TimePoint &busyUntil = m_serviceBusyUntil[call.daemon];
-            busyUntil = std::max(busyUntil, now) + call.duration;
+            busyUntil = std::max(busyUntil, now) + call.duration * callDurationPercent / 100;
             m_events.emplace(busyUntil, [this, call, sent = now] {
                 AdviceAnswer answer;
                 answer.answered = true;
@@ -531,7 +534,12 @@
                         answer.allowed.emplace_back(id, "ticket");
                     }
                 }
-                scheduler->onAdvice(call.id, answer, sent, now);
+                if (onAdviceAnswer) {
+                    onAdviceAnswer(call, answer);
+                }
+                for (int i = 0; i < answerCopies; ++i) {
+                    scheduler->onAdvice(call.id, answer, sent, now);
+                }
             });
         }
         if (!orders.workersToStore.empty()) {
--- a/test/cell/largecell.h
+++ b/test/cell/largecell.h
@@ -33,6 +33,8 @@
     AdviceSettings advice;
     int allowedPercent; ///< Share of the workers that the policy service allows for a step.
     double spread = 0; ///< Standard deviation of the demands and durations of jobs, as a fraction of their means.
+    int gangPercent = 100; ///< Share of the jobs that are gangs if gang is set.
+    int checkpointPercent = 0; ///< Share of the jobs whose runs save checkpoints.
 };
 
 /// A cell and the classes of jobs that arrive there.
@@ -42,6 +44,7 @@
     int workspaces;
     std::int64_t memory; ///< Of a worker, in MiB.
     std::vector<LoadClass> classes;
+    double workspaceRate = 20;
 };
 
 inline const char *const gangs = "gangs";
@@ -72,6 +75,19 @@
                      {batches, 11.1, 1.5, 24, 2800, 2800, Duration(2200), false, 4.0, Duration(3000), 2, 4, AdviceSettings{140, 2, Duration(2500)}, 45, 0.45}}};
 }
 
+/// The first workload of docs/hard-load.md: the policy service and then the CPU are the bottlenecks.
+inline CellLoad lendingLoad()
+{
+    return CellLoad{
+        350,
+        40,
+        20,
+        32768,
+        {{quick, 88.3, 1, 3, 2500, 2000, Duration(1000), true, 1.5, Duration(250), 0, 4, AdviceSettings{14.3, 0.208, Duration(2500)}, 70, 0.45, 30},
+         {gangs, 5.9, 1.2, 20, 4500, 7000, Duration(4000), true, 2.2, Duration(1000), 1, 4, AdviceSettings{455, 6.5, Duration(2500)}, 35, 0.4, 100, 50},
+         {batches, 12.3, 1.5, 25, 1700, 2000, Duration(2200), false, 4.0, Duration(3000), 2, 4, AdviceSettings{104, 1.43, Duration(2500)}, 45, 0.45, 0, 80}}};
+}
+
 class LargeCell
 {
 public:
@@ -79,7 +95,7 @@
     {
         cell.config->workspaces.clear();
         for (int i = 0; i < load.workspaces; ++i) {
-            cell.config->workspaces.push_back(Workspace{WorkspaceId("t" + std::to_string(i)), {"key"}, 20, Resources{}});
+            cell.config->workspaces.push_back(Workspace{WorkspaceId("t" + std::to_string(i)), {"key"}, load.workspaceRate, Resources{}});
         }
         for (const LoadClass &kind : load.classes) {
             addClass(kind);
@@ -91,7 +107,7 @@
             const LoadClass &kind = classOf(order.payload);
             const auto percent = static_cast<int>(50 + std::hash<std::string>()(order.task.text()) % 100);
             const Duration mean = durationOf(order.task.step.job, kind);
-            return kind.gang ? mean : mean * percent / 100;
+            return cell.storedJobs.at(order.task.step.job).steps[0].gang ? mean : mean * percent / 100;
         };
         cell.isAllowed = [this](const StepRef &step, const WorkerId &worker) {
             const LoadClass &kind = classOf(cell.storedJobs.at(step.job).payload);
@@ -162,6 +178,34 @@
         return found == m_refused.end() ? 0 : found->second;
     }
 
+    /// Number of jobs of a class that were admitted.
+    [[nodiscard]] int admitted(const std::string &route) const
+    {
+        return static_cast<int>(std::count_if(m_jobs.begin(), m_jobs.end(), [&route](const auto &entry) { return entry.second.route == route; }));
+    }
+
+    /// Returns a table of the service seconds by priority and purpose, the waits for first answers, and the share of each class in time.
+    [[nodiscard]] std::string report() const
+    {
+        const CellCounters &counters = cell.scheduler->counters();
+        std::string text;
+        for (const auto &[key, usage] : counters.advice.calls) {
+            text += "  priority " + std::to_string(key.first) + " " + toString(key.second) + ": " + std::to_string(usage.calls) + " calls, "
+                + std::to_string(usage.named / std::max<std::uint64_t>(usage.calls, 1)) + " workers a call, " + std::to_string(usage.serviceTime.count())
+                + " ms\n";
+        }
+        for (const auto &[priority, waits] : counters.advice.firstAnswers) {
+            text += "  priority " + std::to_string(priority) + " first answers: " + std::to_string(waits.answers) + ", mean wait "
+                + std::to_string(waits.totalWait.count() / static_cast<std::int64_t>(waits.answers)) + " ms, longest "
+                + std::to_string(waits.longestWait.count()) + " ms\n";
+        }
+        for (const LoadClass &kind : m_load.classes) {
+            text += "  " + std::string(kind.route) + ": admitted " + std::to_string(admitted(kind.route)) + ", refused " + std::to_string(refused(kind.route))
+                + ", in time " + std::to_string(fractionOnTime(kind.route)) + ", served " + std::to_string(fractionServed(kind.route)) + "\n";
+        }
+        return text + "  starts " + std::to_string(counters.starts) + "\n";
+    }
+
     [[nodiscard]] const LoadClass &classOf(const std::string &route) const
     {
         return *std::find_if(m_load.classes.begin(), m_load.classes.end(), [&route](const LoadClass &kind) { return route == kind.route; });
@@ -223,7 +267,8 @@
             m_durations[job.id] = duration;
             job.payload = kind.route;
             job.workspace = WorkspaceId("t" + std::to_string(m_random() % static_cast<unsigned>(m_load.workspaces)));
-            job.steps[0].gang = kind.gang;
+            job.steps[0].gang = kind.gang && (kind.gangPercent >= 100 || static_cast<int>(m_random() % 100) < kind.gangPercent);
+            job.steps[0].checkpointing = kind.checkpointPercent > 0 && static_cast<int>(m_random() % 100) < kind.checkpointPercent;
             job.steps[0].demand = cellResources(cpu, memory);
             job.steps[0].estimate = duration * std::uniform_int_distribution<int>(100 - static_cast<int>(kind.spread * 100), 100)(m_random) / 100;
             if (steps == 2) {
--- /dev/null
+++ b/test/cell/testadvicedispatcher.cpp
@@ -0,0 +1,115 @@
+#include "cell/advicedispatcher.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+namespace KingCupLadder {
+
+namespace {
+
+constexpr TimePoint start{Duration(1000)};
+
+AdviceCall callOf(const std::string &job, Duration duration)
+{
+    AdviceCall call;
+    call.step = StepRef{JobId(job), 0, 0};
+    call.duration = duration;
+    call.queuedAt = start;
+    return call;
+}
+
+/// Ranks the calls of jobs whose names begin with "urgent" first and those that begin with "late" last.
+AdviceCallHooks hooksByName()
+{
+    AdviceCallHooks hooks;
+    hooks.rank = [](const AdviceCall &call) {
+        AdviceRank rank;
+        rank.isDeferrable = call.step.job.value().rfind("urgent", 0) != 0;
+        rank.isLate = call.step.job.value().rfind("late", 0) == 0;
+        rank.tier = rank.isLate ? 50 : 0;
+        return rank;
+    };
+    hooks.prepare = [](AdviceCall &) { return true; };
+    return hooks;
+}
+
+std::vector<DaemonId> daemons(int number)
+{
+    std::vector<DaemonId> ids;
+    for (int i = 0; i < number; ++i) {
+        ids.emplace_back("d" + std::to_string(i));
+    }
+    return ids;
+}
+
+std::vector<AdviceCall> dispatch(AdviceDispatcher &dispatcher, TimePoint now)
+{
+    std::vector<AdviceCall> dropped;
+    return dispatcher.dispatch(hooksByName(), now, dropped);
+}
+
+} // namespace
+
+TEST_GROUP(AdviceDispatcher){};
+
+// Guards against first answers of urgent steps that wait behind a queue of other calls of their tier.
+TEST(AdviceDispatcher, SendsFirstAnswersOfUrgentStepsFirst)
+{
+    AdviceDispatcher dispatcher;
+    dispatcher.setDaemons(daemons(1));
+    dispatcher.add(callOf("other", Duration(100)));
+    dispatcher.add(callOf("urgent", Duration(50)));
+    const auto calls = dispatch(dispatcher, start);
+    CHECK_EQUAL(1U, calls.size());
+    STRCMP_EQUAL("urgent", calls[0].step.job.value().c_str());
+}
+
+// Guards against a short call that waits in transit behind a long one that takes longer than expected.
+TEST(AdviceDispatcher, SendsNoShortCallBehindALongOne)
+{
+    AdviceDispatcher dispatcher;
+    dispatcher.setDaemons(daemons(1));
+    dispatcher.add(callOf("gang", Duration(1000)));
+    CHECK_EQUAL(1U, dispatch(dispatcher, start).size());
+    dispatcher.add(callOf("urgent", Duration(10)));
+    CHECK_EQUAL(0U, dispatch(dispatcher, start + Duration(1010)).size());
+}
+
+// Guards against late work that occupies all daemons while work in time waits for them.
+TEST(AdviceDispatcher, LimitsLateCallsWhileCallsInTimeWait)
+{
+    AdviceDispatcher dispatcher;
+    dispatcher.setDaemons(daemons(3));
+    for (int i = 0; i < 6; ++i) {
+        dispatcher.add(callOf("intime" + std::to_string(i), Duration(100)));
+        dispatcher.add(callOf("late" + std::to_string(i), Duration(100)));
+    }
+    auto calls = dispatch(dispatcher, start);
+    CHECK_EQUAL(3U, calls.size());
+    for (const AdviceCall &call : calls) {
+        (void)dispatcher.finish(call.id, true, start + Duration(100));
+    }
+    calls = dispatch(dispatcher, start + Duration(100));
+    for (const AdviceCall &call : calls) {
+        (void)dispatcher.finish(call.id, true, start + Duration(200));
+    }
+    CHECK_EQUAL(1U, dispatch(dispatcher, start + Duration(200)).size());
+}
+
+// Guards against predictions that trust configured durations: the calls take twice as long.
+TEST(AdviceDispatcher, LearnsHowLongCallsTake)
+{
+    AdviceDispatcher dispatcher;
+    dispatcher.setDaemons(daemons(1));
+    TimePoint now = start;
+    for (int i = 0; i < 30; ++i) {
+        dispatcher.add(callOf("job" + std::to_string(i), Duration(200)));
+        const auto calls = dispatch(dispatcher, now);
+        now += Duration(400);
+        (void)dispatcher.finish(calls.at(0).id, true, now);
+    }
+    DOUBLES_EQUAL(2, dispatcher.durationFactor(), 0.1);
+}
+
+} // namespace KingCupLadder
