Preempt running tasks for steps of a higher priority that would be late

Cause: a step of priority 0 waits for the end of running tasks of lower priorities even if it misses its objective by that. Change: steps without room that are still in time ask planPreemption() in full passes; their room is reserved for 1.5 s at most. Preempted CPU is limited to 5% of the cell's per second. FakeCell's tasks continue from their checkpoints, and stops can be lost there.

--- a/src/cell/cellgangs.cpp
+++ b/src/cell/cellgangs.cpp
@@ -41,6 +41,9 @@
         step.withheldTasks -= std::min(candidate.maxTasks, count);
     }
     const auto fit = fitGang(candidates, step.spec->demand, count);
+    if (!fit && preemptFor(step, pass)) {
+        return;
+    }
     if (!fit) {
         reserveForGang(step, candidatesFor(step, pass, CandidateSet::AllowedWorkersWithReleases), pass);
         return;
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -70,19 +70,24 @@
     });
 }
 
+Duration CellScheduler::remainingPath(const StepInstance &step)
+{
+    Duration remaining = step.spec->estimate;
+    const std::vector<StepSpec> &steps = step.job->job.steps;
+    for (std::size_t i = static_cast<std::size_t>(step.ref.step) + 1; i < steps.size(); ++i) {
+        if (std::find(steps[i].after.begin(), steps[i].after.end(), step.ref.step) != steps[i].after.end()) {
+            remaining += steps[i].estimate;
+        }
+    }
+    return remaining;
+}
+
 std::pair<int, TimePoint> CellScheduler::priorityKey(const StepInstance &step, TimePoint now) const
 {
     const JobEntry &entry = *step.job;
     const RouteRules *rules = rulesOf(entry.job);
     const TimePoint softDeadline = entry.softDeadline + entry.job.interval * step.ref.occurrence;
-    // Approximates the remaining critical path by the step and the steps that depend on it directly.
-    Duration remaining = step.spec->estimate;
-    for (std::size_t i = static_cast<std::size_t>(step.ref.step) + 1; i < entry.job.steps.size(); ++i) {
-        const std::vector<int> &after = entry.job.steps[i].after;
-        if (std::find(after.begin(), after.end(), step.ref.step) != after.end()) {
-            remaining += entry.job.steps[i].estimate;
-        }
-    }
+    const Duration remaining = remainingPath(step);
     const TimePoint latestStart = softDeadline - remaining;
     int tier = rules != nullptr ? rules->priority : 0;
     if (now > latestStart && !step.spec->longRunning) {
@@ -183,7 +188,9 @@
     const bool isFullPass = m_nextFullPass <= time.now;
     if (isFullPass) {
         m_nextFullPass = time.now + fullPassInterval;
+        refillPreemptionBudget(time.now);
     }
+    beginPreemptionPass(time.now);
     std::vector<StepInstance *> steps = m_jobs.waitingSteps();
     if (isFullPass) {
         selectStarvingSteps(steps, time.now);
@@ -192,14 +199,18 @@
     ordered.reserve(steps.size());
     for (StepInstance *step : steps) {
         // Waiting gangs take part in every pass, because their reservations limit the other steps.
-        if (isSchedulable(*step) && (isFullPass || step->spec->gang || shouldReconsider(*step))) {
+        // Steps with reserved room take part in every pass too, for the same reason.
+        const bool isPreempting = hasPendingPreemption(*step);
+        if (isSchedulable(*step) && (isFullPass || step->spec->gang || isPreempting || shouldReconsider(*step))) {
             ordered.emplace_back(priorityKey(*step, time.now), step);
+            // A step that becomes late while runs are stopped for it keeps its place; otherwise the stopped tasks would take the room back.
+            ordered.back().first.first = isPreempting ? rulesOf(step->job->job)->priority : ordered.back().first.first;
         }
     }
     rankStarvingStepsFirst(ordered, time.now);
     std::sort(ordered.begin(), ordered.end(), isMoreUrgent);
     limitToTurns(ordered, isFullPass, time.now);
-    PlacementPass pass{orders, time, {}, meanGangTaskDemand(ordered), 0, 0, 0, {}, {}};
+    PlacementPass pass{orders, time, {}, meanGangTaskDemand(ordered), 0, 0, isFullPass, 0, 0, {}, {}};
     for (const auto &[key, step] : ordered) {
         const bool hasChanges = shouldReconsider(*step);
         step->consideredAtGeneration = m_workers.generation();
@@ -213,7 +224,7 @@
         }
         if (step->spec->gang && step->active > 0) {
             placeMissingMembers(*step, pass);
-        } else if (step->spec->gang && pass.reservingGangs >= maxGangReservations && !isFullPass && !hasChanges) {
+        } else if (step->spec->gang && pass.reservingGangs >= maxGangReservations && !isFullPass && !hasChanges && !hasPendingPreemption(*step)) {
             // Gangs take part in every pass only for their reservations. A gang that may make none is treated like any other
             // step, which is reconsidered in a full pass or after a change.
             continue;
@@ -304,6 +315,7 @@
     m_jobs.onStarted(step, index, run, pass.time.now);
     step.advice.renewals = 0;
     ++m_counters.starts;
+    onStartAfterPreemption(step, worker);
 }
 
 bool CellScheduler::needsIdleWorker(const StepInstance &step, int index, TimePoint now) const
@@ -393,6 +405,9 @@
         best->free = isSuspect ? Resources{} : best->free - step.spec->demand;
         --best->maxTasks;
     }
+    if (hasUnplacedTasks) {
+        preemptFor(step, pass);
+    }
     if (!hasUnplacedTasks || !advised) {
         return;
     }
--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -162,7 +162,11 @@
             }
         }
         if (step != nullptr && event.kind != RunEvent::Kind::NeverRan) {
-            step->tasks.at(static_cast<std::size_t>(event.run.task.index)).lastRunEnded = time.now;
+            CellTask &task = step->tasks.at(static_cast<std::size_t>(event.run.task.index));
+            task.lastRunEnded = time.now;
+            if (task.preemptedRun != event.run.number) {
+                task.preemptedRun = RunNumber();
+            }
         }
         if (entry != nullptr) {
             m_jobs.onRunGone(*entry, step, event.run.task.index);
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -87,6 +87,7 @@
     m_advice.clear();
     m_usage.clear();
     m_discoveredUsage.clear();
+    m_preemptions = Preemptions();
     m_tokenBuckets.clear();
     m_formerRoutes.clear();
     m_jobsWithoutRules.clear();
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -7,6 +7,7 @@
 #include "cellconfig.h"
 #include "jobtable.h"
 #include "placementplan.h"
+#include "preemptionplan.h"
 #include "workertable.h"
 
 #include <functional>
@@ -81,6 +82,10 @@
     std::uint64_t neverRan = 0;
     std::uint64_t otherEnds = 0;
     std::uint64_t stops = 0;
+    std::uint64_t preemptions = 0; ///< Plans to stop runs for a step of a higher priority.
+    std::uint64_t preemptionsLapsed = 0; ///< Plans of which a part of the room was not used in time.
+    std::uint64_t preempted = 0; ///< Runs that such plans stopped.
+    std::uint64_t preemptedCoreMs = 0; ///< Their work that has to be repeated, as expected by the plans, in core-milliseconds.
     std::uint64_t holds = 0;
     std::uint64_t adviceCalls = 0;
     std::uint64_t admitted = 0;
@@ -225,6 +230,21 @@
     void renewTickets(StepInstance &step, const std::vector<WorkerId> &workers, TimePoint now);
     /// Limits the tasks of each candidate so that no reservation is delayed.
     void limitToReservations(const StepInstance &step, std::vector<CandidateWorker> &candidates, const PlacementPass &pass) const;
+    /// Forgets preemptions that are over. To be called at the begin of each pass.
+    void beginPreemptionPass(TimePoint now);
+    void refillPreemptionBudget(TimePoint now);
+    /// Whether room is reserved for the step because runs were stopped for it.
+    [[nodiscard]] bool hasPendingPreemption(const StepInstance &step) const;
+    /// For a step that could not start for lack of room: stops runs of lower priorities, if that is worthwhile, and reserves the room of those
+    /// that were stopped. Returns whether room is reserved.
+    bool preemptFor(StepInstance &step, PlacementPass &pass);
+    void planPreemptionFor(StepInstance &step, PlacementPass &pass);
+    /// Whether runs may be stopped for the step, apart from the room that is free.
+    [[nodiscard]] bool mayPreempt(StepInstance &step, const PlacementPass &pass) const;
+    /// Whether the run may be stopped for a step of @p priority; describes it in @p result if so.
+    [[nodiscard]] bool isPreemptible(const Run &run, int priority, TimePoint now, PreemptibleRun &result);
+    /// Reserves less room after a task of the step has started.
+    void onStartAfterPreemption(const StepInstance &step, const Worker &worker);
     void placeMissingMembers(StepInstance &step, PlacementPass &pass);
     void reserveForGang(StepInstance &step, const std::vector<CandidateWorker> &candidates, PlacementPass &pass);
     void startTask(StepInstance &step, int index, Worker &worker, RunNumber run, PlacementPass &pass);
@@ -270,6 +290,8 @@
     /// Sort key of the waiting steps, most urgent first: the route's priority plus an offset for late work and for work above the
     /// workspace's rate, then the latest start that meets the objective.
     [[nodiscard]] std::pair<int, TimePoint> priorityKey(const StepInstance &step, TimePoint now) const;
+    /// Approximates the remaining critical path by the step and the steps that depend on it directly.
+    [[nodiscard]] static Duration remainingPath(const StepInstance &step);
     [[nodiscard]] Duration predictedWait(int priority, TimePoint now);
     void measureStartRate(TimePoint now);
     [[nodiscard]] bool shouldReconsider(const StepInstance &step) const;
@@ -298,6 +320,21 @@
         double tokens = 0;
         TimePoint refilledAt;
     };
+    /// Room that is reserved for a step because runs were stopped for it.
+    struct PendingPreemption {
+        std::vector<TaskAllocation> allocations;
+        TimePoint expectedRoom;
+        TimePoint deadline; ///< The reservation lapses.
+    };
+    /// A new leader starts without any: the stopped tasks wait like others.
+    struct Preemptions {
+        std::map<StepRef, PendingPreemption> pending;
+        double milliCores = 0; ///< Token bucket: CPU of the runs that may be stopped now.
+        TimePoint refilledAt;
+        TimePoint linesSince; ///< Begin of the second in which log lines are counted.
+        int lines = 0;
+    };
+    Preemptions m_preemptions;
     std::map<WorkspaceId, TokenBucket> m_tokenBuckets; ///< Token buckets of the workspaces' rates.
     TimePoint m_renewedAt; ///< Send time of the last confirmed renewal of the leader's row.
     TimePoint m_lastJobStored; ///< When a job was last marked as stored.
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -59,6 +59,7 @@
     std::set<WorkerId> failedOn;
     TimePoint notBefore; ///< Earliest start after a failure.
     TimePoint lastRunEnded; ///< When the last run ended or was lost; zero: none has.
+    RunNumber preemptedRun; ///< The last run, if it was stopped for work of a higher priority; zero: it was not. The task is not preempted twice in a row.
     bool unreconciled = false; ///< Not used; see JobEntry::unreconciled.
 };
 
@@ -85,6 +86,7 @@
     std::uint64_t consideredAtGeneration = 0; ///< WorkerTable::generation() when placement last considered the step; 0: consider it again.
     TimePoint lastTurn; ///< When the step last took part in a placement pass that was not a full one.
     TimePoint lastFullTurn; ///< When the step last took part in a full placement pass.
+    TimePoint nextPreemption; ///< Earliest time at which runs may be stopped for the step.
     TimePoint readySince; ///< Since when the step is due and needs no earlier step; zero: not ready.
     TimePoint expectedEnd; ///< Latest expected end of the active tasks.
 
--- a/src/cell/placementpass.h
+++ b/src/cell/placementpass.h
@@ -22,6 +22,8 @@
     Resources gangTaskDemand; ///< Mean demand of the tasks of the waiting gangs.
     int reservingGangs = 0; ///< Gangs that have reserved capacity for a later start.
     int startingGangs = 0; ///< Gangs that have reserved capacity while their tickets are renewed.
+    bool isFullPass = false;
+    int preemptionPlans = 0; ///< Steps for which runs to stop were looked for.
     int idleReservations = 0; ///< Workers that are reserved for a suspect as soon as they have no runs.
     std::map<WorkerIndex, std::vector<TimedResources>> idleReleases; ///< Like releases, with one entry: the whole worker after its last run.
     std::map<WorkerIndex, std::vector<TimedResources>> releases; ///< Filled on demand. Candidates point to the entries, whose addresses are stable.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -422,6 +422,10 @@
     add("crash_suspicions_total", "", cell.crashSuspicions);
     add("jobs_given_up_total", "", cell.givenUp);
     add("worker_stops_total", "", cell.stops);
+    add("preemptions_total", "", cell.preemptions);
+    add("preemptions_lapsed_total", "", cell.preemptionsLapsed);
+    add("preempted_runs_total", "", cell.preempted);
+    add("preempted_core_ms_total", "", cell.preemptedCoreMs);
     add("worker_holds_total", "", cell.holds);
     add("advice_calls_total", "", cell.adviceCalls);
     add("jobs_admitted_total", "", cell.admitted);
--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -7,6 +7,7 @@
 #include "cell/cellscheduler.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
@@ -48,6 +49,13 @@
     StartOrder order;
     bool gang = false;
     TimePoint started;
+    Duration workBefore{0}; ///< Work that is contained in the checkpoint from which the run was started.
+
+    /// The checkpoint that the run saves when it is stopped at @p now.
+    [[nodiscard]] std::string checkpointAt(TimePoint now) const
+    {
+        return std::to_string((workBefore + (now - started)).count());
+    }
 };
 
 /// A fake worker.
@@ -305,6 +313,8 @@
     std::size_t endsPerReply = maxEndsPerReply; ///< Ends that a worker lists at most in a reply to a hold.
     Duration loadDuration{0}; ///< How long a new leader reads the rows of the jobs. Workers are called meanwhile.
     Duration stopDuration{0}; ///< Time that a stopped run still needs to end. Until then it is listed and uses its demand.
+    Duration restoreDuration{100}; ///< Time that a run needs to continue from a checkpoint, if its step saves checkpoints.
+    std::function<bool(const StopOrder &)> onStop; ///< Called for each stop, which is delivered if the function returns true; empty: all are.
     Duration capacityGrace{4500}; ///< Time after which starts have to respect a capacity that has shrunk.
     /// Called for each run that was started, before the scheduler receives the answer.
     std::function<void(const FakeCellWorker &, const StartOrder &)> onRunStarted;
@@ -399,7 +409,9 @@
         }
         const StepSpec &spec = storedJobs.at(order.task.step.job).steps.at(static_cast<std::size_t>(order.task.step.step));
         const Duration span = duration ? duration(order) : spec.estimate;
-        worker.running[order.task] = FakeCellRun{order.run, now + span, order, spec.gang, now};
+        const Duration workBefore(spec.checkpointing && !spec.gang && !order.checkpoint.empty() ? std::atoi(order.checkpoint.c_str()) : 0);
+        const Duration left = workBefore > Duration(0) ? std::max(span - workBefore, Duration(0)) + restoreDuration : span;
+        worker.running[order.task] = FakeCellRun{order.run, now + left, order, spec.gang, now, workBefore};
         ++starts;
         Resources used;
         for (const auto &[task, run] : worker.running) {
@@ -542,8 +554,19 @@
         }
     }
 
+    void stopRun(FakeCellWorker &worker, const StopOrder &order)
+    {
+        const StepSpec &spec = storedJobs.at(order.task.step.job).steps.at(static_cast<std::size_t>(order.task.step.step));
+        const bool savesWork = spec.checkpointing && !spec.gang;
+        worker.end(order.task, RunEnd::Stopped, savesWork ? worker.running.at(order.task).checkpointAt(now) : "checkpoint");
+    }
+
     void deliverStop(const StopOrder &order)
     {
+        if (onStop && !onStop(order)) {
+            scheduler->onStopAnswer(order, OrderAnswer{OrderOutcome::NoAnswer, 0}, time());
+            return;
+        }
         FakeCellWorker &worker = workers.at(order.worker);
         if (worker.crashed || !worker.reachable) {
             scheduler->onStopAnswer(order, OrderAnswer{worker.isReplaced ? OrderOutcome::OtherIncarnation : OrderOutcome::NoAnswer, 0}, time());
@@ -551,13 +574,13 @@
         }
         const auto run = worker.running.find(order.task);
         if (run != worker.running.end() && run->second.number == order.run && stopDuration == Duration(0)) {
-            worker.end(order.task, RunEnd::Stopped, "checkpoint");
+            stopRun(worker, order);
         } else if (run != worker.running.end() && run->second.number == order.run) {
             callAt(now + stopDuration, [this, order] {
                 FakeCellWorker &stopped = workers.at(order.worker);
                 const auto left = stopped.running.find(order.task);
                 if (left != stopped.running.end() && left->second.number == order.run) {
-                    stopped.end(order.task, RunEnd::Stopped, "checkpoint");
+                    stopRun(stopped, order);
                 }
             });
         }
--- a/test/cell/testrunsafetyseeds.cpp
+++ b/test/cell/testrunsafetyseeds.cpp
@@ -16,6 +16,7 @@
 constexpr Duration faultTime{25000};
 constexpr Duration quietTime{60000}; ///< By then all jobs have ended.
 constexpr int seedsInCi = 160;
+constexpr int preemptionSeedsInCi = 40;
 
 int environmentNumber(const char *name, int fallback)
 {
@@ -27,13 +28,19 @@
 class FaultSeries
 {
 public:
-    explicit FaultSeries(int seed) : m_cell(workerCount), m_random(static_cast<unsigned>(seed)) { }
+    explicit FaultSeries(int seed, bool hasTwoPriorities = false)
+        : m_cell(workerCount), m_random(static_cast<unsigned>(seed)), m_hasTwoPriorities(hasTwoPriorities)
+    {
+    }
 
     /// Returns the first broken invariant; empty: none.
     std::string play()
     {
         m_cell.onStart = [this](const StartOrder &order) { return deliverStart(order); };
         m_cell.onHold = [this](const HoldOrder &order) { return deliverHold(order); };
+        if (m_hasTwoPriorities) {
+            m_cell.onStop = [this](const StopOrder &order) { return deliverStop(order); };
+        }
         m_cell.holdDelay = [this] { return happens(10) ? between(5, 200) : Duration(0); };
         m_cell.silentHoldTimeout = Duration(400);
         m_cell.stopDuration = Duration(150);
@@ -46,7 +53,11 @@
         while (m_cell.now < begin + faultTime) {
             if (nextJob <= m_cell.now && m_cell.scheduler->isLoaded()) {
                 nextJob = m_cell.now + between(300, 1200);
-                submitJob();
+                if (m_hasTwoPriorities) {
+                    submitJobsOfTwoPriorities();
+                } else {
+                    submitJob();
+                }
             }
             if (nextFault <= m_cell.now) {
                 nextFault = m_cell.now + between(150, 1500);
@@ -70,6 +81,12 @@
         return {};
     }
 
+    /// Runs that the last leader has preempted.
+    [[nodiscard]] std::uint64_t preemptedRuns() const
+    {
+        return m_cell.scheduler->counters().preempted;
+    }
+
 private:
     [[nodiscard]] Duration between(int least, int most)
     {
@@ -87,6 +104,30 @@
         m_cell.submit(job);
     }
 
+    /// Long jobs with checkpoints fill the cell, and urgent ones preempt their tasks.
+    void submitJobsOfTwoPriorities()
+    {
+        const std::string number = std::to_string(m_cell.storedJobs.size());
+        CellJob batch = cellJob("batch" + number, static_cast<int>(between(4, 10).count()), 1500, between(2000, 6000));
+        batch.steps[0].checkpointing = happens(70);
+        m_cell.submit(batch);
+        CellJob urgent = cellJob("urgent" + number, static_cast<int>(between(1, 3).count()), 1500, between(500, 1500), "urgent");
+        urgent.steps[0].gang = happens(30);
+        m_cell.submit(urgent);
+    }
+
+    bool deliverStop(const StopOrder &order)
+    {
+        if (m_faultsAreOver || !happens(20)) {
+            return true;
+        }
+        if (happens(30)) {
+            m_cell.callAt(m_cell.now, [this] { changeLeader(); });
+        }
+        (void)order;
+        return false;
+    }
+
     /// Whether the worker may be hit: no other fault holds it.
     [[nodiscard]] bool isFree(const WorkerId &id) const
     {
@@ -264,6 +305,7 @@
     std::map<WorkerId, TimePoint> m_busyUntil; ///< Until when a fault holds a worker.
     std::map<WorkerId, TimePoint> m_restartsAt; ///< When the last restart of a worker ends.
     std::map<std::pair<WorkerId, TaskRef>, RunNumber> m_overOn; ///< The highest run that ended or was stopped in a former process of a worker.
+    bool m_hasTwoPriorities = false;
     bool m_faultsAreOver = false;
 };
 
@@ -271,6 +313,22 @@
 
 TEST_GROUP(RunSafetySeeds){};
 
+// Guards against a preempted task that starts again while its stopped run still runs, or never: stops are lost and leaders change while runs
+// are being stopped.
+TEST(RunSafetySeeds, PreemptSafely)
+{
+    const int first = environmentNumber("LADDER_SAFETY_SEED", 1);
+    const int count = environmentNumber("LADDER_SAFETY_RUNS", preemptionSeedsInCi);
+    std::uint64_t preempted = 0;
+    for (int seed = first; seed < first + count; ++seed) {
+        FaultSeries series(seed, true);
+        const std::string problem = series.play();
+        STRCMP_EQUAL("", (problem.empty() ? problem : problem + " with seed " + std::to_string(seed)).c_str());
+        preempted += series.preemptedRuns();
+    }
+    CHECK_TRUE(preempted > 0);
+}
+
 // Guards against a task that starts again without proof that its earlier run is over, whatever faults overlap (review cases 7, 8 and 9, days recut
 // and recut-kill).
 TEST(RunSafetySeeds, RunNoTaskTwiceAndEndAllJobs)
