Place tasks and gangs by the speeds of the workers

Cause: urgent tasks were placed on slow workers, on which they can't end in time, while work with time occupied fast ones. Change: WorkerTable reports observed durations from the workers' lists; runs that progress too little are reported before they end. Learned durations set the expected ends of runs, the latest start and the deadlines that placement uses. Tasks prefer slow workers if they surely end in time there, and wait for a fast one for up to a second if they would be late on a slow one. Gangs start on workers of one class if they fit. Degraded workers come last or get a probe. Calls to the policy service name workers in the same order.

--- a/src/cell/celladvice.cpp
+++ b/src/cell/celladvice.cpp
@@ -1,5 +1,6 @@
 // Calls to the policy service by CellScheduler: which workers a call names, and when tickets are renewed.
 #include "cellscheduler_p.h"
+#include "placementrank.h"
 
 #include <algorithm>
 #include <iterator>
@@ -79,21 +80,30 @@
     queueAdviceCall(step, true, now);
 }
 
-std::vector<WorkerId> CellScheduler::furtherWorkersToAsk(const StepInstance &step, int missing) const
+int CellScheduler::speedOrderToAsk(const StepInstance &step, const SpeedPreference &preference, const Worker &worker)
 {
-    std::vector<std::pair<int, WorkerIndex>> workersByFit; // With the negated number of fitting tasks, so that the largest comes first.
+    // Work that has time asks about slow workers only as long as they have room; other work waits for room on a fast one.
+    const bool isFullSlowWorker = preference.hasChoice && worker.speed.speedClass == SpeedClass::Slow && !step.spec->demand.fitsIn(worker.free());
+    return preference.orderOf(worker.speed.speedClass) + (isFullSlowWorker ? 2 : 0);
+}
+
+std::vector<WorkerId> CellScheduler::furtherWorkersToAsk(const StepInstance &step, int missing, TimePoint now) const
+{
+    const SpeedPreference preference = speedPreference(step, now);
+    // With the negated number of fitting tasks, so that the largest comes first.
+    std::vector<std::tuple<int, int, WorkerIndex>> workersByFit;
     for (const auto &[id, worker] : m_workers.all()) {
         if (worker.wasUsable && step.advice.evaluated.count(worker.index) == 0 && isEligible(step, worker)) {
             const int fits = tasksThatFit(step.spec->demand, worker.free(), step.spec->maxPerWorker > 0 ? step.spec->maxPerWorker : missing);
             if (fits > 0) {
-                workersByFit.emplace_back(-fits, worker.index);
+                workersByFit.emplace_back(speedOrderToAsk(step, preference, worker), -fits, worker.index);
             }
         }
     }
     std::sort(workersByFit.begin(), workersByFit.end());
     std::vector<WorkerId> workers;
     int taskSlots = 0;
-    for (const auto &[negatedFits, worker] : workersByFit) {
+    for (const auto &[speedOrder, negatedFits, worker] : workersByFit) {
         if (taskSlots >= missing * requestedSlotsPerTask || workers.size() >= maxWorkersPerCall) {
             break;
         }
@@ -103,9 +113,10 @@
     return workers;
 }
 
-std::vector<WorkerId> CellScheduler::workersToAsk(const StepInstance &step)
+std::vector<WorkerId> CellScheduler::workersToAsk(const StepInstance &step, TimePoint now)
 {
-    using RankedWorker = std::tuple<std::int64_t, std::uint64_t, const Worker *>;
+    const SpeedPreference preference = speedPreference(step, now);
+    using RankedWorker = std::tuple<int, std::int64_t, std::uint64_t, const Worker *>;
     std::vector<RankedWorker> rankedWorkers;
     rankedWorkers.reserve(m_workers.all().size());
     ++m_shuffleSeed;
@@ -115,7 +126,7 @@
             // Without the shuffle, steps that ask at the same time would compete for the same few workers. The factor is
             // Knuth's for multiplicative hashing of 32 bits; the addend is the one for 16 bits.
             const std::uint64_t shuffled = (worker.index + 1) * (m_shuffleSeed * 2654435761U + 40503U) % shuffleModulus;
-            rankedWorkers.emplace_back(-worker.free().cpu.value() / freeCpuBucketMilliCores, shuffled, &worker);
+            rankedWorkers.emplace_back(speedOrderToAsk(step, preference, worker), -worker.free().cpu.value() / freeCpuBucketMilliCores, shuffled, &worker);
         }
     }
     const std::size_t callSize = std::min(rankedWorkers.size(), maxWorkersPerCall);
@@ -175,7 +186,7 @@
     return step->isStarving ? starvingTier : priorityKey(*step, now).first;
 }
 
-bool CellScheduler::prepareAdviceCall(AdviceCall &call)
+bool CellScheduler::prepareAdviceCall(AdviceCall &call, TimePoint now)
 {
     const StepInstance &step = *m_jobs.findStep(call.step);
     if (call.isRenewal) {
@@ -187,9 +198,9 @@
         call.workers.clear();
         std::remove_copy_if(step.advice.workersToRenew.begin(), step.advice.workersToRenew.end(), std::back_inserter(call.workers), isFull);
     } else if (step.spec->gang && !step.advice.evaluated.empty()) {
-        call.workers = furtherWorkersToAsk(step, std::max(step.missingTasks, 1));
+        call.workers = furtherWorkersToAsk(step, std::max(step.missingTasks, 1), now);
     } else {
-        call.workers = workersToAsk(step);
+        call.workers = workersToAsk(step, now);
     }
     call.duration = adviceSettings(step)->callDuration(call.workers.size());
     return !call.workers.empty();
@@ -199,7 +210,7 @@
 {
     AdviceCallHooks hooks;
     hooks.tier = [this, now](const AdviceCall &call) { return adviceTier(call, now); };
-    hooks.prepare = [this](AdviceCall &call) { return prepareAdviceCall(call); };
+    hooks.prepare = [this, now](AdviceCall &call) { return prepareAdviceCall(call, now); };
     hooks.delay = [this, now](const AdviceCall &call, TimePoint expected) {
         if (call.isRenewal) {
             m_jobs.findStep(call.step)->advice.isRenewalSentSoon = expected <= now + shortQueueTime;
--- a/src/cell/cellgangs.cpp
+++ b/src/cell/cellgangs.cpp
@@ -1,5 +1,6 @@
 // Placement of gangs by CellScheduler: starts, reservations of capacity for a later start, and members whose start was rejected.
 #include "placementpass.h"
+#include "placementrank.h"
 
 #include <algorithm>
 
@@ -13,10 +14,14 @@
 
 } // namespace
 
-void CellScheduler::limitToReservations(const StepInstance &step, std::vector<CandidateWorker> &candidates, const PlacementPass &pass) const
+void CellScheduler::limitToReservations(const StepInstance &step,
+                                        const SpeedPreference &preference,
+                                        std::vector<CandidateWorker> &candidates,
+                                        const PlacementPass &pass) const
 {
     for (CandidateWorker &candidate : candidates) {
-        candidate.maxTasks = pass.reservations.tasksAllowed(candidate, step.spec->demand, pass.time.now + step.spec->estimate);
+        const TimePoint end = pass.time.now + preference.durationOn(m_workers.at(candidate.worker)->speed.speedClass);
+        candidate.maxTasks = pass.reservations.tasksAllowed(candidate, step.spec->demand, end);
     }
 }
 
@@ -30,21 +35,30 @@
     if (!areAllStartable || !isWithinWorkspaceMaximum(step, count)) {
         return;
     }
+    const SpeedPreference preference = speedPreference(step, now);
     std::vector<CandidateWorker> candidates = candidatesFor(step, pass, CandidateSet::WorkersWithValidTicket);
+    const std::array<bool, speedClassCount> classes = classesForGang(step, preference);
+    removeOtherClasses(classes, candidates);
     int fittingWithoutReservations = 0;
     for (const CandidateWorker &candidate : candidates) {
         fittingWithoutReservations += tasksThatFit(step.spec->demand, candidate.free, std::min(candidate.maxTasks, count));
     }
-    limitToReservations(step, candidates, pass);
+    limitToReservations(step, preference, candidates, pass);
     step.withheldTasks = fittingWithoutReservations;
     for (const CandidateWorker &candidate : candidates) {
         step.withheldTasks -= std::min(candidate.maxTasks, count);
     }
-    const auto fit = fitGang(candidates, step.spec->demand, count);
+    const auto fit = fitGangBySpeed(step, preference, candidates);
     if (!fit) {
-        reserveForGang(step, candidatesFor(step, pass, CandidateSet::AllowedWorkersWithReleases), pass);
+        std::vector<CandidateWorker> allowed = candidatesFor(step, pass, CandidateSet::AllowedWorkersWithReleases);
+        removeOtherClasses(classes, allowed);
+        reserveForGang(step, allowed, pass);
         return;
     }
+    step.gangFactor = 0;
+    for (const TaskAllocation &allocation : *fit) {
+        step.gangFactor = std::max(step.gangFactor, factorOf(*m_workers.at(allocation.worker)));
+    }
     RunNumber run;
     for (const CellTask &task : step.tasks) {
         run = std::max(run, nextRun(task), [](RunNumber a, RunNumber b) { return a < b; });
@@ -75,8 +89,9 @@
     }
     // For a start now: with the reserved capacity that the gang will release in time for the reservations.
     std::vector<CandidateWorker> availableNow = candidates;
-    limitToReservations(step, availableNow, pass);
-    const auto fit = fitGang(availableNow, step.spec->demand, step.spec->count);
+    const SpeedPreference preference = speedPreference(step, now);
+    limitToReservations(step, preference, availableNow, pass);
+    const auto fit = fitGangBySpeed(step, preference, availableNow);
     std::optional<GangForecast> forecast;
     int fitting = 0;
     int fittingWhenIdle = 0;
@@ -137,12 +152,19 @@
         if (task.phase != CellTaskPhase::Waiting || task.liveRuns > 0) {
             continue;
         }
-        const auto candidate = std::find_if(candidates.begin(), candidates.end(), [&step](const CandidateWorker &option) {
-            return option.maxTasks > 0 && step.spec->demand.fitsIn(option.free);
-        });
+        // The other members wait for the slowest one.
+        auto candidate = candidates.end();
+        for (auto option = candidates.begin(); option != candidates.end(); ++option) {
+            const bool isFitting = option->maxTasks > 0 && step.spec->demand.fitsIn(option->free);
+            if (isFitting
+                && (candidate == candidates.end() || m_workers.at(option->worker)->speed.speedClass < m_workers.at(candidate->worker)->speed.speedClass)) {
+                candidate = option;
+            }
+        }
         if (candidate == candidates.end()) {
             return;
         }
+        step.gangFactor = std::max(step.gangFactor, factorOf(*m_workers.at(candidate->worker)));
         startTask(step, index, *m_workers.at(candidate->worker), step.gangRun, pass);
         candidate->free -= step.spec->demand;
         --candidate->maxTasks;
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <climits>
+#include <cmath>
 
 namespace KingCupLadder {
 
@@ -19,6 +20,7 @@
 constexpr std::size_t minTicketsToRenew = 8; // A non-gang step renews tickets for at least this many workers, if that many have capacity.
 constexpr Duration minStableMaximumTime{15000}; // Longer than a lease: if a maximum has not changed for this time, previous leaders enforced the same value.
 constexpr Duration maxIsolationWait{5000}; // A suspect that has found no idle worker for this time starts beside other runs.
+constexpr Duration probeInterval{1000}; // A degraded worker without runs gets one run per interval, so that it is noticed if it recovers.
 constexpr int maxIdleReservations = 6; // Workers per pass that are kept free for suspects.
 
 bool isMoreUrgent(const std::pair<std::pair<int, TimePoint>, StepInstance *> &a, const std::pair<std::pair<int, TimePoint>, StepInstance *> &b)
@@ -74,19 +76,12 @@
 {
     const JobEntry &entry = *step.job;
     const RouteRules *rules = rulesOf(entry.job);
-    const TimePoint softDeadline = entry.softDeadline + entry.job.interval * step.ref.occurrence;
-    // Approximates the remaining critical path by the step and the steps that depend on it directly.
-    Duration remaining = step.spec->estimate;
-    for (std::size_t i = static_cast<std::size_t>(step.ref.step) + 1; i < entry.job.steps.size(); ++i) {
-        const std::vector<int> &after = entry.job.steps[i].after;
-        if (std::find(after.begin(), after.end(), step.ref.step) != after.end()) {
-            remaining += entry.job.steps[i].estimate;
-        }
-    }
-    const TimePoint latestStart = softDeadline - remaining;
+    const StepTiming timing = timingOf(step);
+    const Duration remaining = timing.duration + timing.following;
+    const TimePoint latestStart = timing.softDeadline - remaining;
     int tier = rules != nullptr ? rules->priority : 0;
     if (now > latestStart && !step.spec->longRunning) {
-        tier += now + remaining > entry.firmDeadline + entry.job.interval * step.ref.occurrence ? missedFirmDeadlineTierOffset : missedSoftDeadlineTierOffset;
+        tier += now + remaining > timing.firmDeadline ? missedFirmDeadlineTierOffset : missedSoftDeadlineTierOffset;
     }
     tier += entry.overRate ? overRateTierOffset : 0;
     return {tier, latestStart};
@@ -193,6 +188,7 @@
     for (StepInstance *step : steps) {
         // Waiting gangs take part in every pass, because their reservations limit the other steps.
         if (isSchedulable(*step) && (isFullPass || step->spec->gang || shouldReconsider(*step))) {
+            updateExpectedDuration(*step, time.now);
             ordered.emplace_back(priorityKey(*step, time.now), step);
         }
     }
@@ -291,7 +287,10 @@
     added.isLongRunning = step.spec->longRunning;
     added.isGangMember = step.spec->gang;
     added.isolation = step.crashesOf(index).isolation();
-    added.expectedEnd = pass.time.now + step.spec->estimate;
+    const double factor = step.spec->gang ? step.gangFactor : factorOf(worker);
+    const Duration duration = step.expectedDuration > Duration(0) ? step.expectedDuration : step.spec->estimate;
+    added.expectedDuration = Duration(std::llround(static_cast<double>(duration.count()) * factor));
+    added.expectedEnd = pass.time.now + added.expectedDuration;
     StartOrder order;
     order.payload = step.job->job.payload;
     order.checkpoint = step.spec->gang ? step.gangCheckpoint : task.checkpoint;
@@ -304,6 +303,10 @@
     m_jobs.onStarted(step, index, run, pass.time.now);
     step.advice.renewals = 0;
     ++m_counters.starts;
+    m_counters.startsOnSlowWorkers += worker.speed.speedClass != SpeedClass::Fast ? 1 : 0;
+    if (worker.speed.speedClass == SpeedClass::Degraded) {
+        worker.nextProbe = pass.time.now + probeInterval;
+    }
 }
 
 bool CellScheduler::needsIdleWorker(const StepInstance &step, int index, TimePoint now) const
@@ -339,6 +342,15 @@
     const TimePoint now = pass.time.now;
     std::vector<CandidateWorker> candidates = candidatesFor(step, pass, CandidateSet::AllowedWorkers);
     const bool advised = adviceSettings(step) != nullptr;
+    const SpeedPreference preference = speedPreference(step, now);
+    const auto hasClass = [this, &candidates, &step](auto isWanted) {
+        return std::any_of(candidates.begin(), candidates.end(), [&](const CandidateWorker &candidate) {
+            const Worker &worker = *m_workers.at(candidate.worker);
+            return isWanted(worker.speed.speedClass) && candidate.maxTasks > 0 && step.spec->demand.fitsIn(worker.info.capacity);
+        });
+    };
+    const bool waitsForFast = preference.mayWaitForFast && hasClass([](SpeedClass speed) { return speed == SpeedClass::Fast; });
+    const bool avoidsDegraded = hasClass([](SpeedClass speed) { return speed != SpeedClass::Degraded; });
     std::vector<WorkerId> staleTicketWorkers;
     bool hasUnplacedTasks = false;
     step.withheldTasks = 0;
@@ -357,11 +369,18 @@
             if (candidate.maxTasks < 1 || !step.spec->demand.fitsIn(candidate.free) || (needsIdle && !m_workers.at(candidate.worker)->isFitForIsolation())) {
                 continue;
             }
-            if (!pass.reservations.allows(candidate, step.spec->demand, now + step.spec->estimate)) {
+            const Worker &worker = *m_workers.at(candidate.worker);
+            const SpeedClass speed = worker.speed.speedClass;
+            if (speed == SpeedClass::Degraded && avoidsDegraded && (waitsForFast || !mayUseDegraded(step, preference, worker, now))) {
+                continue;
+            }
+            if (speed == SpeedClass::Slow && waitsForFast) {
+                continue;
+            }
+            if (!pass.reservations.allows(candidate, step.spec->demand, now + preference.durationOn(speed))) {
                 isWithheld = true;
                 continue;
             }
-            const Worker &worker = *m_workers.at(candidate.worker);
             if (advised && step.advice.find(candidate.worker)->validUntil < now + ticketMargin) {
                 if (std::find(staleTicketWorkers.begin(), staleTicketWorkers.end(), worker.info.id) == staleTicketWorkers.end()) {
                     staleTicketWorkers.push_back(worker.info.id);
@@ -373,6 +392,7 @@
             PlacementRank rank;
             rank.hasFailedThere = task.failedOn.count(worker.info.id) > 0;
             rank.isOtherRack = !rack.empty() && std::find(labels.begin(), labels.end(), rack) == labels.end();
+            rank.speedOrder = preference.orderOf(speed);
             rank.lostGangTasks =
                 tasksThatFit(pass.gangTaskDemand, candidate.free, INT_MAX) - tasksThatFit(pass.gangTaskDemand, candidate.free - step.spec->demand, INT_MAX);
             rank.freeAfter = candidate.free.cpu - step.spec->demand.cpu;
--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -73,7 +73,9 @@
     const bool hadAnswered = worker->hasAnswered() && worker->info.incarnation == order.incarnation;
     std::vector<DiscoveredRun> discovered;
     std::vector<EndedEntry> unmatchedEnds;
-    onRunEvents(m_workers.onHoldAnswer(order, reply, sent, time.now, discovered, unmatchedEnds), time);
+    const std::vector<RunEvent> events = m_workers.onHoldAnswer(order, reply, sent, time.now, discovered, unmatchedEnds);
+    learnDurations(); // Before the ends are applied, since a job that has ended may be removed.
+    onRunEvents(events, time);
     for (const EndedEntry &end : unmatchedEnds) {
         onUnmatchedEnd(order.worker, end, time);
     }
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -84,6 +84,9 @@
     m_lastJobStored = TimePoint();
     m_jobs = JobTable();
     m_workers = WorkerTable(m_settings.workers);
+    m_speeds = WorkerSpeeds();
+    m_nextSpeedUpdate = TimePoint();
+    m_degradedWorkers = 0;
     m_advice.clear();
     m_usage.clear();
     m_discoveredUsage.clear();
@@ -385,6 +388,7 @@
     }
     sendHoldsAndRetries(orders, time, checkRuns);
     measureStartRate(time.now);
+    updateSpeedClasses(time.now);
     if (m_loaded && m_config) {
         finishReconciliation(time.now);
         runPlacementPass(orders, time);
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -9,6 +9,7 @@
 #include "placementplan.h"
 #include "workertable.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -85,8 +86,24 @@
     std::uint64_t adviceCalls = 0;
     std::uint64_t admitted = 0;
     std::uint64_t refused = 0;
+    std::uint64_t speedObservations = 0; ///< Observed durations of runs.
+    std::uint64_t speedClassChanges = 0; ///< Workers that were assigned another class of speed.
+    std::uint64_t startsOnSlowWorkers = 0; ///< Starts on workers of the classes Slow and Degraded.
 };
 
+/// Usable workers by class of speed.
+using SpeedClassCounts = std::array<std::size_t, speedClassCount>;
+
+/// Expected duration and deadlines of the tasks of one step, corrected by learned durations.
+struct StepTiming {
+    Duration duration{0}; ///< Of a task on a worker of factor 1.
+    Duration following{0}; ///< Duration of the steps that follow directly.
+    TimePoint softDeadline;
+    TimePoint firmDeadline;
+};
+
+struct SpeedPreference;
+
 /// Schedules the jobs of a cell: the functions report events, and tick() returns the resulting orders.
 class CellScheduler
 {
@@ -155,6 +172,8 @@
     [[nodiscard]] const CellCounters &counters() const;
     [[nodiscard]] const WorkerTable &workers() const;
     [[nodiscard]] std::size_t unfinishedJobs() const;
+    [[nodiscard]] const WorkerSpeeds &speeds() const;
+    [[nodiscard]] SpeedClassCounts speedClassCounts() const;
     /// Returns a log line about the waiting work and what it waits for.
     [[nodiscard]] std::string describeLoad(TimePoint now);
 
@@ -187,6 +206,26 @@
     /// Decides what had to wait for the rules of a job: its deadlines, and whether it has failed.
     void applyRules(JobEntry &entry, const RouteRules &rules, TimePoint now);
     void onRunEvents(const std::vector<RunEvent> &events, const CellTime &time);
+    /// Passes the observed durations of runs to m_speeds.
+    void learnDurations();
+    /// Assigns the present classes to the workers and logs changes, a bounded number of them.
+    void updateSpeedClasses(TimePoint now);
+    /// Returns the expected duration and the deadlines of the step's tasks.
+    [[nodiscard]] StepTiming timingOf(const StepInstance &step) const;
+    /// Computes StepInstance::expectedDuration if that is due.
+    void updateExpectedDuration(StepInstance &step, TimePoint now) const;
+    /// Returns which classes of workers suit the step's tasks if they start now.
+    [[nodiscard]] SpeedPreference speedPreference(const StepInstance &step, TimePoint now) const;
+    /// Returns the worker's factor, or that of its class while few of its runs have been observed.
+    [[nodiscard]] double factorOf(const Worker &worker) const;
+    /// Whether the step may use a degraded worker although other workers could run it.
+    [[nodiscard]] static bool mayUseDegraded(const StepInstance &step, const SpeedPreference &preference, const Worker &worker, TimePoint now);
+    /// Returns the classes of workers that a gang may use now; it ends earlier if it waits for others than these.
+    [[nodiscard]] std::array<bool, speedClassCount> classesForGang(const StepInstance &step, const SpeedPreference &preference);
+    void removeOtherClasses(const std::array<bool, speedClassCount> &classes, std::vector<CandidateWorker> &candidates) const;
+    /// Like fitGang(), on workers of one class if the gang fits there.
+    [[nodiscard]] std::optional<std::vector<TaskAllocation>>
+    fitGangBySpeed(const StepInstance &step, const SpeedPreference &preference, const std::vector<CandidateWorker> &candidates) const;
     /// Counts crashes of workers under the tasks that ran there, and gives up the tasks that have caused them.
     void onWorkersCrashed(const CellTime &time);
     void onRunEnded(const RunEvent &event, JobEntry &entry, StepInstance *step, const CellTime &time);
@@ -224,7 +263,8 @@
     void renewTicketsForGang(StepInstance &step, const GangForecast &forecast, const std::vector<CandidateWorker> &candidates, TimePoint now);
     void renewTickets(StepInstance &step, const std::vector<WorkerId> &workers, TimePoint now);
     /// Limits the tasks of each candidate so that no reservation is delayed.
-    void limitToReservations(const StepInstance &step, std::vector<CandidateWorker> &candidates, const PlacementPass &pass) const;
+    void
+    limitToReservations(const StepInstance &step, const SpeedPreference &preference, std::vector<CandidateWorker> &candidates, const PlacementPass &pass) const;
     void placeMissingMembers(StepInstance &step, PlacementPass &pass);
     void reserveForGang(StepInstance &step, const std::vector<CandidateWorker> &candidates, PlacementPass &pass);
     void startTask(StepInstance &step, int index, Worker &worker, RunNumber run, PlacementPass &pass);
@@ -246,7 +286,7 @@
     /// The tier of the step's priority, as for placement; empty if the step waits for no start any more.
     [[nodiscard]] std::optional<int> adviceTier(const AdviceCall &call, TimePoint now);
     /// Chooses the workers that a call names. Returns false if the call would be useless.
-    [[nodiscard]] bool prepareAdviceCall(AdviceCall &call);
+    [[nodiscard]] bool prepareAdviceCall(AdviceCall &call, TimePoint now);
     void prefetchAdvice(TimePoint now);
     /// Returns the steps that have waited for some time without any run of their job, although half of the cell is free and has room for twice
     /// the tasks that they need for a start.
@@ -262,9 +302,11 @@
     void logLongWaits(TimePoint now);
     [[nodiscard]] std::string describeWait(const StepInstance &step, TimePoint now) const;
     /// Workers to name in a question of the step.
-    [[nodiscard]] std::vector<WorkerId> workersToAsk(const StepInstance &step);
+    [[nodiscard]] std::vector<WorkerId> workersToAsk(const StepInstance &step, TimePoint now);
     /// Workers to name in a question of a gang whose allowed workers lack room for @p missing tasks.
-    [[nodiscard]] std::vector<WorkerId> furtherWorkersToAsk(const StepInstance &step, int missing) const;
+    [[nodiscard]] std::vector<WorkerId> furtherWorkersToAsk(const StepInstance &step, int missing, TimePoint now) const;
+    /// Order in which a call names the workers by their class of speed; lower comes first.
+    [[nodiscard]] static int speedOrderToAsk(const StepInstance &step, const SpeedPreference &preference, const Worker &worker);
     [[nodiscard]] const AdviceSettings *adviceSettings(const StepInstance &step) const;
     void finishReconciliation(TimePoint now);
     /// Sort key of the waiting steps, most urgent first: the route's priority plus an offset for late work and for work above the
@@ -282,6 +324,10 @@
     TimePoint m_leasesExpiredBy; ///< When all leases of previous leaders have expired; zero once their runs are all known or gone.
     JobTable m_jobs;
     WorkerTable m_workers;
+    WorkerSpeeds m_speeds;
+    TimePoint m_nextSpeedUpdate;
+    int m_degradedWorkers = 0; ///< As of the last update of the classes.
+    TimePoint m_nextSpeedLog; ///< Earliest time of the next log line about the classes.
     AdviceDispatcher m_advice;
     struct TrackedMaximum {
         Resources maximum;
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -87,6 +87,10 @@
     TimePoint lastFullTurn; ///< When the step last took part in a full placement pass.
     TimePoint readySince; ///< Since when the step is due and needs no earlier step; zero: not ready.
     TimePoint expectedEnd; ///< Latest expected end of the active tasks.
+    StepDurations durations; ///< Of the step's runs.
+    Duration expectedDuration{0}; ///< Of a task on a worker of factor 1, as of nextDurationUpdate; zero: the estimate.
+    TimePoint nextDurationUpdate; ///< When expectedDuration is computed again.
+    double gangFactor = 1; ///< Factor of the slowest worker of the present run of a gang.
 
     [[nodiscard]] bool isDone() const
     {
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -10,6 +10,10 @@
 
 constexpr Duration stopRetryInterval{400}; // A stop takes effect within 200 ms.
 constexpr Duration registryDelay{500}; // Delay until a change of the registry is read here.
+constexpr int minObservedPercent = 25; // Progress that is enough for an extrapolation of the duration.
+constexpr int maxObservedPercentBeforeEnd = 60; // The remainder of a run is observed only if it is long compared with the delay of the lists.
+constexpr WorkerClockMs minOverrunMs = 300; // A run that progresses too little is observed only after this time, since lists are delayed.
+constexpr int overrunFactor = 2; // A run progresses too little if it will take this many times its expected duration.
 
 /// Extrapolates the progress between the previous report and this one. Estimates of task durations are rough, progress is not.
 void updateExpectedEnd(Run &run, int percent, TimePoint now)
@@ -234,6 +238,8 @@
     worker.nextHold = TimePoint();
     worker.blockedUntil = TimePoint();
     worker.failureStreak = 0;
+    worker.speed = WorkerSpeed();
+    worker.nextProbe = TimePoint();
 }
 
 RunEvent WorkerTable::release(Worker &worker, std::map<RunKey, Run>::iterator run, RunProof proof)
@@ -335,6 +341,8 @@
     if (answer.outcome == OrderOutcome::Done) {
         if (run.confirmedClock == 0) {
             run.confirmedClock = answer.clock;
+            // The progress of a run that continues from a checkpoint is not known before it is listed.
+            run.observedClock = run.order.checkpoint.empty() ? answer.clock : 0;
         }
         if (run.phase == RunPhase::Starting) {
             run.phase = RunPhase::Running;
@@ -476,6 +484,9 @@
             unmatchedEnds.push_back(entry);
             continue;
         }
+        if (entry.end == RunEnd::Succeeded) {
+            observeEnd(worker, run->second, reply.clock);
+        }
         events.push_back(release(worker, run, RunProof::fromListedEnd()));
         events.back().entry = entry;
     }
@@ -513,6 +524,7 @@
             --worker.isolatedRuns;
             worker.availabilityGeneration = ++m_generation;
         }
+        observeProgress(worker, run, entry.percent, reply.clock);
         run.percent = entry.percent;
         run.load = entry.load;
         run.checkpoint = entry.checkpoint;
@@ -529,6 +541,64 @@
     }
 }
 
+void WorkerTable::observeProgress(const Worker &worker, Run &run, int percent, WorkerClockMs clock)
+{
+    if (run.isLongRunning || percent >= completePercent || run.phase != RunPhase::Running) {
+        return;
+    }
+    if (run.observedClock == 0 || percent < run.observedPercent) {
+        run.observedClock = clock;
+        run.observedPercent = percent;
+        return;
+    }
+    const WorkerClockMs passed = clock - run.observedClock;
+    const int progress = percent - run.observedPercent;
+    DurationObservation observation{run.task, worker.index, worker.info.incarnation, Duration(0), 0, false, Duration(0)};
+    if (progress >= minObservedPercent) {
+        observation.duration = Duration(passed * completePercent / progress);
+        observation.weight = static_cast<double>(progress) / completePercent;
+    } else {
+        // The lists contain whole percents, so the progress may be almost one percent more.
+        observation.duration = Duration(passed * completePercent / (progress + 1));
+        observation.isLowerBound = true;
+        const bool isOverrun = run.expectedDuration > Duration(0) && passed >= minOverrunMs
+            && Duration(passed) * completePercent > run.expectedDuration * minObservedPercent && observation.duration > run.expectedDuration * overrunFactor;
+        if (!isOverrun) {
+            return;
+        }
+        observation.weight = static_cast<double>(minObservedPercent) / completePercent;
+    }
+    run.observedClock = clock;
+    run.observedPercent = percent;
+    m_observedDurations.push_back(std::move(observation));
+}
+
+void WorkerTable::observeEnd(const Worker &worker, const Run &run, WorkerClockMs clock)
+{
+    if (run.isLongRunning || run.observedClock == 0 || run.phase != RunPhase::Running) {
+        return;
+    }
+    DurationObservation observation{run.task, worker.index, worker.info.incarnation, Duration(0), 0, false, Duration(0)};
+    // The whole run is more accurate than its remainder, since ends are listed with a delay.
+    const bool isWhole = !run.order.task.step.job.isEmpty() && run.order.checkpoint.empty() && run.confirmedClock != 0;
+    const int progress = completePercent - run.observedPercent;
+    observation.weight = static_cast<double>(std::max(progress, minObservedPercent)) / completePercent;
+    if (isWhole) {
+        observation.wholeRun = Duration(clock - run.confirmedClock);
+        observation.duration = observation.wholeRun;
+    } else {
+        observation.duration = Duration((clock - run.observedClock) * completePercent / progress);
+    }
+    if (isWhole || run.observedPercent <= maxObservedPercentBeforeEnd) {
+        m_observedDurations.push_back(std::move(observation));
+    }
+}
+
+std::vector<DurationObservation> WorkerTable::takeObservedDurations()
+{
+    return std::exchange(m_observedDurations, {});
+}
+
 std::vector<RunEvent> WorkerTable::expireLeases(TimePoint now)
 {
     std::vector<RunEvent> events;
@@ -561,6 +631,8 @@
     run.checkpoint = entry.checkpoint;
     run.percent = entry.percent;
     run.percentChangedAt = now;
+    run.observedClock = worker.latestClock;
+    run.observedPercent = entry.percent;
     worker.allocated += run.demand;
     worker.runsOfUnknownDemand += run.isDemandKnown ? 0 : 1;
     incrementRunCount(worker, entry.task.step.job);
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -7,6 +7,7 @@
 #include "runproof.h"
 #include "workerleases.h"
 #include "workerprotocol.h"
+#include "workerspeeds.h"
 
 #include <algorithm>
 #include <deque>
@@ -78,6 +79,9 @@
     int load = 0;
     std::string checkpoint;
     TimePoint percentChangedAt; ///< When percent last changed.
+    Duration expectedDuration{0}; ///< Of the whole run on its worker, as of its start; zero: not known.
+    WorkerClockMs observedClock = 0; ///< The worker's clock at the end of the part of the run that has been observed; 0: nothing is known.
+    int observedPercent = 0; ///< Progress at observedClock.
 
     /// Whether the run has ended with its worker's incarnation: that one listed it, and no start of it can reach the next one.
     [[nodiscard]] bool isLostWithIncarnation() const
@@ -142,6 +146,8 @@
     int unansweredStarts = 0; ///< Consecutive starts without an answer.
     std::uint64_t availabilityGeneration = 1; ///< WorkerTable::generation() when free capacity last grew or the worker last became usable.
     bool wasUsable = false; ///< Result of isUsable() at the last call of updateUsability().
+    WorkerSpeed speed; ///< Of this incarnation, as of the last update of the classes.
+    TimePoint nextProbe; ///< While degraded: earliest start of a run that shows whether the worker is still slow.
 
     /// Whether this incarnation has answered a hold of this leader.
     [[nodiscard]] bool hasAnswered() const
@@ -251,6 +257,8 @@
     Run &adopt(Worker &worker, const RunningEntry &entry, const std::optional<Resources> &demand, const WorkspaceId &workspace, TimePoint now);
     /// Returns the runs on workers that have crashed since the last call. The runs themselves are settled by other events.
     [[nodiscard]] std::vector<RunOnCrashedWorker> takeRunsOnCrashedWorkers();
+    /// Returns the durations that were observed in the workers' lists since the last call.
+    [[nodiscard]] std::vector<DurationObservation> takeObservedDurations();
     /// Advances Worker::acknowledged past the ends whose effects are stored.
     void advanceAcknowledged(Worker &worker, const std::function<bool(const UnacknowledgedEnd &)> &isStored);
     /// The jobs of previous leaders of which runs may exist, or may have ended, on workers whose lists this leader has not read completely;
@@ -279,6 +287,10 @@
     void readEnds(Worker &worker, const HoldReply &reply, std::vector<RunEvent> &events, std::vector<EndedEntry> &unmatchedEnds);
     void
     readRunning(Worker &worker, const HoldReply &reply, TimePoint sent, TimePoint now, std::vector<RunEvent> &events, std::vector<DiscoveredRun> &discovered);
+    /// Adds an observation if the run has progressed enough since the last one, or too little for the time that has passed.
+    void observeProgress(const Worker &worker, Run &run, int percent, WorkerClockMs clock);
+    /// Adds an observation of a run that has succeeded.
+    void observeEnd(const Worker &worker, const Run &run, WorkerClockMs clock);
     /// Whether runs of previous leaders may exist on the worker, or may have ended there, without being listed in a reply to this leader.
     [[nodiscard]] static bool mayHaveUnreportedRuns(const Worker &worker, TimePoint now);
     /// Whether the worker may have runs of earlier leaders and has not answered this one.
@@ -306,6 +318,7 @@
     std::uint64_t m_generation = 1;
     bool m_forgotWorker = false; ///< A worker was removed since records were last made.
     std::vector<RunOnCrashedWorker> m_runsOnCrashedWorkers; ///< Not yet taken.
+    std::vector<DurationObservation> m_observedDurations; ///< Not yet taken.
     /// Runs that were lost by the expiry of their leases.
     struct ExpiredLeases {
         VmId vm;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -421,6 +421,13 @@
     add("task_ends_total", "end=\"other\"", cell.otherEnds);
     add("crash_suspicions_total", "", cell.crashSuspicions);
     add("jobs_given_up_total", "", cell.givenUp);
+    add("speed_observations_total", "", cell.speedObservations);
+    add("speed_class_changes_total", "", cell.speedClassChanges);
+    add("task_starts_on_slow_workers_total", "", cell.startsOnSlowWorkers);
+    const SpeedClassCounts speedClasses = m_leaderController->scheduler().speedClassCounts();
+    for (std::size_t i = 0; i < speedClassCount; ++i) {
+        add("workers_by_speed", std::string("class=\"") + toString(static_cast<SpeedClass>(i)) + "\"", m_leaderController->isActive() ? speedClasses.at(i) : 0);
+    }
     add("worker_stops_total", "", cell.stops);
     add("worker_holds_total", "", cell.holds);
     add("advice_calls_total", "", cell.adviceCalls);
--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -48,6 +48,14 @@
     StartOrder order;
     bool gang = false;
     TimePoint started;
+    int percentBefore = 0; ///< Progress at percentSince.
+    TimePoint percentSince; ///< When the run started, or when the worker's speed last changed.
+
+    [[nodiscard]] int percent(TimePoint now) const
+    {
+        const Duration span = ends - percentSince;
+        return span > Duration(0) ? std::min(percentBefore + static_cast<int>((now - percentSince) * (100 - percentBefore) / span), 99) : 0;
+    }
 };
 
 /// A fake worker.
@@ -64,6 +72,7 @@
     /// Capacities that were replaced, and when.
     std::vector<std::pair<TimePoint, Resources>> formerCapacities;
     bool failsAll = false; ///< Every run fails immediately.
+    double slowness = 1; ///< A run takes this many times its duration; see changeSlowness().
     std::map<TaskRef, FakeCellRun> running;
     std::map<TaskRef, RunNumber> highestRun; ///< Highest run number that was stopped or has ended.
     std::vector<EndedEntry> ended;
@@ -109,6 +118,18 @@
         return limit;
     }
 
+    /// Changes the speed of the worker, also for the rest of its runs.
+    void changeSlowness(double changed, TimePoint now)
+    {
+        for (auto &[task, run] : running) {
+            const int percent = run.percent(now);
+            run.ends = now + Duration(static_cast<std::int64_t>(static_cast<double>((run.ends - now).count()) * changed / slowness));
+            run.percentBefore = percent;
+            run.percentSince = now;
+        }
+        slowness = changed;
+    }
+
     void end(const TaskRef &task, RunEnd outcome, const std::string &checkpoint = std::string())
     {
         const auto run = running.find(task);
@@ -398,8 +419,9 @@
             violations.push_back(order.task.text() + " started after its success was acknowledged");
         }
         const StepSpec &spec = storedJobs.at(order.task.step.job).steps.at(static_cast<std::size_t>(order.task.step.step));
-        const Duration span = duration ? duration(order) : spec.estimate;
-        worker.running[order.task] = FakeCellRun{order.run, now + span, order, spec.gang, now};
+        const Duration nominal = duration ? duration(order) : spec.estimate;
+        const Duration span = Duration(static_cast<std::int64_t>(static_cast<double>(nominal.count()) * worker.slowness));
+        worker.running[order.task] = FakeCellRun{order.run, now + span, order, spec.gang, now, 0, now};
         ++starts;
         Resources used;
         for (const auto &[task, run] : worker.running) {
@@ -479,9 +501,7 @@
         reply.incarnation = worker.info.incarnation;
         reply.clock = worker.clock(now);
         for (const auto &[task, run] : worker.running) {
-            const Duration span = run.ends - run.started;
-            const int percent = span > Duration(0) ? static_cast<int>((now - run.started) * 100 / span) : 0;
-            reply.running.push_back(RunningEntry{task, run.number, {}, std::min(percent, 99), 0});
+            reply.running.push_back(RunningEntry{task, run.number, {}, run.percent(now), 0});
         }
         for (const EndedEntry &end : worker.ended) {
             if (worker.acknowledged < end.number && reply.ended.size() < endsPerReply) {
--- a/test/cell/largecell.h
+++ b/test/cell/largecell.h
@@ -72,10 +72,23 @@
                      {batches, 11.1, 1.5, 24, 2800, 2800, Duration(2200), false, 4.0, Duration(3000), 2, 4, AdviceSettings{140, 2, Duration(2500)}, 45, 0.45}}};
 }
 
+/// The workload "table booking" of docs/hard-load.md without its faults. A third of the workers is 2.4 times slower, see setUnevenSpeeds().
+inline CellLoad tableBookingLoad()
+{
+    return CellLoad{350,
+                    34,
+                    20,
+                    65536,
+                    {{quick, 88, 1, 3, 5000, 2800, Duration(680), false, 1.5, Duration(250), 0, 4, AdviceSettings{9, 0.13, Duration(2500)}, 70, 0.3},
+                     {gangs, 4.77, 1.2, 20, 9000, 8600, Duration(3400), true, 2.2, Duration(1000), 1, 4, AdviceSettings{340, 4.9, Duration(2500)}, 35, 0.3},
+                     {batches, 9.85, 1.5, 25, 3500, 2800, Duration(1900), false, 4.0, Duration(3000), 2, 4, AdviceSettings{80, 1.1, Duration(2500)}, 45, 0.3}}};
+}
+
 class LargeCell
 {
 public:
-    explicit LargeCell(const CellLoad &load, unsigned seed = 20260704) : cell(load.workers, largeCellMilliCores), m_load(load), m_random(seed)
+    explicit LargeCell(const CellLoad &load, unsigned seed = 20260704, std::int64_t milliCores = largeCellMilliCores)
+        : cell(load.workers, milliCores), m_load(load), m_random(seed)
     {
         cell.config->workspaces.clear();
         for (int i = 0; i < load.workspaces; ++i) {
@@ -85,7 +98,7 @@
             addClass(kind);
         }
         for (auto &[id, worker] : cell.workers) {
-            worker.info.capacity = cellResources(largeCellMilliCores, load.memory);
+            worker.info.capacity = cellResources(milliCores, load.memory);
         }
         cell.duration = [this](const StartOrder &order) {
             const LoadClass &kind = classOf(order.payload);
@@ -101,6 +114,15 @@
         cell.run(Duration(500));
     }
 
+    /// Every third worker takes 1.7 times the duration of a task, the others 0.7 times.
+    void setUnevenSpeeds()
+    {
+        int index = 0;
+        for (auto &[id, worker] : cell.workers) {
+            worker.slowness = index++ % 3 == 0 ? 1.7 : 0.7;
+        }
+    }
+
     void startLeadership(std::uint64_t epoch)
     {
         cell.startLeadership(epoch);
