--- a/src/cell/cellpreemption.cpp
+++ b/src/cell/cellpreemption.cpp
@@ -121,7 +121,7 @@
     // With and without the preemption, by the objective and by the time after which the result is worthless.
     const TimePoint endNow = now + result.untilEnd;
     const TimePoint endLater = endNow + expectedStopTime + reservationTime + lost;
-    const Duration after = remainingPath(*step) - step->spec->estimate;
+    const Duration after = timingOf(*step).following;
     const Duration occurrence = step->job->job.interval * step->ref.occurrence;
     const auto becomesLate = [&](TimePoint deadline) { return endNow + after <= deadline + occurrence && endLater + after > deadline + occurrence; };
     result.becomesLate = becomesLate(step->job->softDeadline) || becomesLate(step->job->firmDeadline);
