Consider many waiting gangs by turns instead of in every pass

Cause: with 150 waiting gangs the leader's rounds fell to 37 a second: each pass looked for room for every gang on hundreds of candidates. Change: with more than 24 waiting gangs, only full passes look for room, for the first 24 and for the others every 200 ms; the other passes reserve again what each gang had reserved. News for a gang are considered at once.

--- a/src/cell/cellgangs.cpp
+++ b/src/cell/cellgangs.cpp
@@ -15,8 +15,40 @@
 constexpr int maxStartingGangReservations = 16; // Gangs per pass, other than starving ones, that may reserve capacity while their tickets are renewed.
 constexpr Duration gangRepairTimeout{1200}; // How long a gang member whose start was rejected may be moved to another worker; then the gang restarts.
 
+constexpr int gangsInEveryPass = 24; // Up to this number of waiting gangs, every pass considers all of them.
+constexpr Duration gangTurnInterval{200}; // Interval between two turns of a gang beyond the first gangsInEveryPass.
+
 } // namespace
 
+bool CellScheduler::isWaitingGang(const StepInstance &step)
+{
+    return step.spec->gang && step.active == 0;
+}
+
+bool CellScheduler::isGangDue(StepInstance &step, PlacementPass &pass)
+{
+    const bool isUrgent = pass.hasNews || step.isStarving || hasPendingPreemption(step) || pass.waitingGangs <= gangsInEveryPass;
+    const bool isFirst = pass.isFullPass && pass.consideredGangs < gangsInEveryPass;
+    const bool hasTurn = pass.isFullPass && step.lastGangTurn + gangTurnInterval <= pass.time.now;
+    if (!isUrgent && !isFirst && !hasTurn) {
+        return false;
+    }
+    ++pass.consideredGangs;
+    step.lastGangTurn = pass.time.now;
+    step.gangReservations.clear();
+    return true;
+}
+
+void CellScheduler::reapplyReservations(const StepInstance &step, PlacementPass &pass) const
+{
+    for (const auto &[worker, reserved] : step.gangReservations) {
+        if (m_workers.at(worker) != nullptr) {
+            pass.reservations.add(worker, std::max(reserved.at, pass.time.now), reserved.amount);
+        }
+    }
+    pass.reservingGangs += step.gangReservations.empty() ? 0 : 1;
+}
+
 void CellScheduler::limitToReservations(const StepInstance &step,
                                         const SpeedPreference &preference,
                                         std::vector<CandidateWorker> &candidates,
@@ -139,6 +171,7 @@
     for (const TaskAllocation &allocation : forecast->allocations) {
         const Resources reserved = needsIdle ? m_workers.at(allocation.worker)->info.capacity : step.spec->demand * allocation.tasks;
         pass.reservations.add(allocation.worker, forecast->start, reserved);
+        step.gangReservations.emplace_back(allocation.worker, TimedResources{forecast->start, reserved});
     }
 }
 
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -209,9 +209,11 @@
     rankStarvingStepsFirst(ordered, time.now);
     std::sort(ordered.begin(), ordered.end(), isMoreUrgent);
     limitToTurns(ordered, isFullPass, time.now);
-    PlacementPass pass{orders, time, {}, meanGangTaskDemand(ordered), 0, 0, isFullPass, 0, 0, {}, {}};
+    PlacementPass pass{orders, time, {}, meanGangTaskDemand(ordered), 0, 0, isFullPass, 0, 0, {}, {}, 0, 0, false};
+    pass.waitingGangs = static_cast<int>(std::count_if(ordered.begin(), ordered.end(), [](const OrderedStep &entry) { return isWaitingGang(*entry.second); }));
     for (const auto &[key, step] : ordered) {
         const bool hasChanges = shouldReconsider(*step);
+        pass.hasNews = step->consideredAtGeneration == 0;
         step->consideredAtGeneration = m_workers.generation();
         if (adviceSettings(*step) != nullptr && step->advice.evaluated.empty()) {
             requestAdvice(*step, time.now);
@@ -221,6 +223,10 @@
             step->consideredAtGeneration = 0; // Reconsider as soon as the leader's row has been renewed.
             continue;
         }
+        if (isWaitingGang(*step) && !isGangDue(*step, pass)) {
+            reapplyReservations(*step, pass);
+            continue;
+        }
         if (step->spec->gang && step->active > 0) {
             placeMissingMembers(*step, pass);
         } else if (step->spec->gang && pass.reservingGangs >= maxGangReservations && !isFullPass && !hasChanges && !hasPendingPreemption(*step)) {
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -273,6 +273,12 @@
     /// Leaves the most urgent of the ordered steps and, of the others, those that have waited longest for their turn in such a pass.
     static void limitToTurns(std::vector<OrderedStep> &steps, bool isFullPass, TimePoint now);
     void placeTasks(StepInstance &step, PlacementPass &pass);
+    [[nodiscard]] static bool isWaitingGang(const StepInstance &step);
+    /// Whether this pass looks for room for the waiting gang. With many waiting gangs only full passes do, the later ones by turns, since looking
+    /// takes the time of hundreds of candidates.
+    [[nodiscard]] bool isGangDue(StepInstance &step, PlacementPass &pass);
+    /// Reserves again what the gang reserved at its last turn.
+    void reapplyReservations(const StepInstance &step, PlacementPass &pass) const;
     void placeGang(StepInstance &step, PlacementPass &pass);
     /// Renews the tickets that the gang needs for its forecast start, unless that is too early.
     void renewTicketsForGang(StepInstance &step, const GangForecast &forecast, const std::vector<CandidateWorker> &candidates, TimePoint now);
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -4,6 +4,7 @@
 #include "cellconfig.h"
 #include "celljob.h"
 #include "occurrenceset.h"
+#include "placementplan.h"
 #include "workertable.h"
 
 #include <functional>
@@ -81,6 +82,8 @@
     StepAdvice advice;
     bool isStarving = false; ///< Ranked before all other steps, see CellScheduler::selectStarvingSteps().
     TimePoint nextRoomCount; ///< Until then the step counts as starving without room.
+    std::vector<std::pair<WorkerIndex, TimedResources>> gangReservations; ///< Capacity that the waiting gang reserved at its last turn.
+    TimePoint lastGangTurn; ///< When a pass last looked for room for the waiting gang.
     int missingTasks = 0; ///< Of a gang that has too few allowed workers: tasks that fit on none of them.
     int withheldTasks = 0; ///< Tasks that fit into free capacity with a valid ticket, but not beside the reservations of other steps, in the last pass.
     std::uint64_t consideredAtGeneration = 0; ///< WorkerTable::generation() when placement last considered the step; 0: consider it again.
--- a/src/cell/placementpass.h
+++ b/src/cell/placementpass.h
@@ -27,6 +27,9 @@
     int idleReservations = 0; ///< Workers that are reserved for a suspect as soon as they have no runs.
     std::map<WorkerIndex, std::vector<TimedResources>> idleReleases; ///< Like releases, with one entry: the whole worker after its last run.
     std::map<WorkerIndex, std::vector<TimedResources>> releases; ///< Filled on demand. Candidates point to the entries, whose addresses are stable.
+    int waitingGangs = 0; ///< Gangs of the pass that wait for a start.
+    int consideredGangs = 0; ///< Those of them that were due so far.
+    bool hasNews = false; ///< The present step has an answer or a renewal that no pass has considered yet.
 
     const std::vector<TimedResources> &releasesOf(const Worker &worker)
     {
