Play evacuations in a soak of real daemons

Cause: the order of reads, leaders' changes and lost links around an evacuation was only tested in parts. Change: the soak evacuates a failure domain for 7 to 9 s while other faults go on, and GuaranteeChecker reports starts there later than the platform's bound (5 s; 11 s if the sender is out of touch). The sequences of the other soaks are unchanged.

--- a/test/platform/soak/fakeplatform.cpp
+++ b/test/platform/soak/fakeplatform.cpp
@@ -380,6 +380,7 @@
     const bool isLate = !isLinkCalm(worker.info.address);
     const bool inTouch = !isLate && isInTouch(worker.highestFencingToken);
     m_checker.recordStart(worker.info.id, order, inTouch);
+    m_checker.checkEvacuation(worker.info.domain, order.task, inTouch);
     const StepSpec *spec = m_checker.stepOf(order.task);
     const Duration length = spec != nullptr ? spec->estimate : Duration(100);
     worker.running[order.task] = FakeCellRun{order.run, m_loop.now() + length, order, spec != nullptr && spec->gang, m_loop.now()};
--- a/test/platform/soak/guaranteechecker.cpp
+++ b/test/platform/soak/guaranteechecker.cpp
@@ -10,6 +10,8 @@
 constexpr Duration maxStartDelayAfterCancel{6000}; // This long after the confirmation of a cancellation, no task of the job may start.
 constexpr Duration maxVisibilityDelay{3000}; // By then, every daemon must report an admitted job.
 constexpr Duration shrinkGrace = soakContact + soakHeartbeat; // Until then, the capacity before a worker's shrinking counts.
+constexpr Duration maxEvacuationDelay{5000}; // The platform's bound evacuate_ms.
+constexpr Duration evacuationStretch{6000}; // Added for machines that are not in touch; the platform's bound max_stretch_ms.
 constexpr int crashesToGiveUp = 2; // A job may be given up after this many crashes under one of its tasks.
 constexpr int maxCrashes = 3; // After this many crashes, machines in touch may start the task fewer than maxStartsOverBudget times.
 constexpr int maxStartsOverBudget = 3;
@@ -209,6 +211,32 @@
     return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [this](const auto &record) { return isSucceeded(record.first); }));
 }
 
+void GuaranteeChecker::recordEvacuation(const FailureDomain &domain, bool isEvacuated)
+{
+    if (isEvacuated) {
+        m_evacuatedSince[domain] = m_loop.now();
+    } else {
+        m_evacuatedSince.erase(domain);
+    }
+}
+
+void GuaranteeChecker::checkEvacuation(const FailureDomain &domain, const TaskRef &task, bool inTouch)
+{
+    const Duration allowed = maxEvacuationDelay + (inTouch ? Duration(0) : evacuationStretch);
+    for (const auto &[evacuated, since] : m_evacuatedSince) {
+        const Duration passed = m_loop.now() - since;
+        if (passed > allowed && evacuated == domain) {
+            reportViolation(task.text() + " started in failure domain " + domain.value() + " " + std::to_string(passed.count()) + " ms after its evacuation");
+        }
+        m_startsBesideEvacuations += passed > maxEvacuationDelay && !(evacuated == domain) ? 1 : 0;
+    }
+}
+
+std::size_t GuaranteeChecker::startsBesideEvacuations() const
+{
+    return m_startsBesideEvacuations;
+}
+
 std::size_t GuaranteeChecker::crashes() const
 {
     return m_crashes;
--- a/test/platform/soak/guaranteechecker.h
+++ b/test/platform/soak/guaranteechecker.h
@@ -44,6 +44,10 @@
     void recordCapacity(const WorkerId &worker, const Resources &capacity);
     /// Called after a start. @p isLate: the order may have been sent long before, so any capacity that the worker ever had is allowed.
     void checkCapacity(const WorkerId &worker, const Resources &used, bool isLate, bool inTouch);
+    /// The store has acknowledged the row that evacuates a failure domain, or its removal.
+    void recordEvacuation(const FailureDomain &domain, bool isEvacuated);
+    /// Called after a start in the failure domain.
+    void checkEvacuation(const FailureDomain &domain, const TaskRef &task, bool inTouch);
     void recordEnd(const TaskRef &task, RunEnd end);
     /// Called when the leader acknowledges the end of a run.
     void recordAcknowledged(const TaskRef &task, RunEnd end);
@@ -59,6 +63,8 @@
     [[nodiscard]] std::size_t succeeded() const;
     [[nodiscard]] std::size_t starts() const;
     [[nodiscard]] std::size_t crashes() const;
+    /// Starts in other failure domains while an evacuation had to be in force.
+    [[nodiscard]] std::size_t startsBesideEvacuations() const;
 
 private:
     struct JobRecord {
@@ -83,6 +89,8 @@
     std::vector<std::string> m_violations;
     std::size_t m_starts = 0;
     std::size_t m_crashes = 0;
+    std::map<FailureDomain, TimePoint> m_evacuatedSince;
+    std::size_t m_startsBesideEvacuations = 0;
 };
 
 } // namespace KingCupLadder::SoakTest
--- a/test/platform/soak/soak.cpp
+++ b/test/platform/soak/soak.cpp
@@ -316,6 +316,20 @@
     m_delayedCalls->after(length, [this, worker] { m_workers->setCapacity(worker, 100); });
 }
 
+void Soak::evacuateDomain()
+{
+    const std::string domain = randomBelow(2) == 0 ? "a" : "b";
+    const Duration length = randomDuration(7000, 9000); // Longer than the bound within which an evacuation has to be in force.
+    const RowKey row{"op", {}, "evacuate/" + domain};
+    logFault("failure domain " + domain + " is evacuated for " + std::to_string(length.count()) + " ms");
+    m_store->rows.put(row, "{}");
+    m_checker.recordEvacuation(FailureDomain(domain), true);
+    m_delayedCalls->after(length, [this, row, domain] {
+        m_checker.recordEvacuation(FailureDomain(domain), false);
+        m_store->rows.transact(Transaction{{}, {}, {row}}, Duration(0), [](const StoreAnswer &) {});
+    });
+}
+
 void Soak::faultStore()
 {
     const Duration length = randomDuration(300, 3500);
@@ -388,6 +402,10 @@
         m_nextShrinking = now + randomDuration(500, 1500);
         shrinkWorker();
     }
+    if (m_injectingFaults && m_settings.playsEvacuations && m_nextEvacuation <= now) {
+        m_nextEvacuation = now + randomDuration(9500, 11000); // After the end of the one before.
+        evacuateDomain();
+    }
     m_storage->readLeader([this](bool, const std::optional<LeaderRecord> &leader, RowVersion) {
         if (leader && !leader->holder.isEmpty()) {
             m_leaders[leader->epoch] = leader->holder.value();
@@ -437,6 +455,7 @@
     report.succeeded = m_checker.succeeded();
     report.starts = m_checker.starts();
     report.crashes = m_checker.crashes();
+    report.startsBesideEvacuations = m_checker.startsBesideEvacuations();
     report.faults = m_faults;
     return report;
 }
--- a/test/platform/soak/soak.h
+++ b/test/platform/soak/soak.h
@@ -22,6 +22,7 @@
     int workers = 12;
     Duration faultDuration{12000};
     bool playsCrashes = false; ///< Some jobs have a task that crashes its workers, and workers' capacities shrink and grow again.
+    bool playsEvacuations = false; ///< Failure domains are evacuated for some seconds.
     Duration recoveryTimeout{30000}; ///< Admitted jobs must end within this time after the last fault.
     std::string programPath; ///< Path of kingcupladder-node.
     std::string directory; ///< The daemons' settings and logs are written here.
@@ -33,6 +34,7 @@
     std::size_t succeeded = 0;
     std::size_t starts = 0;
     std::size_t crashes = 0; ///< Under deadly tasks.
+    std::size_t startsBesideEvacuations = 0; ///< In other failure domains while an evacuation had to be in force.
     std::vector<std::string> faults; ///< Injected faults with their times.
 };
 
@@ -65,6 +67,7 @@
     void faultLink(FaultProxy &link, const std::string &name, const std::string &machine);
     void faultStore();
     void shrinkWorker();
+    void evacuateDomain();
     /// Records that a daemon, the store or a worker's link is disturbed for @p length from now.
     void recordDisturbance(const std::string &machine, Duration length);
     [[nodiscard]] bool isCalm(const std::string &machine) const;
@@ -101,6 +104,7 @@
     TimePoint m_nextFault;
     TimePoint m_nextQuery;
     TimePoint m_nextShrinking;
+    TimePoint m_nextEvacuation;
     std::uint64_t m_lastJob = 0;
     int m_configVersion = 0;
     bool m_submitting = false;
