Wait for a place near the data, or for one rack, while that ends the work earlier

Cause: a task with a data rack started on another rack although room near its data was about to be released, and the members of a gang that takes less time on one rack were spread over several. A task waits for a slot of its own on its rack; a gang starts on one rack if it fits there, or compares the forecast start on one rack with a start now.

--- a/src/cell/cellgangs.cpp
+++ b/src/cell/cellgangs.cpp
@@ -40,11 +40,18 @@
     for (const CandidateWorker &candidate : candidates) {
         step.withheldTasks -= std::min(candidate.maxTasks, count);
     }
-    const auto fit = fitGang(candidates, step.spec->demand, count);
+    auto fit = fitGang(candidates, step.spec->demand, count);
     if (!fit) {
         reserveForGang(step, candidatesFor(step, pass, CandidateSet::AllowedWorkersWithReleases), pass);
         return;
     }
+    if (step.spec->sameRack && m_settings.spreadFactor > 1) {
+        if (auto fitOnRack = fitOnOneRack(step, candidates)) {
+            fit = std::move(fitOnRack);
+        } else if (mayWaitForPlace(step) && !needsIdleWorker(step, 0, now) && waitsForOneRack(step, pass)) {
+            return;
+        }
+    }
     RunNumber run;
     for (const CellTask &task : step.tasks) {
         run = std::max(run, nextRun(task), [](RunNumber a, RunNumber b) { return a < b; });
--- a/src/cell/celljob.h
+++ b/src/cell/celljob.h
@@ -32,7 +32,7 @@
     Duration estimate{1000}; ///< Rough duration of one task; often inaccurate.
     std::vector<int> after; ///< Indexes of earlier steps whose tasks must all succeed first.
     bool gang = false; ///< All tasks have to run at the same time.
-    bool sameRack = false; ///< Stored, but not used in placement.
+    bool sameRack = false; ///< A gang that takes less time on one rack.
     bool speculative = false; ///< Several runs of one task may exist at once; a success stops the others. Placement starts only one.
     bool checkpointing = false; ///< Runs report checkpoints from which a later run of the task can continue.
     bool longRunning = false; ///< A service: restarted whenever a run ends, until the job is cancelled.
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -342,6 +342,9 @@
     std::vector<WorkerId> staleTicketWorkers;
     bool hasUnplacedTasks = false;
     step.withheldTasks = 0;
+    const bool mayWait = !step.spec->preferredRack.empty() && mayWaitForPlace(step);
+    std::optional<std::vector<TimePoint>> slotsOnRack; // Determined for the first task that finds no room on its rack.
+    std::size_t waitingForRack = 0;
     for (int index = 0; index < static_cast<int>(step.tasks.size()); ++index) {
         const CellTask &task = step.tasks[static_cast<std::size_t>(index)];
         const bool isStartable = task.phase == CellTaskPhase::Waiting && task.notBefore <= now && task.liveRuns == 0;
@@ -389,10 +392,19 @@
             }
             continue;
         }
+        if (mayWait && bestRank.isOtherRack && !isSuspect && task.failedOn.empty()) {
+            slotsOnRack = slotsOnRack ? slotsOnRack : slotsOnPreferredRack(step, candidates, pass);
+            if (waitingForRack < slotsOnRack->size() && waitsForPlace(step, (*slotsOnRack)[waitingForRack], "its rack", now)) {
+                ++waitingForRack;
+                continue;
+            }
+        }
         startTask(step, index, *m_workers.at(best->worker), nextRun(task), pass);
         best->free = isSuspect ? Resources{} : best->free - step.spec->demand;
         --best->maxTasks;
     }
+    // The room on the rack may only lack a valid ticket.
+    hasUnplacedTasks = hasUnplacedTasks || (waitingForRack > 0 && !staleTicketWorkers.empty());
     if (!hasUnplacedTasks || !advised) {
         return;
     }
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -27,6 +27,7 @@
 struct CellSchedulerSettings {
     WorkerTableSettings workers;
     Duration holdPollTimeout{1000}; ///< Long-poll timeout of a hold, and thereby the longest interval between lease renewals.
+    double spreadFactor = 1; ///< Tasks away from their data, and gangs over several racks, take this many times as long; 1: the place does not matter.
     Duration statusRetention{120000}; ///< How long the state of an ended job can be queried.
 };
 
@@ -87,6 +88,7 @@
     std::uint64_t refused = 0;
     std::uint64_t evacuationsBegun = 0; ///< Also counted while this daemon does not lead.
     std::uint64_t evacuationsEnded = 0; ///< Also counted while this daemon does not lead.
+    std::uint64_t localityWaits = 0; ///< Steps that have waited for a place although they could have started elsewhere.
     std::uint64_t startsStoppedInEvacuation = 0; ///< Unconfirmed starts in an evacuated failure domain that were stopped.
 };
 
@@ -230,6 +232,17 @@
     /// Renews the tickets that the gang needs for its forecast start, unless that is too early.
     void renewTicketsForGang(StepInstance &step, const GangForecast &forecast, const std::vector<CandidateWorker> &candidates, TimePoint now);
     void renewTickets(StepInstance &step, const std::vector<WorkerId> &workers, TimePoint now);
+    /// Whether the step may wait for a place where its work takes less time.
+    [[nodiscard]] bool mayWaitForPlace(const StepInstance &step) const;
+    /// Whether the step waits for a place that is expected to have room at @p placeFree. Logs the first wait of a step.
+    [[nodiscard]] bool waitsForPlace(StepInstance &step, TimePoint placeFree, const std::string &place, TimePoint now);
+    /// Times at which the step's tasks are expected to find room on their preferred rack.
+    [[nodiscard]] std::vector<TimePoint> slotsOnPreferredRack(const StepInstance &step, const std::vector<CandidateWorker> &candidates, PlacementPass &pass);
+    [[nodiscard]] std::map<std::string, std::vector<CandidateWorker>> candidatesByRack(const std::vector<CandidateWorker> &candidates) const;
+    /// Allocates a gang on the workers of one rack; empty if it fits on none.
+    [[nodiscard]] std::optional<std::vector<TaskAllocation>> fitOnOneRack(const StepInstance &step, const std::vector<CandidateWorker> &candidates) const;
+    /// Whether a gang that could start on several racks waits for one rack, which it reserves in that case.
+    [[nodiscard]] bool waitsForOneRack(StepInstance &step, PlacementPass &pass);
     /// Limits the tasks of each candidate so that no reservation is delayed.
     void limitToReservations(const StepInstance &step, std::vector<CandidateWorker> &candidates, const PlacementPass &pass) const;
     void placeMissingMembers(StepInstance &step, PlacementPass &pass);
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -81,6 +81,7 @@
     bool isStarving = false; ///< Ranked before all other steps, see CellScheduler::selectStarvingSteps().
     TimePoint nextRoomCount; ///< Until then the step counts as starving without room.
     int missingTasks = 0; ///< Of a gang that has too few allowed workers: tasks that fit on none of them.
+    TimePoint placeWaitSince; ///< When the step first waited for a place, see CellScheduler::waitsForPlace(); zero: never.
     int withheldTasks = 0; ///< Tasks that fit into free capacity with a valid ticket, but not beside the reservations of other steps, in the last pass.
     std::uint64_t consideredAtGeneration = 0; ///< WorkerTable::generation() when placement last considered the step; 0: consider it again.
     TimePoint lastTurn; ///< When the step last took part in a placement pass that was not a full one.
--- a/src/cell/workerprotocol.h
+++ b/src/cell/workerprotocol.h
@@ -24,6 +24,7 @@
     UpstreamName upstream;
     FailureDomain domain;
     std::vector<std::string> labels; ///< Kind and rack.
+    std::string rack; ///< Empty: unknown.
     Resources capacity;
     bool draining = false;
     Duration remaining{0}; ///< While draining: minimum time until the worker leaves.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -434,6 +434,7 @@
     add("evacuations_total", "change=\"begun\"", cell.evacuationsBegun);
     add("evacuations_total", "change=\"ended\"", cell.evacuationsEnded);
     add("evacuation_starts_stopped_total", "", cell.startsStoppedInEvacuation);
+    add("locality_waits_total", "", cell.localityWaits);
     add("evacuated_domains", "", m_leaderController->scheduler().workers().evacuations().domains().size());
     add("jobs_unfinished", "", m_leaderController->isActive() ? m_leaderController->scheduler().unfinishedJobs() : 0);
     add("leader", "", m_leaderController->isActive() ? 1 : 0);
--- a/test/platform/testdecoders.cpp
+++ b/test/platform/testdecoders.cpp
@@ -201,6 +201,20 @@
     CHECK_FALSE(decodeBootFile("not json", Incarnation(3)).hasValue());
 }
 
+// Guards against waits for a place with a factor that the platform never set, and against a rack that is read from the wrong label.
+TEST(PlatformDecoders, ReadsWhatLocalityIsWorth)
+{
+    const auto factor = [](const std::string &bound) {
+        std::string text = bootText;
+        text.insert(text.find("\"bounds\":{") + 10, bound);
+        return decodeBootFile(text, Incarnation(3)).value().node.leaderController.scheduler.spreadFactor;
+    };
+    DOUBLES_EQUAL(1.5, factor("\"spread_factor\":1.5,"), 0);
+    DOUBLES_EQUAL(1, factor(""), 0);
+    DOUBLES_EQUAL(1, factor("\"spread_factor\":-3,"), 0);
+    STRCMP_EQUAL("r1-3", decodeWorkerRow("w", workerEntry)->rack.c_str());
+}
+
 TEST_GROUP(PlatformFuzz){
     /// Deletes, overwrites and duplicates bytes of @p text, and inserts huge numbers.
     static std::string mutate(std::string text, RandomSource &random){
