--- a/test/platform/soak/soak.cpp
+++ b/test/platform/soak/soak.cpp
@@ -319,7 +319,7 @@
 void Soak::evacuateDomain()
 {
     const std::string domain = randomBelow(2) == 0 ? "a" : "b";
-    const Duration length = randomDuration(7000, 9000); // Longer than the bound within which an evacuation has to be in force.
+    const Duration length = randomDuration(14000, 16000); // Longer than the bound for machines that are not in touch, which is 11 s.
     const RowKey row{"op", {}, "evacuate/" + domain};
     logFault("failure domain " + domain + " is evacuated for " + std::to_string(length.count()) + " ms");
     m_store->rows.put(row, "{}");
@@ -403,7 +403,7 @@
         shrinkWorker();
     }
     if (m_injectingFaults && m_settings.playsEvacuations && m_nextEvacuation <= now) {
-        m_nextEvacuation = now + randomDuration(9500, 11000); // After the end of the one before.
+        m_nextEvacuation = now + randomDuration(16500, 18000); // After the end of the one before.
         evacuateDomain();
     }
     m_storage->readLeader([this](bool, const std::optional<LeaderRecord> &leader, RowVersion) {
--- a/test/platform/soak/testsoak.cpp
+++ b/test/platform/soak/testsoak.cpp
@@ -34,6 +34,7 @@
         + std::to_string(seed);
     settings.playsCrashes = playsCrashes;
     settings.playsEvacuations = playsEvacuations;
+    settings.faultDuration = playsEvacuations ? Duration(20000) : settings.faultDuration; // Longer than an evacuation.
     std::filesystem::remove_all(settings.directory);
     const SoakReport report = Soak(settings).run();
     std::cout << "seed " << seed << ": " << report.admitted << " jobs admitted, " << report.succeeded << " succeeded, " << report.starts << " starts, "
