--- a/src/cell/cellgangs.cpp
+++ b/src/cell/cellgangs.cpp
@@ -83,7 +83,7 @@
     for (const CandidateWorker &candidate : candidates) {
         step.withheldTasks -= std::min(candidate.maxTasks, count);
     }
-    const auto fit = fitGangBySpeed(step, preference, candidates);
+    auto fit = fitGangBySpeed(step, preference, candidates);
     if (!fit && preemptFor(step, pass)) {
         return;
     }
@@ -93,6 +93,13 @@
         reserveForGang(step, allowed, pass);
         return;
     }
+    if (step.spec->sameRack && m_settings.spreadFactor > 1) {
+        if (auto fitOnRack = fitOnOneRack(step, candidates)) {
+            fit = std::move(fitOnRack);
+        } else if (mayWaitForPlace(step) && !needsIdleWorker(step, 0, now) && waitsForOneRack(step, pass)) {
+            return;
+        }
+    }
     step.gangFactor = 0;
     for (const TaskAllocation &allocation : *fit) {
         step.gangFactor = std::max(step.gangFactor, factorOf(*m_workers.at(allocation.worker)));
