Show the use of the policy service in the log and the metrics

Cause: the operators do not see where the time of the policy service goes. Change: the statistics line has the time by priority and purpose and the mean wait for first answers; metrics have both and the number of faulty answers. Tests: none; compiled and linted, not run in a daemon.

--- a/src/node/leadercontroller.cpp
+++ b/src/node/leadercontroller.cpp
@@ -127,6 +127,33 @@
     logStatistics();
 }
 
+namespace {
+
+/// Returns the time of the policy service by priority and purpose, and the waits for first answers, between two counts.
+std::string describeAdvice(const AdviceUsage &before, const AdviceUsage &after)
+{
+    std::string text;
+    for (const auto &[key, usage] : after.calls) {
+        const auto former = before.calls.find(key);
+        const Duration time = usage.serviceTime - (former == before.calls.end() ? Duration(0) : former->second.serviceTime);
+        if (time > Duration(0)) {
+            text += (text.empty() ? "" : ", ") + std::string("priority ") + std::to_string(key.first) + " " + toString(key.second) + " "
+                + std::to_string(time.count()) + " ms";
+        }
+    }
+    for (const auto &[priority, waits] : after.firstAnswers) {
+        const auto found = before.firstAnswers.find(priority);
+        const AdviceUsage::FirstAnswers former = found == before.firstAnswers.end() ? AdviceUsage::FirstAnswers{} : found->second;
+        if (waits.answers > former.answers) {
+            text += ", first answers of priority " + std::to_string(priority) + " after "
+                + std::to_string((waits.totalWait - former.totalWait).count() / static_cast<std::int64_t>(waits.answers - former.answers)) + " ms";
+        }
+    }
+    return text.empty() ? "unused" : text;
+}
+
+} // namespace
+
 void LeaderController::logStatistics()
 {
     const TimePoint now = m_loop.now();
@@ -142,7 +169,8 @@
             "load: " + std::to_string(counters.starts - before.starts) + " starts, " + std::to_string(counters.succeeded - before.succeeded) + " successes, "
                 + std::to_string(m_rounds) + " scheduling rounds, " + std::to_string(counters.holds - before.holds) + " lease renewals, "
                 + std::to_string(counters.adviceCalls - before.adviceCalls) + " advice calls, mean extra delay " + std::to_string(meanDelay) + " ms, "
-                + std::to_string(m_relays.size()) + " relays; " + m_scheduler.describeLoad(now));
+                + std::to_string(m_relays.size()) + " relays, policy service: " + describeAdvice(before.advice, counters.advice) + "; "
+                + m_scheduler.describeLoad(now));
     m_rounds = 0;
     m_adviceAnswers = 0;
     m_adviceExtraDelay = Duration(0);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -424,6 +424,18 @@
     add("worker_stops_total", "", cell.stops);
     add("worker_holds_total", "", cell.holds);
     add("advice_calls_total", "", cell.adviceCalls);
+    for (const auto &[key, usage] : cell.advice.calls) {
+        const std::string labels = "priority=\"" + std::to_string(key.first) + "\",purpose=\"" + toString(key.second) + "\"";
+        add("advice_service_ms_total", labels, static_cast<std::uint64_t>(usage.serviceTime.count()));
+        add("advice_workers_named_total", labels, usage.named);
+    }
+    for (const auto &[priority, waits] : cell.advice.firstAnswers) {
+        const std::string labels = "priority=\"" + std::to_string(priority) + "\"";
+        add("advice_first_answers_total", labels, waits.answers);
+        add("advice_first_answer_wait_ms_total", labels, static_cast<std::uint64_t>(waits.totalWait.count()));
+        add("advice_first_answer_wait_ms_max", labels, static_cast<std::uint64_t>(waits.longestWait.count()));
+    }
+    add("advice_faulty_answers_total", "", cell.advice.faultyAnswers);
     add("jobs_admitted_total", "", cell.admitted);
     add("jobs_refused_total", "", cell.refused);
     add("jobs_unfinished", "", m_leaderController->isActive() ? m_leaderController->scheduler().unfinishedJobs() : 0);
