Rank late steps before steps of the lowest priority that can wait

Cause: a gang that became late while the cell was full waited for as long as a stream of small work of the lowest priority lasted, since that work was in time and took all room before the gang could reserve any. Measured: LateSteps fails without the change and passes with it.

--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-// Offsets added to the priority of a route. The tiers do not overlap as long as route priorities are below 20. Work above its
-// workspace's rate that also misses a deadline gets both offsets.
-constexpr int missedSoftDeadlineTierOffset = 50; // For work that will miss its soft deadline, so that work that can meet it goes first.
-constexpr int missedFirmDeadlineTierOffset = 70; // For work that will miss its firm deadline and be worthless; it goes after late work.
 constexpr std::size_t stepsInEveryPass = 160; // The first steps by priority are considered in every pass; bounds the time of a pass.
 constexpr std::size_t rotatedStepsPerPass = 80; // The others take turns, this many per pass, so that a backlog does not slow down every pass.
 constexpr int overRateTierOffset = 100; // For work above its workspace's rate, which goes last.
@@ -207,6 +203,7 @@
             ordered.back().first.first = isPreempting ? rulesOf(step->job->job)->priority : ordered.back().first.first;
         }
     }
+    rankLateStepsBeforeSlack(ordered, time.now);
     rankStarvingStepsFirst(ordered, time.now);
     std::sort(ordered.begin(), ordered.end(), isMoreUrgent);
     limitToTurns(ordered, isFullPass, time.now);
