--- a/test/cell/largecell.h
+++ b/test/cell/largecell.h
@@ -100,6 +100,25 @@
                      {batches, 9.85, 1.5, 25, 3500, 2800, Duration(1900), false, 4.0, Duration(3000), 2, 4, AdviceSettings{80, 1.1, Duration(2500)}, 45, 0.3}}};
 }
 
+inline const char *const smallGangs = "smallgangs";
+
+/// A cell that is nearly full on average: the instalment lending workload of docs/hard-load.md with 100 of its 350 workers and, in proportion,
+/// fewer jobs.
+inline CellLoad hardLoad()
+{
+    const AdviceSettings quickAdvice{14.3, 0.208, Duration(2500)};
+    const AdviceSettings gangAdvice{455, 6.5, Duration(2500)};
+    const AdviceSettings batchAdvice{104, 1.43, Duration(2500)};
+    return CellLoad{100,
+                    12,
+                    6,
+                    32768,
+                    {{quick, 17.7, 1, 3, 2500, 1500, Duration(1000), false, 1.5, Duration(250), 0, 4, quickAdvice, 70, 0.4},
+                     {smallGangs, 7.57, 1, 3, 2500, 1500, Duration(1000), true, 1.5, Duration(250), 0, 4, quickAdvice, 70, 0.4},
+                     {gangs, 1.69, 1.2, 20, 4500, 3000, Duration(4000), true, 2.2, Duration(1000), 1, 4, gangAdvice, 35, 0.4, 100, 50},
+                     {batches, 3.51, 1.5, 25, 1700, 1500, Duration(2200), false, 4.0, Duration(3000), 2, 4, batchAdvice, 45, 0.4, 100, 80}}};
+}
+
 class LargeCell
 {
 public:
