Stop runs with checkpoints as late as possible on leaving workers

A run with checkpoints was stopped as soon as its worker announced to leave, and a gang by its caller's estimate, which is off by up to a factor of 8.7. Change: a run with checkpoints, also of a gang, that will not end in time is stopped 1 s before the departure (a stop takes up to 900 ms), and any that is left 250 ms before it. The expected end of a gang follows from the progress of its member from 10% on. Other runs and services are stopped as before. Measured: test-cell -v: 251 tests, 1 failure (the known DeadlyTaskAndLeaders one).

--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -11,6 +11,9 @@
 constexpr Duration estimateSlack{500}; // Estimates are rough: a run expected to end this long after its worker's departure may still end before it.
 constexpr Duration departureStopMargin{250}; // Time before departure at which remaining runs are stopped; a stop takes up to 200 ms.
 
+constexpr Duration checkpointStopMargin{1000}; // A stop that saves a checkpoint takes up to 900 ms.
+constexpr int minMeasuredPercent = 10; // Progress from which on the expected end of a gang follows from that of a member.
+
 constexpr Duration minHoldInterval{6}; // Pause between two holds of a worker, so that ends at nearly the same time are read together.
 constexpr Duration pendingEndsHoldInterval{100}; // Pause while ends are unacknowledged, unless the store confirms them earlier.
 constexpr Duration unresponsiveHoldInterval{250}; // Pause between holds of a worker after one of them got no answer.
@@ -418,21 +421,30 @@
         return;
     }
     // If a worker leaves with a run, the run is known to be gone only when its lease has expired. Therefore all runs are ended or
-    // stopped before the departure. There are two cases:
-    // - A movable run (a service or a task with checkpoints) is stopped only if it is expected to end after the departure. A gang is not
-    //   movable, since stopping one of its runs stops all of them.
-    // - Any other run is stopped if it is expected to exceed the departure by more than estimateSlack; if not, it is stopped
-    //   departureStopMargin before the departure.
+    // stopped before the departure:
+    // - A service that is expected to exceed the departure is stopped at once.
+    // - A run with checkpoints loses nothing by a late stop. If it is expected to exceed the departure, it is stopped checkpointStopMargin before.
+    // - Any other run is stopped at once if it is expected to exceed the departure by more than estimateSlack.
+    // - What is left is stopped departureStopMargin before the departure.
+    // All members of a gang are stopped together.
     std::vector<StepInstance *> gangsToStop;
     for (auto &[key, run] : worker.runs) {
         StepInstance *step = m_jobs.findStep(run.task.step);
         if (run.phase != RunPhase::Running || step == nullptr) {
             continue;
         }
-        const TimePoint expected = step->spec->gang ? step->expectedEnd : run.expectedEnd;
-        const bool movable = (step->spec->checkpointing || step->spec->longRunning) && !step->spec->gang;
-        const bool willMissDeparture = expected > worker.expectedDeparture + (movable ? Duration(0) : estimateSlack);
-        if (!willMissDeparture && (movable || now < worker.expectedDeparture - departureStopMargin)) {
+        const TimePoint departure = worker.expectedDeparture;
+        // The progress of a member shows the end of its gang, since the members wait for each other.
+        const TimePoint expected = step->spec->gang && run.percent < minMeasuredPercent ? step->expectedEnd : run.expectedEnd;
+        TimePoint stopAt = departure - departureStopMargin;
+        if (step->spec->longRunning) {
+            stopAt = expected > departure ? now : TimePoint::max();
+        } else if (step->spec->checkpointing && expected > stopAt) {
+            stopAt = departure - checkpointStopMargin;
+        } else if (!step->spec->checkpointing && expected > departure + estimateSlack) {
+            stopAt = now;
+        }
+        if (now < stopAt) {
             continue;
         }
         if (step->spec->gang) {
