Find the slow workers earlier, and no degraded ones among equal workers

Cause: in the simulated table booking workload (350 workers, 1.5 times the average load, tasks of 0.5 to 1.5 times the mean) the groups were separated only after 5.5 s. With equal workers, single long tasks made workers degraded: 38 changes of class, 35 starts counted on such workers. Change: a worker's factor follows its runs faster, the groups need less explained variance in large cells and more in small ones, and a worker is degraded only after two observed runs. A test plays the workload.

--- a/src/cell/workerspeeds.cpp
+++ b/src/cell/workerspeeds.cpp
@@ -17,7 +17,7 @@
 constexpr double routeWeightVariance = 0.04; // Variance of a route's durations above which a comparison with them loses weight.
 constexpr double minRunsOfRoute = 20; // A route's durations are used from this number of runs on.
 constexpr double routeDecay = 0.01; // Weight of a new run in the averages of its route.
-constexpr double minGain = 0.25; // Weight of a new observation however many there were, so that a change of speed is noticed.
+constexpr double minGain = 0.35; // Weight of a new observation however many there were, so that a change of speed is noticed.
 constexpr double streakGain = 0.6; // Weight of an observation that confirms a change of speed.
 constexpr double deviation = 0.7; // Residual (a factor of 2) that may show a change of speed.
 constexpr double maxResidual = 1.2; // Limit on the effect of one run, which may be an exception.
@@ -28,8 +28,11 @@
 constexpr std::size_t minWorkersPerGroup = 2;
 constexpr std::size_t minWorkersForGroups = 6;
 constexpr double minSeparation = 0.262; // log(1.3), the smallest ratio of two groups.
-constexpr double minExplainedVariance = 0.8; // Share of the variance that the groups have to explain; 0.64 for a normal distribution.
-constexpr double separationErrors = 4; // Distance of the groups in standard errors of a worker's factor.
+// Share of the variance that the groups have to explain: 0.64 for a normal distribution, and more by chance if there are few workers.
+constexpr double minExplainedVariance = 0.7;
+constexpr double chanceOfFewWorkers = 0.7; // Added to minExplainedVariance, divided by the square root of the number of workers.
+constexpr double minDegradedCertainty = 2; // A single long task must not make a worker degraded.
+constexpr double separationErrors = 2.5; // Distance of the groups in standard errors of a worker's factor; 1.6 for a normal distribution.
 constexpr double outlierDistance = 1.5; // Distance from the median of factors that are left out when groups are searched.
 constexpr double hysteresis = 0.1; // A worker changes its class only this far beyond the border.
 constexpr double degradedDistance = 0.65; // log(1.9): distance of degraded workers from the mean of the slower group.
@@ -282,8 +285,9 @@
     // The error of a factor that follows each observation with the smallest gain.
     const double error = std::sqrt(variance * minGain / (2 - minGain));
     const double distance = groups.slow - groups.fast;
+    const double minExplained = minExplainedVariance + chanceOfFewWorkers / std::sqrt(static_cast<double>(std::max<std::size_t>(ordinary.size(), 1)));
     m_isSeparated =
-        ordinary.size() >= minWorkersForGroups && groups.explained >= minExplainedVariance && distance >= minSeparation && distance >= separationErrors * error;
+        ordinary.size() >= minWorkersForGroups && groups.explained >= minExplained && distance >= minSeparation && distance >= separationErrors * error;
     m_majority = m_isSeparated && groups.fastCount * 2 < ordinary.size() ? SpeedClass::Slow : SpeedClass::Fast;
     const double degraded = m_isSeparated ? groups.slow + degradedDistance : degradedDistanceUniform;
     double sumOfFactors = 0;
@@ -292,7 +296,7 @@
         const double border = groups.border + (state.speedClass == SpeedClass::Slow ? -hysteresis : hysteresis);
         if (state.weight < minCertainty) {
             state.speedClass = m_majority;
-        } else if (state.logFactor > degraded - (wasDegraded ? 2 * hysteresis : 0)) {
+        } else if (state.weight >= minDegradedCertainty && state.logFactor > degraded - (wasDegraded ? 2 * hysteresis : 0)) {
             state.speedClass = SpeedClass::Degraded;
         } else {
             state.speedClass = m_isSeparated && state.logFactor > border ? SpeedClass::Slow : SpeedClass::Fast;
--- a/test/cell/testlargecell.cpp
+++ b/test/cell/testlargecell.cpp
@@ -48,4 +48,24 @@
     CHECK_NO_VIOLATION(largeCell.cell);
 }
 
+// Guards against urgent jobs that are late on slow workers: the table booking workload at one and a half times its average load, once the
+// speeds are known.
+TEST(LargeCell, KeepsUrgentTasksAwayFromSlowWorkers)
+{
+    LargeCell largeCell(tableBookingLoad(), 1, 32000);
+    largeCell.setUnevenSpeeds();
+    const std::map<std::string, double> load{{quick, 1.5}, {gangs, 1.5}, {batches, 1.5}};
+    largeCell.serve(Duration(5000), load);
+    int urgent = 0;
+    int onSlowWorkers = 0;
+    largeCell.cell.onRunStarted = [&](const FakeCellWorker &worker, const StartOrder &order) {
+        urgent += order.payload == quick ? 1 : 0;
+        onSlowWorkers += order.payload == quick && worker.slowness > 1 ? 1 : 0;
+    };
+    largeCell.serve(Duration(3000), load);
+    CHECK_TRUE(urgent > 500);
+    CHECK_TRUE(onSlowWorkers * 12 < urgent);
+    CHECK_NO_VIOLATION(largeCell.cell);
+}
+
 } // namespace KingCupLadder
