--- a/test/process/fleet.cpp
+++ b/test/process/fleet.cpp
@@ -268,6 +268,11 @@
     return m_pid > 0 && waitid(P_PID, static_cast<id_t>(m_pid), &state, WEXITED | WNOHANG | WNOWAIT) == 0 && state.si_pid == 0;
 }
 
+pid_t Process::pid() const
+{
+    return m_pid;
+}
+
 ProcessFleet::ProcessFleet()
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "kingcupladder-test.XXXXXX").string();
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -59,6 +59,7 @@
     /// Waits for the process to exit and returns its exit code. Empty after @p maxWait or if a signal terminated the process.
     [[nodiscard]] std::optional<int> exitCode(Millis maxWait);
     [[nodiscard]] bool isRunning() const;
+    [[nodiscard]] pid_t pid() const; ///< -1 after the process was waited for.
 
 private:
     pid_t m_pid = -1;
