Bound memory and connections of callers that exceed the limits

Cause: evhttp limits a single body, but not the sum of incomplete requests, the number of connections, the time to send a request, or the input that it reads while it writes a response.

Change: CallerConnections (no I/O) decides which connections are closed and which requests are rejected; one object serves the callers' API, the readiness probe and metrics. HttpFrontend reports bytes and states of its connections to it, bounds the input behind an unread response by a watermark, and accepts at most 32 connections per turn of the event loop. A request that is being handled is never closed. Limits come from limits of the operator's configuration (memory_mb and max_fds of the settings file for the bounds of the process); odd values are logged and replaced by defaults. Closed connections and rejected requests are in the metrics. kingcupladderd keeps its settings and gets the bound behind unread responses.

--- a/src/cell/cellconfig.h
+++ b/src/cell/cellconfig.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cellids.h"
+#include "core/callerlimits.h"
 #include "core/resources.h"
 #include "core/units.h"
 #include "routerules.h"
@@ -44,6 +45,7 @@
     std::vector<CellRoute> routes;
     std::vector<CellUpstream> upstreams;
     std::vector<Workspace> workspaces;
+    CallerLimits callerLimits;
 
     /// Builds the indexes. Must be called after the lists have been filled.
     void buildIndexes();
--- a/src/daemon/httpfrontend.h
+++ b/src/daemon/httpfrontend.h
@@ -1,7 +1,8 @@
 // HTTP server for callers and operators, based on evhttp. Translates between evhttp requests and HttpCall, enforces size limits
-// and detects clients that disconnect.
+// and detects clients that disconnect. Reports its connections to CallerConnections, which decides which of them are closed.
 #pragma once
 
+#include "callerconnections.h"
 #include "core/error.h"
 #include "eventloop.h"
 #include "httptypes.h"
@@ -11,6 +12,10 @@
 #include <string>
 #include <unordered_map>
 
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
+struct evconnlistener;
 struct evhttp;
 struct evhttp_request;
 
@@ -22,6 +27,7 @@
     std::size_t maxHeaders = 32UL * 1024; ///< Bytes of a request's headers.
     std::size_t maxActive = 20000; ///< Concurrent requests; further requests are refused.
     Duration clientIdle{60000}; ///< Client connections are closed after this time without traffic.
+    std::shared_ptr<CallerConnections> connections; ///< Shared by the listeners of a process; null: no bounds over all connections.
 };
 
 class HttpFrontend
@@ -32,6 +38,8 @@
     HttpFrontend(const HttpFrontend &) = delete;
     HttpFrontend &operator=(const HttpFrontend &) = delete;
 
+    /// Applies to new connections, and to later requests of present ones.
+    void setLimits(std::size_t maxHeaders, std::size_t maxBody, Duration clientIdle);
     /// While set, every response closes its connection, so that callers reconnect to other daemons.
     void setClosing(bool closing);
     [[nodiscard]] std::size_t activeCalls() const; ///< Requests without a response.
@@ -40,17 +48,37 @@
 
 private:
     struct PendingRequest;
+    struct Connection;
 
     HttpFrontend(EventLoop &loop, const HttpFrontendSettings &settings, HttpHandler handler);
     void onRequest(evhttp_request *request);
     void onClientDisconnect(PendingRequest *pending);
     void reply(PendingRequest *pending, const HttpResponse &response);
     void sendResponse(evhttp_request *request, const HttpResponse &response);
+    void applyLimits();
+    bufferevent *acceptConnection();
+    [[nodiscard]] Connection *connectionOf(evhttp_request *request);
+    void onInput(const Connection &connection, const evbuffer_cb_info &change);
+    void onOutput(Connection &connection, const evbuffer *output, const evbuffer_cb_info &change);
+    void onResponseWritten(Connection &connection);
+    void closeConnection(bufferevent *events, CloseReason reason);
+    /// Releases the connections that evhttp has freed.
+    void releaseEnded();
+    void release(bufferevent *events);
+    void scheduleEnforcement();
+    void enforceLimits();
 
     EventLoop &m_loop;
     HttpFrontendSettings m_settings;
     HttpHandler m_handler;
     evhttp *m_server = nullptr;
+    evconnlistener *m_listener = nullptr;
+    std::shared_ptr<CallerConnections> m_callerConnections;
+    std::unordered_map<bufferevent *, std::unique_ptr<Connection>> m_connections;
+    std::unique_ptr<EventWatch> m_enforceTimer; ///< Closes connections outside of their own callbacks.
+    std::unique_ptr<EventWatch> m_sweepTimer;
+    bool m_isEnforcementScheduled = false;
+    std::size_t m_acceptedInTurn = 0; ///< Connections since the last run of m_enforceTimer.
     std::unordered_map<PendingRequest *, std::unique_ptr<PendingRequest>> m_pending; ///< Requests without a response.
     bool m_closing = false;
     std::uint64_t m_bytesReceived = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -19,6 +19,7 @@
 // A daemon with an older configuration is not ready, since it can't check API keys. Lower than the default of
 // ConfigWatcherSettings::maxConfigAge, which the platform's settings can change, while this limit is fixed.
 constexpr Duration maxReadyConfigAge{4000};
+constexpr std::size_t maxProbeBodyBytes = 4096;
 const char memberTable[] = "daemons";
 constexpr Duration minLoggedLoopDelay{250}; // About a heartbeat: other daemons may notice it.
 
@@ -62,8 +63,10 @@
         m_loop, m_settings.self, m_settings.leaderController, m_leadership, *m_storage, *m_store, m_codec, *m_workerGateway, m_advice, *m_peers, [this] {
             updateLeadership();
         });
-    m_configWatcher = std::make_unique<ConfigWatcher>(
-        m_loop, *m_store, m_codec, m_settings.config, [this](const std::shared_ptr<const CellConfig> &config) { m_leaderController->setConfig(config); });
+    m_configWatcher = std::make_unique<ConfigWatcher>(m_loop, *m_store, m_codec, m_settings.config, [this](const std::shared_ptr<const CellConfig> &config) {
+        applyCallerLimits(config->callerLimits);
+        m_leaderController->setConfig(config);
+    });
     LeaderAccess access;
     access.sendRequest = [this](PeerMessaging::Envelope peerRequest, Duration timeout, const PeerMessaging::ReplyCallback &callback) {
         sendRequestToLeader(std::move(peerRequest), timeout, callback);
@@ -78,9 +81,10 @@
     };
     m_jobApi = std::make_unique<JobApi>(m_loop, m_settings.jobApi, m_codec, *m_configWatcher, *m_storage, std::move(access));
 
+    m_callerConnections = std::make_shared<CallerConnections>(m_settings.callerBudget);
     HttpFrontendSettings callerFrontend;
     callerFrontend.address = m_settings.callerAddress;
-    callerFrontend.maxBody = m_settings.maxBody;
+    callerFrontend.connections = m_callerConnections;
     auto frontend = HttpFrontend::create(m_loop, callerFrontend, [this](const HttpCallPtr &call) { m_jobApi->handle(call); });
     if (!frontend) {
         return frontend.reason();
@@ -88,6 +92,7 @@
     m_callerServer = std::move(frontend).value();
     HttpFrontendSettings readinessFrontend;
     readinessFrontend.address = m_settings.readyAddress;
+    readinessFrontend.connections = m_callerConnections;
     auto probe = HttpFrontend::create(m_loop, readinessFrontend, [this](const HttpCallPtr &call) {
         HttpResponse response;
         response.status = call->request().path == m_settings.readyPath ? (isReady() ? httpOk : httpUnavailable) : httpNotFound;
@@ -100,6 +105,7 @@
     if (!m_settings.metricsAddress.empty()) {
         HttpFrontendSettings metricsFrontend;
         metricsFrontend.address = m_settings.metricsAddress;
+        metricsFrontend.connections = m_callerConnections;
         auto server = HttpFrontend::create(m_loop, metricsFrontend, [this](const HttpCallPtr &call) {
             HttpResponse response;
             response.body = metrics();
@@ -111,6 +117,7 @@
         }
         m_metricsServer = std::move(server).value();
     }
+    applyCallerLimits(CallerLimits());
     m_configWatcher->start();
     m_tickTimer = EventWatch::repeating(m_loop, tickInterval, [this] {
         const Duration delay = m_loopMonitor.observe(m_loop.now());
@@ -130,6 +137,18 @@
     return true;
 }
 
+void Node::applyCallerLimits(const CallerLimits &limits)
+{
+    m_callerConnections->setLimits(limits);
+    m_callerServer->setLimits(limits.maxHeaderBytes, limits.maxBodyBytes, limits.idleTimeout);
+    // Probes and requests for metrics have no bodies.
+    const std::size_t maxProbeBody = std::min(limits.maxBodyBytes, maxProbeBodyBytes);
+    m_readinessServer->setLimits(limits.maxHeaderBytes, maxProbeBody, limits.idleTimeout);
+    if (m_metricsServer) {
+        m_metricsServer->setLimits(limits.maxHeaderBytes, maxProbeBody, limits.idleTimeout);
+    }
+}
+
 bool Node::isReady() const
 {
     return !m_stopping && m_configWatcher->config() != nullptr && m_configWatcher->age(m_loop.now()) < maxReadyConfigAge;
@@ -437,6 +456,14 @@
     add("store_calls_failed_total", "", m_store->counters().failed);
     add("peer_messages_dropped_total", "", m_peers->counters().dropped);
     add("event_loop_longest_delay_ms", "", static_cast<std::uint64_t>(m_loopMonitor.longest().count()));
+    add("caller_connections", "", m_callerConnections->count());
+    add("caller_bytes_held", "", m_callerConnections->heldBytes());
+    for (const auto &[reason, number] : m_callerConnections->closed()) {
+        add("caller_connections_closed_total", std::string("reason=\"") + toString(reason) + "\"", number);
+    }
+    for (const auto &[reason, number] : m_callerConnections->rejected()) {
+        add("caller_requests_rejected_total", std::string("reason=\"") + toString(reason) + "\"", number);
+    }
     add("members_live", "", m_leadership.isLeader() ? m_leadership.liveMembers(m_loop.now()).size() : 0);
     add("config_age_ms", "", static_cast<std::uint64_t>(std::max<std::int64_t>(m_configWatcher->age(m_loop.now()).count(), 0)));
     return text;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -21,7 +21,7 @@
     std::string readyAddress; ///< "ip:port" for the load balancer's readiness probe.
     std::string readyPath = "/ready";
     std::string metricsAddress; ///< "ip:port"; empty: metrics are not served.
-    std::size_t maxBody = 1024UL * 1024;
+    CallerBudget callerBudget; ///< Of all three HTTP servers together.
     int jobPartitions = 4; ///< Store partitions that jobs are hashed to; must be the same for all daemons of a cell.
     LeadershipSettings leadership;
     LeaderControllerSettings leaderController;
@@ -57,6 +57,7 @@
     void sendRequestToLeader(PeerMessaging::Envelope peerRequest, Duration timeout, const PeerMessaging::ReplyCallback &callback);
     /// Addresses of peers that may relay store calls: the leader, then the members that most recently reported that they reach the store.
     [[nodiscard]] std::vector<std::string> storeRelays() const;
+    void applyCallerLimits(const CallerLimits &limits);
     void registerSelf();
     void discoverMembers();
 
@@ -74,6 +75,7 @@
     std::unique_ptr<ConfigWatcher> m_configWatcher;
     std::unique_ptr<LeaderController> m_leaderController;
     std::unique_ptr<JobApi> m_jobApi;
+    std::shared_ptr<CallerConnections> m_callerConnections;
     std::unique_ptr<HttpFrontend> m_callerServer;
     std::unique_ptr<HttpFrontend> m_readinessServer;
     std::unique_ptr<HttpFrontend> m_metricsServer;
