--- a/test/platform/testdecoders.cpp
+++ b/test/platform/testdecoders.cpp
@@ -31,6 +31,51 @@
 
 TEST_GROUP(PlatformDecoders){};
 
+// Guards against limits for callers that the operator sets without effect.
+TEST(PlatformDecoders, ReadsTheLimitsForCallers)
+{
+    const auto config = decodeConfigRow(R"({"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":9000}})");
+    const CallerLimits &limits = config.value().callerLimits;
+    CHECK_TRUE(limits.maxHeaderBytes == 16384 && limits.maxBodyBytes == 262144);
+    CHECK_TRUE(limits.headerTimeout == Duration(3000) && limits.idleTimeout == Duration(9000));
+}
+
+// Guards against limits of zero or of another type, with which no caller would be served.
+TEST(PlatformDecoders, ReplacesOddLimitsForCallersByDefaults)
+{
+    const CallerLimits defaults;
+    for (const char *odd : {"0", "-1", "\"many\"", "1e300", "[]"}) {
+        const std::string value = odd;
+        const auto config = decodeConfigRow(R"({"limits":{"max_header_bytes":)" + value + R"(,"max_body_bytes":)" + value + R"(,"header_timeout_ms":)" + value
+                                            + R"(,"idle_timeout_ms":)" + value + "}}");
+        const CallerLimits &limits = config.value().callerLimits;
+        CHECK_TRUE(limits.maxHeaderBytes == defaults.maxHeaderBytes && limits.maxBodyBytes == defaults.maxBodyBytes);
+        CHECK_TRUE(limits.headerTimeout == defaults.headerTimeout && limits.idleTimeout == defaults.idleTimeout);
+    }
+}
+
+// Guards against bounds for callers that do not follow the machine's memory and descriptors.
+TEST(PlatformDecoders, DerivesTheBudgetForCallersFromTheMachine)
+{
+    std::string text = bootText;
+    text.replace(text.find("\"cores\":1"), 9, R"("cores":1,"memory_mb":120,"max_fds":3075)");
+    const auto boot = decodeBootFile(text, Incarnation(1));
+    LONGS_EQUAL(120 * 1024 * 1024 / 16, boot.value().node.callerBudget.maxBytes);
+    LONGS_EQUAL(1025, boot.value().node.callerBudget.maxConnections);
+    CHECK_TRUE(boot.value().warnings.empty());
+}
+
+// Guards against odd values in the settings file that leave no room for callers, or are replaced silently.
+TEST(PlatformDecoders, ReplacesOddLimitsOfTheMachineByDefaults)
+{
+    std::string text = bootText;
+    text.replace(text.find("\"cores\":1"), 9, R"("cores":1,"memory_mb":0,"max_fds":"many")");
+    const auto boot = decodeBootFile(text, Incarnation(1));
+    LONGS_EQUAL(CallerBudget().maxBytes, boot.value().node.callerBudget.maxBytes);
+    LONGS_EQUAL(CallerBudget().maxConnections, boot.value().node.callerBudget.maxConnections);
+    LONGS_EQUAL(2, boot.value().warnings.size());
+}
+
 // Guards against losing a constraint of a step when it is decoded.
 TEST(PlatformDecoders, ReadsEveryFieldOfAStep)
 {
