Initialise the progress of runs in the soak's fake workers

Cause: FakeCellRun has two more members, which the fake platform of the soak left out. Change: it passes them. Measured: fakeplatform.cpp compiles; the soak was not run.

--- a/test/platform/soak/fakeplatform.cpp
+++ b/test/platform/soak/fakeplatform.cpp
@@ -382,7 +382,7 @@
     m_checker.recordStart(worker.info.id, order, inTouch);
     const StepSpec *spec = m_checker.stepOf(order.task);
     const Duration length = spec != nullptr ? spec->estimate : Duration(100);
-    worker.running[order.task] = FakeCellRun{order.run, m_loop.now() + length, order, spec != nullptr && spec->gang, m_loop.now()};
+    worker.running[order.task] = FakeCellRun{order.run, m_loop.now() + length, order, spec != nullptr && spec->gang, m_loop.now(), 0, m_loop.now()};
     Resources used;
     for (const auto &[running, run] : worker.running) {
         used += m_checker.stepOf(running) != nullptr ? m_checker.stepOf(running)->demand : Resources{};
