--- a/src/cell/cellgangs.cpp
+++ b/src/cell/cellgangs.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// A gang asks about further workers while its allowed workers fit fewer tasks than this factor when they are idle. With 8, such calls took almost half
-// of the time of the policy service on the instalment lending workload, and no more gangs ended in time.
-constexpr int minAllowedSlotsPerTask = 4;
 constexpr int minAllowedSlotsOfStarving = 8; // A starving gang has room, possibly only on workers that it has not asked about.
 constexpr int maxStartingGangReservations = 16; // Gangs per pass, other than starving ones, that may reserve capacity while their tickets are renewed.
 constexpr Duration gangRepairTimeout{1200}; // How long a gang member whose start was rejected may be moved to another worker; then the gang restarts.
