Limit the earlier rank of late steps to gangs

Change: only late gangs come before steps of the lowest priority that can wait; other late work is ranked as before. LateGangs passes; it fails without the order.

--- a/src/cell/cellorder.cpp
+++ b/src/cell/cellorder.cpp
@@ -1,4 +1,4 @@
-// Order of late steps among the waiting steps of CellScheduler.
+// Order of late gangs among the waiting steps of CellScheduler.
 #include "placementpass.h"
 
 #include <algorithm>
@@ -9,27 +9,30 @@
 
 // About the duration of a task. Steps of the lowest priority whose latest start is nearer keep their place, so that they do not become late.
 constexpr Duration minSlackToWait{2000};
+constexpr int lateGangTierOffset = 20; // For late gangs that come before work that can wait.
+constexpr int canWaitTier = 45; // For work of the lowest priority that can wait for them; before all other late work.
 
 } // namespace
 
-void CellScheduler::rankLateStepsBeforeSlack(std::vector<OrderedStep> &steps, TimePoint now) const
+void CellScheduler::rankLateGangsBeforeSlack(std::vector<OrderedStep> &steps, TimePoint now) const
 {
-    const auto isLate = [](int tier) { return tier >= missedSoftDeadlineTierOffset && tier < missedFirmDeadlineTierOffset; };
     int lowest = 0;
     for (const auto &[key, step] : steps) {
         lowest = std::max(lowest, key.first < missedSoftDeadlineTierOffset ? key.first : 0);
     }
-    const int firstTierOfLowest = missedSoftDeadlineTierOffset + lowest;
-    const bool hasLateStepOfHigherPriority =
-        std::any_of(steps.begin(), steps.end(), [&](const OrderedStep &entry) { return isLate(entry.first.first) && entry.first.first < firstTierOfLowest; });
-    if (!hasLateStepOfHigherPriority) {
+    const auto mayMove = [lowest](const OrderedStep &entry) {
+        const int tier = entry.first.first;
+        return entry.second->spec->gang && tier >= missedSoftDeadlineTierOffset && tier < missedSoftDeadlineTierOffset + lowest;
+    };
+    if (std::none_of(steps.begin(), steps.end(), mayMove)) {
         return;
     }
-    for (auto &[key, step] : steps) {
-        if (key.first == lowest && key.second > now + minSlackToWait) {
-            key.first = firstTierOfLowest; // After the late steps of higher priorities.
-        } else if (isLate(key.first) && key.first >= firstTierOfLowest) {
-            ++key.first;
+    for (OrderedStep &entry : steps) {
+        int &tier = entry.first.first;
+        if (mayMove(entry)) {
+            tier += lateGangTierOffset - missedSoftDeadlineTierOffset;
+        } else if (tier == lowest && entry.first.second > now + minSlackToWait) {
+            tier = canWaitTier;
         }
     }
 }
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -203,7 +203,7 @@
             ordered.back().first.first = isPreempting ? rulesOf(step->job->job)->priority : ordered.back().first.first;
         }
     }
-    rankLateStepsBeforeSlack(ordered, time.now);
+    rankLateGangsBeforeSlack(ordered, time.now);
     rankStarvingStepsFirst(ordered, time.now);
     std::sort(ordered.begin(), ordered.end(), isMoreUrgent);
     limitToTurns(ordered, isFullPass, time.now);
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -219,8 +219,8 @@
     [[nodiscard]] bool isStarvationDue(const StepInstance &step, bool isHalfEmpty, TimePoint now) const;
     /// Sets StepInstance::isStarving for the steps that have waited longest and can start while the cell has room, so that none waits for ever.
     void selectStarvingSteps(const std::vector<StepInstance *> &steps, TimePoint now) const;
-    /// Moves late steps before steps of the lowest priority that can wait for them.
-    void rankLateStepsBeforeSlack(std::vector<OrderedStep> &steps, TimePoint now) const;
+    /// Moves late gangs before steps of the lowest priority that can wait for them.
+    void rankLateGangsBeforeSlack(std::vector<OrderedStep> &steps, TimePoint now) const;
     /// Moves the starving steps to the front.
     void rankStarvingStepsFirst(std::vector<OrderedStep> &steps, TimePoint now) const;
     /// Leaves the most urgent of the ordered steps and, of the others, those that have waited longest for their turn in such a pass.
--- a/src/cell/placementpass.h
+++ b/src/cell/placementpass.h
@@ -11,9 +11,9 @@
 
 /// A run that is due or is being stopped is assumed to continue for at least this time.
 constexpr Duration overrunEstimate{200};
-/// Offsets added to the priority of a route. The tiers do not overlap as long as route priorities are below 19. Work above its workspace's
+/// Offsets added to the priority of a route. The tiers do not overlap as long as route priorities are below 20. Work above its workspace's
 /// rate that also misses a deadline gets both offsets. This one is for work that will miss its soft deadline, so that work that can meet it goes
-/// first; see also CellScheduler::rankLateStepsBeforeSlack().
+/// first; see also CellScheduler::rankLateGangsBeforeSlack().
 constexpr int missedSoftDeadlineTierOffset = 50;
 /// For work that will miss its firm deadline and be worthless; it goes after late work.
 constexpr int missedFirmDeadlineTierOffset = 70;
--- a/test/cell/testlatesteps.cpp
+++ b/test/cell/testlategangs.cpp
@@ -1,4 +1,4 @@
-// The order of late steps among others.
+// The order of late gangs among other steps.
 #include "fakecell.h"
 
 #include <CppUTest/TestHarness.h>
@@ -31,11 +31,11 @@
 
 } // namespace
 
-TEST_GROUP(LateSteps){};
+TEST_GROUP(LateGangs){};
 
 // Guards against gangs that wait for as long as a stream of small work of a lower priority lasts: having become late while the cell was full,
 // a gang came after that work, although it could wait.
-TEST(LateSteps, StartALateGangDespiteAStreamOfSmallWork)
+TEST(LateGangs, StartDespiteAStreamOfSmallWork)
 {
     FakeCell cell(workerCount, wholeWorker);
     cell.startLeadership();
