--- a/src/cell/advicedispatcher.cpp
+++ b/src/cell/advicedispatcher.cpp
@@ -14,8 +14,7 @@
 constexpr Duration failurePause{300}; // Pause of a daemon after a call that was not answered; doubled for each further one in a row.
 constexpr Duration maxFailurePause{2000};
 constexpr int maxFailureDoublings = 3; // Reaches maxFailurePause.
-// One in this many daemons is kept for urgent calls while there are any. Without that, the longest wait for an urgent first answer rose from 95 to 200 ms
-// on the instalment lending workload, since urgent calls do not wait behind long ones.
+// One in this many daemons is kept for urgent calls while there are any, since these do not wait behind long ones and would find no free daemon.
 constexpr std::size_t daemonsPerUrgentDaemon = 8;
 constexpr double maxLateShare = 1.0 / 3; // Of the daemons, for calls of late steps while calls of steps in time wait.
 constexpr Duration inTimeMemory{1000}; // Calls of steps in time count as waiting for this long, since they arrive at irregular intervals.
--- a/src/cell/advicequery.cpp
+++ b/src/cell/advicequery.cpp
@@ -13,10 +13,9 @@
 constexpr double maxWeight = 2000; // The share follows a change of the policy within a few times this number of named workers.
 constexpr double minShare = 0.05; // Bounds the length of calls if a policy allows almost nothing.
 constexpr double gangSlotMargin = 4.0 / 3; // Other steps take some of the slots before the answer, and the number of allowed workers varies.
-// On a nearly full cell, a margin of 4/3 led to half as many second calls again as this one, each of which costs as much as 70 named workers.
-constexpr double singleSlotMargin = 1.8;
+constexpr double singleSlotMargin = 1.8; // A second call has a fixed cost as high as that of about 70 named workers, so a first one names more.
 constexpr double noWorkerProbability = 0.001; // Accepted probability that none of the named workers is allowed.
-constexpr std::size_t minWorkers = 16; // With 8, a fifth of the urgent steps asked again during a burst.
+constexpr std::size_t minWorkers = 16; // With fewer, urgent steps have to ask again during a burst, when the first workers are full.
 
 } // namespace
 
--- a/src/cell/cellspeeds.cpp
+++ b/src/cell/cellspeeds.cpp
@@ -18,8 +18,7 @@
 constexpr double negligibleRatio = 0.1; // Smaller corrections are not applied.
 constexpr Duration endReportDelay{50}; // A success counts only once it has been listed and stored.
 constexpr double durationMargin = 1.1; // Durations of the tasks of a step differ.
-// A slow worker is preferred only with this margin, since the slowest task decides when a step ends: without it, 1,721 of 4,116 urgent tasks of a
-// simulated table booking cell went to slow workers, and 0.71 of their jobs were in time instead of 0.82.
+// A slow worker is preferred only with this margin, since the slowest task decides when a step ends.
 constexpr double slowPreferenceMargin = 1.5;
 constexpr int degradedOrder = 4; // After all other workers.
 constexpr Duration maxWaitForFast{1000}; // A step waits at most this long for fast workers while slow ones are free.
