Let late calls use free daemons, and predict waits from the queue that is there

Late calls might use only a third of the daemons, jobs above their rate were not counted behind late work, and the forecast did not see that calls had already waited for seconds. Change: only long late calls are limited; the mean wait of the calls of a tier bounds its forecast; jobs above their rate wait behind all other work; the first calls of gangs are as short as before.

--- a/src/cell/advicedispatcher.cpp
+++ b/src/cell/advicedispatcher.cpp
@@ -16,7 +16,8 @@
 constexpr int maxFailureDoublings = 3; // Reaches maxFailurePause.
 // One in this many daemons is kept for urgent calls while there are any, since these do not wait behind long ones and would find no free daemon.
 constexpr std::size_t daemonsPerUrgentDaemon = 8;
-constexpr double maxLateShare = 1.0 / 3; // Of the daemons, for calls of late steps while calls of steps in time wait.
+constexpr double maxLateShare = 1.0 / 3; // Of the daemons, for long calls of late steps while calls of steps in time wait.
+constexpr int minCallsForAge = 8; // Fewer waiting calls tell little about the wait of the next one.
 constexpr Duration inTimeMemory{1000}; // Calls of steps in time count as waiting for this long, since they arrive at irregular intervals.
 constexpr double durationLearningRate = 0.1; // Weight of one answer; ten to twenty answers establish a change.
 constexpr double minDurationFactor = 0.5;
@@ -111,8 +112,8 @@
             best = daemon;
         }
     }
-    const bool isExcluded =
-        (isLong && longBusyDaemons >= maxLongBusyDaemons) || (rank.isLate && isLateWorkLimited(now)) || (!isUrgent(call, rank) && isOnlyUrgentReserveLeft(now));
+    const bool isExcluded = (isLong && longBusyDaemons >= maxLongBusyDaemons) || (isLong && rank.isLate && isLateWorkLimited(now))
+        || (!isUrgent(call, rank) && isOnlyUrgentReserveLeft(now));
     return isExcluded ? m_daemonStates.end() : best;
 }
 
@@ -214,14 +215,22 @@
         return Duration(0);
     }
     Duration queued{0};
+    Duration ages{0};
+    int sameTier = 0;
     for (const auto &[arrival, waiting] : m_waiting) {
         queued += waiting.rank.tier <= tier ? expectedDuration(waiting.call) : Duration(0);
+        if (waiting.rank.tier == tier && !waiting.call.isRenewal) {
+            ages += now - waiting.call.queuedAt;
+            ++sameTier;
+        }
     }
+    // The leader or the network may limit the calls rather than the service, so the wait of the calls of the same tier so far counts too.
+    const Duration meanAge = sameTier >= minCallsForAge ? ages / sameTier : Duration(0);
     Duration firstFree = Duration::max();
     for (const auto &[id, daemon] : m_daemonStates) {
         firstFree = std::min(firstFree, daemon.inFlight > 0 ? std::max(daemon.busyUntil - now, Duration(0)) : Duration(0));
     }
-    return firstFree + queued / static_cast<int>(std::max<std::size_t>(answeringDaemons(now), 1));
+    return std::max(meanAge, firstFree + queued / static_cast<int>(std::max<std::size_t>(answeringDaemons(now), 1)));
 }
 
 double AdviceDispatcher::durationFactor() const
--- a/src/cell/celladvice.cpp
+++ b/src/cell/celladvice.cpp
@@ -13,7 +13,6 @@
 constexpr double spareWorkersShare =
     0.5; // A renewal of a gang names this many more workers than the gang needs, since other steps may take capacity meanwhile.
 constexpr Duration gangRenewalLead{250}; // Tickets of a gang are renewed this much earlier than its start requires.
-constexpr double busyCellShare = 0.5; // Allocated CPU above which gangs name workers for a later start as well.
 constexpr Duration latestStartSpan{500}; // Steps whose latest starts are in the same span rank by their gain.
 constexpr int maxAdviceErrorsLogged = 5; // Per second.
 constexpr std::int64_t freeCpuBucketMilliCores = 2000; // Workers in the same bucket of free CPU are treated as equally free.
@@ -136,16 +135,11 @@
     const double share = m_allowedShares.share(step.job->job.route);
     const int wanted = slotsToName(std::max(step.waiting, 1), step.spec->gang, share);
     const std::size_t minWorkers = minWorkersToName(share);
-    // On a busy cell, a gang hardly finds room at once. A longer first call costs less than another one about further workers.
-    const bool isCellBusy = step.spec->gang && allocatedShare() > busyCellShare;
-    const double wantedIdle = isCellBusy ? step.spec->count * minAllowedSlotsPerTask / share : 0;
     std::vector<WorkerId> workers;
     int taskSlots = 0;
-    int idleSlots = 0;
-    for (std::size_t i = 0; i < callSize && (taskSlots < wanted || idleSlots < wantedIdle || workers.size() < minWorkers); ++i) {
+    for (std::size_t i = 0; i < callSize && (taskSlots < wanted || workers.size() < minWorkers); ++i) {
         const Worker &worker = *std::get<const Worker *>(rankedWorkers[i]);
         taskSlots += tasksThatFit(step.spec->demand, worker.free(), perWorker);
-        idleSlots += tasksThatFit(step.spec->demand, worker.info.capacity, perWorker);
         workers.push_back(worker.info.id);
     }
     return workers;
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -265,10 +265,10 @@
     const Duration maxWait = objective * firmDeadlineFactor - criticalPathLength(job.steps);
     const Duration admissibleWait(static_cast<std::int64_t>(static_cast<double>(maxWait.count()) * admissionSafetyFactor));
     if (overRate) {
-        // It may use what other work leaves free. Work in time of any priority comes before it.
-        WaitingWork amongInTime = inTime;
-        amongInTime.tier = missedSoftDeadlineTierOffset - 1;
-        const Duration waitForOthers = predictedWait(amongInTime, time.now);
+        // It may use what other work leaves free. All work within the rates of its workspaces comes before it, also late work.
+        WaitingWork last = inTime;
+        last.tier = overRateTierOffset - 1;
+        const Duration waitForOthers = predictedWait(last, time.now);
         if (waitForOthers > busyWaitThreshold) {
             decision.verdict = AdmissionVerdict::OverRate;
             const TokenBucket &bucket = m_tokenBuckets[job.workspace];
