--- a/bench/backlogrun.cpp
+++ b/bench/backlogrun.cpp
@@ -51,6 +51,7 @@
         config->buildIndexes();
         m_scheduler.setConfig(config, m_now);
         std::vector<DaemonId> daemons;
+        daemons.reserve(daemonCount);
         for (int i = 0; i < daemonCount; ++i) {
             daemons.emplace_back("d" + std::to_string(i));
         }
--- a/test/cell/testadvicedispatcher.cpp
+++ b/test/cell/testadvicedispatcher.cpp
@@ -37,6 +37,7 @@
 std::vector<DaemonId> daemons(int number)
 {
     std::vector<DaemonId> ids;
+    ids.reserve(static_cast<std::size_t>(number));
     for (int i = 0; i < number; ++i) {
         ids.emplace_back("d" + std::to_string(i));
     }
--- a/test/platform/soak/fakeplatform.cpp
+++ b/test/platform/soak/fakeplatform.cpp
@@ -383,7 +383,8 @@
     m_checker.checkEvacuation(worker.info.domain, order.task, inTouch);
     const StepSpec *spec = m_checker.stepOf(order.task);
     const Duration length = spec != nullptr ? spec->estimate : Duration(100);
-    worker.running[order.task] = FakeCellRun{order.run, m_loop.now() + length, order, spec != nullptr && spec->gang, m_loop.now(), Duration(0), 0, m_loop.now()};
+    worker.running[order.task] =
+        FakeCellRun{order.run, m_loop.now() + length, order, spec != nullptr && spec->gang, m_loop.now(), Duration(0), 0, m_loop.now()};
     Resources used;
     for (const auto &[running, run] : worker.running) {
         used += m_checker.stepOf(running) != nullptr ? m_checker.stepOf(running)->demand : Resources{};
