--- a/test/cell/testadvicedispatcher.cpp
+++ b/test/cell/testadvicedispatcher.cpp
@@ -104,14 +104,14 @@
     AdviceDispatcher dispatcher;
     dispatcher.setDaemons(daemons(3));
     for (int i = 0; i < 4; ++i) {
-        dispatcher.add(callOf("intime" + std::to_string(i), Duration(20)));
-        dispatcher.add(callOf("late" + std::to_string(i), Duration(20)));
+        dispatcher.add(callOf("intime" + std::to_string(i), Duration(100)));
+        dispatcher.add(callOf("late" + std::to_string(i), Duration(100)));
     }
     TimePoint now = start;
     for (const std::size_t expected : {3U, 3U, 2U}) {
         const auto calls = dispatch(dispatcher, now);
         CHECK_EQUAL(expected, calls.size());
-        now += Duration(20);
+        now += Duration(100);
         for (const AdviceCall &call : calls) {
             (void)dispatcher.finish(call.id, true, now);
         }
