Answer rejections before the handler with JSON

Callers saw: an HTML page instead of the documented JSON error where a request was malformed, too large or had an unknown method. Cause: evhttp answers such requests itself, without calling the handler, and has no hook for the text of the response. Change: HttpFrontend replaces the page in the output buffer before the loop can send it. The rejection by HttpFrontend of a body over a limit that was lowered has the same body instead of an empty one. Ruled out: a deferred call of the loop runs after the next wait for events, when the page has been sent; so EventWatch::activate(). A status 431 for long headers: evhttp reports them like a malformed request (400). Tests: HttpFrontendLimits.RejectionsBeforeTheHandlerHaveJsonBodies, failed before with Content-Type text/html. The rejection at the bound on bytes (429, Retry-After, not run), and a 413 that arrives while the body is being sent, were right already and are tested now. Measured: test-daemon passes.

--- a/src/daemon/eventloop.cpp
+++ b/src/daemon/eventloop.cpp
@@ -167,6 +167,11 @@
     event_add(m_event, &value);
 }
 
+void EventWatch::activate()
+{
+    event_active(m_event, EV_TIMEOUT, 0);
+}
+
 void EventWatch::stop()
 {
     event_del(m_event);
--- a/src/daemon/eventloop.h
+++ b/src/daemon/eventloop.h
@@ -69,6 +69,8 @@
     /// Starts or restarts a timer. Must not be called for other watches.
     void start(Duration timeout);
     void stop();
+    /// Calls the handler after the events that are active already, before the loop waits for further events.
+    void activate();
 
 private:
     EventWatch(EventLoop &loop, int descriptor, short flags, Handler handler);
--- a/src/daemon/httpfrontend.cpp
+++ b/src/daemon/httpfrontend.cpp
@@ -27,6 +27,8 @@
 constexpr std::int64_t millisecondsPerSecond = 1000;
 constexpr std::int64_t microsecondsPerMillisecond = 1000;
 constexpr int httpPayloadTooLarge = 413;
+constexpr int httpExpectationFailed = 417;
+constexpr int httpNotImplemented = 501;
 constexpr int firstErrorStatus = 400;
 // evhttp goes on reading while it writes a response. This is the input that it may hold then, besides one read of 16 KiB.
 constexpr std::size_t maxInputBehindResponse = 16UL * 1024;
@@ -109,6 +111,46 @@
     }
 }
 
+const char *reasonPhrase(int status)
+{
+    switch (status) {
+    case httpPayloadTooLarge:
+        return "Payload Too Large";
+    case httpNotImplemented:
+        return "Not Implemented";
+    case httpExpectationFailed:
+        return "Expectation Failed";
+    default:
+        return "Bad Request";
+    }
+}
+
+/// Describes the rejection of a request by evhttp, which has not reached a handler.
+Error errorOfStatus(int status)
+{
+    switch (status) {
+    case httpPayloadTooLarge:
+        return {ErrorKind::InvalidInput, "the request is larger than the limit", "send a smaller request"};
+    case httpNotImplemented:
+        return {ErrorKind::InvalidInput, "the method is not supported", "use a method of the documented API"};
+    case httpExpectationFailed:
+        return {ErrorKind::InvalidInput, "the expectation of the request can't be met", "send the request without the header 'Expect'"};
+    default:
+        return {ErrorKind::InvalidInput, "the request is not valid HTTP", "check how the request is built"};
+    }
+}
+
+/// Returns the whole response to a request that evhttp has rejected, for a connection that is closed after it.
+std::string rejectionText(int status)
+{
+    const HttpResponse response = errorResponse(errorOfStatus(status));
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
+    for (const auto &[name, value] : response.headers) {
+        text.append(name).append(": ").append(value).append("\r\n");
+    }
+    return text + "Content-Length: " + std::to_string(response.body.size()) + "\r\nConnection: close\r\n\r\n" + response.body;
+}
+
 /// Returns the status at the start of a response; 0 if there is none.
 int statusOf(const evbuffer *output)
 {
@@ -178,6 +220,7 @@
     evhttp_set_bevcb(
         server, [](event_base *, void *self) { return static_cast<HttpFrontend *>(self)->acceptConnection(); }, frontend.get());
     frontend->m_enforceTimer = EventWatch::timer(loop, [self = frontend.get()] { self->enforceLimits(); });
+    frontend->m_errorPageWatch = EventWatch::timer(loop, [self = frontend.get()] { self->replaceErrorPages(); });
     frontend->m_sweepTimer = EventWatch::repeating(loop, sweepInterval, [self = frontend.get()] { self->enforceLimits(); });
     return frontend;
 }
@@ -303,11 +346,28 @@
             m_callerConnections->onResponse(connection.id, m_loop.now());
             bufferevent_setwatermark(connection.events, EV_READ, 0, maxInputBehindResponse);
             logRateLimited(LogComponent::Http, LogLevel::Warning, toString(reason), std::string("a request was rejected: ") + toString(reason));
+            m_errorPages.push_back(connection.events);
+            m_errorPageWatch->activate(); // evhttp is still writing the page; nothing is sent before the loop waits for events.
         }
     }
     m_callerConnections->onOutput(connection.id, change.orig_size + change.n_added - change.n_deleted, m_loop.now());
 }
 
+void HttpFrontend::replaceErrorPages()
+{
+    for (bufferevent *events : std::exchange(m_errorPages, {})) {
+        if (m_connections.count(events) == 0 || !isInUse(events)) {
+            continue;
+        }
+        evbuffer *output = bufferevent_get_output(events);
+        const std::string response = rejectionText(statusOf(output));
+        evbuffer_unfreeze(output, 1); // The bufferevent keeps others from removing what it is about to send.
+        evbuffer_drain(output, evbuffer_get_length(output));
+        evbuffer_freeze(output, 1);
+        evbuffer_add(output, response.data(), response.size());
+    }
+}
+
 void HttpFrontend::onResponseWritten(Connection &connection)
 {
     connection.isResponding = false;
@@ -368,7 +428,10 @@
     }
     if (incoming.body.size() > m_settings.maxBody) {
         m_callerConnections->onRejected(RejectReason::BodyTooLarge);
-        sendResponse(request, HttpResponse{httpPayloadTooLarge, {{"Connection", "close"}}, {}});
+        HttpResponse response = errorResponse(errorOfStatus(httpPayloadTooLarge));
+        response.status = httpPayloadTooLarge;
+        response.headers.emplace_back("Connection", "close");
+        sendResponse(request, response);
         return;
     }
     if (!isAccepted) {
--- a/src/daemon/httpfrontend.h
+++ b/src/daemon/httpfrontend.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 struct bufferevent;
 struct evbuffer;
@@ -61,6 +62,8 @@
     void onInput(const Connection &connection, const evbuffer_cb_info &change);
     void onOutput(Connection &connection, const evbuffer *output, const evbuffer_cb_info &change);
     void onResponseWritten(Connection &connection);
+    /// Replaces evhttp's responses to requests that it has rejected, which are HTML pages.
+    void replaceErrorPages();
     void closeConnection(bufferevent *events, CloseReason reason);
     /// Releases the connections that evhttp has freed.
     void releaseEnded();
@@ -77,6 +80,8 @@
     std::unordered_map<bufferevent *, std::unique_ptr<Connection>> m_connections;
     std::unique_ptr<EventWatch> m_enforceTimer; ///< Closes connections outside of their own callbacks.
     std::unique_ptr<EventWatch> m_sweepTimer;
+    std::unique_ptr<EventWatch> m_errorPageWatch;
+    std::vector<bufferevent *> m_errorPages; ///< Connections on which evhttp has begun to write an error page in this turn of the loop.
     bool m_isEnforcementScheduled = false;
     std::size_t m_acceptedInTurn = 0; ///< Connections since the last run of m_enforceTimer.
     std::unordered_map<PendingRequest *, std::unique_ptr<PendingRequest>> m_pending; ///< Requests without a response.
--- a/test/daemon/testcallerlimits.cpp
+++ b/test/daemon/testcallerlimits.cpp
@@ -262,6 +262,66 @@
     LONGS_EQUAL(1, calls.size());
 }
 
+// Guards against rejections of evhttp itself, which are HTML pages without a remedy.
+TEST(HttpFrontendLimits, RejectionsBeforeTheHandlerHaveJsonBodies)
+{
+    const std::pair<std::string, int> rejected[] = {
+        {post(65 * kibibyte), 413},
+        {"GET /x HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(40 * kibibyte, 'x') + "\r\n\r\n", 400},
+        {"GET /x HTTP/1.1\r\nno colon\r\n\r\n", 400},
+        {"nonsense\r\n\r\n", 400},
+        {"TRACE /x HTTP/1.1\r\nHost: a\r\n\r\n", 501},
+    };
+    for (const auto &[text, status] : rejected) {
+        RawCaller caller(address);
+        caller.sendText(text);
+        CHECK_TRUE(runUntilTrue([&] { return caller.isClosed(); }));
+        const std::string response = caller.received();
+        STRCMP_CONTAINS(("HTTP/1.1 " + std::to_string(status) + " ").c_str(), response.c_str());
+        STRCMP_CONTAINS("Content-Type: application/json", response.c_str());
+        STRCMP_CONTAINS("Connection: close", response.c_str());
+        const std::string body = response.substr(response.find("\r\n\r\n") + 4);
+        STRCMP_CONTAINS(("Content-Length: " + std::to_string(body.size()) + "\r\n").c_str(), response.c_str());
+        STRCMP_CONTAINS("\"ran\":\"not run\"", body.c_str());
+        LONGS_EQUAL(1, countOf(response, "HTTP/1.1"));
+    }
+    CHECK_TRUE(calls.empty());
+}
+
+// Guards against a caller who sees a reset connection instead of the reason why its body is rejected.
+TEST(HttpFrontendLimits, ARejectionArrivesAlthoughTheBodyIsBeingSent)
+{
+    RawCaller caller(address);
+    caller.sendText(post(300 * kibibyte));
+    caller.sendText(std::string(300 * kibibyte, 'x'));
+    CHECK_TRUE(runUntilTrue([&] { return caller.isClosed(); }));
+    STRCMP_CONTAINS("HTTP/1.1 413", caller.received().c_str());
+}
+
+// Guards against a rejection at the bound on bytes that does not say when to come back, or whether the request has run.
+TEST(HttpFrontendLimits, ARejectionAtTheBoundOnBytesSaysWhenToComeBack)
+{
+    respondsAtOnce = false;
+    CallerLimits limits;
+    limits.maxBodyBytes = 64 * kibibyte;
+    connections->setLimits(limits);
+    std::vector<std::unique_ptr<RawCaller>> waiting;
+    const auto sendAnother = [&](std::size_t bodyBytes) {
+        waiting.push_back(std::make_unique<RawCaller>(address));
+        waiting.back()->sendText(post(bodyBytes) + std::string(bodyBytes, 'x'));
+    };
+    for (const std::size_t kibibytes : {63, 63, 63, 63, 63, 63, 63, 63, 63, 63, 63, 63, 63, 63, 63, 63, 10}) {
+        sendAnother(kibibytes * kibibyte);
+        CHECK_TRUE(runUntilTrue([&] { return calls.size() == waiting.size(); }));
+    }
+    sendAnother(8 * kibibyte);
+    RawCaller &caller = *waiting.back();
+    CHECK_TRUE(runUntilTrue([&] { return countOf(caller.received(), "\r\n\r\n") == 1; }));
+    STRCMP_CONTAINS("HTTP/1.1 429", caller.received().c_str());
+    STRCMP_CONTAINS("Retry-After: ", caller.received().c_str());
+    STRCMP_CONTAINS("\"ran\":\"not run\"", caller.received().c_str());
+}
+
 // Guards against input that fills the kernel's buffers while reading pauses, beyond the bound on bytes.
 TEST(HttpFrontendLimits, TheKernelHoldsAsMuchOfAConnectionAsTheBudgetSays)
 {
