Bound the log lines about errors of callers

Operators saw: 32 MB of log after 245 MB of requests at unknown paths, with unknown keys or texts that are no job's id, in a few seconds; each line up to as long as a request's head. Cause: JobApi logged each request that failed, and wrote the caller's id and the Request-Id in full. Change: errors of callers (4xx but 429) are rate-limited by operation and status, and texts of callers are shortened to 64 characters. Submissions and cancellations that reach a decision keep one line each. Metrics had no labels that callers choose; that is tested now.

--- a/src/node/jobapi.cpp
+++ b/src/node/jobapi.cpp
@@ -16,11 +16,19 @@
 constexpr int httpMethodNotAllowed = 405;
 constexpr int httpGone = 410;
 constexpr int httpTooManyRequests = 429;
+constexpr int httpServerError = 500;
 constexpr int httpGatewayTimeout = 504;
 constexpr Duration storeRetryDelay{1000}; // A store outage lasts seconds, so an earlier retry would fail again.
 constexpr Duration configRetryDelay{1000};
 constexpr std::int64_t millisecondsPerSecond = 1000;
 
+/// Returns the start of a caller's text, for a log line.
+std::string shortened(const std::string &text)
+{
+    constexpr std::size_t maxLoggedLength = 64;
+    return text.size() <= maxLoggedLength ? text : text.substr(0, maxLoggedLength) + "...";
+}
+
 std::int64_t currentUnixTimeMs()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -53,14 +61,26 @@
         response.headers.emplace_back("Retry-After", std::to_string(seconds));
     }
     ++m_counters.answers[std::string(request->operation) + " " + std::to_string(status)];
+    logResponse(request, status, reason);
+    request->call->respond(response);
+}
+
+void JobApi::logResponse(const RequestPtr &request, int status, const std::string &reason) const
+{
     const Duration elapsed = m_loop.now() - request->call->request().arrival;
-    // Submissions and cancellations are always logged at level info, other requests only if they fail.
+    // Any caller can choose these texts, also without a key.
+    const std::string subject = shortened(request->job.isEmpty() ? request->routeName.value() : request->job.value());
+    const std::string text = std::string(request->operation) + " " + subject + " request " + shortened(request->callerHeaders.requestId) + ": "
+        + std::to_string(status) + " " + reason + ", " + std::to_string(elapsed.count()) + " ms";
+    // Submissions and cancellations of a workspace are always logged at level info, other requests only if they fail. Errors of callers are
+    // rate-limited, since nothing else bounds their number.
     const bool isRoutine = status == httpOk && request->operation != std::string("submit") && request->operation != std::string("cancel");
-    logLine(LogComponent::Caller,
-            isRoutine ? LogLevel::Debug : LogLevel::Info,
-            std::string(request->operation) + " " + (request->job.isEmpty() ? request->routeName.value() : request->job.value()) + " request "
-                + request->callerHeaders.requestId + ": " + std::to_string(status) + " " + reason + ", " + std::to_string(elapsed.count()) + " ms");
-    request->call->respond(response);
+    const bool isCallerError = status >= httpBadRequest && status < httpServerError && status != httpTooManyRequests;
+    if (isCallerError) {
+        logRateLimited(LogComponent::Caller, LogLevel::Info, std::string(request->operation) + " " + std::to_string(status), text);
+    } else {
+        logLine(LogComponent::Caller, isRoutine ? LogLevel::Debug : LogLevel::Info, text);
+    }
 }
 
 void JobApi::respondWithError(const RequestPtr &request, int status, const Error &error, Duration retryAfter)
--- a/src/node/jobapi.h
+++ b/src/node/jobapi.h
@@ -59,7 +59,6 @@
         HttpCallPtr call;
         CallerHeaders callerHeaders;
         TimePoint deadline; ///< The response must be sent by then.
-        const CellRoute *route = nullptr; ///< Never set; checkRequest() keeps the route in a local variable.
         RouteName routeName;
         WorkspaceId workspace; ///< Empty on a public route without an API key.
         JobId job; ///< Empty: the request addresses the queue.
@@ -89,6 +88,7 @@
     void reportQueueLength(const RequestPtr &request);
     void respondWithState(const RequestPtr &request, CellJobState state, const WorkspaceId &workspace);
     void respond(const RequestPtr &request, int status, const std::string &body, const std::string &reason, Duration retryAfter = Duration(0));
+    void logResponse(const RequestPtr &request, int status, const std::string &reason) const;
     void respondWithError(const RequestPtr &request, int status, const Error &error, Duration retryAfter = Duration(0));
     void notifyLeader(const CellJob &job, PeerMessaging::Envelope message);
     [[nodiscard]] Duration remainingTime(const RequestPtr &request) const;
--- a/test/platform/limits/testcallerlimits.cpp
+++ b/test/platform/limits/testcallerlimits.cpp
@@ -132,6 +132,17 @@
     survives(cell.metricsAddress(), endlessChunks(jobs, crowdSize));
 }
 
+// Guards against a log line for each request of callers who have no key, and against names of callers in metrics.
+TEST(CallerLimits, UnknownNamesAreNotLoggedOneByOneAndMakeNoSeries)
+{
+    CHECK_TEXT(cell.submitsJob(), "the daemon has not started");
+    const std::size_t before = cell.logBytes();
+    survives(cell.callerAddress(), unknownNames(jobs, pipeliningCrowdSize));
+    std::cout << "the log grew by " << (cell.logBytes() - before) / 1024 << " KiB\n";
+    CHECK_TEXT(cell.logBytes() - before <= maxLogBytes, "the daemon logged too much");
+    CHECK_TEXT(cell.metrics().find("nowhere") == std::string::npos, "metrics contain names that callers chose");
+}
+
 // Guards against requests of one workspace that occupy all connections while the store answers slowly.
 TEST(CallerLimits, RequestsOfOneKeyThatWaitForTheStore)
 {
