Limit what one workspace occupies of a daemon

Callers saw: nothing yet; suspected from reading and shown by unit tests. A connection whose request is handled is never closed, so a workspace whose requests wait for the leader or the store could hold all connections, all bytes for requests and all 24 connections to the store. A caller could state a deadline of an hour, and a call to the store for its request had that time-out too. Cause: no share for a workspace (the key's owner), and the caller's deadline bounded the calls to the store. Change: WorkspaceShares: a workspace may occupy half of the connections and of the bytes; its next request is refused at once with 429, "not run" and Retry-After: 1. A single request is never refused. A request counts until its calls to the store end, also if the caller has left. All callers without a key on public routes count as one. Requests last at most 10 s whatever the deadline. At most seven eighths of the connections are handled at a time. Ruled out: a share for one address: connections come through the platform's balancer, and callers share addresses. Tests: WorkspaceShares; JobApi, three tests that the former code can't pass: the share, a share after the caller has left, the deadline. CallerLimits.RequestsOfOneKeyThatWaitForTheStore passed before as well: it shows that another workspace is served, not the fault. Measured: test-node passes.

--- a/src/node/jobapi.cpp
+++ b/src/node/jobapi.cpp
@@ -20,6 +20,7 @@
 constexpr int httpGatewayTimeout = 504;
 constexpr Duration storeRetryDelay{1000}; // A store outage lasts seconds, so an earlier retry would fail again.
 constexpr Duration configRetryDelay{1000};
+constexpr Duration shareRetryDelay{1000}; // Requests in progress end within seconds, unless the store does not answer.
 constexpr std::int64_t millisecondsPerSecond = 1000;
 
 /// Returns the start of a caller's text, for a log line.
@@ -38,7 +39,13 @@
 
 JobApi::JobApi(
     EventLoop &loop, const JobApiSettings &settings, const PlatformCodec &codec, ConfigWatcher &config, CellStorage &storage, LeaderAccess leaderAccess)
-    : m_loop(loop), m_settings(settings), m_codec(codec), m_configWatcher(config), m_storage(storage), m_access(std::move(leaderAccess))
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_codec(codec)
+    , m_configWatcher(config)
+    , m_storage(storage)
+    , m_access(std::move(leaderAccess))
+    , m_workspaceShares(settings.workspaceShare)
 {
 }
 
@@ -93,12 +100,13 @@
     auto request = std::make_shared<Request>();
     request->call = call;
     request->callerHeaders = m_codec.parseHeaders(call->request());
-    const Duration timeout = request->callerHeaders.callerTimeout > Duration(0) ? request->callerHeaders.callerTimeout : m_settings.defaultCallerTimeout;
+    const Duration requested = request->callerHeaders.callerTimeout > Duration(0) ? request->callerHeaders.callerTimeout : m_settings.defaultCallerTimeout;
+    const Duration timeout = std::min(requested, m_settings.maxRequestTime);
     // If the caller's time-out is short, the margin takes at most a quarter of it.
     request->deadline = m_loop.now() + timeout - std::min(m_settings.responseMargin, timeout / 4);
     const std::string &method = call->request().method;
     request->operation = method == "POST" ? "submit" : (method == "DELETE" ? "cancel" : "show");
-    if (!checkRequest(request)) {
+    if (!checkRequest(request) || !takeShare(request)) {
         return;
     }
     if (request->job.isEmpty() && method == "GET") {
@@ -158,6 +166,18 @@
     return checkJobId(request);
 }
 
+bool JobApi::takeShare(const RequestPtr &request)
+{
+    request->share = m_workspaceShares.begin(request->workspace, request->call->request().body.size());
+    if (request->share == nullptr) {
+        respondWithError(request,
+                         httpTooManyRequests,
+                         {ErrorKind::LimitReached, "the workspace has too many requests in progress on this daemon, not run", "try again later"},
+                         shareRetryDelay);
+    }
+    return request->share != nullptr;
+}
+
 bool JobApi::checkJobId(const RequestPtr &request)
 {
     if (request->job.isEmpty() || m_codec.isJobId(request->job.value())) {
--- a/src/node/jobapi.h
+++ b/src/node/jobapi.h
@@ -6,6 +6,7 @@
 #include "configwatcher.h"
 #include "peermessaging.h"
 #include "platforminterfaces.h"
+#include "workspaceshares.h"
 
 #include <deque>
 #include <functional>
@@ -21,9 +22,11 @@
     Duration maxAdmissionTime{2500}; ///< Total time for attempts to store a job.
     Duration responseMargin{150}; ///< Responses are sent this long before the caller's deadline.
     Duration defaultCallerTimeout{3000}; ///< Used if the caller does not specify a deadline.
+    Duration maxRequestTime{10000}; ///< A later deadline of a caller is not used: its request would hold a connection to the store until then.
     Duration noticeRetryInterval{300}; ///< Until a notice that the leader has not acknowledged is sent again.
     Duration noticeExpiry{6000}; ///< By then the leader has found the rows by polling the store.
     Duration maxQueueCountAge{1800}; ///< Reported queue lengths must not be older than 2 s.
+    WorkspaceShareLimits workspaceShare;
 };
 
 /// Access to the leader and to the state of the store.
@@ -63,6 +66,7 @@
         WorkspaceId workspace; ///< Empty on a public route without an API key.
         JobId job; ///< Empty: the request addresses the queue.
         const char *operation = "";
+        WorkspaceShares::Use share; ///< Held while the request or a call to the store or the leader for it is in progress.
     };
     using RequestPtr = std::shared_ptr<Request>;
     struct Notice {
@@ -76,6 +80,8 @@
     /// Checks the route, the API key and the age of the configuration, and sets the request's route name, job and workspace. Returns false after
     /// sending an error response.
     [[nodiscard]] bool checkRequest(const RequestPtr &request);
+    /// Counts the request toward its workspace's share. Responds and returns false if the share is used up.
+    [[nodiscard]] bool takeShare(const RequestPtr &request);
     /// Responds and returns false if the request names a job by a text that is no job's id. Such a text could not be used in a task's name or as
     /// the key of a row.
     [[nodiscard]] bool checkJobId(const RequestPtr &request);
@@ -100,6 +106,7 @@
     ConfigWatcher &m_configWatcher;
     CellStorage &m_storage;
     LeaderAccess m_access;
+    WorkspaceShares m_workspaceShares;
     std::map<std::uint64_t, Notice> m_notices;
     std::uint64_t m_lastNoticeId = 0;
     JobApiCounters m_counters;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -85,12 +85,16 @@
         }
         return m_loop.now() - m_queuedReceivedAt <= maxAge && m_queuedReceivedAt != TimePoint() ? &m_queued : nullptr;
     };
+    // Half for one workspace leaves the other half to the others.
+    m_settings.jobApi.workspaceShare = WorkspaceShareLimits{m_settings.callerBudget.maxConnections / 2, m_settings.callerBudget.maxBytes / 2};
     m_jobApi = std::make_unique<JobApi>(m_loop, m_settings.jobApi, m_codec, *m_configWatcher, *m_storage, std::move(access));
 
     m_callerConnections = std::make_shared<CallerConnections>(m_settings.callerBudget);
     HttpFrontendSettings callerFrontend;
     callerFrontend.address = m_settings.callerAddress;
     callerFrontend.connections = m_callerConnections;
+    // The rest of the connections is for callers whose requests can be answered at once, and for probes.
+    callerFrontend.maxActive = std::max<std::size_t>(m_settings.callerBudget.maxConnections - m_settings.callerBudget.maxConnections / 8, 1);
     auto frontend = HttpFrontend::create(m_loop, callerFrontend, [this](const HttpCallPtr &call) { m_jobApi->handle(call); });
     if (!frontend) {
         return frontend.reason();
--- a/test/node/testjobapi.cpp
+++ b/test/node/testjobapi.cpp
@@ -43,6 +43,7 @@
     bool storeDown = false;
     int acknowledgedNotices = 0;
     std::map<RouteName, int> queued;
+    std::vector<HttpResponse> answers; ///< In the order in which they were sent.
 
     void setup() override
     {
@@ -68,16 +69,21 @@
         codec.decodeConfig = fakeConfig;
         codec.configTable = "op";
         codec.configKey = "config";
+        ConfigWatcherSettings configSettings;
+        configSettings.maxConfigAge = Duration(400);
+        config = std::make_unique<ConfigWatcher>(*loop, store, codec, configSettings, [](const std::shared_ptr<const CellConfig> &) {});
+        makeJobApi(JobApiSettings());
+    }
+
+    void makeJobApi(const JobApiSettings &settings)
+    {
         LeaderAccess access;
         access.sendRequest = [this](const PeerMessaging::Envelope &peerRequest, Duration, const PeerMessaging::ReplyCallback &callback) {
             loop->defer([this, peerRequest, callback] { replyAsLeader(peerRequest, callback); });
         };
         access.isStoreDown = [this] { return storeDown; };
         access.queued = [this](Duration) { return leaderAnswers ? &queued : nullptr; };
-        ConfigWatcherSettings configSettings;
-        configSettings.maxConfigAge = Duration(400);
-        config = std::make_unique<ConfigWatcher>(*loop, store, codec, configSettings, [](const std::shared_ptr<const CellConfig> &) {});
-        jobApi = std::make_unique<JobApi>(*loop, JobApiSettings(), codec, *config, storage, access);
+        jobApi = std::make_unique<JobApi>(*loop, settings, codec, *config, storage, access);
     }
 
     void replyAsLeader(const PeerMessaging::Envelope &peerRequest, const PeerMessaging::ReplyCallback &callback)
@@ -115,7 +121,8 @@
         }
     }
 
-    HttpResponse send(const std::string &method, const std::string &path, const std::string &key, const std::string &body = std::string())
+    /// Starts a request. Its response is appended to answers.
+    HttpCallPtr begin(const std::string &method, const std::string &path, const std::string &key, const std::string &body = std::string())
     {
         HttpRequest request;
         request.method = method;
@@ -124,15 +131,21 @@
         request.headers = {{"Host", "desk.example"}, {"Key", key}};
         request.body = body;
         request.arrival = loop->now();
-        HttpResponse answer;
-        answer.status = 0;
-        const auto call = std::make_shared<HttpCall>(request, [&answer](const HttpResponse &response) { answer = response; });
+        auto call = std::make_shared<HttpCall>(request, [this](const HttpResponse &response) { answers.push_back(response); });
         jobApi->handle(call);
+        return call;
+    }
+
+    HttpResponse send(const std::string &method, const std::string &path, const std::string &key, const std::string &body = std::string())
+    {
+        const auto call = begin(method, path, key, body);
         const TimePoint deadline = loop->now() + Duration(2000);
         while (!call->isDone() && loop->now() < deadline) {
             runEventLoop(Duration(4));
         }
-        return answer;
+        HttpResponse noAnswer;
+        noAnswer.status = 0;
+        return call->isDone() ? answers.back() : noAnswer;
     }
 };
 
@@ -274,3 +287,48 @@
     CHECK_EQUAL(400, send("POST", "/a/b/j1", "good", std::string(maxRowBytes, 'x')).status);
     CHECK_TRUE(loop->now() - sent < Duration(200));
 }
+
+// Guards against requests of one workspace that occupy the daemon while the leader and the store are slow, so that no other workspace is served.
+TEST(JobApi, RefusesRequestsBeyondTheShareOfAWorkspaceAtOnce)
+{
+    JobApiSettings settings;
+    settings.workspaceShare.maxRequests = 2;
+    makeJobApi(settings);
+    readConfig();
+    std::vector<HttpCallPtr> waiting;
+    for (int i = 0; i < 2; ++i) {
+        waiting.push_back(begin("GET", "/a/b/j" + std::to_string(i), "good"));
+    }
+    const auto beyond = begin("POST", "/a/b/j9", "good", "job");
+    CHECK_TRUE(beyond->isDone());
+    CHECK_EQUAL(429, answers.back().status);
+    STRCMP_EQUAL("1", headerValue(answers.back().headers, "Retry-After").c_str());
+    CHECK_FALSE(begin("GET", "/a/b/j1", "theirs")->isDone());
+    runEventLoop(Duration(100));
+    CHECK_EQUAL(200, send("POST", "/a/b/j9", "good", "job").status);
+}
+
+// Guards against a share that callers evade by closing their connections while their requests still wait for the store.
+TEST(JobApi, RequestsOfCallersWhoHaveLeftCountTowardTheShare)
+{
+    JobApiSettings settings;
+    settings.workspaceShare.maxRequests = 1;
+    makeJobApi(settings);
+    readConfig();
+    begin("GET", "/a/b/j1", "good")->disconnect();
+    CHECK_TRUE(begin("GET", "/a/b/j2", "good")->isDone());
+    CHECK_EQUAL(429, answers.back().status);
+}
+
+// Guards against a caller's deadline of an hour, until when its request would hold a connection to a store that does not answer.
+TEST(JobApi, ALaterDeadlineThanTheLongestRequestIsNotUsed)
+{
+    JobApiSettings settings;
+    settings.maxRequestTime = Duration(200);
+    makeJobApi(settings);
+    readConfig();
+    store.writeOutcomes = std::vector<StoreOutcome>(1000, StoreOutcome::NotApplied);
+    const TimePoint sent = loop->now();
+    CHECK_EQUAL(503, send("POST", "/a/b/j1", "good", "job").status);
+    CHECK_TRUE(loop->now() - sent < Duration(500)); // The caller states 800 ms.
+}
