Bound the connections and bytes of callers of kingcupladderd

Callers saw: a daemon that grows to gigabytes: 300 connections that send 8 MB but for its end, or chunks without end, took 2.2 and 2.8 GB. Cause: kingcupladderd gave its HTTP server no CallerConnections, so each connection was bounded but not their sum, number or socket buffers. Change: the daemon has the same budget as kingcupladder-node, CallerBudget::forProcess(), from the new settings limits.memory and limits.descriptors; by default the memory of the machine and the process's limit of open files. Active requests are bounded by seven eighths of the connections, those of one team by half, or by http.maxActive and http.maxActivePerTeam where these are lower. There is no time-out for slow requests: a slow caller is closed only if connections or bytes run out.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -14,7 +14,10 @@
 #include "workerclient.h"
 
 #include <sys/random.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <ctime>
 
@@ -76,6 +79,35 @@
     return core;
 }
 
+ProcessResources resourcesOf(const DaemonSettings &settings)
+{
+    ProcessResources resources;
+    const long pages = sysconf(_SC_PHYS_PAGES);
+    const long pageBytes = sysconf(_SC_PAGESIZE);
+    if (settings.memoryLimit > 0) {
+        resources.memoryBytes = settings.memoryLimit;
+    } else if (pages > 0 && pageBytes > 0) {
+        resources.memoryBytes = static_cast<std::uint64_t>(pages) * static_cast<std::uint64_t>(pageBytes);
+    }
+    rlimit descriptors{};
+    if (settings.descriptorLimit > 0) {
+        resources.descriptors = settings.descriptorLimit;
+    } else if (getrlimit(RLIMIT_NOFILE, &descriptors) == 0 && descriptors.rlim_cur != RLIM_INFINITY) {
+        resources.descriptors = descriptors.rlim_cur;
+    }
+    return resources;
+}
+
+std::shared_ptr<CallerConnections> makeCallerConnections(const DaemonSettings &settings)
+{
+    CallerLimits limits;
+    limits.maxHeaderBytes = settings.maxHeaders;
+    limits.maxBodyBytes = settings.maxBody;
+    limits.headerTimeout = Duration(0); // A slow caller is closed only if connections run out.
+    limits.idleTimeout = settings.clientIdle;
+    return std::make_shared<CallerConnections>(CallerBudget::forProcess(resourcesOf(settings)), limits);
+}
+
 ConnectionPoolSettings applicationPoolSettings(const DaemonSettings &settings)
 {
     ConnectionPoolSettings pool;
@@ -88,11 +120,12 @@
 class Daemon::Private
 {
 public:
-    explicit Private(const DaemonSettings &value) : settings(value) { }
+    explicit Private(const DaemonSettings &value) : settings(value), callerConnections(makeCallerConnections(value)) { }
 
     std::optional<Error> open();
 
     DaemonSettings settings;
+    std::shared_ptr<CallerConnections> callerConnections;
     std::unique_ptr<EventLoop> loop;
     std::unique_ptr<CoreRunner> runner;
     std::unique_ptr<PlatformClient> platform;
@@ -182,8 +215,11 @@
     http.address = settings.httpAddress;
     http.maxBody = settings.maxBody;
     http.maxHeaders = settings.maxHeaders;
-    http.maxActive = settings.maxActiveRequests;
+    // The rest of the connections is for callers whose requests can be answered at once, and for health checks.
+    const std::size_t maxConnections = callerConnections->budget().maxConnections;
+    http.maxActive = std::min<std::size_t>(settings.maxActiveRequests, std::max<std::size_t>(maxConnections - maxConnections / 8, 1));
     http.clientIdle = settings.clientIdle;
+    http.connections = callerConnections;
     auto server = HttpFrontend::create(*loop, http, [this](const HttpCallPtr &call) { handle(call); });
     if (!server) {
         return server.reason();
@@ -310,7 +346,9 @@
 {
     api = std::make_unique<ApiHandlers>(*runner, ApiSettings{settings.daemon, settings.operatorKeyDigest}, apiServices());
     RequestSettings requestSettings;
-    requestSettings.maxActivePerTeam = settings.maxActivePerTeam;
+    // Half for one team leaves the other half to the others.
+    const std::size_t halfOfConnections = std::max<std::size_t>(callerConnections->budget().maxConnections / 2, 1);
+    requestSettings.maxActivePerTeam = std::min<std::size_t>(settings.maxActivePerTeam, halfOfConnections);
     requestSettings.defaultDeadline = settings.requestDeadline;
     requests = std::make_unique<RequestChain>(requestServices(), requestSettings);
 }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -214,6 +214,8 @@
         {"http.maxHeaders", false, sizeReader(&S::maxHeaders, kibibyte, mebibyte)},
         {"http.maxActive", false, countReader(&S::maxActiveRequests, 1, 1000000)},
         {"http.maxActivePerTeam", false, countReader(&S::maxActivePerTeam, 1, 1000000)},
+        {"limits.memory", false, sizeReader(&S::memoryLimit, 16 * mebibyte, 1024 * 1024 * mebibyte)},
+        {"limits.descriptors", false, countReader(&S::descriptorLimit, 64, 10000000)},
         {"peers.address", true, addressReader(&S::peerAddress)},
         {"peers.seeds", true, readSeeds},
         {"peers.curve.publicKey", false, curveKeyReader(&CurveKeys::publicKey)},
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -49,6 +49,8 @@
     std::uint64_t maxHeaders = 32UL * 1024; ///< Bytes of a request's headers.
     std::uint64_t maxActiveRequests = 20000; ///< Concurrent requests of all teams.
     std::uint64_t maxActivePerTeam = 4000; ///< Waiting and running requests of one team.
+    std::uint64_t memoryLimit = 0; ///< Bytes that the process may use; 0: the memory of the machine.
+    std::uint64_t descriptorLimit = 0; ///< Descriptors that the process may use; 0: the limit of the operating system for the process.
     std::uint64_t platformConnections = 6;
     std::uint64_t workerConnections = 8; ///< Connections to the application on one worker.
 };
--- a/test/process/fleet.cpp
+++ b/test/process/fleet.cpp
@@ -20,6 +20,7 @@
 #include <fstream>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 namespace KingCupLadder::ProcessTest {
 
@@ -273,7 +274,7 @@
     return m_pid;
 }
 
-ProcessFleet::ProcessFleet()
+ProcessFleet::ProcessFleet(FleetSettings settings) : m_settings(std::move(settings))
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "kingcupladder-test.XXXXXX").string();
     m_directory = mkdtemp(pattern.data()) == nullptr ? "" : pattern;
@@ -350,10 +351,11 @@
         DaemonProcess daemon{names[i], freeAddress(), m_directory + "/" + names[i] + ".yaml", nullptr};
         // The first five letters of each name are the failure domain.
         std::ofstream(daemon.settingsFile) << "daemon: " << names[i] << "\nfailureDomain: " << names[i].substr(0, 5) << "\nhttp: {address: \""
-                                           << daemon.httpAddress << "\"}\npeers: {address: \"" << peers[i] << "\", seeds: [\"" << peers[0] << "\", \""
-                                           << peers[2] << "\"]}\nplatform: {address: \"" << m_platformAddress
+                                           << daemon.httpAddress << "\"" << m_settings.http << "}\npeers: {address: \"" << peers[i] << "\", seeds: [\""
+                                           << peers[0] << "\", \"" << peers[2] << "\"]}\nplatform: {address: \"" << m_platformAddress
                                            << "\"}\noperator: {keyDigest: " << keyDigest(operatorKey)
-                                           << "}\ntimeouts: {store: 700ms, leaseTerm: 4s, leaseMargin: 1s, drainWait: 500ms, finishWait: 8s}\n";
+                                           << "}\ntimeouts: {store: 700ms, leaseTerm: 4s, leaseMargin: 1s, drainWait: 500ms, finishWait: 8s}\n"
+                                           << m_settings.lines;
         daemons.push_back(std::move(daemon));
         startDaemon(i);
     }
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -72,13 +72,19 @@
     std::unique_ptr<Process> process;
 };
 
+/// Settings that a fleet adds to those of all its daemons.
+struct FleetSettings {
+    std::string http; ///< Entries of the section http, such as ", maxBody: 1MiB".
+    std::string lines; ///< Further lines.
+};
+
 /// Fleet of the daemons "north-1", "north-2" and "south-1" with the workers "w1" and "w2" in north and "w3" and "w4" in south. After
 /// start(), the tables are applied, the team "guides" has a key and both shards have an owner. The log files are kept if the
 /// environment variable LADDER_KEEP_LOGS is set.
 class ProcessFleet
 {
 public:
-    ProcessFleet();
+    explicit ProcessFleet(FleetSettings settings = {});
     ~ProcessFleet();
     ProcessFleet(const ProcessFleet &) = delete;
     ProcessFleet &operator=(const ProcessFleet &) = delete;
@@ -114,6 +120,7 @@
     [[nodiscard]] std::string configure();
     [[nodiscard]] std::string waitUntilReady() const;
 
+    FleetSettings m_settings;
     std::string m_directory;
     std::string m_buildDirectory;
     std::string m_platformAddress;
