Bound the bytes and connections of peers together

Callers saw: nothing so far; whoever reaches the port for other daemons could end the process. 60 connections that greet as a ZeroMQ peer took 965 MB with messages of 64 KB that no daemon understands, 492 MB with messages but for their end, 105 MB with messages of one byte; 320 silent ones took 354 of 256 descriptors. The same holds for kingcupladderd. Cause: a ROUTER socket has no bound over all peers. libzmq's I/O thread reads faster than the loop handles messages, its only bound is a number of messages for each peer, and it aborts if a connection breaks while that bound blocks its input, so the bound was set to 200,000. Change: PeerListener receives instead of the ROUTER socket. It reads ZMTP, the protocol of ZeroMQ, with libevent: one message at a time, so what is not handled stays with the sender. CallerConnections bounds bytes, connections, and the time for a message, as for callers; the sockets' buffers are bounded too. A connection that sends malformed input is closed. Sending stays with ZeroMQ, and daemons of the former code understand each other with this one. With CURVE keys, ROUTER stays, since its library has the handshake; there the bound of libzmq is now 200,000 messages too, and the rest is open. Ruled out: counting in libzmq's monitor and closing descriptors from outside: what arrives between two looks is not bounded, and a descriptor may belong to another connection by then. ZAP by address: a rejected DEALER never reconnects, and a daemon that has just started is not known. CURVE for all: bytes before the handshake are not bounded, and the users' settings have no keys.

--- a/src/core/callerlimits.h
+++ b/src/core/callerlimits.h
@@ -23,7 +23,7 @@
     std::optional<std::uint64_t> descriptors; ///< Empty: not known.
 };
 
-/// Limits for all connections of the process together.
+/// Limits for all connections of callers, or of peers, together.
 struct CallerBudget {
     std::size_t maxConnections = 4000;
     std::size_t maxBytes = 64UL * 1024 * 1024; ///< Of incomplete and unanswered requests and unread responses, in the process.
@@ -33,6 +33,9 @@
     /// Divides the resources of a process: an eighth of the memory for the daemon's own buffers, which take up to twice the bytes that they
     /// hold, a quarter for the sockets' buffers, and a third of the descriptors.
     [[nodiscard]] static CallerBudget forProcess(const ProcessResources &resources);
+    /// The same for connections of peers, with an eighth of the descriptors. Daemons only receive on them, so the sockets' buffers take an eighth
+    /// of the memory.
+    [[nodiscard]] static CallerBudget forPeers(const ProcessResources &resources);
 };
 
 } // namespace KingCupLadder
--- a/src/daemon/callerconnections.cpp
+++ b/src/daemon/callerconnections.cpp
@@ -153,10 +153,17 @@
 
 void CallerConnections::onResponseWritten(CallerConnectionId id, std::size_t leftBytes, TimePoint now)
 {
-    update(id, [leftBytes, now](Connection &connection) {
+    update(id, [](Connection &connection) {
         connection.isProven = true;
-        connection.inputBytes = leftBytes;
         connection.outputBytes = 0;
+    });
+    onConsumed(id, leftBytes, now);
+}
+
+void CallerConnections::onConsumed(CallerConnectionId id, std::size_t leftBytes, TimePoint now)
+{
+    update(id, [leftBytes, now](Connection &connection) {
+        connection.inputBytes = leftBytes;
         connection.state = leftBytes > 0 ? State::Receiving : State::Idle;
         connection.since = now;
         connection.progressAt = now;
--- a/src/daemon/callerconnections.h
+++ b/src/daemon/callerconnections.h
@@ -64,6 +64,9 @@
     /// The response was written; @p leftBytes of later requests are in the input buffer.
     void onResponseWritten(CallerConnectionId id, std::size_t leftBytes, TimePoint now);
 
+    /// What was received before @p leftBytes is complete and needs no response.
+    void onConsumed(CallerConnectionId id, std::size_t leftBytes, TimePoint now);
+
     /// Whether enforce() would close a connection although no time-out has passed.
     [[nodiscard]] bool isOverBudget() const;
     /// Closes connections until the limits are met. Never closes one whose request is being handled.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -204,9 +204,8 @@
 
 std::optional<Error> Daemon::Private::openSockets()
 {
-    auto socket = PeerSocket::create(*loop, {settings.daemon, settings.peerAddress, settings.curve}, [this](const DaemonId &from, const PeerMessage &message) {
-        runner->onPeerMessage(from, message);
-    });
+    const PeerSocketSettings peerSettings{settings.daemon, settings.peerAddress, settings.curve, CallerBudget::forPeers(resourcesOf(settings))};
+    auto socket = PeerSocket::create(*loop, peerSettings, [this](const DaemonId &from, const PeerMessage &message) { runner->onPeerMessage(from, message); });
     if (!socket) {
         return socket.reason();
     }
--- a/src/daemon/httpfrontend.cpp
+++ b/src/daemon/httpfrontend.cpp
@@ -2,6 +2,7 @@
 #include "httpfrontend.h"
 
 #include "log.h"
+#include "socketbuffers.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -11,12 +12,8 @@
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 
-#include <sys/socket.h>
-
 #include <array>
-#include <cerrno>
 #include <cstdlib>
-#include <cstring>
 #include <limits>
 
 namespace KingCupLadder {
@@ -99,18 +96,6 @@
     return std::make_shared<CallerConnections>(CallerBudget{unlimited, unlimited, 0}, limits);
 }
 
-/// Limits what the kernel holds of each connection that is accepted from a listening socket. Accepted sockets inherit the sizes, and those that
-/// wait to be accepted have them too.
-void limitSocketBuffers(int listeningSocket, std::size_t bytes)
-{
-    const int size = static_cast<int>(bytes);
-    for (const int option : {SO_RCVBUF, SO_SNDBUF}) {
-        if (setsockopt(listeningSocket, SOL_SOCKET, option, &size, sizeof(size)) != 0) {
-            logLine(LogComponent::Http, LogLevel::Warning, std::string("the sockets' buffers keep their default sizes: ") + std::strerror(errno));
-        }
-    }
-}
-
 const char *reasonPhrase(int status)
 {
     switch (status) {
--- a/src/daemon/peertransport.cpp
+++ b/src/daemon/peertransport.cpp
@@ -2,6 +2,7 @@
 #include "peertransport.h"
 
 #include "log.h"
+#include "peerlistener.h"
 
 #include <zmq.hpp>
 
@@ -14,6 +15,8 @@
 namespace {
 
 constexpr int sendHighWaterMark = 1000; // Messages queued per peer; bounds the memory while a peer is slow. The core resends messages that must arrive.
+// libzmq 4.3.4 aborts (stream_engine_base.cpp, "!_io_error") if a connection breaks while a full queue blocks its input.
+constexpr int receiveHighWaterMark = 200000;
 constexpr int maxBatchMessages = 256; // Messages received before other events of the loop are handled.
 constexpr int linger = 0; // Closing a socket discards its unsent messages instead of waiting for the peer.
 constexpr int reconnectIntervalMs = 100;
@@ -42,7 +45,7 @@
 {
     socket.set(zmq::sockopt::linger, linger);
     socket.set(zmq::sockopt::sndhwm, sendHighWaterMark);
-    socket.set(zmq::sockopt::rcvhwm, settings.receiveHighWaterMark);
+    socket.set(zmq::sockopt::rcvhwm, receiveHighWaterMark);
     socket.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(settings.maxMessageBytes));
     socket.set(zmq::sockopt::heartbeat_ivl, static_cast<int>(settings.pingInterval.count()));
     socket.set(zmq::sockopt::heartbeat_timeout, static_cast<int>(settings.pingTimeout.count()));
@@ -56,7 +59,7 @@
 public:
     Private(EventLoop &loop, const PeerTransportSettings &settings, Handler handler);
 
-    void open();
+    [[nodiscard]] std::optional<Error> open();
     void receiveMessages();
     void send(const std::string &address, const std::string &bytes);
 
@@ -64,7 +67,10 @@
 
 private:
     Dealer &dealerFor(const std::string &address);
+    [[nodiscard]] std::optional<Error> openListener();
+    void openRouter();
     void openZapHandler();
+    [[nodiscard]] bool handleMessage(std::string_view message);
     void handleZapRequests();
     void sendZapReply(const std::vector<zmq::message_t> &frames);
     bool receiveMessage();
@@ -74,7 +80,8 @@
     PeerTransportSettings m_settings;
     Handler m_handler;
     zmq::context_t m_context{1};
-    zmq::socket_t m_router;
+    std::unique_ptr<PeerListener> m_listener; ///< Null with CURVE keys.
+    zmq::socket_t m_router; ///< Used only with CURVE keys.
     zmq::socket_t m_zapSocket; ///< Used only with CURVE keys.
     std::map<std::string, Dealer> m_dealers;
     std::unique_ptr<EventWatch> m_routerWatch;
@@ -91,19 +98,41 @@
 {
 }
 
-void PeerTransport::Private::open()
+std::optional<Error> PeerTransport::Private::open()
+{
+    m_idleCheckTimer = EventWatch::repeating(m_loop, idleCheckInterval, [this] { closeUnused(); });
+    if (!m_settings.curve) {
+        return openListener();
+    }
+    openRouter();
+    return std::nullopt;
+}
+
+std::optional<Error> PeerTransport::Private::openListener()
+{
+    PeerListenerSettings listener;
+    listener.address = m_settings.address;
+    listener.maxMessageBytes = m_settings.maxMessageBytes;
+    listener.maxSilence = idleTimeout;
+    listener.budget = m_settings.budget;
+    auto created = PeerListener::create(m_loop, listener, [this](std::string_view message) { return handleMessage(message); });
+    if (!created) {
+        return created.reason();
+    }
+    m_listener = std::move(created).value();
+    return std::nullopt;
+}
+
+void PeerTransport::Private::openRouter()
 {
     m_router = zmq::socket_t(m_context, zmq::socket_type::router);
     setCommonOptions(m_router, m_settings);
-    if (m_settings.curve) {
-        openZapHandler();
-        m_router.set(zmq::sockopt::curve_server, true);
-        m_router.set(zmq::sockopt::curve_secretkey, m_settings.curve->secretKey);
-        m_router.set(zmq::sockopt::zap_domain, zapDomain);
-    }
+    openZapHandler();
+    m_router.set(zmq::sockopt::curve_server, true);
+    m_router.set(zmq::sockopt::curve_secretkey, m_settings.curve->secretKey);
+    m_router.set(zmq::sockopt::zap_domain, zapDomain);
     m_router.bind("tcp://" + m_settings.address);
     m_routerWatch = EventWatch::readable(m_loop, m_router.get(zmq::sockopt::fd), [this] { receiveMessages(); });
-    m_idleCheckTimer = EventWatch::repeating(m_loop, idleCheckInterval, [this] { closeUnused(); });
     scheduleReceive(); // The descriptor is edge-triggered, so messages that arrived before the watch cause no event.
 }
 
@@ -186,16 +215,27 @@
             return false;
         }
     } while (frames.back().more());
-    ++counters.received;
-    counters.bytesReceived += frames.back().size();
     // A ROUTER socket puts the sender's routing id before the message, so there are two frames.
-    if (frames.size() != 2 || !m_handler(frames.back().to_string_view())) {
+    if (frames.size() == 2) {
+        (void)handleMessage(frames.back().to_string_view());
+    } else {
         ++counters.malformed;
-        logRateLimited(LogComponent::Peers, LogLevel::Warning, "malformed", "ignored a malformed message; check the peer's version");
     }
     return true;
 }
 
+bool PeerTransport::Private::handleMessage(std::string_view message)
+{
+    ++counters.received;
+    counters.bytesReceived += message.size();
+    const bool isWellFormed = m_handler(message);
+    if (!isWellFormed) {
+        ++counters.malformed;
+        logRateLimited(LogComponent::Peers, LogLevel::Warning, "malformed", "ignored a malformed message; check the peer's version");
+    }
+    return isWellFormed;
+}
+
 Dealer &PeerTransport::Private::dealerFor(const std::string &address)
 {
     const auto found = m_dealers.find(address);
@@ -240,7 +280,9 @@
         logRateLimited(LogComponent::Peers, LogLevel::Warning, address, "can't send to " + address + ": " + error.what());
     }
     // Sending can consume the edge event of the descriptor, so received messages are polled for afterwards.
-    scheduleReceive();
+    if (m_settings.curve) {
+        scheduleReceive();
+    }
 }
 
 void PeerTransport::Private::closeUnused()
@@ -259,7 +301,9 @@
     std::unique_ptr<PeerTransport> socket(new PeerTransport);
     socket->d = std::make_unique<Private>(loop, settings, std::move(handler));
     try {
-        socket->d->open();
+        if (auto error = socket->d->open()) {
+            return *error;
+        }
     } catch (const zmq::error_t &error) {
         return Error{ErrorKind::Unavailable, "the peer address " + settings.address + " can't be used: " + error.what(), "check peers.address and peers.curve"};
     }
--- a/src/daemon/peertransport.h
+++ b/src/daemon/peertransport.h
@@ -1,7 +1,8 @@
-// ZeroMQ transport of one daemon: a bound ROUTER socket receives, and one DEALER socket per peer address sends. Runs on the event
-// loop, which watches the file descriptors of the sockets that receive. Carries opaque bytes.
+// ZeroMQ transport of one daemon: one DEALER socket per peer address sends, and a PeerListener receives. With CURVE keys, a bound ROUTER socket
+// receives instead, whose file descriptor the event loop watches. Carries opaque bytes.
 #pragma once
 
+#include "core/callerlimits.h"
 #include "core/error.h"
 #include "eventloop.h"
 #include "settings.h"
@@ -18,7 +19,7 @@
     std::string address; ///< "ip:port" to bind.
     std::optional<CurveKeys> curve;
     std::size_t maxMessageBytes = 8UL * 1024 * 1024;
-    int receiveHighWaterMark = 1000; ///< Received messages that are not handled yet; further messages stay in the sender's queue.
+    CallerBudget budget; ///< Of all peers that connect to this daemon. Not used with CURVE keys.
     Duration pingInterval{1000};
     Duration pingTimeout{3000}; ///< A connection that is silent for this long is replaced.
     Duration connectTimeout{2000}; ///< Needed for powered-off peers, which don't respond instead of refusing connections.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -51,7 +51,8 @@
 
 Result<bool> Node::open()
 {
-    auto peers = PeerMessaging::create(m_loop, m_settings.self, [this](const PeerMessaging::Envelope &message) { onPeerMessage(message); });
+    auto peers = PeerMessaging::create(
+        m_loop, m_settings.self, [this](const PeerMessaging::Envelope &message) { onPeerMessage(message); }, m_settings.peerBudget);
     if (!peers) {
         return peers.reason();
     }
--- a/src/node/peermessaging.cpp
+++ b/src/node/peermessaging.cpp
@@ -17,9 +17,7 @@
 constexpr Duration maxReconnectDelay{400};
 constexpr Duration batchingDelay{2}; // Each ZeroMQ message costs several system calls in two threads, whatever its size.
 constexpr std::size_t maxBatchedMessageBytes = 32UL * 1024; // A batch of larger messages could exceed the size limit of one message.
-// In messages; so long that the queue does not fill up. libzmq 4.3.4 aborts (stream_engine_base.cpp, "!_io_error") if a connection breaks
-// while a full queue blocks its input.
-constexpr int receiveQueueLength = 200000;
+constexpr std::size_t maxMessageBytes = 4UL * 1024 * 1024; // An answer of the store has at most 1 MB, one of a worker 2 MiB.
 
 std::uint64_t randomRequestId()
 {
@@ -35,12 +33,13 @@
     m_flushTimer = EventWatch::timer(loop, [this] { flush(); });
 }
 
-Result<std::unique_ptr<PeerMessaging>> PeerMessaging::create(EventLoop &loop, const CellMember &self, Handler handler)
+Result<std::unique_ptr<PeerMessaging>> PeerMessaging::create(EventLoop &loop, const CellMember &self, Handler handler, const CallerBudget &budget)
 {
     std::unique_ptr<PeerMessaging> peers(new PeerMessaging(loop, self, std::move(handler)));
     PeerTransportSettings settings;
     settings.address = self.peerAddress;
-    settings.receiveHighWaterMark = receiveQueueLength;
+    settings.maxMessageBytes = maxMessageBytes;
+    settings.budget = budget;
     settings.pingInterval = pingInterval;
     settings.pingTimeout = pingTimeout;
     settings.connectTimeout = connectTimeout;
--- a/src/node/peermessaging.h
+++ b/src/node/peermessaging.h
@@ -29,7 +29,9 @@
     };
     [[nodiscard]] static ReturnAddress returnAddressOf(const Envelope &peerRequest);
 
-    [[nodiscard]] static Result<std::unique_ptr<PeerMessaging>> create(EventLoop &loop, const CellMember &self, Handler handler);
+    /// @p budget: of the daemons that connect to this one.
+    [[nodiscard]] static Result<std::unique_ptr<PeerMessaging>>
+    create(EventLoop &loop, const CellMember &self, Handler handler, const CallerBudget &budget = CallerBudget::forPeers({}));
 
     /// Sends a one-way message. Small messages to the same address are batched.
     void send(const std::string &address, Envelope message);
--- a/test/platform/limits/misuses.cpp
+++ b/test/platform/limits/misuses.cpp
@@ -15,6 +15,13 @@
 constexpr int shortRequests = 1000; // In each connection.
 constexpr int unknownRequests = 64; // Different ones in each round of a connection.
 
+/// Closing the socket then discards its bytes and resets the connection.
+void resetOnClose(int descriptor)
+{
+    const linger reset{1, 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 /// Start of a message in ZMTP, the protocol of ZeroMQ.
 std::string peerFrameHead(std::size_t length)
 {
@@ -118,8 +125,7 @@
     }
     misuse.connections = connections;
     misuse.afterTurn = [total = misuse.opening.size()](int descriptor, std::size_t sent) {
-        const linger reset{1, 0}; // Closing the socket discards its bytes and resets the connection.
-        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        resetOnClose(descriptor);
         return sent >= total;
     };
     return misuse;
@@ -212,11 +218,25 @@
 {
     Misuse misuse;
     misuse.opening = peerGreeting();
-    misuse.repeated = peerFrameHead(length) + std::string(length, 'x');
+    const std::string message = peerFrameHead(length) + std::string(length, 'x');
+    while (misuse.repeated.size() < 16 * kibibyte) {
+        misuse.repeated += message;
+    }
     misuse.connections = connections;
     return misuse;
 }
 
+Misuse resetPeers(std::size_t length, int connections)
+{
+    constexpr std::size_t bytesPerConnection = 256 * kibibyte;
+    Misuse misuse = malformedPeerMessages(length, connections);
+    misuse.afterTurn = [](int descriptor, std::size_t sent) {
+        resetOnClose(descriptor);
+        return sent >= bytesPerConnection;
+    };
+    return misuse;
+}
+
 Misuse silentPeers(int connections)
 {
     Misuse misuse;
--- a/test/platform/limits/misuses.h
+++ b/test/platform/limits/misuses.h
@@ -44,6 +44,8 @@
 [[nodiscard]] Misuse unfinishedPeerMessages(std::size_t length, int connections);
 /// Complete messages of @p length bytes that no daemon understands, without end.
 [[nodiscard]] Misuse malformedPeerMessages(std::size_t length, int connections);
+/// Like malformedPeerMessages(), on connections that are reset every few hundred KiB.
+[[nodiscard]] Misuse resetPeers(std::size_t length, int connections);
 /// Connections that greet and then send nothing.
 [[nodiscard]] Misuse silentPeers(int connections);
 
--- a/test/platform/limits/testdaemonlimits.cpp
+++ b/test/platform/limits/testdaemonlimits.cpp
@@ -26,6 +26,7 @@
 constexpr std::size_t maxBody = 1024UL * 1024;
 constexpr int crowdSize = 150;
 constexpr int pipeliningCrowdSize = 50;
+constexpr int peerCrowdSize = 60;
 constexpr int crowdBeyondDescriptors = 320;
 constexpr Duration misuseTime{3000};
 constexpr Duration sampleInterval{25};
@@ -54,7 +55,7 @@
         const std::string failure = fleet.start();
         CHECK_TEXT(failure.empty(), failure.c_str());
         target.key = fleet.teamKey;
-        use = std::make_unique<ProcessUse>(fleet.daemons[0].process->pid(), std::set<std::string>{fleet.daemons[0].httpAddress});
+        use = std::make_unique<ProcessUse>(fleet.daemons[0].process->pid(), std::set<std::string>{fleet.daemons[0].httpAddress, fleet.daemons[0].peerAddress});
         sampleTimer = EventWatch::repeating(*loop, sampleInterval, [this] { use->sample(); });
     }
 
@@ -80,10 +81,15 @@
     }
 
     void survives(const Misuse &misuse)
+    {
+        survives(fleet.daemons[0].httpAddress, misuse);
+    }
+
+    void survives(const std::string &address, const Misuse &misuse)
     {
         bool isServedDuringMisuse = false;
         {
-            const CallerCrowd crowd(*loop, fleet.daemons[0].httpAddress, misuse);
+            const CallerCrowd crowd(*loop, address, misuse);
             runBeside([&] {
                 std::this_thread::sleep_for(misuseTime);
                 isServedDuringMisuse = isServed();
@@ -152,6 +158,30 @@
     survives(resetResponses(target, "/nowhere", pipeliningCrowdSize));
 }
 
+// Guards against messages whose end never comes and which are kept without a bound on their sum.
+TEST(DaemonLimits, PeerMessagesThatAreNeverCompleted)
+{
+    survives(fleet.daemons[0].peerAddress, unfinishedPeerMessages(8 * maxBody - 1, peerCrowdSize));
+}
+
+// Guards against messages that arrive faster than they are handled.
+TEST(DaemonLimits, MalformedPeerMessages)
+{
+    survives(fleet.daemons[0].peerAddress, malformedPeerMessages(64UL * 1024, peerCrowdSize));
+}
+
+// Guards against an error of a connection that ends the process while messages of it wait to be handled.
+TEST(DaemonLimits, PeersThatAreResetWhileMessagesWait)
+{
+    survives(fleet.daemons[0].peerAddress, resetPeers(1, peerCrowdSize));
+}
+
+// Guards against peers that send nothing and use up all descriptors.
+TEST(DaemonLimits, ManySilentPeers)
+{
+    survives(fleet.daemons[0].peerAddress, silentPeers(crowdBeyondDescriptors));
+}
+
 // Guards against a shutdown that waits for callers who never end.
 TEST(DaemonLimits, AStopDuringTheMisuse)
 {
--- a/test/process/fleet.cpp
+++ b/test/process/fleet.cpp
@@ -348,7 +348,7 @@
     const std::vector<std::string> peers{freeAddress(), freeAddress(), freeAddress()};
     const std::vector<std::string> names{"north-1", "north-2", "south-1"};
     for (std::size_t i = 0; i < names.size(); ++i) {
-        DaemonProcess daemon{names[i], freeAddress(), m_directory + "/" + names[i] + ".yaml", nullptr};
+        DaemonProcess daemon{names[i], freeAddress(), peers[i], m_directory + "/" + names[i] + ".yaml", nullptr};
         // The first five letters of each name are the failure domain.
         std::ofstream(daemon.settingsFile) << "daemon: " << names[i] << "\nfailureDomain: " << names[i].substr(0, 5) << "\nhttp: {address: \""
                                            << daemon.httpAddress << "\"" << m_settings.http << "}\npeers: {address: \"" << peers[i] << "\", seeds: [\""
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -68,6 +68,7 @@
 struct DaemonProcess {
     std::string id;
     std::string httpAddress;
+    std::string peerAddress;
     std::string settingsFile;
     std::unique_ptr<Process> process;
 };
