Bound the connections to the addresses that peers name

Callers saw: nothing so far; strangers who reach the port for other daemons could use up its descriptors: requests with 4,000 different addresses for the reply took 2,060 of 256 descriptors and 112 of 64 MB. Cause: PeerTransport opened a DEALER socket for each address and kept it for a minute. The least recently used one is replaced if it was idle for a second; otherwise the message is dropped, which is counted and logged. Daemons exchange heartbeats more often, so their sockets stay. Ruled out: replacing the oldest at once: libzmq releases descriptors later than the loop opens new ones (1,525 descriptors in a trial). Tests: PeerLimits.RequestsOfStrangers, failed before.

--- a/src/daemon/peertransport.cpp
+++ b/src/daemon/peertransport.cpp
@@ -6,6 +6,7 @@
 
 #include <zmq.hpp>
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <vector>
@@ -23,6 +24,9 @@
 
 constexpr Duration idleTimeout{60000}; // Peers are replaced daily; this closes the sockets to their old addresses.
 constexpr Duration idleCheckInterval{10000};
+// Whoever can send a message chooses the address of the reply. Peers exchange heartbeats more often, so they keep their sockets, and libzmq
+// releases the descriptors of closed ones meanwhile.
+constexpr Duration minReplacedIdleTime{1000};
 constexpr std::size_t curveKeyBytes = 32;
 constexpr std::size_t curveKeyZ85Size = 41; // 40 characters and the terminating null.
 const char zapDomain[] = "ladder";
@@ -66,7 +70,10 @@
     PeerCounters counters;
 
 private:
-    Dealer &dealerFor(const std::string &address);
+    /// Returns null if there are too many peers.
+    Dealer *dealerFor(const std::string &address);
+    /// Closes the socket that was not used for the longest time. Returns false if all are in use.
+    bool closeLeastRecentlyUsed();
     [[nodiscard]] std::optional<Error> openListener();
     void openRouter();
     void openZapHandler();
@@ -236,11 +243,24 @@
     return isWellFormed;
 }
 
-Dealer &PeerTransport::Private::dealerFor(const std::string &address)
+bool PeerTransport::Private::closeLeastRecentlyUsed()
+{
+    const auto oldest = std::min_element(m_dealers.begin(), m_dealers.end(), [](const auto &a, const auto &b) { return a.second.lastUse < b.second.lastUse; });
+    if (oldest == m_dealers.end() || m_loop.now() - oldest->second.lastUse < minReplacedIdleTime) {
+        return false;
+    }
+    m_dealers.erase(oldest);
+    return true;
+}
+
+Dealer *PeerTransport::Private::dealerFor(const std::string &address)
 {
     const auto found = m_dealers.find(address);
     if (found != m_dealers.end()) {
-        return found->second;
+        return &found->second;
+    }
+    if (m_dealers.size() >= m_settings.budget.maxConnections && !closeLeastRecentlyUsed()) {
+        return nullptr;
     }
     zmq::socket_t socket(m_context, zmq::socket_type::dealer);
     setCommonOptions(socket, m_settings);
@@ -255,7 +275,7 @@
         socket.set(zmq::sockopt::curve_secretkey, m_settings.curve->secretKey);
     }
     socket.connect("tcp://" + address);
-    return m_dealers.emplace(address, Dealer{std::move(socket), m_loop.now()}).first->second;
+    return &m_dealers.emplace(address, Dealer{std::move(socket), m_loop.now()}).first->second;
 }
 
 void PeerTransport::Private::send(const std::string &address, const std::string &bytes)
@@ -266,9 +286,14 @@
         return;
     }
     try {
-        Dealer &target = dealerFor(address);
-        target.lastUse = m_loop.now();
-        if (target.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+        Dealer *target = dealerFor(address);
+        if (target == nullptr) {
+            ++counters.dropped;
+            logRateLimited(LogComponent::Peers, LogLevel::Warning, "peers", "no connection to " + address + ": too many peers; message dropped");
+            return;
+        }
+        target->lastUse = m_loop.now();
+        if (target->socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
             ++counters.sent;
             counters.bytesSent += bytes.size();
         } else {
--- a/test/platform/limits/misuses.cpp
+++ b/test/platform/limits/misuses.cpp
@@ -1,6 +1,8 @@
 // Builds the bytes of each form of misuse.
 #include "misuses.h"
 
+#include "cell.pb.h"
+
 #include <sys/socket.h>
 
 #include <array>
@@ -237,6 +239,37 @@
     return misuse;
 }
 
+Misuse requestsOfStrangers(int connections)
+{
+    constexpr int strangers = 4000;
+    constexpr int firstPort = 20000;
+    Misuse misuse;
+    misuse.opening = peerGreeting();
+    for (int i = 0; i < strangers; ++i) {
+        CellWire::CellEnvelope message;
+        message.set_from("stranger-" + std::to_string(i));
+        message.set_reply_address("127.0.0.1:" + std::to_string(firstPort + i));
+        message.set_call(1);
+        message.mutable_state_query()->set_job("bbbbbbbbbbbbbbbb");
+        const std::string bytes = message.SerializeAsString();
+        misuse.repeated += peerFrameHead(bytes.size()) + bytes;
+    }
+    misuse.connections = connections;
+    return misuse;
+}
+
+Misuse halfClosedPeers(int connections)
+{
+    Misuse misuse = silentPeers(connections);
+    misuse.afterTurn = [total = misuse.opening.size()](int descriptor, std::size_t sent) {
+        if (sent >= total) {
+            shutdown(descriptor, SHUT_WR);
+        }
+        return false;
+    };
+    return misuse;
+}
+
 Misuse silentPeers(int connections)
 {
     Misuse misuse;
--- a/test/platform/limits/misuses.h
+++ b/test/platform/limits/misuses.h
@@ -46,6 +46,10 @@
 [[nodiscard]] Misuse malformedPeerMessages(std::size_t length, int connections);
 /// Like malformedPeerMessages(), on connections that are reset every few hundred KiB.
 [[nodiscard]] Misuse resetPeers(std::size_t length, int connections);
+/// Well-formed requests of daemons that do not exist, each with another address for the reply.
+[[nodiscard]] Misuse requestsOfStrangers(int connections);
+/// Connections that greet, end their direction and stay open.
+[[nodiscard]] Misuse halfClosedPeers(int connections);
 /// Connections that greet and then send nothing.
 [[nodiscard]] Misuse silentPeers(int connections);
 
--- a/test/platform/limits/testdaemonlimits.cpp
+++ b/test/platform/limits/testdaemonlimits.cpp
@@ -134,6 +134,12 @@
     survives(pipelinedRequests(target, "/nowhere", pipeliningCrowdSize));
 }
 
+// Guards against bounds that hold only for paths without a route.
+TEST(DaemonLimits, PipelinedRequestsForAJob)
+{
+    survives(pipelinedRequests(target, "/v1/jobs/guides:none", pipeliningCrowdSize));
+}
+
 // Guards against connections that use up all descriptors.
 TEST(DaemonLimits, ManyConnectionsWithSlowHeaders)
 {
--- a/test/platform/limits/testpeerlimits.cpp
+++ b/test/platform/limits/testpeerlimits.cpp
@@ -69,3 +69,27 @@
 {
     survives(cell.peerAddress(), silentConnections(crowdBeyondDescriptors));
 }
+
+// Guards against a connection for each address that strangers name as their own.
+TEST(PeerLimits, RequestsOfStrangers)
+{
+    survives(cell.peerAddress(), requestsOfStrangers(crowdSize));
+}
+
+// Guards against connections whose peer has ended its direction, and which stay forever.
+TEST(PeerLimits, HalfClosedPeers)
+{
+    survives(cell.peerAddress(), halfClosedPeers(crowdBeyondDescriptors));
+}
+
+// Guards against a shutdown that waits for peers who never end.
+TEST(PeerLimits, AStopDuringTheMisuse)
+{
+    CHECK_TEXT(cell.submitsJob(), "the daemon has not started");
+    const CallerCrowd crowd(cell.loop(), cell.peerAddress(), unfinishedPeerMessages(4 * mebibyte - 1, crowdSize));
+    cell.runFor(misuseTime);
+    const auto exitCode = cell.stopDaemon();
+    CHECK_TEXT(exitCode.has_value(), "the daemon did not end, or was killed");
+    LONGS_EQUAL(0, *exitCode);
+    staysWithinLimits(crowd.bytesSent());
+}
