--- a/src/daemon/httpfrontend.cpp
+++ b/src/daemon/httpfrontend.cpp
@@ -345,7 +345,11 @@
             continue;
         }
         evbuffer *output = bufferevent_get_output(events);
-        const std::string response = rejectionText(statusOf(output));
+        const int status = statusOf(output);
+        if (status < firstErrorStatus) {
+            continue; // A new connection at the address of one that has ended in this turn.
+        }
+        const std::string response = rejectionText(status);
         evbuffer_unfreeze(output, 1); // The bufferevent keeps others from removing what it is about to send.
         evbuffer_drain(output, evbuffer_get_length(output));
         evbuffer_freeze(output, 1);
