Name the budgets after what they are for, and mend what the linter found

Cause: CallerBudget also bounds connections of peers, and forProcess() did not say which connections it is for.

--- a/src/core/callerlimits.cpp
+++ b/src/core/callerlimits.cpp
@@ -17,9 +17,9 @@
 constexpr std::uint64_t minSocketBuffer = 4UL * 1024;
 constexpr std::uint64_t maxSocketBuffer = 128UL * 1024; // More would not be faster on the links between callers and daemons.
 
-CallerBudget divide(const ProcessResources &resources, std::uint64_t descriptorsPerOne)
+ConnectionBudget divide(const ProcessResources &resources, std::uint64_t descriptorsPerOne)
 {
-    CallerBudget budget;
+    ConnectionBudget budget;
     const std::uint64_t memory = resources.memoryBytes.value_or(budget.maxBytes * memoryPerByte);
     const std::uint64_t descriptors = resources.descriptors.value_or(budget.maxConnections * descriptorsPerConnection);
     const std::uint64_t socketMemory = memory / memoryPerSocketByte / kernelFactor;
@@ -32,12 +32,12 @@
 
 } // namespace
 
-CallerBudget CallerBudget::forProcess(const ProcessResources &resources)
+ConnectionBudget ConnectionBudget::forCallers(const ProcessResources &resources)
 {
     return divide(resources, descriptorsPerConnection);
 }
 
-CallerBudget CallerBudget::forPeers(const ProcessResources &resources)
+ConnectionBudget ConnectionBudget::forPeers(const ProcessResources &resources)
 {
     return divide(resources, descriptorsPerPeer);
 }
--- a/src/core/callerlimits.h
+++ b/src/core/callerlimits.h
@@ -1,4 +1,4 @@
-// Limits for the connections and requests of callers.
+// Limits for the connections and requests of callers, and bounds for all connections of callers or of peers together.
 #pragma once
 
 #include "units.h"
@@ -24,18 +24,18 @@
 };
 
 /// Limits for all connections of callers, or of peers, together.
-struct CallerBudget {
+struct ConnectionBudget {
     std::size_t maxConnections = 4000;
     std::size_t maxBytes = 64UL * 1024 * 1024; ///< Of incomplete and unanswered requests and unread responses, in the process.
     /// Requested size of a socket's buffer in the kernel, in each direction. The kernel reserves twice as much. 0: the system's default.
     std::size_t socketBufferBytes = maxBytes / maxConnections;
 
-    /// Divides the resources of a process: an eighth of the memory for the daemon's own buffers, which take up to twice the bytes that they
-    /// hold, a quarter for the sockets' buffers, and a third of the descriptors.
-    [[nodiscard]] static CallerBudget forProcess(const ProcessResources &resources);
+    /// The part of a process's resources for connections of callers: an eighth of the memory for the daemon's own buffers, which take up to twice
+    /// the bytes that they hold, a quarter for the sockets' buffers, and a third of the descriptors.
+    [[nodiscard]] static ConnectionBudget forCallers(const ProcessResources &resources);
     /// The same for connections of peers, with an eighth of the descriptors. Daemons only receive on them, so the sockets' buffers take an eighth
     /// of the memory.
-    [[nodiscard]] static CallerBudget forPeers(const ProcessResources &resources);
+    [[nodiscard]] static ConnectionBudget forPeers(const ProcessResources &resources);
 };
 
 } // namespace KingCupLadder
--- a/src/daemon/callerconnections.cpp
+++ b/src/daemon/callerconnections.cpp
@@ -45,7 +45,7 @@
     return "";
 }
 
-CallerConnections::CallerConnections(const CallerBudget &budget, const CallerLimits &limits) : m_budget(budget), m_limits(limits) { }
+CallerConnections::CallerConnections(const ConnectionBudget &budget, const CallerLimits &limits) : m_budget(budget), m_limits(limits) { }
 
 void CallerConnections::setLimits(const CallerLimits &limits)
 {
@@ -57,7 +57,7 @@
     return m_limits;
 }
 
-const CallerBudget &CallerConnections::budget() const
+const ConnectionBudget &CallerConnections::budget() const
 {
     return m_budget;
 }
--- a/src/daemon/callerconnections.h
+++ b/src/daemon/callerconnections.h
@@ -1,6 +1,6 @@
 // Decides which connections of callers are closed and which requests are rejected, so that callers who exceed the limits use bounded memory
-// and descriptors. One object serves all listeners of the process. No I/O: the owner of a connection reports what happens on it and closes it
-// when it is told to.
+// and descriptors. One object serves all HTTP listeners of the process; PeerListener has one of its own. No I/O: the owner of a connection reports what happens
+// on it and closes it when it is told to.
 #pragma once
 
 #include "core/callerlimits.h"
@@ -42,11 +42,11 @@
     /// Each number of bytes adds one second to the time in which a request must be complete. Far below the rate of any ordinary caller.
     static constexpr std::size_t minBytesPerSecond = 4096;
 
-    explicit CallerConnections(const CallerBudget &budget = {}, const CallerLimits &limits = {});
+    explicit CallerConnections(const ConnectionBudget &budget = {}, const CallerLimits &limits = {});
 
     void setLimits(const CallerLimits &limits);
     [[nodiscard]] const CallerLimits &limits() const;
-    [[nodiscard]] const CallerBudget &budget() const;
+    [[nodiscard]] const ConnectionBudget &budget() const;
 
     CallerConnectionId add(TimePoint now, CloseHandler close);
     void remove(CallerConnectionId id);
@@ -105,7 +105,7 @@
     template<typename Change>
     void update(CallerConnectionId id, const Change &change);
 
-    CallerBudget m_budget;
+    ConnectionBudget m_budget;
     CallerLimits m_limits;
     std::map<CallerConnectionId, Connection> m_connections; ///< Oldest first.
     std::size_t m_heldBytes = 0; ///< Sum of bytesOf() of all connections.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -105,7 +105,7 @@
     limits.maxBodyBytes = settings.maxBody;
     limits.headerTimeout = Duration(0); // A slow caller is closed only if connections run out.
     limits.idleTimeout = settings.clientIdle;
-    return std::make_shared<CallerConnections>(CallerBudget::forProcess(resourcesOf(settings)), limits);
+    return std::make_shared<CallerConnections>(ConnectionBudget::forCallers(resourcesOf(settings)), limits);
 }
 
 ConnectionPoolSettings applicationPoolSettings(const DaemonSettings &settings)
@@ -204,7 +204,7 @@
 
 std::optional<Error> Daemon::Private::openSockets()
 {
-    const PeerSocketSettings peerSettings{settings.daemon, settings.peerAddress, settings.curve, CallerBudget::forPeers(resourcesOf(settings))};
+    const PeerSocketSettings peerSettings{settings.daemon, settings.peerAddress, settings.curve, ConnectionBudget::forPeers(resourcesOf(settings))};
     auto socket = PeerSocket::create(*loop, peerSettings, [this](const DaemonId &from, const PeerMessage &message) { runner->onPeerMessage(from, message); });
     if (!socket) {
         return socket.reason();
--- a/src/daemon/httpfrontend.cpp
+++ b/src/daemon/httpfrontend.cpp
@@ -93,7 +93,7 @@
     limits.maxBodyBytes = settings.maxBody;
     limits.headerTimeout = Duration(0);
     limits.idleTimeout = Duration(0);
-    return std::make_shared<CallerConnections>(CallerBudget{unlimited, unlimited, 0}, limits);
+    return std::make_shared<CallerConnections>(ConnectionBudget{unlimited, unlimited, 0}, limits);
 }
 
 const char *reasonPhrase(int status)
--- a/src/daemon/peerlistener.h
+++ b/src/daemon/peerlistener.h
@@ -22,7 +22,7 @@
     std::string address; ///< "ip:port" to listen on.
     std::size_t maxMessageBytes = 0;
     Duration maxSilence{0}; ///< Peers send pings more often; a connection that is silent for longer is closed.
-    CallerBudget budget; ///< Of all peers together.
+    ConnectionBudget budget; ///< Of all peers together.
 };
 
 class PeerListener
--- a/src/daemon/peersocket.h
+++ b/src/daemon/peersocket.h
@@ -18,7 +18,7 @@
     DaemonId self;
     std::string address; ///< "ip:port" to bind.
     std::optional<CurveKeys> curve;
-    CallerBudget budget = CallerBudget::forPeers({}); ///< Of the daemons that connect to this one.
+    ConnectionBudget budget = ConnectionBudget::forPeers({}); ///< Of the daemons that connect to this one.
 };
 
 class PeerSocket
--- a/src/daemon/peertransport.h
+++ b/src/daemon/peertransport.h
@@ -20,7 +20,7 @@
     std::optional<CurveKeys> curve;
     std::size_t maxMessageBytes = 8UL * 1024 * 1024;
     /// Of all peers that connect to this daemon, unless there are CURVE keys. Also the largest number of peers that this daemon connects to.
-    CallerBudget budget;
+    ConnectionBudget budget;
     Duration pingInterval{1000};
     Duration pingTimeout{3000}; ///< A connection that is silent for this long is replaced.
     Duration connectTimeout{2000}; ///< Needed for powered-off peers, which don't respond instead of refusing connections.
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -206,6 +206,7 @@
     using S = DaemonSettings;
     constexpr std::uint64_t kibibyte = 1024;
     constexpr std::uint64_t mebibyte = 1024 * kibibyte;
+    constexpr std::uint64_t gibibyte = 1024 * mebibyte;
     std::vector<Field> fields{
         {"daemon", true, nameReader(&S::daemon)},
         {"failureDomain", true, nameReader(&S::domain)},
@@ -214,7 +215,7 @@
         {"http.maxHeaders", false, sizeReader(&S::maxHeaders, kibibyte, mebibyte)},
         {"http.maxActive", false, countReader(&S::maxActiveRequests, 1, 1000000)},
         {"http.maxActivePerTeam", false, countReader(&S::maxActivePerTeam, 1, 1000000)},
-        {"limits.memory", false, sizeReader(&S::memoryLimit, 16 * mebibyte, 1024 * 1024 * mebibyte)},
+        {"limits.memory", false, sizeReader(&S::memoryLimit, 16 * mebibyte, 1024 * gibibyte)},
         {"limits.descriptors", false, countReader(&S::descriptorLimit, 64, 10000000)},
         {"peers.address", true, addressReader(&S::peerAddress)},
         {"peers.seeds", true, readSeeds},
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -21,8 +21,8 @@
     std::string readyAddress; ///< "ip:port" for the load balancer's readiness probe.
     std::string readyPath = "/ready";
     std::string metricsAddress; ///< "ip:port"; empty: metrics are not served.
-    CallerBudget callerBudget; ///< Of all three HTTP servers together.
-    CallerBudget peerBudget = CallerBudget::forPeers({}); ///< Of the daemons that connect to this one.
+    ConnectionBudget callerBudget; ///< Of all three HTTP servers together.
+    ConnectionBudget peerBudget = ConnectionBudget::forPeers({}); ///< Of the daemons that connect to this one.
     int jobPartitions = 4; ///< Store partitions that jobs are hashed to; must be the same for all daemons of a cell.
     LeadershipSettings leadership;
     LeaderControllerSettings leaderController;
--- a/src/node/peermessaging.cpp
+++ b/src/node/peermessaging.cpp
@@ -33,7 +33,7 @@
     m_flushTimer = EventWatch::timer(loop, [this] { flush(); });
 }
 
-Result<std::unique_ptr<PeerMessaging>> PeerMessaging::create(EventLoop &loop, const CellMember &self, Handler handler, const CallerBudget &budget)
+Result<std::unique_ptr<PeerMessaging>> PeerMessaging::create(EventLoop &loop, const CellMember &self, Handler handler, const ConnectionBudget &budget)
 {
     std::unique_ptr<PeerMessaging> peers(new PeerMessaging(loop, self, std::move(handler)));
     PeerTransportSettings settings;
--- a/src/node/peermessaging.h
+++ b/src/node/peermessaging.h
@@ -31,7 +31,7 @@
 
     /// @p budget: of the daemons that connect to this one.
     [[nodiscard]] static Result<std::unique_ptr<PeerMessaging>>
-    create(EventLoop &loop, const CellMember &self, Handler handler, const CallerBudget &budget = CallerBudget::forPeers({}));
+    create(EventLoop &loop, const CellMember &self, Handler handler, const ConnectionBudget &budget = ConnectionBudget::forPeers({}));
 
     /// Sends a one-way message. Small messages to the same address are batched.
     void send(const std::string &address, Envelope message);
--- a/test/daemon/testcallerconnections.cpp
+++ b/test/daemon/testcallerconnections.cpp
@@ -21,7 +21,7 @@
         limits.maxBodyBytes = 4 * kibibyte;
         limits.headerTimeout = Duration(2000);
         limits.idleTimeout = Duration(10000);
-        return CallerConnections(CallerBudget{4, 20 * kibibyte}, limits);
+        return CallerConnections(ConnectionBudget{4, 20 * kibibyte}, limits);
     }
 
     CallerConnectionId open()
@@ -210,7 +210,7 @@
 TEST(CallerConnections, ASingleRequestWithinTheLimitsFitsIntoAnyBudget)
 {
     CallerLimits limits;
-    CallerConnections small(CallerBudget{4, kibibyte}, limits);
+    CallerConnections small(ConnectionBudget{4, kibibyte}, limits);
     const CallerConnectionId id = small.add(now, [](CloseReason) { FAIL("closed"); });
     small.onReceived(id, limits.maxHeaderBytes + limits.maxBodyBytes, now);
     small.enforce(now);
--- a/test/daemon/testcallerlimits.cpp
+++ b/test/daemon/testcallerlimits.cpp
@@ -87,7 +87,7 @@
     std::string address = freeAddress();
     std::vector<HttpCallPtr> calls;
     bool respondsAtOnce = true;
-    std::shared_ptr<CallerConnections> connections = std::make_shared<CallerConnections>(CallerBudget{600, 1024 * kibibyte}, CallerLimits());
+    std::shared_ptr<CallerConnections> connections = std::make_shared<CallerConnections>(ConnectionBudget{600, 1024 * kibibyte}, CallerLimits());
     std::unique_ptr<HttpFrontend> server = makeServer();
 
     std::unique_ptr<HttpFrontend> makeServer()
@@ -339,6 +339,6 @@
         Duration(1000));
     // The caller's own buffer has its smallest size.
     const std::size_t ownBuffer = 16 * kibibyte;
-    const std::size_t readBeforeThePause = 2 * 16 * kibibyte;
+    const std::size_t readBeforeThePause = 32 * kibibyte;
     CHECK_TRUE(taken <= 2 * connections->budget().socketBufferBytes + readBeforeThePause + ownBuffer);
 }
--- a/test/daemon/testpeerlistener.cpp
+++ b/test/daemon/testpeerlistener.cpp
@@ -17,10 +17,10 @@
     std::unique_ptr<EventLoop> loop = makeLoop();
     std::string address = freeAddress();
     std::vector<std::string> received;
-    std::unique_ptr<PeerListener> listener = makeListener(CallerBudget{4, mebibyte, 16UL * 1024});
+    std::unique_ptr<PeerListener> listener = makeListener(ConnectionBudget{4, mebibyte, 16UL * 1024});
     zmq::context_t context{1};
 
-    std::unique_ptr<PeerListener> makeListener(const CallerBudget &budget)
+    std::unique_ptr<PeerListener> makeListener(const ConnectionBudget &budget)
     {
         PeerListenerSettings settings;
         settings.address = address;
--- a/test/daemon/testsettings.cpp
+++ b/test/daemon/testsettings.cpp
@@ -155,3 +155,14 @@
         }
     }
 }
+
+// Guards against bounds for callers that do not follow the settings, or that a mistake in them removes.
+TEST(Settings, ReadsTheLimitsOfTheProcess)
+{
+    const auto settings = parseSettings(minimalSettings + "limits: {memory: 120MiB, descriptors: 3075}\n").settings;
+    CHECK_TRUE(settings.has_value());
+    LONGS_EQUAL(120 * 1024 * 1024, settings->memoryLimit);
+    LONGS_EQUAL(3075, settings->descriptorLimit);
+    CHECK_TRUE(contains(problemsOf(minimalSettings + "limits: {memory: 1MiB}\n"), "limits.memory"));
+    CHECK_TRUE(contains(problemsOf(minimalSettings + "limits: {descriptors: many}\n"), "limits.descriptors"));
+}
--- a/test/node/testjobapi.cpp
+++ b/test/node/testjobapi.cpp
@@ -295,10 +295,8 @@
     settings.workspaceShare.maxRequests = 2;
     makeJobApi(settings);
     readConfig();
-    std::vector<HttpCallPtr> waiting;
-    for (int i = 0; i < 2; ++i) {
-        waiting.push_back(begin("GET", "/a/b/j" + std::to_string(i), "good"));
-    }
+    const auto first = begin("GET", "/a/b/j0", "good");
+    const auto second = begin("GET", "/a/b/j1", "good");
     const auto beyond = begin("POST", "/a/b/j9", "good", "job");
     CHECK_TRUE(beyond->isDone());
     CHECK_EQUAL(429, answers.back().status);
--- a/test/platform/testdecoders.cpp
+++ b/test/platform/testdecoders.cpp
@@ -71,8 +71,8 @@
     std::string text = bootText;
     text.replace(text.find("\"cores\":1"), 9, R"("cores":1,"memory_mb":0,"max_fds":"many")");
     const auto boot = decodeBootFile(text, Incarnation(1));
-    LONGS_EQUAL(CallerBudget().maxBytes, boot.value().node.callerBudget.maxBytes);
-    LONGS_EQUAL(CallerBudget().maxConnections, boot.value().node.callerBudget.maxConnections);
+    LONGS_EQUAL(ConnectionBudget().maxBytes, boot.value().node.callerBudget.maxBytes);
+    LONGS_EQUAL(ConnectionBudget().maxConnections, boot.value().node.callerBudget.maxConnections);
     LONGS_EQUAL(2, boot.value().warnings.size());
 }
 
