Close peers that do not read the answers to their pings

Callers saw: nothing; found by reading PeerListener. Answers to pings went into an output buffer that nothing bounded. Change: a connection with more than 4 KiB of unread answers is closed. Tests: PeerLimits.PingsWhoseAnswersAreNeverRead.

--- a/src/daemon/peerlistener.cpp
+++ b/src/daemon/peerlistener.cpp
@@ -23,6 +23,7 @@
 constexpr Duration sweepInterval{100};
 constexpr Duration messageTimeout{10000}; // The largest message takes about a second on the slowest links between daemons.
 constexpr std::size_t minInput = 64UL * 1024; // Several small messages in one read.
+constexpr std::size_t maxUnreadOutput = 4UL * 1024; // Answers to pings are all that a peer gets on these connections.
 constexpr int backlog = 128;
 
 CallerLimits limitsOf(const PeerListenerSettings &settings)
@@ -173,6 +174,10 @@
         if (item.kind == ZmtpItem::Kind::Ping) {
             const std::string pong = zmtpPong(item.payload);
             bufferevent_write(events, pong.data(), pong.size());
+            if (evbuffer_get_length(bufferevent_get_output(events)) > maxUnreadOutput) {
+                close(events, toString(CloseReason::UnreadResponse));
+                return false;
+            }
         }
         m_accounts.onConsumed(id, left, m_loop.now());
     }
--- a/test/platform/limits/misuses.cpp
+++ b/test/platform/limits/misuses.cpp
@@ -258,6 +258,19 @@
     return misuse;
 }
 
+Misuse unreadPings(int connections)
+{
+    using namespace std::string_literals;
+    const std::string ping = "\x04\x17\x04PING\0\0"s + std::string(16, 'x'); // With the longest context, which the answer repeats.
+    Misuse misuse;
+    misuse.opening = peerGreeting();
+    while (misuse.repeated.size() < 16 * kibibyte) {
+        misuse.repeated += ping;
+    }
+    misuse.connections = connections;
+    return misuse;
+}
+
 Misuse halfClosedPeers(int connections)
 {
     Misuse misuse = silentPeers(connections);
--- a/test/platform/limits/misuses.h
+++ b/test/platform/limits/misuses.h
@@ -48,6 +48,8 @@
 [[nodiscard]] Misuse resetPeers(std::size_t length, int connections);
 /// Well-formed requests of daemons that do not exist, each with another address for the reply.
 [[nodiscard]] Misuse requestsOfStrangers(int connections);
+/// Pings without end, whose answers are never read.
+[[nodiscard]] Misuse unreadPings(int connections);
 /// Connections that greet, end their direction and stay open.
 [[nodiscard]] Misuse halfClosedPeers(int connections);
 /// Connections that greet and then send nothing.
--- a/test/platform/limits/testpeerlimits.cpp
+++ b/test/platform/limits/testpeerlimits.cpp
@@ -76,6 +76,12 @@
     survives(cell.peerAddress(), requestsOfStrangers(crowdSize));
 }
 
+// Guards against answers to pings that are kept without bound.
+TEST(PeerLimits, PingsWhoseAnswersAreNeverRead)
+{
+    survives(cell.peerAddress(), unreadPings(crowdSize));
+}
+
 // Guards against connections whose peer has ended its direction, and which stay forever.
 TEST(PeerLimits, HalfClosedPeers)
 {
