Receive from peers through ROUTER again in the node

Cause: suspected, not traced: with PeerListener the loop answers the pings of peers, so a turn that is late by more than the ping time-out costs a busy leader its connections and the messages on them. libzmq answers pings in its own thread. Change: PeerTransport uses PeerListener only if it has a budget for receiving; kingcupladderd without CURVE keys has one, the node has none. The bound on connections to peers stays in both.

--- a/src/daemon/peersocket.cpp
+++ b/src/daemon/peersocket.cpp
@@ -15,7 +15,8 @@
     transport.address = settings.address;
     transport.curve = settings.curve;
     transport.maxMessageBytes = maxPeerMessageBytes;
-    transport.budget = settings.budget;
+    transport.receiveBudget = settings.budget;
+    transport.maxPeers = settings.budget.maxConnections;
     auto created = PeerTransport::create(loop, transport, [receiver = socket.get()](std::string_view bytes) { return receiver->receive(bytes); });
     if (!created) {
         return created.reason();
--- a/src/daemon/peertransport.cpp
+++ b/src/daemon/peertransport.cpp
@@ -74,6 +74,7 @@
     Dealer *dealerFor(const std::string &address);
     /// Closes the socket that was not used for the longest time. Returns false if all are in use.
     bool closeLeastRecentlyUsed();
+    [[nodiscard]] bool usesListener() const;
     [[nodiscard]] std::optional<Error> openListener();
     void openRouter();
     void openZapHandler();
@@ -87,8 +88,8 @@
     PeerTransportSettings m_settings;
     Handler m_handler;
     zmq::context_t m_context{1};
-    std::unique_ptr<PeerListener> m_listener; ///< Null with CURVE keys.
-    zmq::socket_t m_router; ///< Used only with CURVE keys.
+    std::unique_ptr<PeerListener> m_listener; ///< Null unless usesListener().
+    zmq::socket_t m_router; ///< Used only unless usesListener().
     zmq::socket_t m_zapSocket; ///< Used only with CURVE keys.
     std::map<std::string, Dealer> m_dealers;
     std::unique_ptr<EventWatch> m_routerWatch;
@@ -108,20 +109,25 @@
 std::optional<Error> PeerTransport::Private::open()
 {
     m_idleCheckTimer = EventWatch::repeating(m_loop, idleCheckInterval, [this] { closeUnused(); });
-    if (!m_settings.curve) {
+    if (usesListener()) {
         return openListener();
     }
     openRouter();
     return std::nullopt;
 }
 
+bool PeerTransport::Private::usesListener() const
+{
+    return m_settings.receiveBudget && !m_settings.curve;
+}
+
 std::optional<Error> PeerTransport::Private::openListener()
 {
     PeerListenerSettings listener;
     listener.address = m_settings.address;
     listener.maxMessageBytes = m_settings.maxMessageBytes;
     listener.maxSilence = idleTimeout;
-    listener.budget = m_settings.budget;
+    listener.budget = *m_settings.receiveBudget;
     auto created = PeerListener::create(m_loop, listener, [this](std::string_view message) { return handleMessage(message); });
     if (!created) {
         return created.reason();
@@ -134,10 +140,12 @@
 {
     m_router = zmq::socket_t(m_context, zmq::socket_type::router);
     setCommonOptions(m_router, m_settings);
-    openZapHandler();
-    m_router.set(zmq::sockopt::curve_server, true);
-    m_router.set(zmq::sockopt::curve_secretkey, m_settings.curve->secretKey);
-    m_router.set(zmq::sockopt::zap_domain, zapDomain);
+    if (m_settings.curve) {
+        openZapHandler();
+        m_router.set(zmq::sockopt::curve_server, true);
+        m_router.set(zmq::sockopt::curve_secretkey, m_settings.curve->secretKey);
+        m_router.set(zmq::sockopt::zap_domain, zapDomain);
+    }
     m_router.bind("tcp://" + m_settings.address);
     m_routerWatch = EventWatch::readable(m_loop, m_router.get(zmq::sockopt::fd), [this] { receiveMessages(); });
     scheduleReceive(); // The descriptor is edge-triggered, so messages that arrived before the watch cause no event.
@@ -259,7 +267,7 @@
     if (found != m_dealers.end()) {
         return &found->second;
     }
-    if (m_dealers.size() >= m_settings.budget.maxConnections && !closeLeastRecentlyUsed()) {
+    if (m_dealers.size() >= m_settings.maxPeers && !closeLeastRecentlyUsed()) {
         return nullptr;
     }
     zmq::socket_t socket(m_context, zmq::socket_type::dealer);
@@ -305,7 +313,7 @@
         logRateLimited(LogComponent::Peers, LogLevel::Warning, address, "can't send to " + address + ": " + error.what());
     }
     // Sending can consume the edge event of the descriptor, so received messages are polled for afterwards.
-    if (m_settings.curve) {
+    if (!usesListener()) {
         scheduleReceive();
     }
 }
--- a/src/daemon/peertransport.h
+++ b/src/daemon/peertransport.h
@@ -1,5 +1,5 @@
-// ZeroMQ transport of one daemon: one DEALER socket per peer address sends, and a PeerListener receives. With CURVE keys, a bound ROUTER socket
-// receives instead, whose file descriptor the event loop watches. Carries opaque bytes.
+// ZeroMQ transport of one daemon: one DEALER socket per peer address sends, and a PeerListener receives. Without a budget or with CURVE keys, a bound
+// ROUTER socket receives instead, whose file descriptor the event loop watches. Carries opaque bytes.
 #pragma once
 
 #include "core/callerlimits.h"
@@ -19,8 +19,9 @@
     std::string address; ///< "ip:port" to bind.
     std::optional<CurveKeys> curve;
     std::size_t maxMessageBytes = 8UL * 1024 * 1024;
-    /// Of all peers that connect to this daemon, unless there are CURVE keys. Also the largest number of peers that this daemon connects to.
-    ConnectionBudget budget;
+    /// Of all peers that connect to this daemon. Empty, or with CURVE keys: a ROUTER socket receives, which bounds only the messages of each peer.
+    std::optional<ConnectionBudget> receiveBudget;
+    std::size_t maxPeers = 4000; ///< Largest number of peers that this daemon connects to.
     Duration pingInterval{1000};
     Duration pingTimeout{3000}; ///< A connection that is silent for this long is replaced.
     Duration connectTimeout{2000}; ///< Needed for powered-off peers, which don't respond instead of refusing connections.
--- a/src/node/peermessaging.cpp
+++ b/src/node/peermessaging.cpp
@@ -17,7 +17,6 @@
 constexpr Duration maxReconnectDelay{400};
 constexpr Duration batchingDelay{2}; // Each ZeroMQ message costs several system calls in two threads, whatever its size.
 constexpr std::size_t maxBatchedMessageBytes = 32UL * 1024; // A batch of larger messages could exceed the size limit of one message.
-constexpr std::size_t maxMessageBytes = 4UL * 1024 * 1024; // An answer of the store has at most 1 MB, one of a worker 2 MiB.
 
 std::uint64_t randomRequestId()
 {
@@ -38,8 +37,8 @@
     std::unique_ptr<PeerMessaging> peers(new PeerMessaging(loop, self, std::move(handler)));
     PeerTransportSettings settings;
     settings.address = self.peerAddress;
-    settings.maxMessageBytes = maxMessageBytes;
-    settings.budget = budget;
+    // A ROUTER socket receives: its own thread answers pings while a turn of the loop takes long, so that peers keep their connections.
+    settings.maxPeers = budget.maxConnections;
     settings.pingInterval = pingInterval;
     settings.pingTimeout = pingTimeout;
     settings.connectTimeout = connectTimeout;
