Correct two comments on the budget for peers

Cause: the node receives through ROUTER again, so its budget bounds only the daemons that it connects to. Not built or tested again.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -22,7 +22,7 @@
     std::string readyPath = "/ready";
     std::string metricsAddress; ///< "ip:port"; empty: metrics are not served.
     ConnectionBudget callerBudget; ///< Of all three HTTP servers together.
-    ConnectionBudget peerBudget = ConnectionBudget::forPeers({}); ///< Of the daemons that connect to this one.
+    ConnectionBudget peerBudget = ConnectionBudget::forPeers({}); ///< Bounds the daemons that this one connects to.
     int jobPartitions = 4; ///< Store partitions that jobs are hashed to; must be the same for all daemons of a cell.
     LeadershipSettings leadership;
     LeaderControllerSettings leaderController;
--- a/src/node/peermessaging.h
+++ b/src/node/peermessaging.h
@@ -29,7 +29,7 @@
     };
     [[nodiscard]] static ReturnAddress returnAddressOf(const Envelope &peerRequest);
 
-    /// @p budget: of the daemons that connect to this one.
+    /// @p budget: its connections bound the daemons that this one connects to.
     [[nodiscard]] static Result<std::unique_ptr<PeerMessaging>>
     create(EventLoop &loop, const CellMember &self, Handler handler, const ConnectionBudget &budget = ConnectionBudget::forPeers({}));
 
