--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -31,6 +31,8 @@
 
 #include "settingschange.inc"
 
+#include "lateworkerrecord.inc"
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -47,6 +49,9 @@
     if (name == "settings") {
         result = settingsChange(setup);
     }
+    if (name == "late-worker-record") {
+        result = lateWorkerRecord(setup);
+    }
     record.line("result: " + std::to_string(result));
     std::cout << name << ": " << (result == broken ? "broken" : result == held ? "held" : "couldn't run") << std::endl;
     std::_Exit(result); // The threads of the servers may still be waiting.
