Review case 12: a job waits for ever after a crash of its worker

Cause: a run that was lost before the leader saw it in a list counts as never run, so the time since when its task waits stays zero, and the search for a worker without other runs has no end.

Evidence: review/12/run.sh; one worker of eight crashes and is back after 4.5 s; each worker has a small task that lasts. The job's only task isn't started again.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,7 +5,7 @@
 program=$PWD/target/platform/kingcupladder-node
 [ -x "$program" ] && [ -x target/review-3/review-cases ] || exit 2
 work=$(mktemp -d) || exit 2
-target/review-3/review-cases settings "$program" "$work" "$folder/record.txt"
+target/review-3/review-cases suspect-waits "$program" "$work" "$folder/record.txt"
 result=$?
 rm -rf "$work"
 case $result in 0 | 1) exit $result ;; *) exit 2 ;; esac
--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -33,6 +33,8 @@
 
 #include "lateworkerrecord.inc"
 
+#include "suspectwaits.inc"
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -52,6 +54,9 @@
     if (name == "late-worker-record") {
         result = lateWorkerRecord(setup);
     }
+    if (name == "suspect-waits") {
+        result = suspectWaits(setup);
+    }
     record.line("result: " + std::to_string(result));
     std::cout << name << ": " << (result == broken ? "broken" : result == held ? "held" : "couldn't run") << std::endl;
     std::_Exit(result); // The threads of the servers may still be waiting.
--- a/review/standins-3/world.cpp
+++ b/review/standins-3/world.cpp
@@ -204,6 +204,12 @@
     m_cut = cut;
 }
 
+void Server::setRefusing(bool refusing)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_refusing = refusing;
+}
+
 void Server::acceptAll()
 {
     for (;;) {
@@ -230,6 +236,9 @@
         for (;;) {
             {
                 const std::lock_guard<std::mutex> lock(m_mutex);
+                if (m_refusing) {
+                    return false;
+                }
                 if (!m_cut) {
                     return cuts == m_cuts;
                 }
@@ -578,10 +587,35 @@
     return m_breaches;
 }
 
-void Workers::setReporting(int worker, bool reporting)
+void Workers::crash(int index)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_workers.at(static_cast<std::size_t>(worker))->reporting = reporting;
+    Worker &worker = *m_workers.at(static_cast<std::size_t>(index));
+    worker.isUp = false;
+    worker.server->setRefusing(true);
+    for (const auto &[task, live] : worker.live) {
+        m_runs[live.entry].ended = nowMs();
+        m_runs[live.entry].how = "lost with its worker";
+    }
+    m_record.line(worker.id + ": crashes under " + std::to_string(worker.live.size()) + " runs");
+    worker.live.clear();
+    worker.ends.clear();
+    m_changed.notify_all();
+}
+
+void Workers::startAgain(int index)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    Worker &worker = *m_workers.at(static_cast<std::size_t>(index));
+    worker.highest.clear();
+    worker.token = 0;
+    worker.sequence = 0;
+    worker.leaseEnd = 0;
+    worker.endNumber = 0;
+    worker.born = unixMs();
+    worker.isUp = true;
+    worker.server->setRefusing(false);
+    m_record.line(worker.id + ": starts again");
 }
 
 Response Workers::answer(const Worker &worker, int status, Json body) const
@@ -612,6 +646,9 @@
     }
     std::unique_lock<std::mutex> lock(m_mutex);
     const auto instance = request.headers.find("x-expect-instance");
+    if (!worker.isUp) {
+        return {0, ""};
+    }
     if (instance != request.headers.end() && instance->second != worker.id) {
         return answer(worker, 421, Json::object());
     }
@@ -647,8 +684,9 @@
         }
         const std::string spec = body.value("spec", "");
         const std::size_t found = spec.find("ms=");
+        const bool lasts = spec.find("lasts") != std::string::npos;
         m_runs.push_back(Run{task, run, worker.id, nowMs(), -1, "", false});
-        worker.live[task] = Live{run, spec, nowMs(), found == std::string::npos ? 500 : std::stoll(spec.substr(found + 3)), m_runs.size() - 1};
+        worker.live[task] = Live{run, spec, nowMs(), lasts ? -1 : found == std::string::npos ? 500 : std::stoll(spec.substr(found + 3)), m_runs.size() - 1};
         m_record.line(worker.id + ": starts " + task + " run " + std::to_string(run) + " with fencing token " + std::to_string(token));
         return answer(worker, 200, Json::object());
     }
@@ -677,12 +715,14 @@
         extend();
     }
     const std::int64_t until = nowMs() + std::min<std::int64_t>(body.value("wait_ms", std::int64_t(0)), 2000);
-    while (worker.ends.empty() && nowMs() < until && !m_stopped) {
+    while (worker.ends.empty() && nowMs() < until && !m_stopped && worker.isUp) {
         m_changed.wait_for(lock, std::chrono::milliseconds(20));
     }
     Json lists = {{"running", Json::array()}, {"finished", Json::array()}};
     for (const auto &[task, live] : worker.live) {
-        lists["running"].push_back({task, live.run, "", std::min<std::int64_t>(100, (nowMs() - live.started) * 100 / std::max<std::int64_t>(live.lasts, 1)), 0});
+        // A task that lasts is at work when its percent is 100.
+        const std::int64_t percent = live.lasts < 0 ? 100 : std::min<std::int64_t>(100, (nowMs() - live.started) * 100 / std::max<std::int64_t>(live.lasts, 1));
+        lists["running"].push_back({task, live.run, "", percent, 0});
     }
     for (const End &listed : worker.ends) {
         if (lists["finished"].size() < 500) {
@@ -705,7 +745,7 @@
                 for (const auto &[task, live] : worker->live) {
                     if (worker->leaseEnd < nowMs()) {
                         over.emplace_back(task, "lapsed");
-                    } else if (live.started + live.lasts <= nowMs()) {
+                    } else if (live.lasts >= 0 && live.started + live.lasts <= nowMs()) {
                         over.emplace_back(task, "done");
                     }
                 }
@@ -728,7 +768,7 @@
             {
                 const std::lock_guard<std::mutex> lock(m_mutex);
                 for (const auto &worker : m_workers) {
-                    if (!worker->reporting) {
+                    if (!worker->isUp) {
                         continue;
                     }
                     rows.emplace_back(worker->id,
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -63,6 +63,8 @@
     explicit Server(Handler handler);
     [[nodiscard]] std::string address() const;
     [[nodiscard]] int port() const;
+    /// While refusing, connections are reset.
+    void setRefusing(bool refusing);
     /// While cut, nothing that arrives is read and nothing is answered. Bytes that arrived meanwhile are lost with their connections when
     /// the cut ends, as if their sender had reset them.
     void setCut(bool cut);
@@ -76,6 +78,7 @@
     int m_port = 0;
     std::mutex m_mutex;
     bool m_cut = false;
+    bool m_refusing = false;
     std::uint64_t m_cuts = 0;
 };
 
@@ -155,14 +158,17 @@
     [[nodiscard]] std::vector<Run> atWork(const std::string &task);
     /// Breaches of TWICE that were seen: two runs of a task at once, or a start after an end `done` that was taken note of.
     [[nodiscard]] std::vector<std::string> breaches();
-    void setReporting(int worker, bool reporting);
+    /// The worker crashes: all of its runs are gone, and it refuses connections and doesn't report until it is started again.
+    void crash(int worker);
+    /// It starts again under its id. It holds and knows nothing of before.
+    void startAgain(int worker);
 
 private:
     struct Live {
         std::uint64_t run = 0;
         std::string spec;
         std::int64_t started = 0;
-        std::int64_t lasts = 0;
+        std::int64_t lasts = 0; ///< -1: until it is stopped.
         std::size_t entry = 0; ///< In m_runs.
     };
     struct End {
@@ -180,7 +186,7 @@
         std::uint64_t sequence = 0;
         std::int64_t leaseEnd = 0;
         std::uint64_t endNumber = 0;
-        bool reporting = true;
+        bool isUp = true;
         std::map<std::string, Live> live;
         std::map<std::string, std::uint64_t> highest;
         std::vector<End> ends;
