--- a/review/standins-3/world.cpp
+++ b/review/standins-3/world.cpp
@@ -689,9 +689,8 @@
         }
         const std::string spec = body.value("spec", "");
         const std::size_t found = spec.find("ms=");
-        const bool lasts = spec.find("lasts") != std::string::npos;
         m_runs.push_back(Run{task, run, worker.id, nowMs(), -1, "", false});
-        worker.live[task] = Live{run, spec, nowMs(), lasts ? -1 : found == std::string::npos ? 500 : std::stoll(spec.substr(found + 3)), m_runs.size() - 1};
+        worker.live[task] = Live{run, spec, nowMs(), found == std::string::npos ? 500 : std::stoll(spec.substr(found + 3)), m_runs.size() - 1};
         m_record.line(worker.id + ": starts " + task + " run " + std::to_string(run) + " with fencing token " + std::to_string(token));
         return answer(worker, 200, Json::object());
     }
@@ -725,8 +724,7 @@
     }
     Json lists = {{"running", Json::array()}, {"finished", Json::array()}};
     for (const auto &[task, live] : worker.live) {
-        // A task that lasts is at work when its percent is 100.
-        const std::int64_t percent = live.lasts < 0 ? 100 : std::min<std::int64_t>(100, (nowMs() - live.started) * 100 / std::max<std::int64_t>(live.lasts, 1));
+        const std::int64_t percent = std::min<std::int64_t>(100, (nowMs() - live.started) * 100 / std::max<std::int64_t>(live.lasts, 1));
         lists["running"].push_back({task, live.run, "", percent, 0});
     }
     for (const End &listed : worker.ends) {
@@ -750,7 +748,7 @@
                 for (const auto &[task, live] : worker->live) {
                     if (worker->leaseEnd < nowMs()) {
                         over.emplace_back(task, "lapsed");
-                    } else if (live.lasts >= 0 && live.started + live.lasts <= nowMs()) {
+                    } else if (live.started + live.lasts <= nowMs()) {
                         over.emplace_back(task, "done");
                     }
                 }
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -168,7 +168,7 @@
         std::uint64_t run = 0;
         std::string spec;
         std::int64_t started = 0;
-        std::int64_t lasts = 0; ///< -1: until it is stopped.
+        std::int64_t lasts = 0;
         std::size_t entry = 0; ///< In m_runs.
     };
     struct End {
