Bound the search of a suspect by the time of its crash

Cause: the search for a worker without other runs was bounded from the end of the task's last run. That time was unset if the run was settled as one that never ran, because its worker restarted before it had listed the run, and for every task whose crashes a new leader read from the store. Unset meant "not yet", so the search never ended. For a gang the time of its first member stood for all.

Change: each stored crash carries the time at which it became known, and the search is bounded from the later of that and the last end of a run of the task, or of any member of its gang. A new leader does not begin it anew. A run that a former process of its worker may have run counts as lost.

Ruled out: a run that still holds the task's place (the log shows none), and reservations (nothing else waits).

--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -14,7 +14,6 @@
 constexpr std::size_t rotatedStepsPerPass = 80; // The others take turns, this many per pass, so that a backlog does not slow down every pass.
 constexpr std::size_t minTicketsToRenew = 8; // A non-gang step renews tickets for at least this many workers, if that many have capacity.
 constexpr Duration minStableMaximumTime{15000}; // Longer than a lease: if a maximum has not changed for this time, previous leaders enforced the same value.
-constexpr Duration maxIsolationWait{5000}; // A suspect that has found no idle worker for this time starts beside other runs.
 constexpr Duration probeInterval{1000}; // A degraded worker without runs gets one run per interval, so that it is noticed if it recovers.
 constexpr int maxIdleReservations = 6; // Workers per pass that are kept free for suspects.
 
@@ -330,9 +329,7 @@
 
 bool CellScheduler::needsIdleWorker(const StepInstance &step, int index, TimePoint now) const
 {
-    const TimePoint since = step.tasks.at(step.spec->gang ? 0 : static_cast<std::size_t>(index)).lastRunEnded;
-    const bool hasWaitedTooLong = since != TimePoint() && now - since > maxIsolationWait;
-    return step.crashesOf(index).isolation() != RunIsolation::None && !hasWaitedTooLong;
+    return step.crashesOf(index).isolation() != RunIsolation::None && now - step.suspectedSince(index) <= maxIsolationWait;
 }
 
 void CellScheduler::reserveIdleWorker(const StepInstance &step, const std::vector<CandidateWorker> &candidates, PlacementPass &pass) const
--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -108,6 +108,7 @@
             continue;
         }
         WorkerCrash crash = crashed.crash;
+        crash.unixMs = time.unixMs;
         if (crashed.mayBeCause) {
             history.markSuspect();
             // A worker that crashes again may be the cause itself, so the next run should start elsewhere.
--- a/src/cell/cellscheduler.cpp
+++ b/src/cell/cellscheduler.cpp
@@ -197,7 +197,7 @@
     markStored(entry, time.now);
     entry.unreconciled = mayHaveStarted;
     if (progress != nullptr) {
-        m_jobs.restore(entry, *progress);
+        m_jobs.restore(entry, *progress, time.now, time.unixMs);
         // The previous leader may not have known the rules.
         if (const RouteRules *rules = rulesOf(job)) {
             applyRules(entry, *rules, time.now);
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -347,7 +347,7 @@
     /// Returns the rooms of the usable workers that are not full.
     [[nodiscard]] std::vector<FreeRoom> freeRooms() const;
     /// Returns how many tasks of the step could start in the rooms, except for workers that the policy service has refused; at most @p limit.
-    [[nodiscard]] int startableTasks(const StepInstance &step, const std::vector<FreeRoom> &rooms, int limit) const;
+    [[nodiscard]] int startableTasks(const StepInstance &step, const std::vector<FreeRoom> &rooms, int limit, TimePoint now) const;
     /// Returns how many more tasks the step may have on the worker, whatever its room.
     [[nodiscard]] static int maxFurtherTasks(const StepInstance &step, const Worker &worker);
     /// Share of the CPU of the usable workers that is allocated, from 0 to 1; 1 if there are none.
--- a/src/cell/cellscheduler_p.h
+++ b/src/cell/cellscheduler_p.h
@@ -5,6 +5,8 @@
 
 namespace KingCupLadder {
 
+constexpr Duration maxIsolationWait{5000}; // A suspect that has found no idle worker for this time starts beside other runs.
+
 /// Size of the run number range of one epoch. A new leader numbers its runs above all runs that previous leaders may have started. This
 /// holds as long as no task gets a number beyond the range of an epoch; nothing checks it.
 constexpr std::uint64_t runsPerEpoch = 100000;
--- a/src/cell/cellstarvation.cpp
+++ b/src/cell/cellstarvation.cpp
@@ -45,12 +45,13 @@
     return rooms;
 }
 
-int CellScheduler::startableTasks(const StepInstance &step, const std::vector<FreeRoom> &rooms, int limit) const
+int CellScheduler::startableTasks(const StepInstance &step, const std::vector<FreeRoom> &rooms, int limit, TimePoint now) const
 {
     int fitting = 0;
-    const bool needsIdle = std::any_of(step.tasks.begin(), step.tasks.end(), [](const CellTask &task) {
-        return task.phase == CellTaskPhase::Waiting && task.crashes.isolation() != RunIsolation::None;
-    });
+    bool needsIdle = false;
+    for (int i = 0; i < static_cast<int>(step.tasks.size()) && !needsIdle; ++i) {
+        needsIdle = step.tasks[static_cast<std::size_t>(i)].phase == CellTaskPhase::Waiting && needsIdleWorker(step, i, now);
+    }
     for (auto room = rooms.begin(); room != rooms.end() && fitting < limit; ++room) {
         if (needsIdle && !room->worker->isFitForIsolation()) {
             continue;
@@ -113,7 +114,7 @@
         StepInstance &step = *entry->second;
         const int needed = step.spec->gang ? step.spec->count : 1;
         const bool isCounted = step.nextRoomCount <= now;
-        const int fitting = isCounted ? startableTasks(step, rooms, step.spec->gang ? needed : step.waiting) : 0;
+        const int fitting = isCounted ? startableTasks(step, rooms, step.spec->gang ? needed : step.waiting, now) : 0;
         if (fitting >= needed) {
             left -= step.spec->demand.cpu.value() * fitting;
             step.isStarving = true;
@@ -150,7 +151,7 @@
     for (const StepInstance *step : steps) {
         const int needed = 2 * (step->spec->gang ? step->spec->count : 1);
         const bool waits = now - step->readySince > longWaitThreshold && step->job->liveRuns == 0 && isWithinWorkspaceMaximum(*step, step->spec->count);
-        if (waits && startableTasks(*step, rooms, needed) >= needed) {
+        if (waits && startableTasks(*step, rooms, needed, now) >= needed) {
             stalled.insert(step);
         }
     }
@@ -190,10 +191,14 @@
     }
     int live = 0;
     int suspects = 0;
+    Duration longestSearch{0};
     for (int i = 0; i < static_cast<int>(step.tasks.size()); ++i) {
         const CellTask &task = step.tasks[static_cast<std::size_t>(i)];
         live += task.liveRuns;
-        suspects += task.phase == CellTaskPhase::Waiting && step.crashesOf(i).isolation() != RunIsolation::None ? 1 : 0;
+        if (task.phase == CellTaskPhase::Waiting && step.crashesOf(i).isolation() != RunIsolation::None) {
+            ++suspects;
+            longestSearch = std::max(longestSearch, now - step.suspectedSince(i));
+        }
     }
     return "step " + TaskRef{step.ref, 0}.text() + " waits for " + std::to_string((now - step.readySince).count()) + " ms: " + std::to_string(step.waiting)
         + " of " + std::to_string(step.spec->count) + " tasks of " + std::to_string(step.spec->demand.cpu.value()) + " millicores, "
@@ -202,8 +207,11 @@
         + std::to_string(valid) + " tickets valid, room for " + std::to_string(fitting) + " tasks"
         + (isWithinWorkspaceMaximum(step, step.spec->gang ? step.spec->count : 1) ? "" : ", workspace at its maximum")
         + (step.withheldTasks > 0 ? ", room for " + std::to_string(step.withheldTasks) + " reserved by other steps" : "")
-        + (suspects > 0 ? ", " + std::to_string(suspects) + " suspected of crashing workers" : "")
-        + (step.job->unreconciled ? ", runs of an earlier leader not ruled out" : "")
+        + (suspects > 0 ? ", " + std::to_string(suspects) + " suspected of crashing workers for " + std::to_string(longestSearch.count())
+                   + " ms, which need a worker without other runs for the first " + std::to_string(maxIsolationWait.count()) + " ms"
+                        : "")
+        + (step.job->unreconciled ? ", runs of an earlier leader not ruled out for " + std::to_string((m_leasesExpiredBy - now).count()) + " ms more at most"
+                                  : "")
         + (step.advice.questionInFlight ? ", asking about further workers for " + std::to_string((now - step.advice.questionSince).count()) + " ms" : "")
         + (step.advice.renewalInFlight ? ", renewing tickets for " + std::to_string((now - step.advice.renewalSince).count()) + " ms" : "")
         + (!step.advice.renewalInFlight && step.advice.nextRenewal > now
--- a/src/cell/crashhistory.cpp
+++ b/src/cell/crashhistory.cpp
@@ -28,9 +28,10 @@
     }
 }
 
-bool CrashHistory::add(RunNumber run, const WorkerCrash &crash)
+bool CrashHistory::add(RunNumber run, const WorkerCrash &crash, TimePoint at)
 {
     const auto [known, isNew] = m_crashes.emplace(run, crash);
+    m_lastCrashAt = isNew ? std::max(m_lastCrashAt, at) : m_lastCrashAt;
     const bool isProvenNow = !isNew && crash.isProven && !known->second.isProven;
     known->second.isProven = known->second.isProven || isProvenNow;
     return isNew || isProvenNow;
@@ -90,4 +91,9 @@
     return m_crashes;
 }
 
+TimePoint CrashHistory::lastCrashAt() const
+{
+    return m_lastCrashAt;
+}
+
 } // namespace KingCupLadder
--- a/src/cell/crashhistory.h
+++ b/src/cell/crashhistory.h
@@ -6,7 +6,9 @@
 #pragma once
 
 #include "cellids.h"
+#include "core/units.h"
 
+#include <cstdint>
 #include <map>
 
 namespace KingCupLadder {
@@ -25,10 +27,11 @@
     CrashTiming timing = CrashTiming::Late;
     bool wasAlone = false; ///< The worker had no other runs than this one, or than the members of this gang.
     bool isProven = true; ///< False if the worker only fell silent: it may have been cut off.
+    std::int64_t unixMs = 0; ///< When the leader learned of the crash, by its wall clock; 0: not known, as in rows of earlier versions.
 
     friend bool operator==(const WorkerCrash &a, const WorkerCrash &b)
     {
-        return a.timing == b.timing && a.wasAlone == b.wasAlone && a.isProven == b.isProven;
+        return a.timing == b.timing && a.wasAlone == b.wasAlone && a.isProven == b.isProven && a.unixMs == b.unixMs;
     }
 };
 
@@ -43,8 +46,8 @@
 class CrashHistory
 {
 public:
-    /// Adds a crash, or proves one that is known. Returns false if nothing changes.
-    bool add(RunNumber run, const WorkerCrash &crash);
+    /// Adds a crash that became known at @p at, or proves one that is known. Returns false if nothing changes.
+    bool add(RunNumber run, const WorkerCrash &crash, TimePoint at);
     /// The worker of the run was cut off and has not crashed. Returns false if nothing changes.
     bool retract(RunNumber run);
     /// The task may have caused a crash soon after the start of its run.
@@ -53,12 +56,15 @@
     /// Whether the task is taken for the cause of the crashes and given up.
     [[nodiscard]] bool isCause() const;
     [[nodiscard]] const std::map<RunNumber, WorkerCrash> &crashes() const;
+    /// When the last crash became known, to this leader or to an earlier one; zero: there was none.
+    [[nodiscard]] TimePoint lastCrashAt() const;
 
 private:
     /// Crashes at the start of a run or soon after it.
     [[nodiscard]] std::size_t earlyCrashes() const;
 
     std::map<RunNumber, WorkerCrash> m_crashes;
+    TimePoint m_lastCrashAt;
     bool m_isMarked = false; ///< Not stored: after a change of leader only the crashes are known.
 };
 
--- a/src/cell/joboccurrences.cpp
+++ b/src/cell/joboccurrences.cpp
@@ -10,6 +10,7 @@
 // Steps and tasks of the due occurrences of one job that are open at a time.
 constexpr int maxOpenSteps = 128;
 constexpr int maxOpenTasks = 2000;
+constexpr Duration maxCrashAge{3600000}; // Limits the effect of wrong wall clocks.
 constexpr std::size_t maxReportedOccurrences = 4000; // Open occurrences of one job, with those that only a worker has reported.
 
 bool isStepDone(const StepSpec &spec, const StepProgress &stored)
@@ -31,7 +32,7 @@
     return std::max(std::min(bySteps, maxOpenTasks / std::max(tasks, 1)), 1);
 }
 
-void JobTable::restore(JobEntry &entry, const JobProgress &progress)
+void JobTable::restore(JobEntry &entry, const JobProgress &progress, TimePoint now, std::int64_t unixNowMs)
 {
     const int count = entry.job.occurrenceCount();
     for (const auto &[first, last] : progress.doneOccurrences) {
@@ -57,7 +58,7 @@
             createOccurrence(entry, occurrence);
         }
         if (StepInstance *instance = findStep(StepRef{entry.job.id, occurrence, step})) {
-            restoreStep(entry, *instance, stored);
+            restoreStep(entry, *instance, stored, now, unixNowMs);
         }
     }
     std::vector<int> done;
@@ -85,7 +86,7 @@
     }
 }
 
-void JobTable::restoreStep(JobEntry &entry, StepInstance &step, const StepProgress &stored)
+void JobTable::restoreStep(JobEntry &entry, StepInstance &step, const StepProgress &stored, TimePoint now, std::int64_t unixNowMs)
 {
     step.gangCheckpoint = stored.gangCheckpoint;
     // Earlier versions of the daemon stored successes of long-running tasks, which are to be restarted however they end.
@@ -102,7 +103,9 @@
     for (const auto &[index, crashes] : stored.crashes) {
         if (index >= 0 && index < static_cast<int>(step.tasks.size())) {
             for (const auto &[run, crash] : crashes) {
-                step.tasks[static_cast<std::size_t>(index)].crashes.add(run, crash);
+                // Of a crash without a time it is only known that it came after the submission. The clocks of two leaders may differ.
+                const Duration age(std::clamp<std::int64_t>(unixNowMs - crash.unixMs, 0, maxCrashAge.count()));
+                step.tasks[static_cast<std::size_t>(index)].crashes.add(run, crash, crash.unixMs > 0 ? now - age : entry.submittedAt);
             }
             entry.hasRun = true;
         }
--- a/src/cell/jobtable.cpp
+++ b/src/cell/jobtable.cpp
@@ -54,6 +54,17 @@
     }
 }
 
+TimePoint StepInstance::suspectedSince(int index) const
+{
+    TimePoint since = crashesOf(index).lastCrashAt();
+    for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
+        if (i == index || spec->gang) {
+            since = std::max(since, tasks[static_cast<std::size_t>(i)].lastRunEnded);
+        }
+    }
+    return since;
+}
+
 JobEntry &JobTable::add(const CellJob &job, const RouteRules *rules, TimePoint now, std::int64_t unixNowMs)
 {
     const auto known = m_jobs.find(job.id);
@@ -276,7 +287,7 @@
 bool JobTable::onWorkerCrashed(StepInstance &step, int index, RunNumber run, const WorkerCrash &crash, TimePoint now)
 {
     CrashHistory &crashes = step.crashesOf(index);
-    if (step.tasks.at(static_cast<std::size_t>(index)).phase == CellTaskPhase::Succeeded || !crashes.add(run, crash)) {
+    if (step.tasks.at(static_cast<std::size_t>(index)).phase == CellTaskPhase::Succeeded || !crashes.add(run, crash, now)) {
         return false;
     }
     if (crash.timing != CrashTiming::Late) {
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -59,7 +59,7 @@
     std::string checkpoint;
     std::set<WorkerId> failedOn;
     TimePoint notBefore; ///< Earliest start after a failure.
-    TimePoint lastRunEnded; ///< When the last run ended or was lost; zero: none has.
+    TimePoint lastRunEnded; ///< When the last run under this leader ended or was lost; zero: none has.
     RunNumber preemptedRun; ///< The last run, if it was stopped for work of a higher priority; zero: it was not. The task is not preempted twice in a row.
     bool unreconciled = false; ///< Not used; see JobEntry::unreconciled.
 };
@@ -103,6 +103,10 @@
         return succeeded == static_cast<int>(tasks.size());
     }
 
+    /// Since when the task, or the gang to which it belongs, waits as a suspect of crashing workers. Known of each suspect, also after a change
+    /// of the leader, so that it bounds the wait.
+    [[nodiscard]] TimePoint suspectedSince(int index) const;
+
     /// Crashes under the task, or under the gang to which it belongs.
     [[nodiscard]] CrashHistory &crashesOf(int index)
     {
@@ -159,8 +163,8 @@
     static void setObjective(JobEntry &entry, const RouteRules &rules);
     /// Adds a job that has ended, so that its state can be queried.
     void addFinal(const JobId &id, const RouteName &route, const WorkspaceId &workspace, CellJobState state, TimePoint now);
-    /// Applies stored progress to a newly added job.
-    void restore(JobEntry &entry, const JobProgress &progress);
+    /// Applies stored progress to a newly added job. @p now and @p unixNowMs denote the same time.
+    void restore(JobEntry &entry, const JobProgress &progress, TimePoint now, std::int64_t unixNowMs);
     void drop(const JobId &id);
 
     [[nodiscard]] JobEntry *find(const JobId &id);
@@ -226,7 +230,7 @@
     void closeOccurrence(JobEntry &entry, int occurrence);
     /// Closes the occurrences whose end is stored and that have no runs left.
     void closeStoredOccurrences(JobEntry &entry);
-    void restoreStep(JobEntry &entry, StepInstance &step, const StepProgress &stored);
+    void restoreStep(JobEntry &entry, StepInstance &step, const StepProgress &stored, TimePoint now, std::int64_t unixNowMs);
     /// Marks the steps of a due occurrence as ready of which all dependencies are done.
     void markReady(JobEntry &entry, int occurrence, TimePoint now);
     [[nodiscard]] static bool isOccurrenceDone(const JobEntry &entry, int occurrence);
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -36,7 +36,7 @@
         return RunEvent::Kind::NeverRan;
     case RunProof::Kind::MissingInLists:
         // The end of a run that existed would have been listed. If the run was to be stopped, the stop came before its start.
-        return run.phase == RunPhase::Stopping ? RunEvent::Kind::NeverRan : RunEvent::Kind::Lost;
+        return run.phase == RunPhase::Stopping && !run.mayHaveRunBefore ? RunEvent::Kind::NeverRan : RunEvent::Kind::Lost;
     default:
         return RunEvent::Kind::Lost;
     }
@@ -222,6 +222,7 @@
             events.push_back(release(worker, run, *proof));
         } else {
             run->second.phase = RunPhase::Stopping;
+            run->second.mayHaveRunBefore = true;
             run->second.listed = false;
             run->second.confirmedClock = 0;
             run->second.stopConfirmed = false;
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -69,6 +69,7 @@
     /// The run may have existed in an earlier incarnation, which crashed. Reported unless the present incarnation turns out to have the run.
     std::optional<RunOnCrashedWorker> pendingCrash;
     bool startUnanswered = false; ///< A start got no answer and may still take effect.
+    bool mayHaveRunBefore = false; ///< An earlier incarnation of the worker may have run it, and has taken its lists with it.
     TimePoint sentAt;
     TimePoint confirmedAt; ///< When the worker confirmed the start or, while stopping, the stop.
     bool stopInFlight = false;
--- a/src/node/rowcodec.cpp
+++ b/src/node/rowcodec.cpp
@@ -211,6 +211,7 @@
                 taskCrashes->add_timings(static_cast<std::uint32_t>(crash.timing));
                 taskCrashes->add_alone(crash.wasAlone);
                 taskCrashes->add_proven(crash.isProven);
+                taskCrashes->add_unix_ms(crash.unixMs);
             }
         }
         for (const auto &[task, runs] : step.failedRuns) {
@@ -258,7 +259,7 @@
             for (int i = 0; i < std::min({taskCrashes.runs_size(), taskCrashes.timings_size(), taskCrashes.alone_size(), taskCrashes.proven_size()}); ++i) {
                 const auto timing = static_cast<CrashTiming>(std::min(taskCrashes.timings(i), static_cast<std::uint32_t>(CrashTiming::AtStart)));
                 step.crashes[static_cast<int>(taskCrashes.task())][RunNumber(taskCrashes.runs(i))] =
-                    WorkerCrash{timing, taskCrashes.alone(i), taskCrashes.proven(i)};
+                    WorkerCrash{timing, taskCrashes.alone(i), taskCrashes.proven(i), i < taskCrashes.unix_ms_size() ? taskCrashes.unix_ms(i) : 0};
             }
         }
         progress.steps[{static_cast<int>(stored.occurrence()), static_cast<int>(stored.step())}] = std::move(step);
--- a/test/cell/testcrashhistory.cpp
+++ b/test/cell/testcrashhistory.cpp
@@ -18,7 +18,7 @@
     CrashHistory history;
     std::uint64_t run = 0;
     for (const WorkerCrash &crash : crashes) {
-        (void)history.add(RunNumber(++run), crash);
+        (void)history.add(RunNumber(++run), crash, TimePoint());
     }
     return history;
 }
@@ -77,7 +77,7 @@
 TEST(CrashHistory, KeepsAProvenCrash)
 {
     CrashHistory history = historyOf({silentAtStart});
-    CHECK_TRUE(history.add(RunNumber(1), aloneAtStart));
+    CHECK_TRUE(history.add(RunNumber(1), aloneAtStart, TimePoint()));
     CHECK_FALSE(history.retract(RunNumber(1)));
     CHECK_EQUAL(1, history.crashes().size());
 }
@@ -86,8 +86,8 @@
 TEST(CrashHistory, CountsARunOnce)
 {
     CrashHistory history;
-    CHECK_TRUE(history.add(RunNumber(1), aloneAtStart));
-    CHECK_FALSE(history.add(RunNumber(1), aloneAtStart));
+    CHECK_TRUE(history.add(RunNumber(1), aloneAtStart, TimePoint()));
+    CHECK_FALSE(history.add(RunNumber(1), aloneAtStart, TimePoint()));
     CHECK_FALSE(history.isCause());
 }
 
@@ -109,4 +109,13 @@
     CHECK_TRUE(historyOf({soonAfterStart, soonAfterStart}).isolation() == RunIsolation::Long);
 }
 
+// Guards against waits that each report of a known crash begins anew.
+TEST(CrashHistory, AKnownCrashKeepsTheTimeAtWhichItBecameKnown)
+{
+    CrashHistory history;
+    (void)history.add(RunNumber(1), silentAtStart, TimePoint(Duration(2000)));
+    CHECK_TRUE(history.add(RunNumber(1), aloneAtStart, TimePoint(Duration(9000))));
+    CHECK_EQUAL(2000, history.lastCrashAt().time_since_epoch().count());
+}
+
 } // namespace KingCupLadder
--- a/test/cell/testrecurringjobs.cpp
+++ b/test/cell/testrecurringjobs.cpp
@@ -141,7 +141,7 @@
         progress.steps[{occurrence, 0}].succeeded = std::vector<bool>(8, true); // Stored in whole bytes.
     }
     progress.steps[{7000, 0}].failedRuns[0] = {RunNumber(3)};
-    table.restore(entry, progress);
+    table.restore(entry, progress, TimePoint(Duration(1000000)), 1000000);
     CHECK_EQUAL(5000, entry.doneOccurrences.size());
     CHECK_EQUAL(1U, table.findStep(StepRef{JobId("job"), 7000, 0})->tasks[0].failedRuns.size());
     table.createAllDueOccurrences(cell.now, occurrencesOfEightHours * 1000LL);
@@ -154,7 +154,7 @@
     JobEntry &entry = addBacklog(100);
     JobProgress progress;
     progress.doneOccurrences = {{0, 9}};
-    table.restore(entry, progress);
+    table.restore(entry, progress, TimePoint(Duration(1000000)), 1000000);
     const JobProgress stored = table.progressOf(entry);
     CHECK_EQUAL(10U, stored.steps.size());
     CHECK_TRUE(stored.steps.at({9, 0}).succeeded == std::vector<bool>{true});
--- a/test/node/testrowcodec.cpp
+++ b/test/node/testrowcodec.cpp
@@ -12,7 +12,7 @@
 {
     StepProgress step;
     step.succeeded = {false, false, false};
-    step.crashes[2][RunNumber(7)] = WorkerCrash{CrashTiming::AtStart, true, true};
+    step.crashes[2][RunNumber(7)] = WorkerCrash{CrashTiming::AtStart, true, true, 1796666400123};
     step.crashes[2][RunNumber(8)] = WorkerCrash{CrashTiming::Soon, false, false};
     JobProgress progress;
     progress.steps[{0, 1}] = step;
