Rely only on worker records that this leader has stored

Cause: a leader took an open record of an earlier leader as if it had stored it itself, and used the worker without a write of its own. A write of the earlier leader that was still under way, performed later while its condition held, then said that only that leader's jobs could run there. The next leader believed it and did not wait for the worker.

Change: a worker is usable only once a record of it is in the leader's own row. Rows of several epochs are merged so that a worker is closed only if all of them say so, hence a late write to an earlier row can only make the next leader wait longer. A leader removes only rows of earlier epochs: one that was suspended while it loaded may have read its successor's row (found by reading). docs/platform.md says for each row what a late write of an earlier leader can do. A log line gives the time from the begin of a leadership to its first start.

Ruled out: a wait for leases that is too short (the next leader did not wait at all).

Evidence: FakeCell keeps a row for each epoch and can perform writes late.

--- a/src/cell/workerrecords.cpp
+++ b/src/cell/workerrecords.cpp
@@ -12,6 +12,17 @@
 
 } // namespace
 
+void mergeWorkerRecords(const std::vector<WorkerRecord> &records, std::map<WorkerId, WorkerRecord> &merged)
+{
+    for (const WorkerRecord &record : records) {
+        const auto [entry, isNew] = merged.try_emplace(record.id, record);
+        if (!isNew) {
+            entry->second.isClosed = entry->second.isClosed && record.isClosed;
+            entry->second.jobs.insert(entry->second.jobs.end(), record.jobs.begin(), record.jobs.end());
+        }
+    }
+}
+
 void WorkerTable::addPrevious(const std::vector<WorkerRecord> &records, TimePoint leasesExpiredBy)
 {
     for (const WorkerRecord &record : records) {
@@ -19,7 +30,7 @@
         if (worker.info.id.isEmpty()) {
             worker.info.id = record.id;
         }
-        worker.idStored = !record.isClosed;
+        worker.idStored = false;
         worker.recordedAsClosed = record.isClosed;
         worker.recordedJobs.reset();
         if (record.isClosed) {
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -110,6 +110,10 @@
     std::vector<JobId> jobs; ///< Only for a closed worker: jobs with runs that may exist there, or with ends whose effects may not be stored.
 };
 
+/// Adds the records of one leadership to those of others. A worker is closed only if every leadership that recorded it says so: a row of a
+/// former leader that was written late can make the next leader wait longer, and never less.
+void mergeWorkerRecords(const std::vector<WorkerRecord> &records, std::map<WorkerId, WorkerRecord> &merged);
+
 /// Identifies a worker within one WorkerTable; never reused.
 using WorkerIndex = std::size_t;
 
@@ -119,7 +123,9 @@
     WorkerInfo info;
     bool registered = false; ///< Currently listed in the registry.
     bool replaced = false; ///< Another worker has taken its place on its VM, so nothing runs on it.
-    bool idStored = false; ///< The stored record allows any run, so that the next leader waits for the worker.
+    /// The record that this leader has stored allows any run, so that the next leader waits for the worker. Records of earlier leaders do not
+    /// count: a late write of their leader may still replace them.
+    bool idStored = false;
     bool recordedAsClosed = false; ///< The worker was closed when records were last made.
     std::optional<std::set<JobId>> recordedJobs; ///< The only jobs that the last record allows on the worker; empty: any job.
     std::optional<std::set<JobId>> previousJobs; ///< Jobs of previous leaders that may run there, if the worker was recorded as closed.
--- a/src/node/cellstorage.cpp
+++ b/src/node/cellstorage.cpp
@@ -66,16 +66,17 @@
     return wire && row.version.value() > 0 ? std::optional<LeaderRecord>(fromWire(*wire)) : std::nullopt;
 }
 
-/// Adds the records of one leadership. A worker is closed only if every leadership that recorded it says so.
-void mergeWorkerRecords(const CellWire::WorkersRow &row, std::map<WorkerId, WorkerRecord> &records)
+std::string workersRowKey(Epoch epoch)
 {
-    for (WorkerRecord &record : fromWire(row)) {
-        const auto [entry, isNew] = records.try_emplace(record.id, record);
-        if (!isNew) {
-            entry->second.isClosed = entry->second.isClosed && record.isClosed;
-            entry->second.jobs.insert(entry->second.jobs.end(), record.jobs.begin(), record.jobs.end());
-        }
-    }
+    return workersKey + ("-" + std::to_string(epoch.value()));
+}
+
+/// Returns the epoch of the leadership that writes the row; empty if the key names none.
+std::optional<Epoch> epochOfWorkersRow(const std::string &key)
+{
+    const std::size_t prefix = sizeof(workersKey); // The separator takes the place of the terminating zero.
+    const bool hasNumber = key.size() > prefix && key.size() < prefix + 20 && key.find_first_not_of("0123456789", prefix) == std::string::npos;
+    return hasNumber ? std::optional<Epoch>(Epoch(std::stoull(key.substr(prefix)))) : std::nullopt;
 }
 
 /// Encodes a job's progress. If it is longer than a row may be, leaves out what a later leader can do without: it may then give a task more attempts
@@ -430,7 +431,7 @@
         for (const TableRow &stored : answer.rows) {
             m_formerWorkerRowKeys.push_back(stored.key.key);
             if (const auto row = decodeRow<CellWire::WorkersRow>(stored.value)) {
-                mergeWorkerRecords(*row, read->records);
+                mergeWorkerRecords(fromWire(*row), read->records);
             } else {
                 logRateLimited(LogComponent::Platform, LogLevel::Error, "worker row", "worker row " + stored.key.key + " can't be decoded and is skipped");
             }
@@ -450,7 +451,7 @@
 
 void CellStorage::writeWorkers(Epoch epoch, const std::vector<WorkerRecord> &records, const std::function<void(bool)> &callback)
 {
-    const RowKey key{cellTable, {}, workersKey + ("-" + std::to_string(epoch.value()))};
+    const RowKey key{cellTable, {}, workersRowKey(epoch)};
     if (m_workerRowKey != key.key) {
         m_workerRowKey = key.key;
         m_workerRowVersion = RowVersion();
@@ -461,9 +462,13 @@
     // Further rows are removed by later writes.
     std::vector<std::string> remainingKeys;
     for (const std::string &formerKey : m_formerWorkerRowKeys) {
-        if (formerKey != key.key && transaction.removals.size() + 2 < maxTransactionEntries) {
+        const auto formerEpoch = epochOfWorkersRow(formerKey);
+        if (formerEpoch && !(*formerEpoch < epoch)) {
+            continue; // A leader that was suspended while it loaded may have read the row of its successor.
+        }
+        if (transaction.removals.size() + 2 < maxTransactionEntries) {
             transaction.removals.push_back(RowKey{cellTable, {}, formerKey});
-        } else if (formerKey != key.key) {
+        } else {
             remainingKeys.push_back(formerKey);
         }
     }
--- a/src/node/cellstorage.h
+++ b/src/node/cellstorage.h
@@ -75,8 +75,9 @@
 
     /// Reads the workers that earlier leaderships stored.
     void readWorkers(const std::function<void(bool wasRead, const std::vector<WorkerRecord> &records)> &callback);
-    /// Each leadership writes its own row, so that a late write of an earlier leader can't overwrite the workers of this one. A write replaces
-    /// only the row that this object last wrote or saw, so that a write without an answer can't replace a later one.
+    /// Each leadership writes its own row, so that a late write of an earlier leader can't overwrite the workers of this one, and removes only
+    /// rows of earlier leaderships. A write replaces only the row that this object last wrote or saw, so that a write without an answer can't
+    /// replace a later one.
     void writeWorkers(Epoch epoch, const std::vector<WorkerRecord> &records, const std::function<void(bool stored)> &callback);
 
     void readLeader(const std::function<void(bool wasRead, const std::optional<LeaderRecord> &, RowVersion)> &callback);
--- a/src/node/leadercontroller.cpp
+++ b/src/node/leadercontroller.cpp
@@ -218,6 +218,8 @@
     ++m_leadershipGeneration;
     m_active = true;
     m_epoch = m_leadership.epoch();
+    m_leadingSince = m_loop.now();
+    m_hasStartedTasks = false;
     m_registryReadPending = false;
     m_changesReadPending = false;
     m_loading = false;
@@ -382,6 +384,12 @@
 
 void LeaderController::executeOrders(const CellOrders &orders)
 {
+    if (!orders.starts.empty() && !m_hasStartedTasks) {
+        m_hasStartedTasks = true;
+        logLine(LogComponent::Leader,
+                LogLevel::Info,
+                "starts its first task " + std::to_string((m_loop.now() - m_leadingSince).count()) + " ms after it began to lead");
+    }
     for (const StartOrder &order : orders.starts) {
         m_workers.start(order, m_epoch, whileLeading([this, order](const OrderAnswer &answer) {
                             m_scheduler.onStartAnswer(order, answer, time());
--- a/src/node/leadercontroller.h
+++ b/src/node/leadercontroller.h
@@ -93,6 +93,8 @@
     bool m_active = false;
     std::uint64_t m_leadershipGeneration = 0; ///< Incremented when a leadership begins and ends, so that late answers are ignored.
     Epoch m_epoch;
+    TimePoint m_leadingSince;
+    bool m_hasStartedTasks = false; ///< In the present epoch.
     RowVersion m_changesReadUpTo; ///< The change feed of the job rows has been read up to this version.
     bool m_registryReadPending = false;
     bool m_changesReadPending = false;
--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -224,7 +224,7 @@
         }
         scheduler->setAdviceDaemons(daemons);
         scheduler->beginEpoch(epoch, now + leaseExpiry);
-        scheduler->addPreviousWorkers(previousWorkers);
+        scheduler->addPreviousWorkers(readWorkerRows());
         m_events.clear();
         nextRegistry = now;
         if (loadDuration > Duration(0)) {
@@ -298,7 +298,9 @@
     std::shared_ptr<CellConfig> config;
     std::unique_ptr<CellScheduler> scheduler;
     std::map<WorkerId, FakeCellWorker> workers;
-    std::vector<WorkerRecord> previousWorkers;
+    /// Returns how long a write of the worker records is under way, if it gets no answer; such a write is performed late if its condition still
+    /// holds then. Empty: all writes are answered.
+    std::function<std::optional<Duration>()> recordsWriteDelay;
     std::map<JobId, CellJob> storedJobs;
     std::map<JobId, JobProgress> storedProgress;
     std::set<JobId> cancelled;
@@ -576,11 +578,56 @@
             });
         }
         if (!orders.workersToStore.empty()) {
-            if (storeReachable) {
-                previousWorkers = orders.workersToStore;
+            writeWorkerRow(orders.workersToStore);
+        }
+    }
+
+    /// The worker records of one leadership, as in the store.
+    struct WorkerRow {
+        int version = 0;
+        std::vector<WorkerRecord> records;
+    };
+
+    /// Reads the rows of all leaderships.
+    std::vector<WorkerRecord> readWorkerRows()
+    {
+        std::map<WorkerId, WorkerRecord> merged;
+        m_formerEpochs.clear();
+        for (const auto &[writer, row] : m_workerRows) {
+            m_formerEpochs.push_back(writer);
+            mergeWorkerRecords(row.records, merged);
+        }
+        m_knownRowVersion = 0;
+        std::vector<WorkerRecord> records;
+        for (const auto &[id, record] : merged) {
+            records.push_back(record);
+        }
+        return records;
+    }
+
+    void writeWorkerRow(const std::vector<WorkerRecord> &records)
+    {
+        const auto write = [this, records, writer = epoch, expected = m_knownRowVersion, removed = m_formerEpochs] {
+            const auto row = m_workerRows.find(writer);
+            if ((row == m_workerRows.end() ? 0 : row->second.version) != expected) {
+                return false;
+            }
+            m_workerRows[writer] = WorkerRow{++m_lastRowVersion, records};
+            for (const Epoch former : removed) {
+                m_workerRows.erase(former);
             }
-            scheduler->onWorkersStored(orders.workersToStore, storeReachable);
+            return true;
+        };
+        const std::optional<Duration> delay = storeReachable && recordsWriteDelay ? recordsWriteDelay() : std::nullopt;
+        if (delay) {
+            callAt(now + *delay, [write] { (void)write(); });
+            m_events.emplace(now + answerTimeout, [this, records] { scheduler->onWorkersStored(records, false); });
+            return;
         }
+        const bool isStored = storeReachable && write();
+        const auto row = m_workerRows.find(epoch);
+        m_knownRowVersion = !storeReachable ? m_knownRowVersion : row == m_workerRows.end() ? 0 : row->second.version;
+        scheduler->onWorkersStored(records, isStored);
     }
 
     void stopRun(FakeCellWorker &worker, const StopOrder &order)
@@ -671,6 +718,10 @@
     std::multimap<TimePoint, std::function<void()>> m_workerEvents; ///< Happen on the workers, whoever leads.
     std::map<TaskRef, std::set<RunNumber>> m_failedRuns; ///< Failed runs that workers have reported; those of a gang at its first task.
     std::map<DaemonId, TimePoint> m_serviceBusyUntil;
+    std::map<Epoch, WorkerRow> m_workerRows;
+    std::vector<Epoch> m_formerEpochs; ///< Of the rows that the present leader has read.
+    int m_lastRowVersion = 0;
+    int m_knownRowVersion = 0; ///< Of the present leader's row, as far as it knows; 0: there is none.
 
 public:
     std::set<WorkerId> unregistered; ///< Workers missing from the registry.
--- a/test/cell/testworkerrecords.cpp
+++ b/test/cell/testworkerrecords.cpp
@@ -115,3 +115,30 @@
     CHECK_EQUAL(1U, table.onHoldAnswer(order, &reply, later, later, discovered, unmatchedEnds).size());
     CHECK_FALSE(table.areRecordsOutdated(later));
 }
+
+// Guards against a task that runs twice because a leader relied on a former leader's record of a worker, which a late write then replaced (review
+// case 14): the write says that only the former leader's jobs run there, and the next leader does not wait for the worker.
+TEST(WorkerRecords, AreWrittenByEachLeaderBeforeItStartsTasks)
+{
+    FakeCell cell(2);
+    cell.duration = [](const StartOrder &) { return Duration(20000); };
+    cell.unregistered.insert(WorkerId("w1"));
+    cell.startLeadership();
+    cell.run(Duration(1000));
+    // The first leader records that w0 is cut off. The write is performed after the next leader has read the records.
+    cell.recordsWriteDelay = [] { return Duration(4500); };
+    cell.worker(0).reachable = false;
+    cell.run(Duration(1500));
+    cell.recordsWriteDelay = nullptr;
+    cell.worker(0).reachable = true;
+    cell.startLeadership(2);
+    cell.run(Duration(200));
+    CHECK_TRUE(cell.submit(cellJob("job", 1, 1000)) == AdmissionVerdict::Admitted);
+    cell.run(Duration(4000));
+    CHECK_EQUAL(1U, cell.worker(0).running.size());
+    cell.worker(0).reachable = false;
+    cell.unregistered.clear();
+    cell.startLeadership(3);
+    cell.run(Duration(3000));
+    CHECK_NO_VIOLATION(cell);
+}
--- a/test/node/testcellstorage.cpp
+++ b/test/node/testcellstorage.cpp
@@ -268,6 +268,19 @@
     CHECK_EQUAL(1U, store.rows.size());
 }
 
+// Guards against a leader that was suspended while it loaded, and then removes the row of its successor together with those of its predecessors:
+// the leader after that would not wait for the workers on which the successor has started tasks.
+TEST(CellStorage, RemovesNoWorkersOfALaterLeadership)
+{
+    CHECK_TRUE(writeWorkers(1, "w1"));
+    CHECK_TRUE(writeWorkers(3, "w3"));
+    CHECK_EQUAL(2U, readWorkers().size());
+    CHECK_TRUE(writeWorkers(2, "w2"));
+    const std::vector<WorkerRecord> records = readWorkers();
+    CHECK_EQUAL(2U, records.size());
+    STRCMP_EQUAL("w3", records.at(1).id.value().c_str());
+}
+
 // Guards against one job whose progress outgrows its row and with it holds back the final states of other jobs, whose ends are then never acknowledged.
 TEST(CellStorage, StoresProgressThatIsTooLongForARowInPart)
 {
