Do not extrapolate the duration of a run with nothing left

Cause: the duration of a run that a new leader has found is extrapolated from what was left of it. It was computed also for a run that was found with 100 percent, which divides by zero; the result would not have been used. On arm64 the division gives 0.

Every other integer division in src/ and platform/ was read: their divisors are constants, or a condition beside them excludes zero.

Ruled out: the division by the number of daemons in AdviceDispatcher::dispatch(), which returns earlier if there is none; a test shows it.

--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -582,9 +582,12 @@
     if (run.isLongRunning || run.observedClock == 0 || run.phase != RunPhase::Running) {
         return;
     }
-    DurationObservation observation{run.task, worker.index, worker.info.incarnation, Duration(0), 0, false, Duration(0)};
     // The whole run is more accurate than its remainder, since ends are listed with a delay.
     const bool isWhole = !run.order.task.step.job.isEmpty() && run.order.checkpoint.empty() && run.confirmedClock != 0;
+    if (!isWhole && run.observedPercent > maxObservedPercentBeforeEnd) {
+        return; // Also of a run that was found with all of its work done, of which no remainder is left.
+    }
+    DurationObservation observation{run.task, worker.index, worker.info.incarnation, Duration(0), 0, false, Duration(0)};
     const int progress = completePercent - run.observedPercent;
     observation.weight = static_cast<double>(std::max(progress, minObservedPercent)) / completePercent;
     if (isWhole) {
@@ -593,9 +596,7 @@
     } else {
         observation.duration = Duration((clock - run.observedClock) * completePercent / progress);
     }
-    if (isWhole || run.observedPercent <= maxObservedPercentBeforeEnd) {
-        m_observedDurations.push_back(std::move(observation));
-    }
+    m_observedDurations.push_back(std::move(observation));
 }
 
 std::vector<DurationObservation> WorkerTable::takeObservedDurations()
--- a/test/cell/testadvicedispatcher.cpp
+++ b/test/cell/testadvicedispatcher.cpp
@@ -54,6 +54,15 @@
 
 TEST_GROUP(AdviceDispatcher){};
 
+// Guards against a division by the number of daemons while there is none.
+TEST(AdviceDispatcher, SendsNothingWithoutDaemons)
+{
+    AdviceDispatcher dispatcher;
+    dispatcher.setDaemons({});
+    dispatcher.add(callOf("urgent", Duration(50)));
+    CHECK_TRUE(dispatch(dispatcher, start).empty());
+}
+
 // Guards against first answers of urgent steps that wait behind a queue of other calls of their tier.
 TEST(AdviceDispatcher, SendsFirstAnswersOfUrgentStepsFirst)
 {
