--- a/test/cell/fakecell.h
+++ b/test/cell/fakecell.h
@@ -599,6 +599,7 @@
         }
         m_knownRowVersion = 0;
         std::vector<WorkerRecord> records;
+        records.reserve(merged.size());
         for (const auto &[id, record] : merged) {
             records.push_back(record);
         }
