Store the number of partitions of the jobs' rows

Cause: the number of partitions was derived from the store's rates in the settings and stored nowhere, so a restarted daemon looked for the rows of earlier jobs in other partitions.

Change: the first daemon of a cell stores the number, under the condition that there is none; every daemon adopts it before it reads the configuration, serves requests or leads. No other setting decides where rows are.

--- a/src/node/cellstorage.cpp
+++ b/src/node/cellstorage.cpp
@@ -15,6 +15,7 @@
 const char progressTable[] = "progress";
 const char cellTable[] = "cell";
 const char leaderKey[] = "leader";
+const char layoutKey[] = "layout";
 const char workersKey[] = "workers";
 const char cancelSuffix[] = ".cancel"; // Appended to a job's ID in the key of its cancellation row.
 const char rangeEndSuffix[] = "/"; // '/' sorts right after '.', so it ends the key range of one job's rows.
@@ -22,6 +23,8 @@
 constexpr Duration transactTimeout{900};
 constexpr Duration readTimeout{1000};
 constexpr Duration retryInterval{60};
+constexpr Duration layoutRetryInterval{250};
+constexpr std::uint32_t maxPartitions = 1000;
 constexpr std::size_t maxTransactionEntries = 100; // Conditions, writes and removals together.
 constexpr int maxRowsPerRead = 500; // Of the store.
 constexpr std::size_t maxEntriesPerJob = 4; // A condition, a write and two removals.
@@ -116,6 +119,60 @@
 {
 }
 
+void CellStorage::resolvePartitions(const std::function<void()> &done)
+{
+    const std::string key = layoutKey;
+    m_store.read(RangeRead{cellTable, {}, key, key + rangeEndSuffix, 1}, readTimeout, [this, done](const StoreAnswer &answer) {
+        if (answer.outcome == StoreOutcome::Done && answer.rows.empty()) {
+            storePartitions(done);
+        } else if (answer.outcome == StoreOutcome::Done && adoptPartitions(answer.rows.front())) {
+            done();
+        } else {
+            retryResolvingPartitions(done);
+        }
+    });
+}
+
+void CellStorage::storePartitions(const std::function<void()> &done)
+{
+    CellWire::LayoutRow row;
+    row.set_job_partitions(static_cast<std::uint32_t>(m_partitionCount));
+    const RowKey key{cellTable, {}, layoutKey};
+    Transaction transaction;
+    transaction.conditions.push_back(RowCondition{key, RowVersion()});
+    transaction.writes.push_back(TableWrite{key, encodeRow(row)});
+    m_store.transact(transaction, transactTimeout, [this, done](const StoreAnswer &answer) {
+        const bool isAdopted = answer.outcome == StoreOutcome::Conflict && !answer.rows.empty() && adoptPartitions(answer.rows.front());
+        if (answer.outcome == StoreOutcome::Done || isAdopted) {
+            done();
+        } else {
+            retryResolvingPartitions(done);
+        }
+    });
+}
+
+void CellStorage::retryResolvingPartitions(const std::function<void()> &done)
+{
+    m_delayedCalls.after(layoutRetryInterval, [this, done] { resolvePartitions(done); });
+}
+
+bool CellStorage::adoptPartitions(const TableRow &row)
+{
+    const auto layout = decodeRow<CellWire::LayoutRow>(row.value);
+    const std::uint32_t count = layout ? layout->job_partitions() : 0;
+    if (count < 1 || count > maxPartitions) {
+        logRateLimited(LogComponent::Platform, LogLevel::Error, "layout row", "the row of the cell's layout can't be used; the daemon does not serve requests");
+        return false;
+    }
+    if (static_cast<int>(count) != m_partitionCount) {
+        logLine(LogComponent::Platform,
+                LogLevel::Info,
+                "uses " + std::to_string(count) + " partitions for jobs, as stored, instead of " + std::to_string(m_partitionCount) + " by its settings");
+    }
+    m_partitionCount = static_cast<int>(count);
+    return true;
+}
+
 std::string CellStorage::partitionOf(const JobId &id) const
 {
     std::uint64_t hash = 1469598103934665603ULL; // FNV-1a: the same in all processes and versions, unlike std::hash.
--- a/src/node/cellstorage.h
+++ b/src/node/cellstorage.h
@@ -52,9 +52,13 @@
 class CellStorage
 {
 public:
-    /// @p partitions: number of partitions that jobs are hashed to; must be the same for all daemons of a cell.
+    /// @p partitions: number of partitions that jobs are hashed to, if the store has no number yet; see resolvePartitions().
     CellStorage(EventLoop &loop, TableStore &store, int partitions = 4);
 
+    /// Adopts the number of partitions that the first daemon of the cell has stored, or stores its own. All daemons have to use the same number for the
+    /// lifetime of the store, whatever their settings are. Repeats failed calls, and calls @p done once; no other function may be called before.
+    void resolvePartitions(const std::function<void()> &done);
+
     /// Stores a new job; repeats failed attempts until @p deadline.
     void admit(const CellJob &job, TimePoint deadline, const std::function<void(AdmitOutcome)> &callback);
     /// Stores a cancellation; repeats failed attempts until @p deadline.
@@ -93,6 +97,10 @@
     struct LoadCursor;
     struct WorkersRead; ///< State of one call of readWorkers().
 
+    void storePartitions(const std::function<void()> &done);
+    void retryResolvingPartitions(const std::function<void()> &done);
+    /// Returns false if the row can't be used.
+    [[nodiscard]] bool adoptPartitions(const TableRow &row);
     [[nodiscard]] RowKey jobRowKey(const JobId &id) const;
     [[nodiscard]] RowKey cancelRowKey(const JobId &id) const;
     [[nodiscard]] RowKey progressRowKey(const JobId &id) const;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -131,7 +131,11 @@
         m_metricsServer = std::move(server).value();
     }
     applyCallerLimits(CallerLimits());
-    m_configWatcher->start();
+    m_storage->resolvePartitions([this] {
+        m_isLayoutKnown = true;
+        m_configWatcher->start(); // Requests are rejected until the configuration is known.
+        tick();
+    });
     m_tickTimer = EventWatch::repeating(m_loop, tickInterval, [this] {
         const Duration delay = m_loopMonitor.observe(m_loop.now());
         if (delay >= minLoggedLoopDelay) {
@@ -171,9 +175,11 @@
 {
     const TimePoint now = m_loop.now();
     m_peers->expire(now);
-    updateLeadership();
-    m_leaderController->tick();
-    m_jobApi->tick();
+    if (m_isLayoutKnown) {
+        updateLeadership();
+        m_leaderController->tick();
+        m_jobApi->tick();
+    }
     if (!m_registered && !m_registering && m_nextRegistration <= now) {
         registerSelf();
     }
@@ -252,6 +258,9 @@
 
 void Node::updateLeadership()
 {
+    if (!m_isLayoutKnown) {
+        return;
+    }
     const LeaderAction action = m_leadership.nextAction(m_loop.now());
     if (action == LeaderAction::ReadRow) {
         m_storage->readLeader([this](bool wasRead, const std::optional<LeaderRecord> &record, RowVersion version) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -23,7 +23,7 @@
     std::string metricsAddress; ///< "ip:port"; empty: metrics are not served.
     ConnectionBudget callerBudget; ///< Of all three HTTP servers together.
     ConnectionBudget peerBudget = ConnectionBudget::forPeers({}); ///< Bounds the daemons that this one connects to.
-    int jobPartitions = 4; ///< Store partitions that jobs are hashed to; must be the same for all daemons of a cell.
+    int jobPartitions = 4; ///< Store partitions that jobs are hashed to, in a cell whose store has no number yet.
     LeadershipSettings leadership;
     LeaderControllerSettings leaderController;
     JobApiSettings jobApi;
@@ -91,6 +91,7 @@
     TimePoint m_nextMemberList;
     TimePoint m_nextMemberDiscovery;
     TimePoint m_nextRegistration;
+    bool m_isLayoutKnown = false; ///< Where the rows of the jobs are; until then the daemon neither serves requests nor leads.
     bool m_registered = false;
     bool m_registering = false;
     bool m_discoveringMembers = false;
--- a/test/node/testcellstorage.cpp
+++ b/test/node/testcellstorage.cpp
@@ -102,6 +102,54 @@
     }
 };
 
+// Guards against jobs that are lost when the store's rates in the settings change, since the number of partitions was derived from these (review case
+// 13): a daemon with other settings looks for their rows in other partitions.
+TEST(CellStorage, KeepsThePartitionsThatTheFirstDaemonHasStored)
+{
+    bool isFirstReady = false;
+    storage.resolvePartitions([&isFirstReady] { isFirstReady = true; });
+    runUntil(isFirstReady);
+    CHECK_TRUE(admit(twoStepJob("0123456789abcdef")) == AdmitOutcome::Stored);
+    CellStorage later(*loop, store, 7);
+    bool isLaterReady = false;
+    later.resolvePartitions([&isLaterReady] { isLaterReady = true; });
+    runUntil(isLaterReady);
+    StoredState found;
+    bool done = false;
+    later.readState(JobId("0123456789abcdef"), Duration(500), [&](const StoredState &state) {
+        found = state;
+        done = true;
+    });
+    runUntil(done);
+    CHECK_TRUE(found.state == CellJobState::Pending);
+}
+
+// Guards against daemons that start at the same time and each use their own number of partitions.
+TEST(CellStorage, AdoptsThePartitionsOfADaemonThatWasFaster)
+{
+    CellStorage other(*loop, store, 7);
+    int ready = 0;
+    storage.resolvePartitions([&ready] { ++ready; });
+    other.resolvePartitions([&ready] { ++ready; });
+    KingCupLadder::runUntil(
+        *loop, [&ready] { return ready == 2; }, Duration(3000));
+    for (const char *id : {"a", "b", "c", "d", "e", "f"}) {
+        STRCMP_EQUAL(storage.partitionOf(JobId(id)).c_str(), other.partitionOf(JobId(id)).c_str());
+    }
+}
+
+// Guards against a daemon that never serves requests because the first calls to the store failed, or took effect without an answer.
+TEST(CellStorage, ResolvesThePartitionsAfterFailures)
+{
+    store.readOutcomes = {StoreOutcome::NotApplied};
+    store.writeOutcomes = {StoreOutcome::Unknown};
+    bool done = false;
+    storage.resolvePartitions([&done] { done = true; });
+    runUntil(done);
+    CHECK_TRUE(done);
+    CHECK_TRUE(store.has("cell", "layout"));
+}
+
 // Guards against job fields that are lost or changed when the job is stored and loaded, such as a payload that is cut at a zero byte.
 TEST(CellStorage, LoadsAJobAsItWasAdmitted)
 {
