Settle a run whose start has expired without an answer

Cause: a run whose start got no answer was settled only by an answer to its start or stop, by its worker's restart or by its lease. A worker whose connections are used up, by those of daemons that lost power, resets new connections but answers holds over the open one. It counts as responsive, so its lease does not expire either, and the task waited for ever. Its step does not count as waiting, so no log line named it.

Change: a start is void after its deadline on the worker's clock. Complete lists made later that do not have the run prove that it never started and never will. Not for runs sent to a former process of the worker, whose clock was another one.

Ruled out: the search of suspects for a worker without other runs (the steps do not wait for placement).

--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -163,6 +163,10 @@
             }
         } else {
             ++m_counters.neverRan;
+            if (event.proof == RunProof::Kind::ExpiredStart) {
+                log("task " + event.run.task.text() + " run " + std::to_string(event.run.number.value()) + " did not start on " + event.worker.value() + ": "
+                    + toString(event.proof));
+            }
             if (step != nullptr && event.rejection == OrderOutcome::StaleRunNumber) {
                 step->tasks.at(static_cast<std::size_t>(event.run.task.index)).lastRun = RunNumber(event.run.number.value() + staleRunNumberSkip);
             }
--- a/src/cell/runproof.cpp
+++ b/src/cell/runproof.cpp
@@ -31,6 +31,14 @@
     return run.phase == RunPhase::Starting && !mayStartYet ? std::optional<RunProof>(RunProof(Kind::RejectedStart)) : std::nullopt;
 }
 
+std::optional<RunProof> RunProof::fromExpiredStart(const Run &run, const HoldReply &reply)
+{
+    // The deadline counts on the clock of the incarnation to which the start was sent.
+    const bool isUnconfirmed = !run.order.task.step.job.isEmpty() && run.confirmedClock == 0 && !run.listed && !run.mayHaveRunBefore;
+    const bool hasExpired = run.order.deadline < reply.clock;
+    return isUnconfirmed && hasExpired && !reply.mayOmitEnds ? std::optional<RunProof>(RunProof(Kind::ExpiredStart)) : std::nullopt;
+}
+
 std::optional<RunProof> RunProof::fromLaterIncarnation(const Run &run)
 {
     return run.isLostWithIncarnation() ? std::optional<RunProof>(RunProof(Kind::LaterIncarnation)) : std::nullopt;
@@ -59,6 +67,8 @@
         return "the worker's complete lists do not have it";
     case RunProof::Kind::RejectedStart:
         return "its start was rejected";
+    case RunProof::Kind::ExpiredStart:
+        return "its start has expired, and the worker's complete lists do not have it";
     case RunProof::Kind::LaterIncarnation:
         return "the worker's process was replaced";
     case RunProof::Kind::SuccessorOnVm:
--- a/src/cell/runproof.h
+++ b/src/cell/runproof.h
@@ -20,6 +20,7 @@
         ListedEnd, ///< The worker has listed the run's end.
         MissingInLists, ///< The worker had confirmed the run, or its stop, before it made complete lists without the run.
         RejectedStart, ///< The worker rejected the start, and no other start of the run can take effect.
+        ExpiredStart, ///< After the deadline of the start, on its own clock, the worker made complete lists without the run.
         LaterIncarnation, ///< The worker had listed the run, and now runs another process that no start of the run can reach.
         SuccessorOnVm, ///< Another worker, started later, answers on the worker's VM, and the worker does not.
         ExpiredLeases, ///< All leases of the worker have expired on its own clock, at its maximum drift.
@@ -29,6 +30,8 @@
     /// @p sent is when the hold was sent to which the worker replied; the run is not in @p reply.
     [[nodiscard]] static std::optional<RunProof> fromMissingInLists(const Run &run, const HoldReply &reply, TimePoint sent);
     [[nodiscard]] static std::optional<RunProof> fromRejectedStart(const Run &run);
+    /// Needs no answer to an order, so that a worker that answers only holds does not keep its runs for ever. The run is not in @p reply.
+    [[nodiscard]] static std::optional<RunProof> fromExpiredStart(const Run &run, const HoldReply &reply);
     [[nodiscard]] static std::optional<RunProof> fromLaterIncarnation(const Run &run);
     [[nodiscard]] static std::optional<RunProof> fromSuccessor(const Worker &worker, const Worker &successor);
     [[nodiscard]] static std::optional<RunProof> fromExpiredLeases(const Worker &worker, TimePoint now);
--- a/src/cell/workertable.cpp
+++ b/src/cell/workertable.cpp
@@ -33,6 +33,7 @@
     case RunProof::Kind::ListedEnd:
         return RunEvent::Kind::Ended;
     case RunProof::Kind::RejectedStart:
+    case RunProof::Kind::ExpiredStart:
         return RunEvent::Kind::NeverRan;
     case RunProof::Kind::MissingInLists:
         // The end of a run that existed would have been listed. If the run was to be stopped, the stop came before its start.
@@ -537,9 +538,11 @@
         const auto next = std::next(run);
         // A run that is not listed, and about which the lists prove nothing, keeps its capacity, which limits how many ends can pile up on
         // the worker while the list of ends is incomplete.
-        const auto proof = listed.count(run->first) == 0 ? RunProof::fromMissingInLists(run->second, reply, sent) : std::nullopt;
-        if (proof) {
-            events.push_back(release(worker, run, *proof));
+        if (listed.count(run->first) == 0) {
+            const auto missing = RunProof::fromMissingInLists(run->second, reply, sent);
+            if (const auto proof = missing ? missing : RunProof::fromExpiredStart(run->second, reply)) {
+                events.push_back(release(worker, run, *proof));
+            }
         }
         run = next;
     }
--- a/test/cell/testrunproofs.cpp
+++ b/test/cell/testrunproofs.cpp
@@ -49,6 +49,25 @@
     CHECK_NO_VIOLATION(cell);
 }
 
+// Guards against a task that waits for ever because its worker answers holds, but neither the start nor the stop of the run: a worker whose
+// connections are used up keeps the open one of the holds and resets all new ones.
+TEST(RunProofs, StartsATaskElsewhereIfItsWorkerAnswersOnlyHolds)
+{
+    FakeCell cell(2);
+    const WorkerId silent("w0");
+    cell.onStart = [&silent](const StartOrder &order) { return !(order.worker == silent); };
+    cell.onStop = [&silent](const StopOrder &order) { return !(order.worker == silent); };
+    cell.unregistered.insert(WorkerId("w1"));
+    cell.startLeadership();
+    cell.run(Duration(500));
+    CHECK_TRUE(cell.submit(cellJob("job", 1, 1000, Duration(9000))) == AdmissionVerdict::Admitted);
+    cell.run(Duration(300));
+    cell.unregistered.clear();
+    cell.run(Duration(3500));
+    CHECK_EQUAL(1U, cell.worker(1).running.size());
+    CHECK_NO_VIOLATION(cell);
+}
+
 // Guards against a task that waits for ever because its worker left while it ran.
 TEST(RunProofs, StartsATaskElsewhereOnceTheLeasesOfItsDrainingWorkerHaveExpired)
 {
