--- a/test/node/testnode.cpp
+++ b/test/node/testnode.cpp
@@ -1,6 +1,7 @@
 #include "eventloophelpers.h"
 #include "memorytablestore.h"
 #include "node/node.h"
+#include "silentgateways.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -8,20 +9,6 @@
 
 namespace {
 
-class NoWorkers : public WorkerGateway
-{
-public:
-    void start(const StartOrder &, Epoch, OrderCallback) override { }
-    void stop(const StopOrder &, Epoch, OrderCallback) override { }
-    void hold(const HoldOrder &, Epoch, HoldCallback) override { }
-};
-
-class NoAdvice : public AdviceGateway
-{
-public:
-    void ask(const StepRef &, const std::vector<WorkerId> &, Duration, Callback) override { }
-};
-
 PlatformCodec emptyCodec()
 {
     PlatformCodec codec;
--- a/test/node/testnodestop.cpp
+++ b/test/node/testnodestop.cpp
@@ -3,12 +3,16 @@
 #include "memorytablestore.h"
 #include "node/node.h"
 #include "node/rowcodec.h"
+#include "silentgateways.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <arpa/inet.h>
 #include <array>
+#include <cstdlib>
+#include <memory>
 #include <netinet/in.h>
+#include <string>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,20 +20,6 @@
 
 namespace {
 
-class NoWorkers : public WorkerGateway
-{
-public:
-    void start(const StartOrder &, Epoch, OrderCallback) override { }
-    void stop(const StopOrder &, Epoch, OrderCallback) override { }
-    void hold(const HoldOrder &, Epoch, HoldCallback) override { }
-};
-
-class NoAdvice : public AdviceGateway
-{
-public:
-    void ask(const StepRef &, const std::vector<WorkerId> &, Duration, Callback) override { }
-};
-
 /// One public route without a prefix, so that the path is a job's id.
 PlatformCodec codecWithOneRoute()
 {
