--- a/test/node/testnode.cpp
+++ b/test/node/testnode.cpp
@@ -1,6 +1,7 @@
 #include "eventloophelpers.h"
 #include "memorytablestore.h"
 #include "node/node.h"
+#include "nodesettings.h"
 #include "silentgateways.h"
 
 #include <CppUTest/TestHarness.h>
@@ -36,16 +37,7 @@
 
     std::unique_ptr<Node> start(const std::string &id, int firstPort)
     {
-        const auto address = [firstPort](int offset) { return "127.0.0.1:" + std::to_string(firstPort + offset); };
-        NodeSettings settings;
-        settings.self.id = DaemonId(id);
-        settings.self.incarnation = Incarnation(1);
-        settings.self.domain = FailureDomain("a");
-        settings.self.cpu = MilliCores(500);
-        settings.self.peerAddress = address(0);
-        settings.callerAddress = address(1);
-        settings.readyAddress = address(2);
-        return std::move(Node::create(*loop, settings, emptyCodec(), store, workers, advice)).value();
+        return std::move(Node::create(*loop, nodeSettingsAt(id, firstPort), emptyCodec(), store, workers, advice)).value();
     }
 };
 
--- a/test/node/testnodestop.cpp
+++ b/test/node/testnodestop.cpp
@@ -3,6 +3,7 @@
 #include "memorytablestore.h"
 #include "node/node.h"
 #include "node/rowcodec.h"
+#include "nodesettings.h"
 #include "silentgateways.h"
 
 #include <CppUTest/TestHarness.h>
@@ -116,15 +117,7 @@
 
     std::unique_ptr<Node> start(Duration minDrainTime, Duration maxDrainTime)
     {
-        const auto address = [](int offset) { return "127.0.0.1:" + std::to_string(callerPort - 1 + offset); };
-        NodeSettings settings;
-        settings.self.id = DaemonId("d1");
-        settings.self.incarnation = Incarnation(1);
-        settings.self.domain = FailureDomain("a");
-        settings.self.cpu = MilliCores(500);
-        settings.self.peerAddress = address(0);
-        settings.callerAddress = address(1);
-        settings.readyAddress = address(2);
+        NodeSettings settings = nodeSettingsAt("d1", callerPort - 1);
         settings.minDrainTime = minDrainTime;
         settings.maxDrainTime = maxDrainTime;
         auto node = std::move(Node::create(*loop, settings, codecWithOneRoute(), store, workers, advice)).value();
@@ -150,11 +143,8 @@
     runFor(*loop, Duration(700)); // The leader's time-out, after which the store is read.
     store.holdsAnswers = false;
     const auto answer = EventWatch::timer(*loop, [this, &node] {
-        store.releaseAnswers(); // Of the job rows.
-        loop->defer([this, &node] {
-            store.releaseAnswers();
-            node->beginStop([this] { loop->stop(); });
-        });
+        store.releaseAnswers(); // Of the job rows; that of the progress rows, from which the response is made, is deferred before the stop.
+        loop->defer([this, &node] { node->beginStop([this] { loop->stop(); }); });
     });
     answer->start(Duration(0));
     loop->run();
