Log what a gang has waited for, and count the work of ended runs

Now a gang's start says for how long it waited for its first answer, for room, for reserved room and for tickets; a line says once that a gang can no longer start in time, with the room on its allowed, its refused and the other workers at that moment; and the CPU time of ended runs is counted by priority, by what they could still achieve when they started, and by their end. The room of a gang is computed in one function; no decision has changed.

--- a/src/cell/cellgangs.cpp
+++ b/src/cell/cellgangs.cpp
@@ -65,6 +65,7 @@
         return task.phase == CellTaskPhase::Waiting && task.liveRuns == 0 && task.notBefore <= now;
     });
     if (!areAllStartable || !isWithinWorkspaceMaximum(step, count)) {
+        step.gangWaits.waitFor(GangWaitCause::Other, now);
         return;
     }
     const SpeedPreference preference = speedPreference(step, now);
@@ -82,6 +83,7 @@
     }
     auto fit = fitGangBySpeed(step, preference, candidates);
     if (!fit && preemptFor(step, pass)) {
+        step.gangWaits.waitFor(GangWaitCause::Room, now);
         return;
     }
     if (!fit) {
@@ -94,6 +96,7 @@
         if (auto fitOnRack = fitOnOneRack(step, candidates)) {
             fit = std::move(fitOnRack);
         } else if (mayWaitForPlace(step) && !needsIdleWorker(step, 0, now) && waitsForOneRack(step, pass)) {
+            step.gangWaits.waitFor(GangWaitCause::Other, now);
             return;
         }
     }
@@ -116,7 +119,44 @@
     }
     log("gang " + TaskRef{step.ref, 0}.text() + " run " + std::to_string(run.value()) + " placed: " + std::to_string(count) + " tasks on "
         + std::to_string(fit->size()) + " workers, " + std::to_string((now - step.readySince).count()) + " ms after it was ready, "
-        + std::to_string(step.advice.evaluated.size()) + " workers asked");
+        + std::to_string(step.advice.evaluated.size()) + " workers asked, " + toString(timelinessOf(step, now)) + ", " + step.gangWaits.describe(now));
+    step.gangWaits.clear();
+}
+
+void CellScheduler::logLateStart(StepInstance &step, TimePoint latestStart, TimePoint now) const
+{
+    if (!isWaitingGang(step) || step.isLateStartLogged || now <= latestStart) {
+        return;
+    }
+    step.isLateStartLogged = true;
+    int onAllowed = 0;
+    int onRefused = 0;
+    int onOthers = 0;
+    for (const FreeRoom &room : freeRooms()) {
+        if (isEligible(step, *room.worker)) {
+            const WorkerIndex worker = room.worker->index;
+            int &fitting = step.advice.find(worker) != nullptr ? onAllowed : step.advice.evaluated.count(worker) > 0 ? onRefused : onOthers;
+            fitting += tasksThatFit(step.spec->demand, room.free, std::min(step.spec->count, maxFurtherTasks(step, *room.worker)));
+        }
+    }
+    log("gang " + TaskRef{step.ref, 0}.text() + " can't start in time any more, " + std::to_string((now - step.readySince).count())
+        + " ms after it was ready: " + std::to_string(step.spec->count) + " tasks, room for " + std::to_string(onAllowed) + " on "
+        + std::to_string(step.advice.tickets.size()) + " allowed workers, for " + std::to_string(onRefused) + " on refused ones, for "
+        + std::to_string(onOthers) + " on those not asked about, " + step.gangWaits.describe(now));
+}
+
+CellScheduler::GangRoom
+CellScheduler::roomForGang(const StepInstance &step, const std::vector<CandidateWorker> &allowed, const std::vector<CandidateWorker> &unreserved) const
+{
+    GangRoom room;
+    for (const CandidateWorker &candidate : allowed) {
+        room.withReserved += tasksThatFit(step.spec->demand, candidate.free, std::min(candidate.maxTasks, step.spec->count));
+        room.whenIdle += tasksThatFit(step.spec->demand, m_workers.at(candidate.worker)->info.capacity, step.spec->count);
+    }
+    for (const CandidateWorker &candidate : unreserved) {
+        room.now += candidate.maxTasks;
+    }
+    return room;
 }
 
 void CellScheduler::reserveForGang(StepInstance &step, const std::vector<CandidateWorker> &candidates, PlacementPass &pass)
@@ -135,19 +175,15 @@
     const SpeedPreference preference = speedPreference(step, now);
     limitToReservations(step, preference, availableNow, pass);
     const auto fit = fitGangBySpeed(step, preference, availableNow);
-    std::optional<GangForecast> forecast;
-    int fitting = 0;
-    int fittingWhenIdle = 0;
-    for (const CandidateWorker &candidate : availableNow) {
-        fitting += candidate.maxTasks;
-        fittingWhenIdle += tasksThatFit(step.spec->demand, m_workers.at(candidate.worker)->info.capacity, step.spec->count);
-    }
-    if (!fit && settings != nullptr && fittingWhenIdle < step.spec->count * (step.isStarving ? minAllowedSlotsOfStarving : minAllowedSlotsPerTask)) {
+    const GangRoom room = roomForGang(step, candidates, availableNow);
+    step.gangWaits.waitFor(fit ? GangWaitCause::Tickets : room.withReserved >= step.spec->count ? GangWaitCause::ReservedRoom : GangWaitCause::Room, now);
+    if (!fit && settings != nullptr && room.whenIdle < step.spec->count * (step.isStarving ? minAllowedSlotsOfStarving : minAllowedSlotsPerTask)) {
         // Workers that have not been asked about may have the capacity that the allowed ones lack now. With enough allowed workers, a call
         // about further ones would only delay the renewal of tickets once there is room.
-        step.missingTasks = std::max(step.spec->count - fitting, 1);
+        step.missingTasks = std::max(step.spec->count - room.now, 1);
         requestAdvice(step, now);
     }
+    std::optional<GangForecast> forecast;
     if (fit) {
         forecast = GangForecast{now, *fit}; // The gang only lacks valid tickets.
     } else if (pass.reservingGangs < maxGangReservations) {
--- a/src/cell/cellplacement.cpp
+++ b/src/cell/cellplacement.cpp
@@ -92,6 +92,16 @@
     return (required.empty() || std::find(labels.begin(), labels.end(), required) != labels.end()) && step.spec->demand.fitsIn(worker.info.capacity);
 }
 
+Timeliness CellScheduler::timelinessOf(const StepInstance &step, TimePoint now) const
+{
+    const StepTiming timing = timingOf(step);
+    const Duration remaining = timing.duration + timing.following;
+    if (step.spec->longRunning || now + remaining <= timing.softDeadline) {
+        return Timeliness::InTime;
+    }
+    return now + remaining <= timing.firmDeadline ? Timeliness::Late : Timeliness::Worthless;
+}
+
 int CellScheduler::tierOf(const StepInstance &step, TimePoint now) const
 {
     return priorityKey(step, now).first;
@@ -198,6 +208,7 @@
         if (isSchedulable(*step) && (isFullPass || step->spec->gang || isPreempting || shouldReconsider(*step))) {
             updateExpectedDuration(*step, time.now);
             ordered.emplace_back(priorityKey(*step, time.now), step);
+            logLateStart(*step, ordered.back().first.second, time.now);
             // A step that becomes late while runs are stopped for it keeps its place; otherwise the stopped tasks would take the room back.
             ordered.back().first.first = isPreempting ? rulesOf(step->job->job)->priority : ordered.back().first.first;
         }
@@ -213,6 +224,7 @@
         pass.hasNews = step->consideredAtGeneration == 0;
         step->consideredAtGeneration = m_workers.generation();
         if (adviceSettings(*step) != nullptr && step->advice.evaluated.empty()) {
+            step->gangWaits.waitFor(GangWaitCause::FirstAnswer, time.now);
             requestAdvice(*step, time.now);
             continue;
         }
@@ -303,6 +315,9 @@
     added.workspace = step.job->job.workspace;
     added.isLongRunning = step.spec->longRunning;
     added.isGangMember = step.spec->gang;
+    const RouteRules *rules = rulesOf(step.job->job);
+    added.priority = rules != nullptr ? rules->priority : 0;
+    added.timeliness = timelinessOf(step, pass.time.now);
     added.isolation = step.crashesOf(index).isolation();
     const double factor = step.spec->gang ? step.gangFactor : factorOf(worker);
     const Duration duration = step.expectedDuration > Duration(0) ? step.expectedDuration : step.spec->estimate;
--- a/src/cell/cellruns.cpp
+++ b/src/cell/cellruns.cpp
@@ -14,6 +14,7 @@
 constexpr Duration checkpointStopMargin{1000}; // A stop that saves a checkpoint takes up to 900 ms.
 constexpr int minMeasuredPercent = 10; // Progress from which on the expected end of a gang follows from that of a member.
 
+constexpr std::int64_t milliCoresPerCore = 1000;
 constexpr Duration minHoldInterval{6}; // Pause between two holds of a worker, so that ends at nearly the same time are read together.
 constexpr Duration pendingEndsHoldInterval{100}; // Pause while ends are unacknowledged, unless the store confirms them earlier.
 constexpr Duration unresponsiveHoldInterval{250}; // Pause between holds of a worker after one of them got no answer.
@@ -132,11 +133,22 @@
     }
 }
 
+void CellScheduler::countWork(const RunEvent &event, TimePoint now)
+{
+    if (event.kind == RunEvent::Kind::NeverRan || event.run.sentAt == TimePoint()) {
+        return;
+    }
+    const bool hasSucceeded = event.kind == RunEvent::Kind::Ended && event.entry.end == RunEnd::Succeeded;
+    const auto coreMs = static_cast<std::uint64_t>(event.run.demand.cpu.value() * (now - event.run.sentAt).count() / milliCoresPerCore);
+    m_counters.work.coreMs[{event.run.priority, event.run.timeliness, hasSucceeded}] += coreMs;
+}
+
 void CellScheduler::onRunEvents(const std::vector<RunEvent> &events, const CellTime &time)
 {
     onWorkersCrashed(time);
     for (const RunEvent &event : events) {
         m_usage[event.run.workspace] -= event.run.demand;
+        countWork(event, time.now);
         JobEntry *entry = m_jobs.find(event.run.task.step.job);
         StepInstance *step = m_jobs.findStep(event.run.task.step);
         if (step != nullptr && event.run.task.index >= static_cast<int>(step->tasks.size())) {
@@ -295,6 +307,9 @@
     }
     run.isLongRunning = step->spec->longRunning;
     run.isGangMember = step->spec->gang;
+    const RouteRules *rules = rulesOf(entry->job);
+    run.priority = rules != nullptr ? rules->priority : 0;
+    run.timeliness = timelinessOf(*step, time.now);
     run.expectedEnd = time.now + step->spec->estimate / 2; // The start time is unknown, so the run is assumed to be halfway through its estimate.
     const CellTask &task = step->tasks[static_cast<std::size_t>(discovered.entry.task.index)];
     const bool wanted = task.phase == CellTaskPhase::Waiting && task.liveRuns == 0 && entry->outcome == CellJobState::Unknown;
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -99,6 +99,7 @@
     std::uint64_t localityWaits = 0; ///< Steps that have waited for a place although they could have started elsewhere.
     std::uint64_t startsStoppedInEvacuation = 0; ///< Unconfirmed starts in an evacuated failure domain that were stopped.
     AdviceUsage advice;
+    WorkUsage work;
     std::uint64_t speedObservations = 0; ///< Observed durations of runs.
     std::uint64_t speedClassChanges = 0; ///< Workers that were assigned another class of speed.
     std::uint64_t startsOnSlowWorkers = 0; ///< Starts on workers of the classes Slow and Degraded.
@@ -201,6 +202,12 @@
         const Worker *worker;
         Resources free;
     };
+    /// How many tasks of a gang fit on its allowed workers.
+    struct GangRoom {
+        int now = 0; ///< Beside the reservations of other steps.
+        int withReserved = 0; ///< If nothing were reserved.
+        int whenIdle = 0; ///< If the workers had no runs.
+    };
     enum class CandidateSet {
         AllowedWorkers, ///< All workers that the policy service allows.
         WorkersWithValidTicket, ///< Only allowed workers with a valid ticket.
@@ -317,6 +324,9 @@
     /// Reserves less room after a task of the step has started.
     void onStartAfterPreemption(const StepInstance &step, const Worker &worker);
     void placeMissingMembers(StepInstance &step, PlacementPass &pass);
+    /// Returns how many tasks of the gang fit on its @p allowed workers; @p unreserved are the same workers, limited by limitToReservations().
+    [[nodiscard]] GangRoom
+    roomForGang(const StepInstance &step, const std::vector<CandidateWorker> &allowed, const std::vector<CandidateWorker> &unreserved) const;
     void reserveForGang(StepInstance &step, const std::vector<CandidateWorker> &candidates, PlacementPass &pass);
     void startTask(StepInstance &step, int index, Worker &worker, RunNumber run, PlacementPass &pass);
     /// Whether the next run of the task may start only on a worker whose other runs, if any, are suspects as well.
@@ -367,6 +377,12 @@
     /// Sort key of the waiting steps, most urgent first: the route's priority plus an offset for late work and for work above the
     /// workspace's rate, then the latest start that meets the objective.
     [[nodiscard]] std::pair<int, TimePoint> priorityKey(const StepInstance &step, TimePoint now) const;
+    /// What a run of the step that starts now can still achieve.
+    [[nodiscard]] Timeliness timelinessOf(const StepInstance &step, TimePoint now) const;
+    /// Logs once that a waiting gang can no longer start in time, with what it has waited for.
+    void logLateStart(StepInstance &step, TimePoint latestStart, TimePoint now) const;
+    /// Counts the CPU time of a run that has ended.
+    void countWork(const RunEvent &event, TimePoint now);
     /// The tier of the step, see priorityKey().
     [[nodiscard]] int tierOf(const StepInstance &step, TimePoint now) const;
     /// Returns the tasks of the step that wait for a start, as input to the prediction.
--- a/src/cell/jobtable.h
+++ b/src/cell/jobtable.h
@@ -3,6 +3,7 @@
 
 #include "cellconfig.h"
 #include "celljob.h"
+#include "gangwaits.h"
 #include "occurrenceset.h"
 #include "placementplan.h"
 #include "workertable.h"
@@ -84,6 +85,8 @@
     TimePoint nextRoomCount; ///< Until then the step counts as starving without room.
     std::vector<std::pair<WorkerIndex, TimedResources>> gangReservations; ///< Capacity that the waiting gang reserved at its last turn.
     TimePoint lastGangTurn; ///< When a pass last looked for room for the waiting gang.
+    GangWaits gangWaits; ///< Of a gang that has not started.
+    bool isLateStartLogged = false; ///< The gang can no longer start in time, and the log says so.
     int missingTasks = 0; ///< Of a gang that has too few allowed workers: tasks that fit on none of them.
     TimePoint placeWaitSince; ///< When the step first waited for a place, see CellScheduler::waitsForPlace(); zero: never.
     int withheldTasks = 0; ///< Tasks that fit into free capacity with a valid ticket, but not beside the reservations of other steps, in the last pass.
--- a/src/cell/workertable.h
+++ b/src/cell/workertable.h
@@ -9,6 +9,7 @@
 #include "workerleases.h"
 #include "workerprotocol.h"
 #include "workerspeeds.h"
+#include "workusage.h"
 
 #include <algorithm>
 #include <deque>
@@ -76,6 +77,8 @@
     bool stopConfirmed = false;
     TimePoint nextStop; ///< Earliest time of the next stop order.
     bool isLongRunning = false; ///< Ends only when it is stopped, whatever expectedEnd says.
+    int priority = 0; ///< Of the route when the run was started or discovered.
+    Timeliness timeliness = Timeliness::InTime; ///< When the run was started or discovered.
     TimePoint expectedEnd;
     int percent = 0;
     int load = 0;
--- a/src/node/leadercontroller.cpp
+++ b/src/node/leadercontroller.cpp
@@ -22,6 +22,7 @@
 constexpr double minRelayCpuRatio = 0.75; // Relative to the member with the most CPU.
 constexpr Duration maxRelaySilence{700}; // Members answer five leader heartbeats a second, so at least three answers in a row are missing.
 constexpr Duration statisticsLogInterval{1000};
+constexpr std::uint64_t msPerSecond = 1000;
 constexpr Duration adviceTimeoutMargin{1200}; // The daemon that makes the call may have to finish another one first.
 
 void logDecision(const std::string &line)
@@ -162,6 +163,21 @@
     return text.empty() ? "unused" : text;
 }
 
+/// Returns the CPU time of the runs that have ended between two counts, in core-seconds.
+std::string describeWork(const WorkUsage &before, const WorkUsage &after)
+{
+    std::string text;
+    for (const auto &[key, coreMs] : after.coreMs) {
+        const auto former = before.coreMs.find(key);
+        const std::uint64_t added = coreMs - (former == before.coreMs.end() ? 0 : former->second);
+        if (added >= msPerSecond) {
+            text += (text.empty() ? "priority " : ", priority ") + std::to_string(key.priority) + " " + toString(key.timeliness)
+                + (key.hasSucceeded ? " succeeded " : " lost ") + std::to_string(added / msPerSecond) + " core-s";
+        }
+    }
+    return text.empty() ? "none" : text;
+}
+
 } // namespace
 
 void LeaderController::logStatistics()
@@ -179,8 +195,8 @@
             "load: " + std::to_string(counters.starts - before.starts) + " starts, " + std::to_string(counters.succeeded - before.succeeded) + " successes, "
                 + std::to_string(m_rounds) + " scheduling rounds, " + std::to_string(counters.holds - before.holds) + " lease renewals, "
                 + std::to_string(counters.adviceCalls - before.adviceCalls) + " advice calls, mean extra delay " + std::to_string(meanDelay) + " ms, "
-                + std::to_string(m_relays.size()) + " relays, policy service: " + describeAdvice(before.advice, counters.advice) + "; "
-                + m_scheduler.describeLoad(now));
+                + std::to_string(m_relays.size()) + " relays, policy service: " + describeAdvice(before.advice, counters.advice)
+                + "; ended runs: " + describeWork(before.work, counters.work) + "; " + m_scheduler.describeLoad(now));
     m_rounds = 0;
     m_adviceAnswers = 0;
     m_adviceExtraDelay = Duration(0);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -511,6 +511,12 @@
         add("advice_first_answer_wait_ms_total", labels, static_cast<std::uint64_t>(waits.totalWait.count()));
         add("advice_first_answer_wait_ms_max", labels, static_cast<std::uint64_t>(waits.longestWait.count()));
     }
+    for (const auto &[key, coreMs] : cell.work.coreMs) {
+        add("run_core_ms_total",
+            "priority=\"" + std::to_string(key.priority) + "\",at_start=\"" + toString(key.timeliness) + "\",end=\""
+                + (key.hasSucceeded ? "succeeded" : "other") + "\"",
+            coreMs);
+    }
     add("advice_faulty_answers_total", "", cell.advice.faultyAnswers);
     add("jobs_admitted_total", "", cell.admitted);
     add("jobs_refused_total", "", cell.refused);
