Ask about further workers while a gang lacks room that others have

Cause: a gang stopped asking the policy service once its allowed workers, if they were idle, fit four times its tasks. On a full cell these four slots a task are one or none, while other workers have the room. Change: a gang that does not fit also asks on if the workers that it has not asked about are expected to give it the missing room now (their room times the share that the policy allows), unless it has reserved room for a start before the answer. On an empty cell a gang fits and asks no further; workers are asked about once, and only while they have room; a queue at the service delays the answer and thereby excludes a call that a reserved start would precede. Ruled out by the waits that are logged: tickets (0.03 to 0.13 s of the wait of gangs that became late).

--- a/src/cell/celladvice.cpp
+++ b/src/cell/celladvice.cpp
@@ -112,6 +112,26 @@
     return workers;
 }
 
+bool CellScheduler::wouldFurtherWorkersSuffice(const StepInstance &step, int missing) const
+{
+    const double share = m_allowedShares.share(step.job->job.route);
+    double expected = 0;
+    for (const auto &[id, worker] : m_workers.all()) {
+        if (worker.wasUsable && step.spec->demand.fitsIn(worker.free()) && step.advice.evaluated.count(worker.index) == 0 && isEligible(step, worker)) {
+            expected += share * tasksThatFit(step.spec->demand, worker.free(), step.spec->maxPerWorker > 0 ? step.spec->maxPerWorker : missing);
+            if (expected >= missing) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+Duration CellScheduler::expectedAnswerTime(const StepInstance &step, TimePoint now) const
+{
+    return m_advice.expectedDelay(tierOf(step, now), now) + firstCallDuration(step.job->job.route, *adviceSettings(step));
+}
+
 std::vector<WorkerId> CellScheduler::workersToAsk(const StepInstance &step, TimePoint now)
 {
     const SpeedPreference preference = speedPreference(step, now);
--- a/src/cell/cellgangs.cpp
+++ b/src/cell/cellgangs.cpp
@@ -159,6 +159,18 @@
     return room;
 }
 
+void CellScheduler::askFurtherForGang(StepInstance &step, const GangRoom &room, const std::optional<GangForecast> &reserved, TimePoint now)
+{
+    const int missing = std::max(step.spec->count - room.now, 1);
+    const bool lacksCapacity = room.whenIdle < step.spec->count * (step.isStarving ? minAllowedSlotsOfStarving : minAllowedSlotsPerTask);
+    const bool startsBeforeAnswer = reserved && reserved->start <= now + expectedAnswerTime(step, now);
+    // The capacity of idle workers says nothing about the room on a cell that is nearly full, so what the gang may expect now decides.
+    if (lacksCapacity || (!startsBeforeAnswer && wouldFurtherWorkersSuffice(step, missing))) {
+        step.missingTasks = missing;
+        requestAdvice(step, now);
+    }
+}
+
 void CellScheduler::reserveForGang(StepInstance &step, const std::vector<CandidateWorker> &candidates, PlacementPass &pass)
 {
     const TimePoint now = pass.time.now;
@@ -177,12 +189,6 @@
     const auto fit = fitGangBySpeed(step, preference, availableNow);
     const GangRoom room = roomForGang(step, candidates, availableNow);
     step.gangWaits.waitFor(fit ? GangWaitCause::Tickets : room.withReserved >= step.spec->count ? GangWaitCause::ReservedRoom : GangWaitCause::Room, now);
-    if (!fit && settings != nullptr && room.whenIdle < step.spec->count * (step.isStarving ? minAllowedSlotsOfStarving : minAllowedSlotsPerTask)) {
-        // Workers that have not been asked about may have the capacity that the allowed ones lack now. With enough allowed workers, a call
-        // about further ones would only delay the renewal of tickets once there is room.
-        step.missingTasks = std::max(step.spec->count - room.now, 1);
-        requestAdvice(step, now);
-    }
     std::optional<GangForecast> forecast;
     if (fit) {
         forecast = GangForecast{now, *fit}; // The gang only lacks valid tickets.
@@ -191,6 +197,9 @@
         forecast = forecastGang(unreservedCandidates, step.spec->demand, step.spec->count, now);
         pass.reservingGangs += forecast ? 1 : 0;
     }
+    if (!fit && settings != nullptr) {
+        askFurtherForGang(step, room, forecast, now);
+    }
     if (!forecast) {
         return;
     }
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -327,6 +327,9 @@
     /// Returns how many tasks of the gang fit on its @p allowed workers; @p unreserved are the same workers, limited by limitToReservations().
     [[nodiscard]] GangRoom
     roomForGang(const StepInstance &step, const std::vector<CandidateWorker> &allowed, const std::vector<CandidateWorker> &unreserved) const;
+    /// Asks about further workers for a gang that does not fit, if the answer is expected to let it start earlier. @p reserved is the start for which
+    /// it has reserved capacity, if any.
+    void askFurtherForGang(StepInstance &step, const GangRoom &room, const std::optional<GangForecast> &reserved, TimePoint now);
     void reserveForGang(StepInstance &step, const std::vector<CandidateWorker> &candidates, PlacementPass &pass);
     void startTask(StepInstance &step, int index, Worker &worker, RunNumber run, PlacementPass &pass);
     /// Whether the next run of the task may start only on a worker whose other runs, if any, are suspects as well.
@@ -368,6 +371,10 @@
     [[nodiscard]] std::vector<WorkerId> workersToAsk(const StepInstance &step, TimePoint now);
     /// Workers to name in a question of a gang whose allowed workers lack room for @p missing tasks.
     [[nodiscard]] std::vector<WorkerId> furtherWorkersToAsk(const StepInstance &step, int missing, TimePoint now) const;
+    /// Whether the allowed ones of the workers that the gang has not asked about are expected to have room for @p missing tasks.
+    [[nodiscard]] bool wouldFurtherWorkersSuffice(const StepInstance &step, int missing) const;
+    /// Expected time until a call of the step that is queued now is answered.
+    [[nodiscard]] Duration expectedAnswerTime(const StepInstance &step, TimePoint now) const;
     /// Order in which a call names the workers by their class of speed; lower comes first.
     [[nodiscard]] static int speedOrderToAsk(const StepInstance &step, const SpeedPreference &preference, const Worker &worker);
     [[nodiscard]] const AdviceSettings *adviceSettings(const StepInstance &step) const;
--- a/src/cell/cellscheduler_p.h
+++ b/src/cell/cellscheduler_p.h
@@ -33,8 +33,8 @@
 constexpr int missedFirmDeadlineTierOffset = 70;
 /// For work above its workspace's rate, which goes last.
 constexpr int overRateTierOffset = 100;
-/// A gang asks about further workers while its allowed workers fit fewer tasks than this factor when they are idle. Higher factors spend the time
-/// of the policy service on workers that the gang does not need.
+/// A gang that does not fit asks about further workers in any case while its allowed workers, if they were idle, would fit fewer tasks than this
+/// factor; otherwise see CellScheduler::askFurtherForGang().
 constexpr int minAllowedSlotsPerTask = 4;
 /// Maximum number of workers in one call to the policy service.
 constexpr std::size_t maxWorkersPerCall = 100;
