Name as many further workers for a gang as the fixed part of a call costs

Their first answers waited for 1 to 5 s, since gangs spent 12 to 22 s of each second of the policy service on further workers. Cause: a further call named just the workers that were expected to make up for the missing room, 23 on average, and took 0.62 s, of which 0.46 s are the fixed part. Until the answer other steps took part of the room, so a gang asked three to four times. Change: such a call names at least so many workers with room that they take as long as the fixed part. This at most doubles the call, and another one would cost the fixed part again. GangsOnAFullCell.NameAsManyFurtherWorkersAsTheFixedPartOfACallCosts fails without the change.

--- a/src/cell/celladvice.cpp
+++ b/src/cell/celladvice.cpp
@@ -99,11 +99,13 @@
         }
     }
     std::sort(workersByFit.begin(), workersByFit.end());
+    // Another call would cost the fixed part again, so a call that lasts at most twice as long is cheaper if it saves one.
+    const std::size_t minWorkers = std::min(adviceSettings(step)->workersForFixedPart(), maxWorkersPerCall);
     const int wanted = slotsToName(missing, step.spec->gang, m_allowedShares.share(step.job->job.route));
     std::vector<WorkerId> workers;
     int taskSlots = 0;
     for (const auto &[speedOrder, negatedFits, worker] : workersByFit) {
-        if (taskSlots >= wanted || workers.size() >= maxWorkersPerCall) {
+        if ((taskSlots >= wanted && workers.size() >= minWorkers) || workers.size() >= maxWorkersPerCall) {
             break;
         }
         taskSlots -= negatedFits;
--- a/src/cell/routerules.h
+++ b/src/cell/routerules.h
@@ -17,6 +17,13 @@
     double perWorkerMs = 0; ///< Added for each worker named in the call.
     Duration validity{0}; ///< How long a ticket is valid.
 
+    /// Returns how many workers take as long as the fixed part of a call; unlimited if workers take no time.
+    [[nodiscard]] std::size_t workersForFixedPart() const
+    {
+        constexpr std::size_t unlimited = 1000000;
+        return decisionMs < perWorkerMs * static_cast<double>(unlimited) ? static_cast<std::size_t>(decisionMs / perWorkerMs) : unlimited;
+    }
+
     /// Returns an upper bound on the duration of a call that names @p workers workers, in whole milliseconds.
     [[nodiscard]] Duration callDuration(std::size_t workers) const
     {
--- a/test/cell/testgangsonafullcell.cpp
+++ b/test/cell/testgangsonafullcell.cpp
@@ -109,6 +109,25 @@
     CHECK_NO_VIOLATION(fullCell.cell);
 }
 
+// Guards against many short calls about further workers, each of which costs the fixed part again. Workers take no time in this cell.
+TEST(GangsOnAFullCell, NameAsManyFurtherWorkersAsTheFixedPartOfACallCosts)
+{
+    FullCellWithGang fullCell(longTime);
+    const int namedBefore = fullCell.cell.workersNamed;
+    fullCell.release("full at first");
+    fullCell.cell.run(callTime);
+    CHECK_EQUAL(workersFull * 9 / 10, fullCell.cell.workersNamed - namedBefore);
+}
+
+// Guards against a size of calls that grows without a bound when workers take nearly no time.
+TEST(GangsOnAFullCell, AskAboutABoundedNumberOfWorkersWhateverTheyCost)
+{
+    CHECK_EQUAL(70U, (AdviceSettings{455, 6.5, Duration(2500)}.workersForFixedPart()));
+    CHECK_EQUAL(0U, (AdviceSettings{0, 6.5, Duration(2500)}.workersForFixedPart()));
+    CHECK_EQUAL(1000000U, (AdviceSettings{455, 0, Duration(2500)}.workersForFixedPart()));
+    CHECK_EQUAL(1000000U, (AdviceSettings{455, 1e-300, Duration(2500)}.workersForFixedPart()));
+}
+
 // Guards against calls that can't give a gang the room that it lacks.
 TEST(GangsOnAFullCell, AskNoFurtherIfOtherWorkersHaveTooLittleRoom)
 {
