Log no late start of gangs that run until they are stopped

Long-running steps have no latest start that matters, so the line that a gang can no longer start in time would be wrong for them. Found by reading; tests GangWaits and WorkUsage pass.

--- a/src/cell/cellgangs.cpp
+++ b/src/cell/cellgangs.cpp
@@ -125,7 +125,7 @@
 
 void CellScheduler::logLateStart(StepInstance &step, TimePoint latestStart, TimePoint now) const
 {
-    if (!isWaitingGang(step) || step.isLateStartLogged || now <= latestStart) {
+    if (!isWaitingGang(step) || step.spec->longRunning || step.isLateStartLogged || now <= latestStart) {
         return;
     }
     step.isLateStartLogged = true;
--- a/src/node/leadercontroller.cpp
+++ b/src/node/leadercontroller.cpp
@@ -172,7 +172,7 @@
         const std::uint64_t added = coreMs - (former == before.coreMs.end() ? 0 : former->second);
         if (added >= msPerSecond) {
             text += (text.empty() ? "priority " : ", priority ") + std::to_string(key.priority) + " " + toString(key.timeliness)
-                + (key.hasSucceeded ? " succeeded " : " lost ") + std::to_string(added / msPerSecond) + " core-s";
+                + (key.hasSucceeded ? " succeeded " : " unsuccessful ") + std::to_string(added / msPerSecond) + " core-s";
         }
     }
     return text.empty() ? "none" : text;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -514,7 +514,7 @@
     for (const auto &[key, coreMs] : cell.work.coreMs) {
         add("run_core_ms_total",
             "priority=\"" + std::to_string(key.priority) + "\",at_start=\"" + toString(key.timeliness) + "\",end=\""
-                + (key.hasSucceeded ? "succeeded" : "other") + "\"",
+                + (key.hasSucceeded ? "succeeded" : "unsuccessful") + "\"",
             coreMs);
     }
     add("advice_faulty_answers_total", "", cell.advice.faultyAnswers);
