Name the available workers of a gang as their callers do

roomForGang() called them unreserved, the name of another list in reserveForGang(). expectedTimeToAnswer() is a duration and that of a short call.

--- a/src/cell/celladvice.cpp
+++ b/src/cell/celladvice.cpp
@@ -129,7 +129,7 @@
     return false;
 }
 
-Duration CellScheduler::expectedAnswerTime(const StepInstance &step, TimePoint now) const
+Duration CellScheduler::expectedTimeToAnswer(const StepInstance &step, TimePoint now) const
 {
     return m_advice.expectedDelay(tierOf(step, now), now) + firstCallDuration(step.job->job.route, *adviceSettings(step));
 }
--- a/src/cell/cellgangs.cpp
+++ b/src/cell/cellgangs.cpp
@@ -146,14 +146,14 @@
 }
 
 CellScheduler::GangRoom
-CellScheduler::roomForGang(const StepInstance &step, const std::vector<CandidateWorker> &allowed, const std::vector<CandidateWorker> &unreserved) const
+CellScheduler::roomForGang(const StepInstance &step, const std::vector<CandidateWorker> &allowed, const std::vector<CandidateWorker> &availableNow) const
 {
     GangRoom room;
     for (const CandidateWorker &candidate : allowed) {
         room.withReserved += tasksThatFit(step.spec->demand, candidate.free, std::min(candidate.maxTasks, step.spec->count));
         room.whenIdle += tasksThatFit(step.spec->demand, m_workers.at(candidate.worker)->info.capacity, step.spec->count);
     }
-    for (const CandidateWorker &candidate : unreserved) {
+    for (const CandidateWorker &candidate : availableNow) {
         room.now += candidate.maxTasks;
     }
     return room;
@@ -163,7 +163,7 @@
 {
     const int missing = std::max(step.spec->count - room.now, 1);
     const bool lacksCapacity = room.whenIdle < step.spec->count * (step.isStarving ? minAllowedSlotsOfStarving : minAllowedSlotsPerTask);
-    const bool startsBeforeAnswer = reserved && reserved->start <= now + expectedAnswerTime(step, now);
+    const bool startsBeforeAnswer = reserved && reserved->start <= now + expectedTimeToAnswer(step, now);
     // The capacity of idle workers says nothing about the room on a cell that is nearly full, so what the gang may expect now decides.
     if (lacksCapacity || (!startsBeforeAnswer && wouldFurtherWorkersSuffice(step, missing))) {
         step.missingTasks = missing;
--- a/src/cell/cellscheduler.h
+++ b/src/cell/cellscheduler.h
@@ -324,9 +324,9 @@
     /// Reserves less room after a task of the step has started.
     void onStartAfterPreemption(const StepInstance &step, const Worker &worker);
     void placeMissingMembers(StepInstance &step, PlacementPass &pass);
-    /// Returns how many tasks of the gang fit on its @p allowed workers; @p unreserved are the same workers, limited by limitToReservations().
+    /// Returns how many tasks of the gang fit on its @p allowed workers; @p availableNow are the same workers, limited by limitToReservations().
     [[nodiscard]] GangRoom
-    roomForGang(const StepInstance &step, const std::vector<CandidateWorker> &allowed, const std::vector<CandidateWorker> &unreserved) const;
+    roomForGang(const StepInstance &step, const std::vector<CandidateWorker> &allowed, const std::vector<CandidateWorker> &availableNow) const;
     /// Asks about further workers for a gang that does not fit, if the answer is expected to let it start earlier. @p reserved is the start for which
     /// it has reserved capacity, if any.
     void askFurtherForGang(StepInstance &step, const GangRoom &room, const std::optional<GangForecast> &reserved, TimePoint now);
@@ -373,8 +373,8 @@
     [[nodiscard]] std::vector<WorkerId> furtherWorkersToAsk(const StepInstance &step, int missing, TimePoint now) const;
     /// Whether the allowed ones of the workers that the gang has not asked about are expected to have room for @p missing tasks.
     [[nodiscard]] bool wouldFurtherWorkersSuffice(const StepInstance &step, int missing) const;
-    /// Expected time until a call of the step that is queued now is answered.
-    [[nodiscard]] Duration expectedAnswerTime(const StepInstance &step, TimePoint now) const;
+    /// Expected time until a call of the step that is queued now is answered, if it is a short one.
+    [[nodiscard]] Duration expectedTimeToAnswer(const StepInstance &step, TimePoint now) const;
     /// Order in which a call names the workers by their class of speed; lower comes first.
     [[nodiscard]] static int speedOrderToAsk(const StepInstance &step, const SpeedPreference &preference, const Worker &worker);
     [[nodiscard]] const AdviceSettings *adviceSettings(const StepInstance &step) const;
